--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Not written yet.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/api_problem.rs
@@ -0,0 +1,170 @@
+//! Problems as callers see them: `application/problem+json` (RFC 9457).
+
+use {
+    crate::{
+        ids::RequestId,
+        problem::{Code, Outcome, Problem},
+        units::Millis,
+    },
+    dropshot::{Body, ErrorStatusCode, HttpError, HttpResponseError},
+    http::{Response, StatusCode, header},
+    schemars::JsonSchema,
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// Media type of problems.
+pub const PROBLEM_TYPE: &str = "application/problem+json";
+
+/// Body of a problem.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct ProblemBody {
+    /// `urn:hazelyoke:problem:` and the code.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// The code in words.
+    pub title: String,
+    /// HTTP status.
+    pub status: u16,
+    /// Explains the matter to people.
+    pub detail: String,
+    /// Stable reason.
+    pub code: String,
+    /// `not_run` if nothing of the work ran or will run, else `unknown`.
+    pub outcome: String,
+    /// Id under which logs and traces show the request.
+    pub request_id: Option<String>,
+    /// Milliseconds after which another try may be worth it.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// A problem on its way to a caller.
+#[derive(Debug, Clone)]
+pub struct ApiProblem {
+    problem: Problem,
+    request: Option<RequestId>,
+}
+
+impl ApiProblem {
+    /// Wraps a problem of one request.
+    pub fn new(problem: Problem, request: Option<RequestId>) -> Self {
+        Self { problem, request }
+    }
+
+    /// Returns the body that callers receive.
+    pub fn body(&self) -> ProblemBody {
+        let code = self.problem.code.as_str();
+        ProblemBody {
+            kind: format!("urn:hazelyoke:problem:{code}"),
+            title: code.replace('_', " "),
+            status: self.problem.code.status(),
+            detail: self.problem.detail.clone(),
+            code: code.to_owned(),
+            outcome: self.problem.outcome.to_string(),
+            request_id: self.request.map(|id| id.to_string()),
+            retry_after_ms: self.problem.retry_after.map(|Millis(ms)| ms),
+        }
+    }
+}
+
+impl fmt::Display for ApiProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.problem.fmt(f)
+    }
+}
+
+impl From<Problem> for ApiProblem {
+    fn from(problem: Problem) -> Self {
+        Self::new(problem, None)
+    }
+}
+
+/// `dropshot` refuses in its extractors, before anything could run.
+impl From<HttpError> for ApiProblem {
+    fn from(error: HttpError) -> Self {
+        let code = match error.status_code.as_u16() {
+            404 | 405 => Code::NotFound,
+            413 => Code::BodyTooLarge,
+            400..500 => Code::BadRequest,
+            _ => Code::Internal,
+        };
+        Problem::not_run(code, error.external_message).into()
+    }
+}
+
+impl fmt::Display for ProblemBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({}): {}", self.code, self.outcome, self.detail)
+    }
+}
+
+impl From<HttpError> for ProblemBody {
+    fn from(error: HttpError) -> Self {
+        ApiProblem::from(error).body()
+    }
+}
+
+/// The form that `dropshot` documents; it would send it as plain JSON, so handlers send problems
+/// by [`respond`] themselves.
+impl HttpResponseError for ProblemBody {
+    fn status_code(&self) -> ErrorStatusCode {
+        ErrorStatusCode::from_u16(self.status).unwrap_or(ErrorStatusCode::INTERNAL_SERVER_ERROR)
+    }
+}
+
+/// Turns a problem into its response, with the media type that `dropshot` doesn't give it.
+///
+/// # Errors
+///
+/// Returns the problem itself if its response can't be built.
+#[expect(
+    clippy::result_large_err,
+    reason = "dropshot takes the error type itself, unboxed"
+)]
+pub fn respond(result: Result<Response<Body>, ApiProblem>) -> Result<Response<Body>, ProblemBody> {
+    let problem = match result {
+        Ok(response) => return Ok(response),
+        Err(problem) => problem,
+    };
+    let body = problem.body();
+    let json = serde_json::to_string(&body).unwrap_or_default();
+    let mut builder = Response::builder()
+        .status(body.status)
+        .header(header::CONTENT_TYPE, PROBLEM_TYPE);
+    if let Some(wait) = problem.problem.retry_after {
+        builder = builder.header(header::RETRY_AFTER, wait.0.div_ceil(1000));
+    }
+    builder.body(json.into()).map_err(|_| body)
+}
+
+/// Builds a bad-request problem.
+pub fn bad_request(detail: impl Into<String>) -> ApiProblem {
+    Problem::not_run(Code::BadRequest, detail).into()
+}
+
+/// Builds the response of a whole answer.
+///
+/// # Errors
+///
+/// Returns an internal problem if the response can't be built.
+pub fn json_response(
+    status: u16,
+    request: RequestId,
+    body: bytes::Bytes,
+) -> Result<Response<Body>, ApiProblem> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    Response::builder()
+        .status(status)
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(crate::wire::REQUEST_HEADER, request.to_string())
+        .body(body.into())
+        .map_err(|error| {
+            let problem = Problem {
+                code: Code::Internal,
+                outcome: Outcome::Unknown,
+                detail: error.to_string(),
+                retry_after: None,
+            };
+            ApiProblem::new(problem, Some(request))
+        })
+}
--- /dev/null
+++ b/lib/src/api_stream.rs
@@ -0,0 +1,113 @@
+//! Streamed answers: tokens as they come, then exactly one final event.
+
+use {
+    crate::{
+        api_problem::ApiProblem,
+        http_transport::HttpTransport,
+        ids::RequestId,
+        node::{Delivery, Ticket},
+        sse::write_event,
+        trace::Hop,
+        wire,
+    },
+    bytes::Bytes,
+    dropshot::Body,
+    futures_util::stream,
+    http::{Response, header},
+    http_body_util::StreamBody,
+    hyper::body::Frame,
+    serde::Serialize,
+    std::convert::Infallible,
+    tokio::sync::OwnedSemaphorePermit,
+};
+
+/// Name of the event that carries one token.
+pub const TOKEN_EVENT: &str = "token";
+/// Name of the event that ends a whole answer.
+pub const DONE_EVENT: &str = "done";
+/// Name of the event that ends an answer that can't become whole.
+pub const PROBLEM_EVENT: &str = "problem";
+
+#[derive(Debug, Serialize)]
+struct TokenData<'a> {
+    index: u32,
+    text: &'a str,
+}
+
+#[derive(Debug, Serialize)]
+struct DoneData {
+    tokens: u32,
+    request_id: String,
+}
+
+/// An answer in the course of being streamed; dropping it tells the daemon that the caller left.
+struct Streaming {
+    ticket: Ticket<HttpTransport>,
+    id: RequestId,
+    first: Option<Delivery>,
+    // Held until the stream ends: the request counts as in hand, and its span goes on.
+    _permit: OwnedSemaphorePermit,
+    _forward: Hop,
+}
+
+impl Streaming {
+    async fn next_event(mut self) -> Option<(Result<Frame<Bytes>, Infallible>, Self)> {
+        let delivery = match self.first.take() {
+            Some(first) => first,
+            None => self.ticket.next().await?,
+        };
+        let event = event(&delivery, self.id);
+        Some((Ok(Frame::data(event)), self))
+    }
+}
+
+fn event(delivery: &Delivery, id: RequestId) -> Bytes {
+    match delivery {
+        Delivery::Token { index, text } => write_event(
+            TOKEN_EVENT,
+            &TokenData {
+                index: *index,
+                text,
+            },
+        ),
+        Delivery::Finished(Ok(answer)) => write_event(
+            DONE_EVENT,
+            &DoneData {
+                tokens: answer.tokens,
+                request_id: id.to_string(),
+            },
+        ),
+        Delivery::Finished(Err(problem)) => {
+            let problem = ApiProblem::new(problem.clone(), Some(id));
+            write_event(PROBLEM_EVENT, &problem.body())
+        }
+    }
+}
+
+/// Builds the response of a streamed answer that starts with `first`.
+///
+/// # Errors
+///
+/// Returns a problem if the response can't be built.
+pub fn stream_response(
+    ticket: Ticket<HttpTransport>,
+    id: RequestId,
+    first: Delivery,
+    permit: OwnedSemaphorePermit,
+    forward: Hop,
+) -> Result<Response<Body>, ApiProblem> {
+    let streaming = Streaming {
+        ticket,
+        id,
+        first: Some(first),
+        _permit: permit,
+        _forward: forward,
+    };
+    let events = stream::unfold(streaming, Streaming::next_event);
+    Response::builder()
+        .header(header::CONTENT_TYPE, "text/event-stream")
+        .header(header::CACHE_CONTROL, "no-store")
+        .header(wire::REQUEST_HEADER, id.to_string())
+        .body(Body::wrap(StreamBody::new(events)))
+        .map_err(|error| crate::api_problem::bad_request(error.to_string()))
+}
--- /dev/null
+++ b/lib/src/config_service.rs
@@ -0,0 +1,160 @@
+//! Adapter for the platform's configuration service, which can only be read.
+
+use {
+    crate::{
+        document,
+        findings::Findings,
+        http_transport::get,
+        raw_tree::{RawTree, ValueSource},
+        tree::Tree,
+        units::{ByteSize, Millis},
+    },
+    bytes::Bytes,
+    http::StatusCode,
+    http_body_util::Empty,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    std::{
+        cell::RefCell,
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
+    thiserror::Error,
+    xxhash_rust::xxh3::Xxh3,
+};
+
+/// Largest value that the service holds.
+const VALUE_SIZE: ByteSize = ByteSize(1 << 20);
+
+/// Longest time for one read; the service answers in milliseconds.
+const READ_TIMEOUT: Millis = Millis(2_000);
+
+/// Most values that one tree may span.
+const MAX_VALUES: usize = 64;
+
+/// Why no tree could be had.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The service didn't answer as it should.
+    #[error("the configuration service can't be read: {0}")]
+    Unreadable(String),
+    /// The tree is invalid; the last good one stays.
+    #[error("the settings tree is invalid:\n{0}")]
+    Invalid(Findings),
+}
+
+/// A tree together with the fingerprint of the values it was read from.
+#[derive(Debug)]
+pub struct FetchedTree {
+    /// The checked tree.
+    pub tree: Tree,
+    /// Hash over all of its values.
+    pub hash: u64,
+}
+
+/// Reads values of the configuration service.
+#[derive(Debug, Clone)]
+pub struct ConfigClient {
+    client: Client<HttpConnector, Empty<Bytes>>,
+    address: SocketAddr,
+}
+
+/// Values fetched so far; asks that can't be met are noted for the next round.
+#[derive(Debug, Default)]
+struct FetchedValues {
+    values: BTreeMap<String, Bytes>,
+    missing: RefCell<BTreeSet<String>>,
+}
+
+impl ValueSource for FetchedValues {
+    fn read(&self, name: &str) -> Result<Vec<u8>, String> {
+        match self.values.get(name) {
+            Some(value) => Ok(value.to_vec()),
+            None => {
+                self.missing.borrow_mut().insert(name.to_owned());
+                Err("not fetched yet".into())
+            }
+        }
+    }
+}
+
+impl ConfigClient {
+    /// Builds a client; it connects when it is first used.
+    pub fn new(address: SocketAddr) -> Self {
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build_http();
+        Self { client, address }
+    }
+
+    /// Reads one value.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the service can't be reached or doesn't have the value.
+    pub async fn value(&self, name: &str) -> Result<Bytes, ConfigError> {
+        let uri = format!("http://{}/v1/values/{name}", self.address);
+        let (_, status, body) = get(&self.client, &uri, VALUE_SIZE, READ_TIMEOUT)
+            .await
+            .map_err(ConfigError::Unreadable)?;
+        if status != StatusCode::OK {
+            return Err(ConfigError::Unreadable(format!("{uri}: status {status}")));
+        }
+        Ok(body)
+    }
+
+    /// Reads a tree with all the values it spans, and checks it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a value can't be read or the tree is invalid.
+    pub async fn tree(&self, root: &str) -> Result<FetchedTree, ConfigError> {
+        let mut fetched = FetchedValues::default();
+        let mut wanted = BTreeSet::from([root.to_owned()]);
+        loop {
+            for name in wanted {
+                let value = self.value(&name).await?;
+                fetched.values.insert(name, value);
+            }
+            let raw = RawTree::read(&fetched, root);
+            wanted = fetched.missing.take();
+            if wanted.is_empty() {
+                return finish_tree(raw, &fetched);
+            }
+            if fetched.values.len() + wanted.len() > MAX_VALUES {
+                let message = format!("the tree spans more than {MAX_VALUES} values");
+                return Err(ConfigError::Unreadable(message));
+            }
+        }
+    }
+}
+
+fn finish_tree(
+    raw: Result<RawTree, Findings>,
+    fetched: &FetchedValues,
+) -> Result<FetchedTree, ConfigError> {
+    let tree = raw.and_then(Tree::try_from).map_err(ConfigError::Invalid)?;
+    let mut hash = Xxh3::new();
+    for (name, value) in &fetched.values {
+        hash.update(name.as_bytes());
+        hash.update(&[0]);
+        hash.update(value);
+        hash.update(&[0]);
+    }
+    Ok(FetchedTree {
+        tree,
+        hash: hash.digest(),
+    })
+}
+
+/// Returns whether a name can be a value's: letters, digits and `._-/`, not absolute.
+pub fn is_value_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-' | '/');
+    !name.is_empty()
+        && name.len() <= document::MAX_DEPTH * 4
+        && !name.starts_with('/')
+        && !name.contains("..")
+        && name.chars().all(allowed)
+}
--- /dev/null
+++ b/lib/src/daemon.rs
@@ -0,0 +1,179 @@
+//! Puts a daemon together from its settings, and takes it apart again without cutting requests.
+
+use {
+    crate::{
+        adoption::{TreeMark, Verdict, judge},
+        api::{self, ApiContext, BODY_CAP},
+        config_service::{ConfigClient, ConfigError, FetchedTree},
+        core::CoreConfig,
+        daemon_settings::{ConfigSettings, DaemonSettings},
+        http_transport::HttpTransport,
+        node::{Node, TaskGuard, spawn_guarded},
+        trace::{TraceError, Tracing},
+    },
+    dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder},
+    slog::Drain,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+    },
+    thiserror::Error,
+};
+
+/// Why a daemon can't start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The interface for callers can't be served.
+    #[error("can't serve on {address}: {reason}; is the address free and this host's own?")]
+    Serve {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// What failed.
+        reason: String,
+    },
+    /// Traces can't be exported.
+    #[error(transparent)]
+    Trace(#[from] TraceError),
+}
+
+/// A running daemon.
+pub struct Daemon {
+    server: HttpServer<Arc<ApiContext>>,
+    node: Node<HttpTransport>,
+    settings: DaemonSettings,
+    // Held so that the daemon's tasks end together with it.
+    _tasks: Vec<TaskGuard>,
+}
+
+impl Daemon {
+    /// Starts a daemon; it is ready for callers once it has a tree.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be served or traces can't be exported.
+    pub fn start(settings: DaemonSettings) -> Result<Self, StartError> {
+        let tracing = match &settings.traces {
+            Some(traces) => {
+                Tracing::export_to(&traces.collector, traces.sample.0, settings.host.as_str())?
+            }
+            None => Tracing::default(),
+        };
+        let config = CoreConfig {
+            data_centre: settings.data_centre.clone(),
+            hop: settings.hop,
+            seed: random_seed(),
+        };
+        let node = Node::new(config, HttpTransport::new(), tracing);
+        let server = serve(&settings, &node)?;
+        let tasks = vec![
+            spawn_guarded(node.clone().run_timers()),
+            spawn_guarded(node.clone().run_load_reports(settings.load_interval)),
+            spawn_guarded(watch_tree(
+                server.app_private().clone(),
+                settings.config.clone(),
+            )),
+        ];
+        log::info!(host = settings.host.as_str(), listen:% = server.local_addr(); "daemon started");
+        Ok(Self {
+            server,
+            node,
+            settings,
+            _tasks: tasks,
+        })
+    }
+
+    /// Returns the address that is served.
+    pub fn address(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    /// Returns the daemon's decisions, for reports and tests.
+    pub fn node(&self) -> &Node<HttpTransport> {
+        &self.node
+    }
+
+    /// Stops without cutting a request: not ready, a grace for the balancer to notice, then the
+    /// requests in flight end.
+    pub async fn stop(self) {
+        let context = self.server.app_private();
+        context.ready.store(false, Ordering::Release);
+        log::info!(in_flight = self.node.in_flight(); "stopping: not ready any more");
+        tokio::time::sleep(self.settings.stop_grace.to_duration()).await;
+        if let Err(error) = self.server.close().await {
+            log::warn!(error; "the server didn't close cleanly");
+        }
+        log::info!("stopped");
+    }
+}
+
+fn random_seed() -> u64 {
+    rand::random()
+}
+
+fn serve(
+    settings: &DaemonSettings,
+    node: &Node<HttpTransport>,
+) -> Result<HttpServer<Arc<ApiContext>>, StartError> {
+    let failed = |reason: String| StartError::Serve {
+        address: settings.listen,
+        reason,
+    };
+    let host = settings.host.to_string();
+    let context = ApiContext::new(node.clone(), host, settings.limits);
+    let description = api::describe().map_err(|error| failed(error.to_string()))?;
+    let log = slog::Logger::root(slog_stdlog::StdLog.fuse(), slog::o!());
+    let config = ConfigDropshot {
+        bind_address: settings.listen,
+        default_request_body_max_bytes: BODY_CAP,
+        // A caller that vanishes drops its handler, and with it the request's ticket.
+        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
+        ..Default::default()
+    };
+    ServerBuilder::new(description, Arc::new(context), log)
+        .config(config)
+        .start()
+        .map_err(|error| failed(error.to_string()))
+}
+
+/// Reads the tree again and again; silence of the service changes nothing in service.
+async fn watch_tree(context: Arc<ApiContext>, settings: ConfigSettings) {
+    let client = ConfigClient::new(settings.address);
+    let mut current = None;
+    let mut ticks = tokio::time::interval(settings.poll.to_duration());
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match client.tree(&settings.tree).await {
+            Ok(fetched) => take_tree(&context, &mut current, fetched),
+            Err(error) => {
+                if matches!(error, ConfigError::Invalid(_)) {
+                    context.metrics.tree_refused();
+                }
+                log::warn!(error:%; "no new settings tree");
+            }
+        }
+    }
+}
+
+fn take_tree(context: &ApiContext, current: &mut Option<TreeMark>, fetched: FetchedTree) {
+    let read = TreeMark {
+        version: fetched.tree.version,
+        hash: fetched.hash,
+    };
+    match judge(*current, read) {
+        Verdict::Adopt => {
+            context.node.adopt(Arc::new(fetched.tree));
+            *current = Some(read);
+            context.ready.store(true, Ordering::Release);
+            log::info!(version = read.version.0; "settings tree in force");
+        }
+        Verdict::Same => {}
+        Verdict::Older => {
+            log::warn!(version = read.version.0; "the configuration service is stale");
+        }
+        Verdict::Conflict => {
+            context.metrics.tree_refused();
+            log::error!(version = read.version.0; "this version came with other content before");
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/daemon_settings.rs
@@ -0,0 +1,174 @@
+//! Settings of one daemon: who it is, where it listens, whom it asks.
+
+use {
+    crate::{
+        api::ApiLimits,
+        document::{self, ObjectReader},
+        findings::{Findings, Place},
+        ids::{DataCentreId, HostId},
+        units::{ByteSize, Count, Millis, Share},
+    },
+    std::net::SocketAddr,
+};
+
+/// Defaults of what may be left out.
+const DEFAULT_HOP: Millis = Millis(1);
+const DEFAULT_LOAD_INTERVAL: Millis = Millis(100);
+const DEFAULT_POLL: Millis = Millis(1_000);
+const DEFAULT_REQUESTS: Count = Count(2_000);
+const DEFAULT_HEADERS: ByteSize = ByteSize(16 * 1024);
+const DEFAULT_RECEIVE: Millis = Millis(5_000);
+const DEFAULT_GRACE: Millis = Millis(5_000);
+const DEFAULT_SAMPLE: Share = Share(0.01);
+
+/// Checked settings of one daemon.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DaemonSettings {
+    /// Name of the host.
+    pub host: HostId,
+    /// Data centre it stands in.
+    pub data_centre: DataCentreId,
+    /// Address for callers and operators.
+    pub listen: SocketAddr,
+    /// Where the tree is read.
+    pub config: ConfigSettings,
+    /// Cost of a call into another data centre.
+    pub hop: Millis,
+    /// Time between two reads of an endpoint's load.
+    pub load_interval: Millis,
+    /// Limits towards callers.
+    pub limits: ApiLimits,
+    /// Time that the balancer has to notice a stop, during which requests are still taken.
+    pub stop_grace: Millis,
+    /// Where traces go, if anywhere.
+    pub traces: Option<TraceSettings>,
+}
+
+/// Where the settings tree is read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ConfigSettings {
+    /// Address of the configuration service.
+    pub address: SocketAddr,
+    /// Name of the tree's root value.
+    pub tree: String,
+    /// Time between two reads.
+    pub poll: Millis,
+}
+
+/// Where traces go.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TraceSettings {
+    /// URL of the OTLP collector.
+    pub collector: String,
+    /// Share of new traces that is kept.
+    pub sample: Share,
+}
+
+/// A daemon's settings as written.
+#[derive(Debug, Clone)]
+pub struct RawDaemonSettings {
+    value: document::Value,
+}
+
+impl RawDaemonSettings {
+    /// Reads settings from JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// Returns syntax errors with their places.
+    pub fn parse(file: &str, bytes: &[u8]) -> Result<Self, Findings> {
+        let value = document::parse_bytes(file, bytes)?;
+        Ok(Self { value })
+    }
+}
+
+impl TryFrom<RawDaemonSettings> for DaemonSettings {
+    type Error = Findings;
+
+    fn try_from(raw: RawDaemonSettings) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let mut root = ObjectReader::new("daemon", raw.value, &mut findings);
+        let host = root.take_required::<HostId>("host");
+        let data_centre = root.take_required::<DataCentreId>("data_centre");
+        let listen = root.take_required::<SocketAddr>("listen");
+        let hop = take_or(&mut root, "hop", DEFAULT_HOP);
+        let load_interval = take_or(&mut root, "load_interval", DEFAULT_LOAD_INTERVAL);
+        let stop_grace = take_or(&mut root, "stop_grace", DEFAULT_GRACE);
+        let limits = ApiLimits {
+            requests: take_or(&mut root, "max_requests", DEFAULT_REQUESTS),
+            headers: take_or(&mut root, "max_headers", DEFAULT_HEADERS),
+            receive: take_or(&mut root, "receive_timeout", DEFAULT_RECEIVE),
+        };
+        let config = take_config(&mut root);
+        let traces = take_traces(&mut root);
+        let place = root.place().clone();
+        check_positive(&mut root, &place, "load_interval", load_interval);
+        root.finish();
+        let required = (host, data_centre, listen, config);
+        let (Some((host, _)), Some((data_centre, _)), Some((listen, _)), Some(config)) = required
+        else {
+            findings.into_result(())?;
+            unreachable!("a missing value is always a finding");
+        };
+        findings.into_result(Self {
+            host,
+            data_centre,
+            listen,
+            config,
+            hop,
+            load_interval,
+            limits,
+            stop_grace,
+            traces,
+        })
+    }
+}
+
+fn take_or<T>(reader: &mut ObjectReader<'_>, name: &'static str, default: T) -> T
+where
+    T: std::str::FromStr<Err: std::fmt::Display>,
+{
+    reader.take_parsed(name).map_or(default, |(value, _)| value)
+}
+
+fn check_positive(reader: &mut ObjectReader<'_>, place: &Place, name: &str, value: Millis) {
+    if value.0 == 0 {
+        let message = format!("{name} is zero");
+        let hint = "give a time above zero";
+        reader.findings().add(place, "daemon", message, hint);
+    }
+}
+
+fn take_config(root: &mut ObjectReader<'_>) -> Option<ConfigSettings> {
+    let place = root.place().clone();
+    let Some(value) = root.take("config") else {
+        let message = "\"config\" is missing";
+        let hint = "add \"config\" with \"address\" and \"tree\"";
+        root.findings().add(&place, "daemon", message, hint);
+        return None;
+    };
+    let mut reader = ObjectReader::new("daemon/config", value, root.findings());
+    let address = reader.take_required::<SocketAddr>("address");
+    let tree = reader.take_required::<String>("tree");
+    let poll = take_or(&mut reader, "poll", DEFAULT_POLL);
+    let place = reader.place().clone();
+    check_positive(&mut reader, &place, "poll", poll);
+    reader.finish();
+    Some(ConfigSettings {
+        address: address?.0,
+        tree: tree?.0,
+        poll,
+    })
+}
+
+fn take_traces(root: &mut ObjectReader<'_>) -> Option<TraceSettings> {
+    let value = root.take("traces")?;
+    let mut reader = ObjectReader::new("daemon/traces", value, root.findings());
+    let collector = reader.take_required::<String>("collector");
+    let sample = take_or(&mut reader, "sample", DEFAULT_SAMPLE);
+    reader.finish();
+    Some(TraceSettings {
+        collector: collector?.0,
+        sample,
+    })
+}
--- /dev/null
+++ b/lib/src/endpoint.rs
@@ -0,0 +1,180 @@
+//! What the daemon asks of an endpoint, and what an endpoint can answer.
+
+use {
+    crate::{
+        ids::{CallIds, EndpointId, IdempotencyKey},
+        settings::Priority,
+        tree::ServiceKind,
+        units::{ByteSize, Millis, WorkMillis},
+    },
+    bytes::Bytes,
+    serde::{Deserialize, Serialize},
+    std::{fmt, future::Future, net::SocketAddr},
+};
+
+/// One call of one endpoint.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Ids that the reply must carry.
+    pub ids: CallIds,
+    /// Endpoint that is called.
+    pub endpoint: EndpointId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it is.
+    pub kind: ServiceKind,
+    /// Input of the stage: a JSON value.
+    pub input: Bytes,
+    /// Time left of the request.
+    pub remaining: Millis,
+    /// Order in the endpoint's queue.
+    pub priority: Priority,
+    /// Key by which the endpoint can notice a repeat.
+    pub key: Option<IdempotencyKey>,
+    /// Largest reply accepted.
+    pub max_reply: ByteSize,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// Tokens that were delivered already, to go on after them.
+    pub resume: Resume,
+    /// Trace context for the endpoint, if the request is traced.
+    pub trace_parent: Option<String>,
+}
+
+/// The part of a generation that another replica delivered before it broke off.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Resume {
+    /// Number of tokens delivered.
+    pub tokens: u32,
+    /// Their text.
+    pub text: String,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AttemptEnd {
+    /// The endpoint answered whole, with matching ids.
+    Answered(Reply),
+    /// The stream of tokens ended as the engine announced, after this many tokens in all.
+    StreamEnded {
+        /// Tokens in all, those before a resume included.
+        tokens: u32,
+        /// Time the endpoint says it spent.
+        served: Option<WorkMillis>,
+    },
+    /// Certainly not run: no byte of the call was sent, or the endpoint says so itself.
+    NotRun(NotRunCause),
+    /// May have run.
+    Failed(FailCause),
+}
+
+/// A whole reply.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reply {
+    /// HTTP status, 200 to 499.
+    pub status: u16,
+    /// Body, a JSON value.
+    pub body: Bytes,
+    /// Time the endpoint says it spent.
+    pub served: Option<WorkMillis>,
+}
+
+/// Why an attempt certainly did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotRunCause {
+    /// The connection was refused, so no byte was sent.
+    Unreachable,
+    /// The endpoint refused for lack of room.
+    Busy,
+    /// The endpoint is leaving.
+    Leaving,
+}
+
+/// Why an attempt failed that may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum FailCause {
+    /// The connection broke off.
+    Broken,
+    /// The reply can't be understood.
+    Garbage,
+    /// The reply carries other ids than the call.
+    WrongIds,
+    /// The reply is larger than allowed.
+    TooLarge,
+    /// The endpoint answered with a server error.
+    ServerError,
+    /// The endpoint was silent for too long.
+    Timeout,
+}
+
+impl FailCause {
+    /// Returns the stable text of the cause, for metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            FailCause::Broken => "broken",
+            FailCause::Garbage => "garbage",
+            FailCause::WrongIds => "wrong_ids",
+            FailCause::TooLarge => "too_large",
+            FailCause::ServerError => "server_error",
+            FailCause::Timeout => "timeout",
+        }
+    }
+}
+
+impl fmt::Display for FailCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl fmt::Display for NotRunCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            NotRunCause::Unreachable => "unreachable",
+            NotRunCause::Busy => "busy",
+            NotRunCause::Leaving => "leaving",
+        })
+    }
+}
+
+/// An endpoint's own report of its load, as it was when the endpoint made it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Work queued and in progress.
+    pub backlog: WorkMillis,
+    /// Calls in progress.
+    pub running: u32,
+    /// Calls it works on at the same time.
+    pub slots: u32,
+    /// Age of the report when it was sent.
+    pub age: Millis,
+    /// Whether the endpoint is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// Receives the tokens of a stream while the call runs.
+pub trait TokenSink: Send {
+    /// Takes the token at `index`, counted from the start of the whole generation.
+    fn token(&mut self, index: u32, text: String);
+}
+
+/// Talks to endpoints: the only way from the decisions to the endpoints' protocols.
+pub trait Transport: Clone + Send + Sync + 'static {
+    /// Runs one call to its end.
+    fn call(
+        &self,
+        call: Call,
+        sink: impl TokenSink + 'static,
+    ) -> impl Future<Output = AttemptEnd> + Send;
+
+    /// Tells an endpoint that nobody waits for a call any more; best effort.
+    fn cancel(&self, call: Call) -> impl Future<Output = ()> + Send;
+
+    /// Reads an endpoint's load report.
+    fn load(
+        &self,
+        address: SocketAddr,
+        kind: &ServiceKind,
+    ) -> impl Future<Output = Option<LoadReport>> + Send;
+}
--- /dev/null
+++ b/lib/src/engine_client.rs
@@ -0,0 +1,120 @@
+//! Adapter for model engines: a generation is a stream of events with a clear end.
+
+use {
+    crate::{
+        endpoint::{AttemptEnd, Call, FailCause, TokenSink},
+        http_transport::{Body, HttpTransport, call_request, check_head},
+        sse::EventReader,
+        tree::ServiceKind,
+        units::WorkMillis,
+        wire::{self, GenerateBody, StreamEvent},
+    },
+    bytes::Bytes,
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    serde_json::value::RawValue,
+    std::time::Duration,
+};
+
+/// Longest silence within a stream; an engine sends tokens far more often.
+const SILENCE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Longest time to tell an engine that nobody waits any more.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Runs one generation and hands each token to `sink`.
+pub async fn generate(
+    transport: &HttpTransport,
+    call: Call,
+    sink: impl TokenSink + 'static,
+) -> AttemptEnd {
+    match exchange(transport, &call, sink).await {
+        Ok(end) | Err(end) => end,
+    }
+}
+
+async fn exchange(
+    transport: &HttpTransport,
+    call: &Call,
+    sink: impl TokenSink,
+) -> Result<AttemptEnd, AttemptEnd> {
+    let garbage = AttemptEnd::Failed(FailCause::Garbage);
+    let body = generate_body(call).ok_or_else(|| garbage.clone())?;
+    let request = call_request(call, wire::GENERATE_PATH)
+        .body(body)
+        .map_err(|_| garbage.clone())?;
+    let response = transport.send(request).await?;
+    check_head(call, &response)?;
+    if !response.status().is_success() {
+        return Err(garbage);
+    }
+    Ok(read_stream(response.into_body(), call, sink).await)
+}
+
+fn generate_body(call: &Call) -> Option<Body> {
+    let ServiceKind::Engine { model } = &call.kind else {
+        return None;
+    };
+    let input: &RawValue = serde_json::from_slice(&call.input).ok()?;
+    let body = GenerateBody {
+        model,
+        input,
+        max_tokens: call.max_tokens,
+        resume_tokens: call.resume.tokens,
+        resume_text: &call.resume.text,
+    };
+    let json = serde_json::to_vec(&body).ok()?;
+    Some(Body::new(Bytes::from(json)))
+}
+
+async fn read_stream(mut body: Incoming, call: &Call, mut sink: impl TokenSink) -> AttemptEnd {
+    let mut events = EventReader::default();
+    let mut size = 0u64;
+    loop {
+        let frame = match tokio::time::timeout(SILENCE_LIMIT, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            // An end without the announced one is a stream that broke off.
+            Ok(Some(Err(_)) | None) => return AttemptEnd::Failed(FailCause::Broken),
+            Err(_) => return AttemptEnd::Failed(FailCause::Timeout),
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        size += data.len() as u64;
+        if size > call.max_reply.0 || events.feed(&data).is_err() {
+            return AttemptEnd::Failed(FailCause::TooLarge);
+        }
+        while let Some(event) = events.next_event() {
+            if let Some(end) = take_event(&event, call.max_tokens, &mut sink) {
+                return end;
+            }
+        }
+    }
+}
+
+/// Takes one event; returns the attempt's end if this was the last.
+fn take_event(event: &[u8], max_tokens: u32, sink: &mut impl TokenSink) -> Option<AttemptEnd> {
+    match serde_json::from_slice::<StreamEvent>(event) {
+        Ok(StreamEvent::Token { index, .. }) if index >= max_tokens => {
+            Some(AttemptEnd::Failed(FailCause::TooLarge))
+        }
+        Ok(StreamEvent::Token { index, text }) => {
+            sink.token(index, text);
+            None
+        }
+        Ok(StreamEvent::Done { tokens, served_ms }) => Some(AttemptEnd::StreamEnded {
+            tokens,
+            served: served_ms.filter(|WorkMillis(ms)| ms.is_finite()),
+        }),
+        Err(_) => Some(AttemptEnd::Failed(FailCause::Garbage)),
+    }
+}
+
+/// Tells an engine that nobody waits for a generation any more.
+pub async fn cancel(transport: &HttpTransport, call: Call) {
+    let Ok(request) = call_request(&call, wire::CANCEL_PATH).body(Body::default()) else {
+        return;
+    };
+    // Best effort: an engine that can't be told finds out when the connection closes.
+    let _ = tokio::time::timeout(CANCEL_TIMEOUT, transport.send(request)).await;
+}
--- /dev/null
+++ b/lib/src/health.rs
@@ -0,0 +1,73 @@
+//! Ejection of endpoints that fail, and probing them back.
+
+use crate::units::{Millis, Time};
+
+/// Failures in a row after which an endpoint is ejected.
+const EJECT_AFTER: u32 = 3;
+
+/// First and longest time of ejection; each further ejection doubles it.
+const FIRST_EJECTION: Millis = Millis(500);
+const LONGEST_EJECTION: Millis = Millis(16_000);
+
+/// Successes in a row after which past ejections are forgotten.
+const FORGET_AFTER: u32 = 20;
+
+/// What is known of one endpoint's health.
+#[derive(Debug, Clone, Default)]
+pub struct Health {
+    failures: u32,
+    successes: u32,
+    ejections: u32,
+    until: Option<Time>,
+}
+
+/// Whether an endpoint may get work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// In service.
+    Healthy,
+    /// Ejected for the time being.
+    Ejected,
+    /// Its ejection is over: one call at a time decides whether it comes back.
+    Probing,
+}
+
+impl Health {
+    /// Returns the state at `now`.
+    pub fn state(&self, now: Time) -> State {
+        match self.until {
+            None => State::Healthy,
+            Some(until) if now < until => State::Ejected,
+            Some(_) => State::Probing,
+        }
+    }
+
+    /// Notes a success, which ends an ejection.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.until = None;
+        self.successes += 1;
+        if self.successes >= FORGET_AFTER {
+            self.successes = 0;
+            self.ejections = 0;
+        }
+    }
+
+    /// Notes a failure; `may_eject` tells whether the pool can spare the endpoint.
+    ///
+    /// Returns whether the endpoint was ejected now.
+    pub fn failed(&mut self, now: Time, may_eject: bool) -> bool {
+        self.failures += 1;
+        self.successes = 0;
+        let probe_failed = self.state(now) == State::Probing;
+        let due = probe_failed || (self.failures >= EJECT_AFTER && self.until.is_none());
+        if !due || !(may_eject || probe_failed) {
+            return false;
+        }
+        let doubled = FIRST_EJECTION.0 << self.ejections.min(10);
+        self.until = Some(now + Millis(doubled.min(LONGEST_EJECTION.0)));
+        self.ejections += 1;
+        self.failures = 0;
+        true
+    }
+}
--- /dev/null
+++ b/lib/src/plain_client.rs
@@ -0,0 +1,41 @@
+//! Adapter for plain services: one POST, one whole reply.
+
+use {
+    crate::{
+        endpoint::{AttemptEnd, Call, FailCause, Reply},
+        http_transport::{Body, HttpTransport, call_request, check_head, read_body},
+        wire,
+    },
+    serde::de::IgnoredAny,
+};
+
+/// Runs one call of a plain service.
+pub async fn call(transport: &HttpTransport, call: Call) -> AttemptEnd {
+    match exchange(transport, &call).await {
+        Ok(reply) => AttemptEnd::Answered(reply),
+        Err(end) => end,
+    }
+}
+
+async fn exchange(transport: &HttpTransport, call: &Call) -> Result<Reply, AttemptEnd> {
+    let request = call_request(call, wire::CALL_PATH)
+        .body(Body::new(call.input.clone()))
+        .map_err(|_| AttemptEnd::Failed(FailCause::Garbage))?;
+    let response = transport.send(request).await?;
+    check_head(call, &response)?;
+    let status = response.status().as_u16();
+    let served = wire::served(response.headers());
+    let body = read_body(response.into_body(), call.max_reply)
+        .await
+        .map_err(AttemptEnd::Failed)?;
+    let is_json = serde_json::from_slice::<IgnoredAny>(&body).is_ok();
+    let usable = (200..300).contains(&status) || (400..500).contains(&status);
+    if !is_json || !usable {
+        return Err(AttemptEnd::Failed(FailCause::Garbage));
+    }
+    Ok(Reply {
+        status,
+        body,
+        served,
+    })
+}
--- /dev/null
+++ b/lib/src/policy.rs
@@ -0,0 +1,96 @@
+//! How endpoints are chosen, requests admitted and retries granted.
+
+use {
+    crate::{
+        policy_estimated::Estimated,
+        policy_naive::Naive,
+        pool::{MemberSerial, Pool},
+        settings::{PolicyKind, Priority},
+        units::{Millis, Share, Time, WorkMillis},
+    },
+    rand::rngs::SmallRng,
+};
+
+/// The decisions that differ between implementations.
+pub trait Policy {
+    /// Chooses an endpoint for a call of `work`, by its index in the pool.
+    ///
+    /// Endpoints in `tried` come last: they are chosen only when no other can take the call.
+    fn choose(
+        &self,
+        now: Time,
+        pool: &mut Pool,
+        work: WorkMillis,
+        tried: &[MemberSerial],
+        rng: &mut SmallRng,
+    ) -> Option<usize>;
+
+    /// Decides whether work that needs `expected` is worth starting with `remaining` left.
+    fn admits(&self, remaining: Millis, expected: WorkMillis, priority: Priority) -> bool;
+
+    /// Decides whether a first attempt, once failed, may be followed by another one.
+    fn grants_retry(&self, pool: &mut Pool) -> bool;
+
+    /// Notes a first attempt.
+    fn first_attempt(&self, pool: &mut Pool, share: Share);
+
+    /// Tells whether endpoints that fail are ejected.
+    fn ejects(&self) -> bool;
+}
+
+/// Any of the implementations, chosen by the `policy` setting.
+#[derive(Debug, Clone, Copy)]
+pub enum AnyPolicy {
+    /// Chooses by estimated finish.
+    Estimated(Estimated),
+    /// Round robin.
+    Naive(Naive),
+}
+
+impl AnyPolicy {
+    /// Returns the implementation that a setting names.
+    pub fn new(kind: PolicyKind, hop: Millis) -> Self {
+        match kind {
+            PolicyKind::Estimated => AnyPolicy::Estimated(Estimated { hop }),
+            PolicyKind::Naive => AnyPolicy::Naive(Naive),
+        }
+    }
+}
+
+macro_rules! delegate {
+    ($self:ident, $policy:ident => $call:expr) => {
+        match $self {
+            AnyPolicy::Estimated($policy) => $call,
+            AnyPolicy::Naive($policy) => $call,
+        }
+    };
+}
+
+impl Policy for AnyPolicy {
+    fn choose(
+        &self,
+        now: Time,
+        pool: &mut Pool,
+        work: WorkMillis,
+        tried: &[MemberSerial],
+        rng: &mut SmallRng,
+    ) -> Option<usize> {
+        delegate!(self, policy => policy.choose(now, pool, work, tried, rng))
+    }
+
+    fn admits(&self, remaining: Millis, expected: WorkMillis, priority: Priority) -> bool {
+        delegate!(self, policy => policy.admits(remaining, expected, priority))
+    }
+
+    fn grants_retry(&self, pool: &mut Pool) -> bool {
+        delegate!(self, policy => policy.grants_retry(pool))
+    }
+
+    fn first_attempt(&self, pool: &mut Pool, share: Share) {
+        delegate!(self, policy => policy.first_attempt(pool, share));
+    }
+
+    fn ejects(&self) -> bool {
+        delegate!(self, policy => policy.ejects())
+    }
+}
--- /dev/null
+++ b/lib/src/policy_naive.rs
@@ -0,0 +1,51 @@
+//! The baseline: round robin, no estimate, no admission, a fixed number of retries.
+
+use {
+    crate::{
+        policy::Policy,
+        pool::{MemberSerial, Pool},
+        settings::Priority,
+        units::{Millis, Share, Time, WorkMillis},
+    },
+    rand::rngs::SmallRng,
+};
+
+/// Chooses endpoints in turn and knows nothing of their load.
+#[derive(Debug, Clone, Copy)]
+pub struct Naive;
+
+impl Policy for Naive {
+    fn choose(
+        &self,
+        _now: Time,
+        pool: &mut Pool,
+        _work: WorkMillis,
+        _tried: &[MemberSerial],
+        _rng: &mut SmallRng,
+    ) -> Option<usize> {
+        let count = pool.members.len();
+        for _ in 0..count {
+            let i = pool.cursor % count;
+            pool.cursor = pool.cursor.wrapping_add(1);
+            let member = &pool.members[i];
+            if !member.leaving && !member.spec.leaving {
+                return Some(i);
+            }
+        }
+        None
+    }
+
+    fn admits(&self, _remaining: Millis, _expected: WorkMillis, _priority: Priority) -> bool {
+        true
+    }
+
+    fn grants_retry(&self, _pool: &mut Pool) -> bool {
+        true
+    }
+
+    fn first_attempt(&self, _pool: &mut Pool, _share: Share) {}
+
+    fn ejects(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/lib/src/status.rs
@@ -0,0 +1,91 @@
+//! The read-only view of a daemon's state.
+
+use {
+    crate::node::Snapshot,
+    schemars::JsonSchema,
+    serde::{Deserialize, Serialize},
+};
+
+/// State of one daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct StatusBody {
+    /// Name of the host.
+    pub host: String,
+    /// Whether the balancer may send requests here.
+    pub ready: bool,
+    /// Version of the settings tree in force; 0 before the first.
+    pub version: u64,
+    /// Requests without a final answer.
+    pub in_flight: u64,
+    /// Requests answered within their deadline.
+    pub answered: u64,
+    /// Requests answered late.
+    pub late: u64,
+    /// Problems by code and outcome.
+    pub problems: Vec<ProblemCount>,
+    /// First attempts at a stage.
+    pub attempts: u64,
+    /// Retries, hedges and resumes.
+    pub extra: u64,
+    /// Endpoints as this daemon sees them.
+    pub endpoints: Vec<EndpointStatus>,
+}
+
+/// Count of one kind of problem.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct ProblemCount {
+    /// Stable reason.
+    pub code: String,
+    /// `not_run` or `unknown`.
+    pub outcome: String,
+    /// How often.
+    pub count: u64,
+}
+
+/// One endpoint as a daemon sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct EndpointStatus {
+    /// Its service.
+    pub service: String,
+    /// Its name.
+    pub endpoint: String,
+    /// Whether it may get new work.
+    pub open: bool,
+    /// This daemon's calls in flight.
+    pub in_flight: u32,
+}
+
+impl StatusBody {
+    /// Builds the view from a snapshot.
+    pub fn new(host: &str, ready: bool, snapshot: &Snapshot) -> Self {
+        let counters = &snapshot.counters;
+        let problems = counters.problems.iter();
+        Self {
+            host: host.to_owned(),
+            ready,
+            version: snapshot.tree.version.0,
+            in_flight: snapshot.in_flight as u64,
+            answered: counters.answered,
+            late: counters.late,
+            problems: problems
+                .map(|((code, outcome), count)| ProblemCount {
+                    code: code.to_string(),
+                    outcome: outcome.to_string(),
+                    count: *count,
+                })
+                .collect(),
+            attempts: counters.attempts,
+            extra: counters.extra,
+            endpoints: snapshot
+                .endpoints
+                .iter()
+                .map(|view| EndpointStatus {
+                    service: view.service.clone(),
+                    endpoint: view.endpoint.clone(),
+                    open: view.open,
+                    in_flight: view.in_flight,
+                })
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/collector.rs
@@ -0,0 +1,84 @@
+//! A stand-in for an OTLP collector that keeps the spans' names and ids.
+
+use {
+    crate::http_server::{Server, empty_body},
+    http::Response,
+    http_body_util::BodyExt,
+    serde_json::Value,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+    },
+};
+
+/// One span as it was exported.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SpanRecord {
+    /// Name of the hop.
+    pub name: String,
+    /// Trace that it belongs to.
+    pub trace: String,
+    /// Its id.
+    pub span: String,
+    /// Its parent's id; empty for a root.
+    pub parent: String,
+}
+
+/// A running collector.
+#[derive(Debug)]
+pub struct Collector {
+    spans: Arc<Mutex<Vec<SpanRecord>>>,
+    server: Server,
+}
+
+impl Collector {
+    /// Starts a collector.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no port is free.
+    pub async fn start() -> io::Result<Self> {
+        let spans = Arc::new(Mutex::new(Vec::new()));
+        let shared = spans.clone();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::start(any, move |request| {
+            let spans = shared.clone();
+            async move {
+                let body = request.into_body().collect().await.ok()?.to_bytes();
+                let export: Value = serde_json::from_slice(&body).ok()?;
+                let mut spans = spans.lock().expect("no panic while held");
+                spans.extend(read_spans(&export));
+                Some(Response::new(empty_body()))
+            }
+        })
+        .await?;
+        Ok(Self { spans, server })
+    }
+
+    /// Returns the address that is served.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the spans received so far.
+    pub fn spans(&self) -> Vec<SpanRecord> {
+        self.spans.lock().expect("no panic while held").clone()
+    }
+}
+
+fn read_spans(export: &Value) -> Vec<SpanRecord> {
+    let list = |value: &Value, name: &str| value[name].as_array().cloned().unwrap_or_default();
+    let text = |span: &Value, name: &str| span[name].as_str().unwrap_or_default().to_owned();
+    let resources = list(export, "resourceSpans");
+    let scopes = resources.iter().flat_map(|item| list(item, "scopeSpans"));
+    let spans = scopes.flat_map(|scope| list(&scope, "spans"));
+    spans
+        .map(|span| SpanRecord {
+            name: text(&span, "name"),
+            trace: text(&span, "traceId"),
+            span: text(&span, "spanId"),
+            parent: text(&span, "parentSpanId"),
+        })
+        .collect()
+}
--- /dev/null
+++ b/lib/testutils/src/endpoint.rs
@@ -0,0 +1,259 @@
+//! What both kinds of stand-in endpoints share: slots, load reports, and a record of what ran.
+
+use {
+    crate::{
+        faults::{Damage, Faults},
+        http_server::{ReplyBody, Server, empty_body, whole_body},
+    },
+    bytes::Bytes,
+    hazelyoke_lib::{
+        endpoint::LoadReport,
+        units::{Millis, WorkMillis},
+        wire,
+    },
+    http::{HeaderMap, Response, StatusCode, response::Builder},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{sync::Semaphore, time::Instant},
+};
+
+/// Bytes of a reply that is larger than any limit.
+const TOO_MUCH: usize = 32 << 20;
+
+/// Age of the reports that a stand-in gives, as real ones lag.
+const REPORT_LAG: Millis = Millis(50);
+
+/// One run of work at an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// Request that it served.
+    pub request: String,
+    /// Stage of the request.
+    pub stage: String,
+    /// Attempt at the stage.
+    pub attempt: String,
+    /// Idempotency key, if there was one.
+    pub key: Option<String>,
+    /// First token that was asked for, if another replica had begun.
+    pub resumed: u32,
+}
+
+/// State of one stand-in endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Service, or model of an engine.
+    pub name: Arc<str>,
+    /// Faults, changeable while it runs.
+    pub faults: Faults,
+    /// Calls worked on at the same time.
+    pub slots: u32,
+    /// Usual time of one call.
+    pub usual: Duration,
+    permits: Semaphore,
+    present: AtomicU32,
+    running: AtomicU32,
+    cancelled: AtomicU32,
+    runs: Mutex<Vec<Run>>,
+    report: Mutex<Option<LoadReport>>,
+}
+
+/// A running stand-in endpoint; dropping it is the death of its process.
+#[derive(Debug)]
+pub struct EndpointServer {
+    /// Its state.
+    pub endpoint: Arc<Endpoint>,
+    /// Its server.
+    pub server: Server,
+}
+
+impl EndpointServer {
+    /// Returns the address that is served.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
+/// Counts a call as present, whatever way it ends.
+#[derive(Debug)]
+pub struct Presence<'e>(&'e AtomicU32);
+
+impl Drop for Presence<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Endpoint {
+    /// Builds the state of an endpoint.
+    pub fn new(name: &str, slots: u32, usual: Duration) -> Self {
+        Self {
+            name: name.into(),
+            faults: Faults::default(),
+            slots,
+            usual,
+            permits: Semaphore::new(slots as usize),
+            present: AtomicU32::new(0),
+            running: AtomicU32::new(0),
+            cancelled: AtomicU32::new(0),
+            runs: Mutex::new(Vec::new()),
+            report: Mutex::new(None),
+        }
+    }
+
+    /// Notes a call in the queue.
+    pub fn enter(&self) -> Presence<'_> {
+        self.present.fetch_add(1, Ordering::Relaxed);
+        Presence(&self.present)
+    }
+
+    /// Waits for a slot.
+    pub async fn slot(&self) -> (tokio::sync::SemaphorePermit<'_>, Presence<'_>) {
+        let permit = self.permits.acquire().await.expect("never closed");
+        self.running.fetch_add(1, Ordering::Relaxed);
+        (permit, Presence(&self.running))
+    }
+
+    /// Returns the number of calls being worked on.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Returns the calls cancelled by message.
+    pub fn cancelled(&self) -> u32 {
+        self.cancelled.load(Ordering::Relaxed)
+    }
+
+    /// Notes a call cancelled by message.
+    pub fn cancel(&self) {
+        self.cancelled.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes that the work of a call ran.
+    pub fn record(&self, headers: &HeaderMap, resumed: u32) {
+        let text = |name: &str| {
+            headers
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+                .map(str::to_owned)
+        };
+        let run = Run {
+            request: text(wire::REQUEST_HEADER).unwrap_or_default(),
+            stage: text(wire::STAGE_HEADER).unwrap_or_default(),
+            attempt: text(wire::ATTEMPT_HEADER).unwrap_or_default(),
+            key: text(wire::KEY_HEADER),
+            resumed,
+        };
+        self.runs.lock().expect("no panic while held").push(run);
+    }
+
+    /// Returns everything that ran here.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().expect("no panic while held").clone()
+    }
+
+    /// Scales a time by the endpoint's slowness.
+    pub fn time(&self, usual: Duration) -> Duration {
+        usual.mul_f64(self.faults.slowness())
+    }
+
+    /// Returns the load report; a frozen one stays what it was.
+    pub fn report(&self) -> LoadReport {
+        let mut last = self.report.lock().expect("no panic while held");
+        if let Some(report) = *last
+            && self.faults.is_frozen()
+        {
+            return report;
+        }
+        let present = self.present.load(Ordering::Relaxed);
+        let each = self.usual.as_secs_f64() * 1000.0 * self.faults.slowness();
+        let report = LoadReport {
+            backlog: WorkMillis(f64::from(present) * each),
+            running: self.running(),
+            slots: self.slots,
+            age: REPORT_LAG,
+            leaving: self.faults.is_leaving(),
+        };
+        *last = Some(report);
+        report
+    }
+
+    /// Returns the response to a request for the load report.
+    pub fn report_reply(&self) -> Response<ReplyBody> {
+        let json = serde_json::to_vec(&self.report()).unwrap_or_default();
+        Response::new(whole_body(json))
+    }
+
+    /// Starts a response that carries the ids of its call.
+    pub fn reply_head(&self, headers: &HeaderMap, started: Instant) -> Builder {
+        let mut builder = Response::builder();
+        for name in [
+            wire::REQUEST_HEADER,
+            wire::STAGE_HEADER,
+            wire::ATTEMPT_HEADER,
+        ] {
+            if let Some(value) = headers.get(name) {
+                builder = builder.header(name, value);
+            }
+        }
+        let ms = started.elapsed().as_secs_f64() * 1000.0;
+        builder.header(wire::SERVED_HEADER, format!("{ms:.3}"))
+    }
+
+    /// Builds the refusal of a call that was not run.
+    pub fn refusal(&self, headers: &HeaderMap, cause: &str) -> Option<Response<ReplyBody>> {
+        self.reply_head(headers, Instant::now())
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .header(wire::NOT_RUN_HEADER, cause)
+            .body(empty_body())
+            .ok()
+    }
+
+    /// Builds a damaged reply; `None` breaks the connection off.
+    pub fn damaged(
+        &self,
+        damage: Damage,
+        headers: &HeaderMap,
+        body: &Bytes,
+        started: Instant,
+    ) -> Option<Response<ReplyBody>> {
+        let head = self.reply_head(headers, started);
+        match damage {
+            Damage::Garbage => head.body(whole_body(&b"\xff\xfe{not json"[..])).ok(),
+            Damage::TooMuch => head.body(whole_body(vec![b' '; TOO_MUCH])).ok(),
+            Damage::Nothing => None,
+            Damage::NotRun => self.refusal(headers, wire::BUSY),
+            Damage::WrongIds => Response::builder()
+                .header(wire::REQUEST_HEADER, "00000000-0000-0000-0000-000000000000")
+                .header(wire::STAGE_HEADER, "other")
+                .header(wire::ATTEMPT_HEADER, "0")
+                .body(whole_body(body.clone()))
+                .ok(),
+            Damage::ServerError => head
+                .status(StatusCode::INTERNAL_SERVER_ERROR)
+                .body(empty_body())
+                .ok(),
+            // The length promises more than the body has.
+            Damage::Truncated => head
+                .header(http::header::CONTENT_LENGTH, body.len() + 10)
+                .body(truncated_body(body))
+                .ok(),
+        }
+    }
+}
+
+fn truncated_body(body: &Bytes) -> ReplyBody {
+    use {futures_util::stream, http_body_util::StreamBody, hyper::body::Frame};
+    let part = body.slice(..body.len() / 2);
+    let frames = [
+        Ok(Frame::data(part)),
+        Err(std::io::Error::other("broken off")),
+    ];
+    let body = StreamBody::new(stream::iter(frames));
+    http_body_util::BodyExt::boxed_unsync(body)
+}
--- /dev/null
+++ b/lib/testutils/src/engine.rs
@@ -0,0 +1,204 @@
+//! A stand-in for a model engine: batches continuously, streams tokens, resumes and is cancelled.
+
+use {
+    crate::{
+        endpoint::{Endpoint, EndpointServer},
+        expect::token,
+        faults::Damage,
+        http_server::{ReplyBody, Server, empty_body},
+    },
+    bytes::Bytes,
+    futures_util::stream,
+    hazelyoke_lib::{
+        units::WorkMillis,
+        wire::{self, GenerateBody, StreamEvent},
+    },
+    http::{HeaderMap, Request, Response, StatusCode},
+    http_body_util::{BodyExt, StreamBody},
+    hyper::body::{Frame, Incoming},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{sync::mpsc, time::Instant},
+};
+
+/// Events that may wait for a slow reader.
+const QUEUE: usize = 16;
+
+/// An engine's times and batch.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineModel {
+    /// Time of the prefill for one byte of input.
+    pub prefill_byte: Duration,
+    /// Time between two tokens of a single sequence.
+    pub token: Duration,
+    /// Sequences in one batch.
+    pub batch: u32,
+    /// Share by which a full batch slows each sequence down.
+    pub batch_cost: f64,
+    /// Tokens of one generation, unless the call allows less.
+    pub tokens: u32,
+}
+
+impl Default for EngineModel {
+    fn default() -> Self {
+        Self {
+            prefill_byte: Duration::from_micros(5),
+            token: Duration::from_millis(2),
+            batch: 16,
+            batch_cost: 1.0,
+            tokens: 16,
+        }
+    }
+}
+
+impl EngineModel {
+    fn usual(&self) -> Duration {
+        self.token * self.tokens
+    }
+}
+
+/// Starts an engine.
+///
+/// # Errors
+///
+/// Returns an error when the address can't be bound.
+pub async fn start(
+    name: &str,
+    address: SocketAddr,
+    model: EngineModel,
+) -> io::Result<EndpointServer> {
+    let endpoint = Arc::new(Endpoint::new(name, model.batch, model.usual()));
+    let shared = endpoint.clone();
+    let server = Server::start(address, move |request| {
+        handle(shared.clone(), model, request)
+    })
+    .await?;
+    Ok(EndpointServer { endpoint, server })
+}
+
+async fn handle(
+    endpoint: Arc<Endpoint>,
+    model: EngineModel,
+    request: Request<Incoming>,
+) -> Option<Response<ReplyBody>> {
+    match request.uri().path() {
+        wire::LOAD_PATH => Some(endpoint.report_reply()),
+        wire::CANCEL_PATH => {
+            endpoint.cancel();
+            Some(Response::new(empty_body()))
+        }
+        wire::GENERATE_PATH => generate(endpoint, model, request).await,
+        _ => Response::builder()
+            .status(StatusCode::NOT_FOUND)
+            .body(empty_body())
+            .ok(),
+    }
+}
+
+async fn generate(
+    endpoint: Arc<Endpoint>,
+    model: EngineModel,
+    request: Request<Incoming>,
+) -> Option<Response<ReplyBody>> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    let headers = head.headers;
+    if endpoint.faults.is_leaving() {
+        return endpoint.refusal(&headers, wire::LEAVING);
+    }
+    let call: GenerateBody<'_> = serde_json::from_slice(&body).ok()?;
+    let wrong_model = call.model != &*endpoint.name;
+    if wrong_model {
+        let head = endpoint.reply_head(&headers, Instant::now());
+        return head.status(StatusCode::BAD_REQUEST).body(empty_body()).ok();
+    }
+    let started = Instant::now();
+    let damage = endpoint.faults.draw();
+    let late = matches!(damage, Some(Damage::Garbage | Damage::Truncated));
+    if let Some(damage) = damage
+        && !late
+    {
+        return endpoint.damaged(damage, &headers, &Bytes::new(), started);
+    }
+    let generation = Generation {
+        input: Bytes::copy_from_slice(call.input.get().as_bytes()),
+        from: call.resume_tokens,
+        to: model.tokens.min(call.max_tokens),
+        damage,
+        break_at: endpoint.faults.take_break(),
+    };
+    let reply = endpoint.reply_head(&headers, started);
+    let (events, received) = mpsc::channel(QUEUE);
+    tokio::spawn(run(endpoint, model, headers, generation, events));
+    let frames = stream::unfold(received, |mut received| async {
+        received.recv().await.map(|frame| (frame, received))
+    });
+    reply.body(StreamBody::new(frames).boxed_unsync()).ok()
+}
+
+/// One generation as it was asked for.
+struct Generation {
+    input: Bytes,
+    from: u32,
+    to: u32,
+    damage: Option<Damage>,
+    break_at: Option<u32>,
+}
+
+type Events = mpsc::Sender<Result<Frame<Bytes>, io::Error>>;
+
+/// Generates until the end or until nobody listens: a closed channel is a cancelled stream.
+async fn run(
+    endpoint: Arc<Endpoint>,
+    model: EngineModel,
+    headers: HeaderMap,
+    generation: Generation,
+    events: Events,
+) {
+    let _present = endpoint.enter();
+    let _slot = tokio::select! {
+        slot = endpoint.slot() => slot,
+        () = events.closed() => return,
+    };
+    endpoint.record(&headers, generation.from);
+    let started = Instant::now();
+    let prefill = model.prefill_byte * generation.input.len() as u32;
+    tokio::time::sleep(endpoint.time(prefill)).await;
+    for index in generation.from..generation.to {
+        if generation.break_at == Some(index) {
+            let _ = events.send(Err(io::Error::other("broken off"))).await;
+            return;
+        }
+        let share = f64::from(endpoint.running()) / f64::from(model.batch);
+        let pause = model.token.mul_f64(1.0 + model.batch_cost * share);
+        tokio::time::sleep(endpoint.time(pause)).await;
+        let text = token(&endpoint.name, &generation.input, index);
+        if send(&events, &StreamEvent::Token { index, text })
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+    match generation.damage {
+        Some(Damage::Garbage) => {
+            let garbage = Bytes::from_static(b"data: \xff\xfe\n\n");
+            let _ = events.send(Ok(Frame::data(garbage))).await;
+        }
+        // The stream ends without its announced end.
+        Some(_) => {}
+        None => {
+            let ms = started.elapsed().as_secs_f64() * 1000.0;
+            let done = StreamEvent::Done {
+                tokens: generation.to,
+                served_ms: Some(WorkMillis(ms)),
+            };
+            let _ = send(&events, &done).await;
+        }
+    }
+}
+
+async fn send(events: &Events, event: &StreamEvent) -> Result<(), ()> {
+    let json = serde_json::to_string(event).map_err(|_| ())?;
+    let frame = Frame::data(Bytes::from(format!("data: {json}\n\n")));
+    events.send(Ok(frame)).await.map_err(|_| ())
+}
--- /dev/null
+++ b/lib/testutils/src/fixture.rs
@@ -0,0 +1,246 @@
+//! A whole small installation on loopback: configuration service, endpoints, daemons.
+
+use {
+    crate::{
+        config_service::ConfigService,
+        endpoint::EndpointServer,
+        engine::{self, EngineModel},
+        expect::Step,
+        http_client::Caller,
+        plain::{self, PlainModel},
+    },
+    hazelyoke_lib::{
+        api::ApiLimits,
+        daemon::Daemon,
+        daemon_settings::{ConfigSettings, DaemonSettings, TraceSettings},
+        units::{ByteSize, Count, Millis, Share},
+    },
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+/// Longest wait for something that has to happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Model that the fixture's engines serve.
+pub const MODEL: &str = "small";
+
+/// Tokens of one generation in the fixture.
+pub const TOKENS: u32 = 8;
+
+/// Name of the tree's root value.
+pub const TREE: &str = "tree.jsonc";
+
+/// A small installation: two endpoints a service, one pipeline of four stages.
+pub struct Fixture {
+    /// The configuration service.
+    pub config: ConfigService,
+    /// Endpoints by service.
+    pub endpoints: BTreeMap<&'static str, Vec<EndpointServer>>,
+    /// Settings in force at the tree's root, as JSON fields.
+    pub root_settings: String,
+    version: u64,
+}
+
+/// Any free port on loopback.
+pub fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Plain services of the fixture.
+pub const PLAIN: [&str; 4] = ["encoder", "retriever", "reranker", "pay"];
+
+impl Fixture {
+    /// Starts the outside systems and publishes the tree.
+    pub async fn start() -> Self {
+        let mut endpoints = BTreeMap::new();
+        for service in PLAIN {
+            let model = PlainModel {
+                checks_keys: service == "pay",
+                ..Default::default()
+            };
+            endpoints.insert(service, start_plain(service, model).await);
+        }
+        let model = EngineModel {
+            tokens: TOKENS,
+            ..Default::default()
+        };
+        let mut engines = Vec::new();
+        for _ in 0..2 {
+            let engine = engine::start(MODEL, any_address(), model).await;
+            engines.push(engine.expect("loopback has free ports"));
+        }
+        endpoints.insert("llm", engines);
+        let config = ConfigService::start().await;
+        let mut fixture = Self {
+            config: config.expect("loopback has free ports"),
+            endpoints,
+            root_settings: String::new(),
+            version: 0,
+        };
+        fixture.publish();
+        fixture
+    }
+
+    /// Publishes the tree under the next version.
+    pub fn publish(&mut self) {
+        self.version += 1;
+        self.config.publish(TREE, self.tree(self.version));
+    }
+
+    /// Writes the tree with the endpoints that run now.
+    pub fn tree(&self, version: u64) -> String {
+        let services: Vec<_> = self
+            .endpoints
+            .iter()
+            .map(|(service, endpoints)| service_json(service, endpoints))
+            .collect();
+        format!(
+            r#"{{
+  "version": {version},
+  "name": "small",
+  "data_centres": ["north", "south"],
+  "settings": {{ {} }},
+  "services": {{
+{}
+  }},
+  "customers": {{
+    "market": {{}},
+    "tiny": {{ "settings": {{ "rate": "1/s" }} }}
+  }},
+  "pipelines": {{
+    "summary": {{
+      "stages": [
+        {{ "name": "encode", "service": "encoder" }},
+        {{ "name": "retrieve", "service": "retriever" }},
+        {{ "name": "rerank", "service": "reranker" }},
+        {{ "name": "generate", "service": "llm" }}
+      ]
+    }},
+    "checkout": {{
+      "stages": [
+        {{ "name": "encode", "service": "encoder" }},
+        {{ "name": "pay", "service": "pay" }}
+      ]
+    }}
+  }}
+}}"#,
+            self.root_settings,
+            services.join(",\n")
+        )
+    }
+
+    /// Returns the settings of a daemon of this installation.
+    pub fn daemon_settings(&self, name: &str) -> DaemonSettings {
+        DaemonSettings {
+            host: name.parse().expect("a host name"),
+            data_centre: "north".parse().expect("a data centre"),
+            listen: any_address(),
+            config: ConfigSettings {
+                address: self.config.address(),
+                tree: TREE.to_owned(),
+                poll: Millis(50),
+            },
+            hop: Millis(1),
+            load_interval: Millis(50),
+            limits: ApiLimits {
+                requests: Count(1_000),
+                headers: ByteSize(16 << 10),
+                receive: Millis(2_000),
+            },
+            stop_grace: Millis(50),
+            traces: None,
+        }
+    }
+
+    /// Starts a daemon and waits until it is ready.
+    pub async fn daemon(&self) -> (Daemon, Caller) {
+        start_daemon(self.daemon_settings("entry-1")).await
+    }
+
+    /// Starts a daemon that exports all of its spans.
+    pub async fn traced_daemon(&self, collector: SocketAddr) -> (Daemon, Caller) {
+        let mut settings = self.daemon_settings("entry-1");
+        settings.traces = Some(TraceSettings {
+            collector: format!("http://{collector}"),
+            sample: Share(1.0),
+        });
+        start_daemon(settings).await
+    }
+}
+
+/// Starts a daemon and waits until it is ready.
+pub async fn start_daemon(settings: DaemonSettings) -> (Daemon, Caller) {
+    let daemon = Daemon::start(settings).expect("loopback has free ports");
+    let caller = Caller::new(daemon.address());
+    wait_for("the daemon to be ready", async || {
+        let reply = caller.get("/v1/ready").await;
+        reply.is_ok_and(|reply| reply.status.is_success())
+    })
+    .await;
+    (daemon, caller)
+}
+
+/// Waits until `check` holds.
+///
+/// # Panics
+///
+/// Panics if it doesn't within a long bound.
+pub async fn wait_for(what: &str, mut check: impl AsyncFnMut() -> bool) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !check().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "waited in vain for {what}");
+}
+
+/// Steps of the pipeline `summary`, for its expected answer.
+pub fn summary_steps() -> Vec<Step> {
+    vec![
+        Step::Plain("encoder".into()),
+        Step::Plain("retriever".into()),
+        Step::Plain("reranker".into()),
+        Step::Engine(MODEL.into(), TOKENS),
+    ]
+}
+
+async fn start_plain(service: &str, model: PlainModel) -> Vec<EndpointServer> {
+    let mut servers = Vec::new();
+    let answers = std::sync::Arc::default();
+    for _ in 0..2 {
+        let server = plain::start_sharing(
+            service,
+            any_address(),
+            model,
+            std::sync::Arc::clone(&answers),
+        );
+        servers.push(server.await.expect("loopback has free ports"));
+    }
+    servers
+}
+
+fn service_json(service: &str, endpoints: &[EndpointServer]) -> String {
+    let kind = match service {
+        "llm" => format!(r#""kind": "engine", "model": "{MODEL}""#),
+        "pay" => {
+            let settings = r#"{ "repeatable": false, "guard": "endpoint" }"#;
+            format!(r#""kind": "plain", "settings": {settings}"#)
+        }
+        _ => r#""kind": "plain""#.to_owned(),
+    };
+    let endpoints: Vec<_> = endpoints
+        .iter()
+        .enumerate()
+        .map(|(i, server)| {
+            let data_centre = ["north", "south"][i % 2];
+            let address = server.address();
+            format!(
+                r#"      "{service}-{i}": {{ "address": "{address}", "data_centre": "{data_centre}" }}"#
+            )
+        })
+        .collect();
+    format!(
+        "    \"{service}\": {{ {kind}, \"endpoints\": {{\n{}\n    }} }}",
+        endpoints.join(",\n")
+    )
+}
--- /dev/null
+++ b/lib/testutils/src/http_client.rs
@@ -0,0 +1,160 @@
+//! A caller of the daemons' interface, for tests and the bench.
+
+use {
+    bytes::Bytes,
+    http::{HeaderMap, Method, Request, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Longest wait of a caller; far above every deadline in tests.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// One call of the interface.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// Path, such as `/v1/pipelines/summary`.
+    pub path: String,
+    /// Headers by name.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl CallerRequest {
+    /// Builds a request of a customer.
+    pub fn new(path: impl Into<String>, customer: &str, body: impl Into<Bytes>) -> Self {
+        Self {
+            path: path.into(),
+            headers: vec![("x-customer", customer.to_owned())],
+            body: body.into(),
+        }
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+}
+
+/// A whole response.
+#[derive(Debug, Clone)]
+pub struct CallerReply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl CallerReply {
+    /// Reads the body as JSON; `null` if it isn't.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the `code` of a problem.
+    pub fn code(&self) -> String {
+        self.json()["code"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Returns the `outcome` of a problem.
+    pub fn outcome(&self) -> String {
+        self.json()["outcome"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+}
+
+/// A caller with a connection pool of its own.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+impl Caller {
+    /// Builds a caller of one daemon.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client, address }
+    }
+
+    /// Sends a POST and returns the response's head with its unread body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message when there is no response.
+    pub async fn open(&self, request: CallerRequest) -> Result<http::Response<Incoming>, String> {
+        self.exchange(Method::POST, request).await
+    }
+
+    /// Sends a POST and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message when there is no whole response.
+    pub async fn post(&self, request: CallerRequest) -> Result<CallerReply, String> {
+        read_reply(self.open(request).await?).await
+    }
+
+    /// Sends a GET and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message when there is no whole response.
+    pub async fn get(&self, path: &str) -> Result<CallerReply, String> {
+        let request = CallerRequest {
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        };
+        read_reply(self.exchange(Method::GET, request).await?).await
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        request: CallerRequest,
+    ) -> Result<http::Response<Incoming>, String> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{}", self.address, request.path));
+        for (name, value) in request.headers {
+            builder = builder.header(name, value);
+        }
+        let request = builder
+            .body(Full::new(request.body))
+            .map_err(|error| error.to_string())?;
+        tokio::time::timeout(PATIENCE, self.client.request(request))
+            .await
+            .map_err(|_| "no response".to_owned())?
+            .map_err(|error| format!("{error:?}"))
+    }
+}
+
+async fn read_reply(response: http::Response<Incoming>) -> Result<CallerReply, String> {
+    let (head, body) = response.into_parts();
+    let body = tokio::time::timeout(PATIENCE, body.collect())
+        .await
+        .map_err(|_| "no end of the body".to_owned())?
+        .map_err(|error| error.to_string())?
+        .to_bytes();
+    Ok(CallerReply {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins for the systems around hazelyoke: endpoints and the configuration service.
+//!
+//! They speak the protocols of `docs/PROTOCOLS.md` on loopback, take time as real ones do, and
+//! misbehave on request. Tests and the bench share them.
+
+pub mod collector;
+pub mod config_service;
+pub mod endpoint;
+pub mod engine;
+pub mod expect;
+pub mod faults;
+pub mod fixture;
+pub mod http_client;
+pub mod http_server;
+pub mod plain;
