--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,36 @@
+//! The commands, a file each.
+
+mod check;
+mod diff;
+mod explain;
+mod status;
+
+use {crate::output::Exit, anyhow::Result, argh::FromArgs};
+
+/// Any of the commands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Check trees.
+    Check(check::Check),
+    /// Explain one node.
+    Explain(explain::Explain),
+    /// Compare two trees.
+    Diff(diff::Diff),
+    /// Ask a daemon.
+    Status(status::Status),
+}
+
+/// Runs a command.
+///
+/// # Errors
+///
+/// Returns an error when the command can't be carried out as it was given.
+pub fn run(command: Command) -> Result<Exit> {
+    match command {
+        Command::Check(command) => command.run(),
+        Command::Explain(command) => command.run(),
+        Command::Diff(command) => command.run(),
+        Command::Status(command) => command.run(),
+    }
+}
--- a/lib/src/api.rs
+++ b/lib/src/api.rs
@@ -7,6 +7,7 @@
         api_stream::stream_response,
         http_transport::HttpTransport,
         ids::RequestId,
+        json,
         metrics::Metrics,
         node::{Delivery, Node, Ticket},
         problem::{Code, Outcome, Problem},
@@ -24,7 +25,7 @@
     http::{HeaderMap, Response, header},
     opentelemetry::trace::SpanKind,
     schemars::JsonSchema,
-    serde::{Deserialize, de::IgnoredAny},
+    serde::Deserialize,
     std::{
         sync::{
             Arc,
@@ -297,11 +298,22 @@
     Err(Problem::not_run(Code::HeadersTooLarge, detail).into())
 }
 
+/// `dropshot`'s own refusal of a body over its cap doesn't say what is wrong, so that cap is higher.
+fn check_body_size(size: usize) -> Result<(), ApiProblem> {
+    if size <= BODY_CAP {
+        return Ok(());
+    }
+    let detail = format!("the body has more than {BODY_CAP} bytes");
+    Err(Problem::not_run(Code::BodyTooLarge, detail).into())
+}
+
 /// Reads a whole JSON body within its time; the settings' size limit is checked by the core.
 async fn read_request(body: StreamingBody, limit: Millis) -> Result<Bytes, ApiProblem> {
     let stream = body.into_stream();
+    let stream = stream.map_err(ApiProblem::from);
     let read = stream.try_fold(BytesMut::new(), |mut whole, chunk| async move {
         whole.extend_from_slice(&chunk);
+        check_body_size(whole.len())?;
         Ok(whole)
     });
     let body = match tokio::time::timeout(limit.to_duration(), read).await {
@@ -311,8 +323,8 @@
             return Err(Problem::not_run(Code::ReceiveTimeout, detail).into());
         }
     };
-    match serde_json::from_slice::<IgnoredAny>(&body) {
-        Ok(_) => Ok(body),
+    match json::check(&body) {
+        Ok(()) => Ok(body),
         Err(error) => Err(bad_request(format!("the body isn't JSON: {error}"))),
     }
 }
--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -3,25 +3,19 @@
 use {
     crate::{
         core_state::{Costs, Counters, Fleet, Timer, Timers},
-        endpoint::{AttemptEnd, Call, FailCause, LoadReport, NotRunCause, Reply},
-        ids::{AttemptId, CallIds, CustomerId, DataCentreId, EndpointId, RequestId, ServiceId},
+        endpoint::{AttemptEnd, Call, LoadReport},
+        ids::{AttemptId, CustomerId, DataCentreId, EndpointId, RequestId, ServiceId},
         limit::CustomerUse,
-        policy::{AnyPolicy, Policy},
         problem::{Code, Outcome, Problem},
-        request::{Answer, Arrival, Attempt, Request, Target},
-        settings::{Guard, Settings},
-        tree::{Customer, Pipeline, ServiceKind, Tree},
+        request::{Answer, Arrival, Request},
+        tree::{Pipeline, Tree},
         units::{Millis, Time, WorkMillis},
     },
-    bytes::Bytes,
     foldhash::HashMap,
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::sync::Arc,
 };
 
-/// Endpoints looked at to estimate a stage that isn't sent yet.
-const ESTIMATE_SAMPLE: usize = 4;
-
 /// What a daemon knows of itself.
 #[derive(Debug, Clone)]
 pub struct CoreConfig {
@@ -97,19 +91,19 @@
 /// The decisions of one daemon.
 #[derive(Debug)]
 pub struct Core {
-    config: CoreConfig,
-    tree: Arc<Tree>,
-    fleet: Fleet,
-    requests: HashMap<RequestId, Request>,
-    attempts: HashMap<AttemptId, RequestId>,
-    customers: HashMap<CustomerId, CustomerUse>,
-    services: HashMap<ServiceId, Arc<Pipeline>>,
-    timers: Timers,
-    last_attempt: u64,
-    rng: SmallRng,
-    costs: Costs,
-    counters: Counters,
-    actions: Vec<Action>,
+    pub(crate) config: CoreConfig,
+    pub(crate) tree: Arc<Tree>,
+    pub(crate) fleet: Fleet,
+    pub(crate) requests: HashMap<RequestId, Request>,
+    pub(crate) attempts: HashMap<AttemptId, RequestId>,
+    pub(crate) customers: HashMap<CustomerId, CustomerUse>,
+    pub(crate) services: HashMap<ServiceId, Arc<Pipeline>>,
+    pub(crate) timers: Timers,
+    pub(crate) last_attempt: u64,
+    pub(crate) rng: SmallRng,
+    pub(crate) costs: Costs,
+    pub(crate) counters: Counters,
+    pub(crate) actions: Vec<Action>,
 }
 
 impl Core {
@@ -202,7 +196,7 @@
         self.tree = tree;
     }
 
-    fn arrive(&mut self, now: Time, arrival: Arrival) {
+    pub(crate) fn arrive(&mut self, now: Time, arrival: Arrival) {
         let id = arrival.id;
         crate::invariant!(
             !self.requests.contains_key(&id),
@@ -231,327 +225,6 @@
         });
     }
 
-    fn admit(&mut self, now: Time, arrival: Arrival) -> Result<Request, Problem> {
-        let tree = self.tree.clone();
-        let customer = find_customer(&tree, &arrival)?;
-        let (pipeline, settings) = self.find_target(&tree, customer, &arrival)?;
-        check_arrival(&arrival, &pipeline, &settings)?;
-        self.check_stream(&arrival, &pipeline)?;
-        let request = Request::new(arrival, pipeline, &settings, now);
-        self.check_time(now, &request)?;
-        let used = self.customers.entry(request.customer.clone()).or_default();
-        if let Err(wait) = used.enter(now, &customer.settings) {
-            let detail = format!("customer {} is over its limit", customer.id);
-            return Err(Problem::not_run(Code::OverLimit, detail).retry_after(wait));
-        }
-        Ok(request)
-    }
-
-    fn find_target(
-        &self,
-        tree: &Tree,
-        customer: &Customer,
-        arrival: &Arrival,
-    ) -> Result<(Arc<Pipeline>, Arc<Settings>), Problem> {
-        match &arrival.target {
-            Target::Pipeline(id) => match tree.pipelines.get(id) {
-                Some(pipeline) => Ok((pipeline.clone(), tree.request_settings(customer, pipeline))),
-                None => Err(Problem::not_run(
-                    Code::UnknownPipeline,
-                    format!("no pipeline is named {id}"),
-                )),
-            },
-            Target::Service(id) => match self.services.get(id) {
-                Some(pipeline) => Ok((pipeline.clone(), pipeline.settings.clone())),
-                None => Err(Problem::not_run(
-                    Code::UnknownService,
-                    format!("no service is named {id}"),
-                )),
-            },
-        }
-    }
-
-    /// Only a generation comes token by token.
-    fn check_stream(&self, arrival: &Arrival, pipeline: &Pipeline) -> Result<(), Problem> {
-        let last = pipeline.stages.last().map(|stage| &stage.service);
-        let kind = last.and_then(|service| self.fleet.kind(service));
-        if arrival.stream && !matches!(kind, Some(ServiceKind::Engine { .. })) {
-            let detail = format!("{} doesn't end in a generation", pipeline.id);
-            return Err(Problem::not_run(Code::BadRequest, detail));
-        }
-        Ok(())
-    }
-
-    /// Refuses a request at once that can't meet its deadline, by the estimate.
-    fn check_time(&self, now: Time, request: &Request) -> Result<(), Problem> {
-        let expected = self.expected_rest(now, request);
-        let stage = request.current();
-        let policy = self.policy(&stage.settings);
-        let remaining = request.remaining(now);
-        if policy.admits(remaining, expected, request.priority) {
-            return Ok(());
-        }
-        let wait = match self.fleet.pool(&stage.service) {
-            Some(pool) => pool.retry_after(now),
-            None => Millis(1_000),
-        };
-        let detail = format!("about {expected} needed, {remaining} left");
-        Err(Problem::not_run(Code::NoTime, detail).retry_after(wait))
-    }
-
-    /// Estimates the time that the current and all later stages take.
-    fn expected_rest(&self, now: Time, request: &Request) -> WorkMillis {
-        let stages = &request.pipeline.stages[request.stage..];
-        let expected = stages.iter().map(|stage| {
-            let floor = stage.settings.floor.value.0 as f64;
-            match self.fleet.pool(&stage.service) {
-                Some(pool) => pool
-                    .best_finish(now, pool.usual_work(), ESTIMATE_SAMPLE)
-                    .map_or(floor, |finish| finish.0.max(floor)),
-                None => floor,
-            }
-        });
-        WorkMillis(expected.sum())
-    }
-
-    fn policy(&self, settings: &Settings) -> AnyPolicy {
-        AnyPolicy::new(settings.policy.value, self.config.hop)
-    }
-
-    /// Sends the current stage to an endpoint, or ends the request if none can take it.
-    fn send_next(&mut self, now: Time, id: RequestId, hedge: bool) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let stage = request.current().clone();
-        let policy = AnyPolicy::new(stage.settings.policy.value, self.config.hop);
-        let Some(pool) = self.fleet.pool_mut(&stage.service) else {
-            return self.fail(now, id, Code::NoEndpoint, "the service is gone".into());
-        };
-        let max_tokens = stage.settings.max_tokens.value.0;
-        let units = pool.units(request.input.len(), max_tokens);
-        let work = pool.work(units);
-        let tried = &request.tried;
-        let Some(chosen) = policy.choose(now, pool, work, tried, &mut self.rng) else {
-            if !hedge {
-                let detail = format!("no endpoint of {} can take the call", stage.service);
-                self.fail(now, id, Code::NoEndpoint, detail);
-            }
-            return;
-        };
-        let extra = request.tries > 0;
-        if !extra {
-            policy.first_attempt(pool, stage.settings.retry_budget.value);
-        }
-        let kind = pool.service.kind.clone();
-        let member = &mut pool.members[chosen];
-        if hedge && tried.contains(&member.serial) {
-            return;
-        }
-        member.load.sent(now, work);
-        self.last_attempt += 1;
-        let attempt = Attempt {
-            id: AttemptId(self.last_attempt),
-            endpoint: member.spec.id.clone(),
-            serial: member.serial,
-            sent: now,
-            work,
-            units,
-            extra,
-        };
-        let call = Call {
-            ids: CallIds {
-                request: id,
-                stage: stage.id.clone(),
-                attempt: attempt.id,
-            },
-            endpoint: member.spec.id.clone(),
-            address: member.spec.address,
-            kind,
-            input: request.input.clone(),
-            remaining: request.remaining(now),
-            priority: request.priority,
-            key: request.key.clone(),
-            max_reply: stage.settings.max_reply.value,
-            max_tokens,
-            resume: request.generated.clone(),
-            trace_parent: request.trace_parent.clone(),
-        };
-        self.counters.sent(extra);
-        self.attempts.insert(attempt.id, id);
-        if let Some(wait) = stage.settings.hedge_after.value.0
-            && stage.settings.repeatable.value
-            && !hedge
-        {
-            self.timers.add(now + wait, Timer::Hedge(attempt.id));
-        }
-        request.add_attempt(attempt);
-        self.actions.push(Action::Send(Box::new(call)));
-    }
-
-    fn token(&mut self, now: Time, attempt: AttemptId, index: u32, text: String) {
-        let Some(request) = self
-            .attempts
-            .get(&attempt)
-            .and_then(|id| self.requests.get_mut(id))
-        else {
-            return;
-        };
-        let next = request.generated.tokens;
-        if index < next {
-            return;
-        }
-        if index > next {
-            let end = AttemptEnd::Failed(FailCause::Garbage);
-            self.actions.push(Action::Cancel(attempt));
-            return self.ended(now, attempt, end);
-        }
-        request.generated.tokens += 1;
-        request.generated.text.push_str(&text);
-        if request.stream && request.is_last() && !request.abandoned {
-            self.actions.push(Action::Token {
-                request: request.id,
-                index,
-                text,
-            });
-        }
-    }
-
-    fn ended(&mut self, now: Time, id: AttemptId, end: AttemptEnd) {
-        let Some(request_id) = self.attempts.remove(&id) else {
-            return;
-        };
-        let Some(request) = self.requests.get_mut(&request_id) else {
-            return;
-        };
-        let Some(attempt) = request.remove_attempt(id) else {
-            return;
-        };
-        let stage = request.current().clone();
-        let service = stage.service;
-        let served = match &end {
-            AttemptEnd::Answered(reply) => reply.served,
-            AttemptEnd::StreamEnded { served, .. } => *served,
-            AttemptEnd::NotRun(_) => Some(WorkMillis(0.0)),
-            AttemptEnd::Failed(_) => None,
-        };
-        let took = WorkMillis(now.millis_since(attempt.sent));
-        let served = served.filter(|s| (0.0..=took.0).contains(&s.0));
-        let won = matches!(
-            end,
-            AttemptEnd::Answered(_) | AttemptEnd::StreamEnded { .. }
-        );
-        let account = if won {
-            &mut request.spent
-        } else {
-            &mut request.wasted
-        };
-        account[request.stage].0 += served.unwrap_or(took).0;
-        let ejects = self.policy(&stage.settings).ejects();
-        self.fleet.ended(
-            now,
-            &service,
-            &attempt,
-            &end,
-            served,
-            ejects,
-            &mut self.counters,
-        );
-        match end {
-            AttemptEnd::Answered(reply) => self.answered(now, request_id, reply),
-            AttemptEnd::StreamEnded { tokens, .. } => self.stream_ended(now, request_id, tokens),
-            AttemptEnd::NotRun(cause) => self.not_run(now, request_id, cause),
-            AttemptEnd::Failed(cause) => self.failed(now, request_id, cause),
-        }
-    }
-
-    fn answered(&mut self, now: Time, id: RequestId, reply: Reply) {
-        let request = &self.requests[&id];
-        let rejected = reply.status >= 400;
-        if rejected && !request.plain {
-            let stage = &request.current().id;
-            let detail = format!("stage {stage} was rejected with status {}", reply.status);
-            return self.fail(now, id, Code::StageRejected, detail);
-        }
-        self.stage_done(now, id, reply.status, reply.body);
-    }
-
-    fn stream_ended(&mut self, now: Time, id: RequestId, tokens: u32) {
-        let request = &self.requests[&id];
-        if tokens != request.generated.tokens {
-            return self.failed(now, id, FailCause::Broken);
-        }
-        let body = generated_body(&request.generated.text, tokens);
-        self.stage_done(now, id, 200, body);
-    }
-
-    fn stage_done(&mut self, now: Time, id: RequestId, status: u16, body: Bytes) {
-        self.cancel_attempts(now, id);
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if request.is_last() {
-            let tokens = request.generated.tokens;
-            let answer = Answer {
-                status,
-                body,
-                tokens,
-            };
-            return self.finish(now, id, Ok(answer));
-        }
-        if request.abandoned {
-            let detail = "the caller left".to_owned();
-            return self.fail(now, id, Code::DeadlineExceeded, detail);
-        }
-        request.advance(body);
-        let request = &self.requests[&id];
-        match self.check_time(now, request) {
-            Ok(()) => self.send_next(now, id, false),
-            Err(late) => self.fail(now, id, late.code, late.detail),
-        }
-    }
-
-    fn not_run(&mut self, now: Time, id: RequestId, cause: NotRunCause) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        request.clear_exposure();
-        let attempts = request.current().settings.attempts.value.0;
-        // Nothing ran, so even a call that may not be repeated may go to another endpoint.
-        if request.live.is_empty() && request.tries < attempts && !request.abandoned {
-            return self.send_next(now, id, false);
-        }
-        if request.live.is_empty() {
-            let service = request.current().service.clone();
-            let detail = format!("{service}: the last endpoint tried was {cause}");
-            self.fail(now, id, Code::NoEndpoint, detail);
-        }
-    }
-
-    fn failed(&mut self, now: Time, id: RequestId, cause: FailCause) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        if !request.live.is_empty() {
-            return;
-        }
-        let stage = request.current().clone();
-        let allowed = stage.settings.repeatable.value
-            && request.tries < stage.settings.attempts.value.0
-            && !request.abandoned;
-        let policy = self.policy(&stage.settings);
-        let granted = allowed
-            && self
-                .fleet
-                .pool_mut(&stage.service)
-                .is_some_and(|pool| policy.grants_retry(pool));
-        if granted {
-            return self.send_next(now, id, false);
-        }
-        let detail = format!("stage {}: {cause}", stage.id);
-        self.fail(now, id, Code::StageFailed, detail);
-    }
-
     fn left(&mut self, now: Time, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
@@ -581,35 +254,8 @@
         }
     }
 
-    fn hedge(&mut self, now: Time, attempt: AttemptId) {
-        let Some(id) = self.attempts.get(&attempt).copied() else {
-            return;
-        };
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let stage = request.current().clone();
-        let streaming = request.generated.tokens > 0;
-        if streaming || request.tries >= stage.settings.attempts.value.0 {
-            return;
-        }
-        let policy = self.policy(&stage.settings);
-        let engine = matches!(
-            self.fleet.kind(&stage.service),
-            Some(ServiceKind::Engine { .. })
-        );
-        let granted = !engine
-            && self
-                .fleet
-                .pool_mut(&stage.service)
-                .is_some_and(|pool| policy.grants_retry(pool));
-        if granted {
-            self.send_next(now, id, true);
-        }
-    }
-
     /// Ends a request without an answer; the outcome follows from its attempts.
-    fn fail(&mut self, now: Time, id: RequestId, code: Code, detail: String) {
+    pub(crate) fn fail(&mut self, now: Time, id: RequestId, code: Code, detail: String) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
@@ -621,7 +267,7 @@
         self.finish(now, id, Err(problem));
     }
 
-    fn finish(&mut self, now: Time, id: RequestId, result: Result<Answer, Problem>) {
+    pub(crate) fn finish(&mut self, now: Time, id: RequestId, result: Result<Answer, Problem>) {
         self.cancel_attempts(now, id);
         let Some(request) = self.requests.remove(&id) else {
             return;
@@ -644,7 +290,7 @@
     }
 
     /// Cancels what is still in flight for a request: its losers, or all when it ends.
-    fn cancel_attempts(&mut self, now: Time, id: RequestId) {
+    pub(crate) fn cancel_attempts(&mut self, now: Time, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -663,51 +309,3 @@
         self.rng.random()
     }
 }
-
-fn find_customer<'t>(tree: &'t Tree, arrival: &Arrival) -> Result<&'t Customer, Problem> {
-    match tree.customers.get(&arrival.customer) {
-        Some(customer) => Ok(customer),
-        None => Err(Problem::not_run(
-            Code::UnknownCustomer,
-            format!("no customer is named {}", arrival.customer),
-        )),
-    }
-}
-
-fn check_arrival(
-    arrival: &Arrival,
-    pipeline: &Pipeline,
-    settings: &Settings,
-) -> Result<(), Problem> {
-    let limit = settings.max_body.value;
-    if arrival.body.len() as u64 > limit.0 {
-        let detail = format!(
-            "the body has {} bytes, {limit} are allowed",
-            arrival.body.len()
-        );
-        return Err(Problem::not_run(Code::BodyTooLarge, detail));
-    }
-    for stage in &pipeline.stages {
-        match stage.settings.guard.value {
-            Guard::None => {}
-            Guard::Endpoint if arrival.key.is_some() => {}
-            Guard::Endpoint => {
-                let detail = format!("stage {} needs an Idempotency-Key", stage.id);
-                return Err(Problem::not_run(Code::KeyMissing, detail));
-            }
-            Guard::Fleet => {
-                // TODO: claims among daemons aren't built yet, and without them a repeat through
-                // another host could run twice; refusing is the only answer that keeps the promise.
-                let detail = format!("stage {} has guard \"fleet\"", stage.id);
-                return Err(Problem::not_run(Code::GuardUnavailable, detail));
-            }
-        }
-    }
-    Ok(())
-}
-
-/// Builds the JSON value that a generation amounts to.
-pub fn generated_body(text: &str, tokens: u32) -> Bytes {
-    let value = serde_json::json!({ "text": text, "tokens": tokens });
-    Bytes::from(value.to_string())
-}
--- /dev/null
+++ b/lib/src/core_admit.rs
@@ -0,0 +1,148 @@
+//! Admission: which requests are taken, and which are refused at once.
+
+use {
+    crate::{
+        core::Core,
+        policy::{AnyPolicy, Policy},
+        problem::{Code, Problem},
+        request::{Arrival, Request, Target},
+        settings::{Guard, Settings},
+        tree::{Customer, Pipeline, ServiceKind, Tree},
+        units::{Millis, Time, WorkMillis},
+    },
+    std::sync::Arc,
+};
+
+/// Endpoints looked at to estimate a stage that isn't sent yet.
+const ESTIMATE_SAMPLE: usize = 4;
+
+impl Core {
+    pub(crate) fn admit(&mut self, now: Time, arrival: Arrival) -> Result<Request, Problem> {
+        let tree = self.tree.clone();
+        let customer = find_customer(&tree, &arrival)?;
+        let (pipeline, settings) = self.find_target(&tree, customer, &arrival)?;
+        check_arrival(&arrival, &pipeline, &settings)?;
+        self.check_stream(&arrival, &pipeline)?;
+        let request = Request::new(arrival, pipeline, &settings, now);
+        self.check_time(now, &request)?;
+        let used = self.customers.entry(request.customer.clone()).or_default();
+        if let Err(wait) = used.enter(now, &customer.settings) {
+            let detail = format!("customer {} is over its limit", customer.id);
+            return Err(Problem::not_run(Code::OverLimit, detail).retry_after(wait));
+        }
+        Ok(request)
+    }
+
+    fn find_target(
+        &self,
+        tree: &Tree,
+        customer: &Customer,
+        arrival: &Arrival,
+    ) -> Result<(Arc<Pipeline>, Arc<Settings>), Problem> {
+        match &arrival.target {
+            Target::Pipeline(id) => match tree.pipelines.get(id) {
+                Some(pipeline) => Ok((pipeline.clone(), tree.request_settings(customer, pipeline))),
+                None => Err(Problem::not_run(
+                    Code::UnknownPipeline,
+                    format!("no pipeline is named {id}"),
+                )),
+            },
+            Target::Service(id) => match self.services.get(id) {
+                Some(pipeline) => Ok((pipeline.clone(), pipeline.settings.clone())),
+                None => Err(Problem::not_run(
+                    Code::UnknownService,
+                    format!("no service is named {id}"),
+                )),
+            },
+        }
+    }
+
+    /// Only a generation comes token by token.
+    fn check_stream(&self, arrival: &Arrival, pipeline: &Pipeline) -> Result<(), Problem> {
+        let last = pipeline.stages.last().map(|stage| &stage.service);
+        let kind = last.and_then(|service| self.fleet.kind(service));
+        if arrival.stream && !matches!(kind, Some(ServiceKind::Engine { .. })) {
+            let detail = format!("{} doesn't end in a generation", pipeline.id);
+            return Err(Problem::not_run(Code::BadRequest, detail));
+        }
+        Ok(())
+    }
+
+    /// Refuses a request at once that can't meet its deadline, by the estimate.
+    pub(crate) fn check_time(&self, now: Time, request: &Request) -> Result<(), Problem> {
+        let expected = self.expected_rest(now, request);
+        let stage = request.current();
+        let policy = self.policy(&stage.settings);
+        let remaining = request.remaining(now);
+        if policy.admits(remaining, expected, request.priority) {
+            return Ok(());
+        }
+        let wait = match self.fleet.pool(&stage.service) {
+            Some(pool) => pool.retry_after(now),
+            None => Millis(1_000),
+        };
+        let detail = format!("about {expected} needed, {remaining} left");
+        Err(Problem::not_run(Code::NoTime, detail).retry_after(wait))
+    }
+
+    /// Estimates the time that the current and all later stages take.
+    fn expected_rest(&self, now: Time, request: &Request) -> WorkMillis {
+        let stages = &request.pipeline.stages[request.stage..];
+        let expected = stages.iter().map(|stage| {
+            let floor = stage.settings.floor.value.0 as f64;
+            match self.fleet.pool(&stage.service) {
+                Some(pool) => pool
+                    .best_finish(now, pool.usual_work(), ESTIMATE_SAMPLE)
+                    .map_or(floor, |finish| finish.0.max(floor)),
+                None => floor,
+            }
+        });
+        WorkMillis(expected.sum())
+    }
+
+    pub(crate) fn policy(&self, settings: &Settings) -> AnyPolicy {
+        AnyPolicy::new(settings.policy.value, self.config.hop)
+    }
+}
+
+fn find_customer<'t>(tree: &'t Tree, arrival: &Arrival) -> Result<&'t Customer, Problem> {
+    match tree.customers.get(&arrival.customer) {
+        Some(customer) => Ok(customer),
+        None => Err(Problem::not_run(
+            Code::UnknownCustomer,
+            format!("no customer is named {}", arrival.customer),
+        )),
+    }
+}
+
+fn check_arrival(
+    arrival: &Arrival,
+    pipeline: &Pipeline,
+    settings: &Settings,
+) -> Result<(), Problem> {
+    let limit = settings.max_body.value;
+    if arrival.body.len() as u64 > limit.0 {
+        let detail = format!(
+            "the body has {} bytes, {limit} are allowed",
+            arrival.body.len()
+        );
+        return Err(Problem::not_run(Code::BodyTooLarge, detail));
+    }
+    for stage in &pipeline.stages {
+        match stage.settings.guard.value {
+            Guard::None => {}
+            Guard::Endpoint if arrival.key.is_some() => {}
+            Guard::Endpoint => {
+                let detail = format!("stage {} needs an Idempotency-Key", stage.id);
+                return Err(Problem::not_run(Code::KeyMissing, detail));
+            }
+            Guard::Fleet => {
+                // TODO: claims among daemons aren't built yet, and without them a repeat through
+                // another host could run twice; refusing is the only answer that keeps the promise.
+                let detail = format!("stage {} has guard \"fleet\"", stage.id);
+                return Err(Problem::not_run(Code::GuardUnavailable, detail));
+            }
+        }
+    }
+    Ok(())
+}
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -124,7 +124,7 @@
     let log = slog::Logger::root(slog_stdlog::StdLog.fuse(), slog::o!());
     let config = ConfigDropshot {
         bind_address: settings.listen,
-        default_request_body_max_bytes: BODY_CAP,
+        default_request_body_max_bytes: 2 * BODY_CAP,
         // A caller that vanishes drops its handler, and with it the request's ticket.
         default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
         ..Default::default()
--- a/lib/src/plain_client.rs
+++ b/lib/src/plain_client.rs
@@ -1,12 +1,9 @@
 //! Adapter for plain services: one POST, one whole reply.
 
-use {
-    crate::{
-        endpoint::{AttemptEnd, Call, FailCause, Reply},
-        http_transport::{Body, HttpTransport, call_request, check_head, read_body},
-        wire,
-    },
-    serde::de::IgnoredAny,
+use crate::{
+    endpoint::{AttemptEnd, Call, FailCause, Reply},
+    http_transport::{Body, HttpTransport, call_request, check_head, read_body},
+    json, wire,
 };
 
 /// Runs one call of a plain service.
@@ -28,7 +25,7 @@
     let body = read_body(response.into_body(), call.max_reply)
         .await
         .map_err(AttemptEnd::Failed)?;
-    let is_json = serde_json::from_slice::<IgnoredAny>(&body).is_ok();
+    let is_json = json::check(&body).is_ok();
     let usable = (200..300).contains(&status) || (400..500).contains(&status);
     if !is_json || !usable {
         return Err(AttemptEnd::Failed(FailCause::Garbage));
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -52,6 +52,8 @@
 pub struct Entry {
     /// Name of the setting.
     pub name: &'static str,
+    /// From which parent a stage takes it.
+    pub scope: Scope,
     /// The effective value.
     pub value: String,
     /// Where it comes from.
@@ -162,6 +164,7 @@
                 vec![
                     $(Entry {
                         name: stringify!($name),
+                        scope: Scope::$scope,
                         value: self.$name.value.to_string(),
                         origin: self.$name.origin.clone(),
                     },)*
@@ -325,7 +328,10 @@
         return;
     }
     let origin = &settings.guard.origin;
-    if let Some(place) = &origin.place {
+    // Nodes below inherit the contradiction; it is reported once, where it stands.
+    if let Some(place) = &origin.place
+        && &*origin.node == node
+    {
         findings.add(
             place,
             node,
--- a/lib/src/status.rs
+++ b/lib/src/status.rs
@@ -1,9 +1,15 @@
 //! The read-only view of a daemon's state.
 
 use {
-    crate::node::Snapshot,
+    crate::{
+        http_transport::get,
+        node::Snapshot,
+        units::{ByteSize, Millis},
+    },
+    hyper_util::{client::legacy::Client, rt::TokioExecutor},
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
 };
 
 /// State of one daemon.
@@ -89,3 +95,22 @@
         }
     }
 }
+
+/// Largest status report accepted, and the longest wait for it.
+const STATUS_SIZE: ByteSize = ByteSize(4 << 20);
+const STATUS_TIMEOUT: Millis = Millis(5_000);
+
+/// Reads a daemon's state.
+///
+/// # Errors
+///
+/// Returns a message for people when the daemon doesn't answer as it should.
+pub async fn fetch(address: SocketAddr) -> Result<StatusBody, String> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let uri = format!("http://{address}/v1/status");
+    let (_, status, body) = get(&client, &uri, STATUS_SIZE, STATUS_TIMEOUT).await?;
+    if !status.is_success() {
+        return Err(format!("{uri}: status {status}"));
+    }
+    serde_json::from_slice(&body).map_err(|error| format!("{uri}: {error}"))
+}
--- /dev/null
+++ b/lib/tests/test_bad_endpoints.rs
@@ -0,0 +1,196 @@
+//! Endpoints that misbehave: another one takes over, or the caller hears the truth.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use {
+    hazelyoke_testutils::{
+        endpoint::Run,
+        expect,
+        faults::Damage,
+        fixture::{Fixture, TOKENS, summary_steps, wait_for},
+        http_client::{Caller, CallerReply, CallerRequest},
+    },
+    std::ops::RangeInclusive,
+};
+
+const DAMAGES: [Damage; 6] = [
+    Damage::Garbage,
+    Damage::WrongIds,
+    Damage::TooMuch,
+    Damage::Truncated,
+    Damage::Nothing,
+    Damage::ServerError,
+];
+
+async fn summary(caller: &Caller, number: u32) -> CallerReply {
+    let body = format!("{{\"question\":{number}}}");
+    let request = CallerRequest::new("/v1/pipelines/summary", "market", body);
+    caller.post(request).await.unwrap()
+}
+
+fn expected(number: u32) -> bytes::Bytes {
+    let body = format!("{{\"question\":{number}}}");
+    expect::answer(&summary_steps(), body.as_bytes())
+}
+
+async fn checkout(caller: &Caller, key: &str) -> CallerReply {
+    let request =
+        CallerRequest::new("/v1/pipelines/checkout", "market", "{}").header("idempotency-key", key);
+    caller.post(request).await.unwrap()
+}
+
+fn payments(fixture: &Fixture) -> Vec<Run> {
+    let servers = fixture.endpoints["pay"].iter();
+    servers.flat_map(|server| server.endpoint.runs()).collect()
+}
+
+#[tokio::test]
+async fn damaged_plain_replies() {
+    for damage in DAMAGES {
+        let fixture = Fixture::start().await;
+        let (_daemon, caller) = fixture.daemon().await;
+        fixture.endpoints["encoder"][0]
+            .endpoint
+            .faults
+            .damage(damage, 1.0);
+        for i in 0..6 {
+            let reply = summary(&caller, i).await;
+            assert_eq!(reply.status, 200, "{damage:?}: {:?}", reply.body);
+            assert_eq!(reply.body, expected(i), "{damage:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn damaged_streams() {
+    for damage in DAMAGES {
+        let fixture = Fixture::start().await;
+        let (_daemon, caller) = fixture.daemon().await;
+        fixture.endpoints["llm"][0]
+            .endpoint
+            .faults
+            .damage(damage, 1.0);
+        for i in 0..6 {
+            let reply = summary(&caller, i).await;
+            assert_eq!(reply.status, 200, "{damage:?}: {:?}", reply.body);
+            assert_eq!(reply.body, expected(i), "{damage:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn resumed_stream() {
+    let fixture = Fixture::start().await;
+    let (_daemon, caller) = fixture.daemon().await;
+    for server in &fixture.endpoints["llm"] {
+        server.endpoint.faults.break_stream(3);
+    }
+    let request = CallerRequest::new("/v1/pipelines/summary", "market", "{\"question\":1}")
+        .header("accept", "text/event-stream");
+    let reply = caller.post(request).await.unwrap();
+    let text = String::from_utf8(reply.body.to_vec()).unwrap();
+    for index in 0..TOKENS {
+        let token = format!("\"index\":{index},");
+        assert_eq!(text.matches(&token).count(), 1, "token {index} in {text}");
+    }
+    assert_eq!(text.matches("event: done").count(), 1, "{text}");
+    let engines = fixture.endpoints["llm"].iter();
+    let runs: Vec<Run> = engines.flat_map(|server| server.endpoint.runs()).collect();
+    // Tokens that were sent but not received when the connection broke are generated again.
+    let resumed = |range: RangeInclusive<u32>| runs.iter().any(|run| range.contains(&run.resumed));
+    assert!(resumed(0..=0) && resumed(1..=3), "{runs:?}");
+}
+
+#[tokio::test]
+async fn dead_endpoint() {
+    let mut fixture = Fixture::start().await;
+    let (_daemon, caller) = fixture.daemon().await;
+    fixture.endpoints.get_mut("retriever").unwrap().remove(0);
+    for i in 0..10 {
+        let reply = summary(&caller, i).await;
+        assert_eq!(reply.body, expected(i));
+    }
+}
+
+#[tokio::test]
+async fn dead_service() {
+    let mut fixture = Fixture::start().await;
+    let (_daemon, caller) = fixture.daemon().await;
+    fixture.endpoints.get_mut("encoder").unwrap().clear();
+    let reply = summary(&caller, 1).await;
+    assert_eq!(reply.code(), "no_endpoint");
+    // The first stage was never reached, so nothing ran.
+    assert_eq!(reply.outcome(), "not_run");
+}
+
+#[tokio::test]
+async fn later_dead_service() {
+    let mut fixture = Fixture::start().await;
+    let (_daemon, caller) = fixture.daemon().await;
+    fixture.endpoints.get_mut("reranker").unwrap().clear();
+    let reply = summary(&caller, 1).await;
+    assert_eq!(reply.code(), "no_endpoint");
+    // Earlier stages ran.
+    assert_eq!(reply.outcome(), "unknown");
+}
+
+#[tokio::test]
+async fn payment_once() {
+    let fixture = Fixture::start().await;
+    let (_daemon, caller) = fixture.daemon().await;
+    for server in &fixture.endpoints["pay"] {
+        server.endpoint.faults.damage(Damage::Nothing, 1.0);
+    }
+    let reply = checkout(&caller, "sale-1").await;
+    assert_eq!(reply.outcome(), "unknown");
+    assert_eq!(payments(&fixture).len(), 1);
+    for server in &fixture.endpoints["pay"] {
+        server.endpoint.faults.damage(Damage::Nothing, 0.0);
+    }
+    // The endpoint checks the key, so the repeat gets the first answer and doesn't run.
+    let reply = checkout(&caller, "sale-1").await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(payments(&fixture).len(), 1);
+}
+
+#[tokio::test]
+async fn refused_payment_moves() {
+    let fixture = Fixture::start().await;
+    let (_daemon, caller) = fixture.daemon().await;
+    fixture.endpoints["pay"][0]
+        .endpoint
+        .faults
+        .damage(Damage::NotRun, 1.0);
+    for i in 0..6 {
+        let reply = checkout(&caller, &format!("sale-{i}")).await;
+        assert_eq!(reply.status, 200, "{:?}", reply.body);
+    }
+    assert_eq!(payments(&fixture).len(), 6);
+}
+
+#[tokio::test]
+async fn leaving_endpoint() {
+    let fixture = Fixture::start().await;
+    let (_daemon, caller) = fixture.daemon().await;
+    let leaving = &fixture.endpoints["encoder"][0].endpoint;
+    leaving.faults.leave(true);
+    for i in 0..10 {
+        assert_eq!(summary(&caller, i).await.body, expected(i));
+    }
+    assert!(leaving.runs().is_empty());
+}
+
+#[tokio::test]
+async fn silent_endpoints() {
+    let fixture = Fixture::start().await;
+    let (daemon, caller) = fixture.daemon().await;
+    for server in &fixture.endpoints["encoder"] {
+        server.endpoint.faults.slow_down(100_000.0);
+    }
+    let request =
+        CallerRequest::new("/v1/services/encoder", "market", "{}").header("x-deadline-ms", 300);
+    let reply = caller.post(request).await.unwrap();
+    assert_eq!(reply.code(), "deadline_exceeded");
+    assert_eq!(reply.outcome(), "unknown");
+    wait_for("nothing in flight", async || daemon.node().in_flight() == 0).await;
+}
--- /dev/null
+++ b/lib/tests/test_config_watch.rs
@@ -0,0 +1,87 @@
+//! The tree in force: upward only, whole only, and unchanged by a silent or stale service.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use {
+    hazelyoke_lib::{
+        adoption::{TreeMark, Verdict, judge},
+        tree::TreeVersion,
+    },
+    hazelyoke_testutils::fixture::{Fixture, TREE, wait_for},
+    std::time::Duration,
+};
+
+fn mark(version: u64, hash: u64) -> TreeMark {
+    TreeMark {
+        version: TreeVersion(version),
+        hash,
+    }
+}
+
+#[test]
+fn upward_only() {
+    assert_eq!(judge(None, mark(5, 1)), Verdict::Adopt);
+    let current = Some(mark(5, 1));
+    assert_eq!(judge(current, mark(6, 2)), Verdict::Adopt);
+    assert_eq!(judge(current, mark(5, 1)), Verdict::Same);
+    assert_eq!(judge(current, mark(4, 1)), Verdict::Older);
+    assert_eq!(judge(current, mark(5, 2)), Verdict::Conflict);
+}
+
+#[tokio::test]
+async fn change_in_force() {
+    let mut fixture = Fixture::start().await;
+    let (daemon, _caller) = fixture.daemon().await;
+    fixture.root_settings = r#""priority": "low""#.to_owned();
+    fixture.publish();
+    let low = async || {
+        let tree = daemon.node().tree();
+        let customer = tree.customers.values().next().unwrap();
+        customer.settings.priority.value.to_string() == "low"
+    };
+    wait_for("the change", low).await;
+    // A stale service and an invalid version change nothing.
+    let reads = fixture.config.reads();
+    fixture.config.publish(TREE, fixture.tree(1));
+    wait_for("reads of the stale tree", async || {
+        fixture.config.reads() > reads + 3
+    })
+    .await;
+    assert_eq!(daemon.node().tree().version, TreeVersion(2));
+    fixture.config.publish(TREE, "{ \"version\": 9 }");
+    wait_for("reads of the invalid tree", async || {
+        fixture.config.reads() > reads + 8
+    })
+    .await;
+    assert_eq!(daemon.node().tree().version, TreeVersion(2));
+}
+
+#[tokio::test]
+async fn silent_service() {
+    let fixture = Fixture::start().await;
+    let (daemon, caller) = fixture.daemon().await;
+    fixture.config.silence(true);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(daemon.node().tree().version, TreeVersion(1));
+    assert_eq!(caller.get("/v1/ready").await.unwrap().status, 200);
+}
+
+#[tokio::test]
+async fn planned_stop() {
+    let fixture = Fixture::start().await;
+    let (daemon, caller) = fixture.daemon().await;
+    for server in &fixture.endpoints["encoder"] {
+        server.endpoint.faults.slow_down(100.0);
+    }
+    let slow = tokio::spawn({
+        let caller = caller.clone();
+        async move {
+            let path = "/v1/services/encoder";
+            let request = hazelyoke_testutils::http_client::CallerRequest::new(path, "market", "1");
+            caller.post(request).await
+        }
+    });
+    wait_for("the request", async || daemon.node().in_flight() == 1).await;
+    daemon.stop().await;
+    assert_eq!(slow.await.unwrap().unwrap().status, 200);
+}
--- /dev/null
+++ b/lib/tests/test_tree_fuzz.rs
@@ -0,0 +1,81 @@
+//! Settings of any damage never panic, and every finding has a place.
+
+use {
+    arbtest::{arbitrary::Unstructured, arbtest},
+    hazelyoke_lib::{
+        daemon_settings::{DaemonSettings, RawDaemonSettings},
+        findings::Findings,
+        raw_tree::{RawTree, ValueSource},
+        tree::Tree,
+    },
+};
+
+const TREE: &str = include_str!("../../examples/bureau/payments.jsonc");
+const ROOT: &str = include_str!("../../examples/bureau/tree.jsonc");
+const DAEMON: &str = include_str!("../../examples/daemon.jsonc");
+
+/// Pieces that a mutation puts in place of others.
+const PIECES: [&[u8]; 12] = [
+    b"{", b"}", b"[", b"]", b",", b"null", b"\"", b"-1", b"1e999", b"\xff", b"\"4s\"", b"//",
+];
+
+struct OneValue(Vec<u8>);
+
+impl ValueSource for OneValue {
+    fn read(&self, _: &str) -> Result<Vec<u8>, String> {
+        Ok(self.0.clone())
+    }
+}
+
+/// Cuts, doubles or replaces some ranges of a text.
+fn mutate(u: &mut Unstructured<'_>, text: &str) -> arbtest::arbitrary::Result<Vec<u8>> {
+    let mut bytes = text.as_bytes().to_vec();
+    for _ in 0..u.int_in_range(1..=4)? {
+        let from = u.int_in_range(0..=bytes.len())?;
+        let to = (from + u.int_in_range(0..=20)?).min(bytes.len());
+        let piece: Vec<u8> = match u.int_in_range(0..=2)? {
+            0 => Vec::new(),
+            1 => bytes[from..to].repeat(2),
+            _ => u.choose(&PIECES)?.to_vec(),
+        };
+        bytes.splice(from..to, piece);
+    }
+    Ok(bytes)
+}
+
+fn assert_places(findings: &Findings) {
+    assert!(!findings.is_empty(), "refused without a finding");
+    for finding in findings.iter() {
+        assert!(finding.place.line >= 1 && finding.place.col >= 1);
+        assert!(!finding.message.is_empty() && !finding.hint.is_empty());
+    }
+}
+
+#[test]
+fn mutated_trees() {
+    arbtest(|u| {
+        let text = *u.choose(&[TREE, ROOT])?;
+        let source = OneValue(mutate(u, text)?);
+        let checked = RawTree::read(&source, "root").and_then(Tree::try_from);
+        if let Err(findings) = checked {
+            assert_places(&findings);
+        }
+        Ok(())
+    })
+    .seed(0x1_0000_2000)
+    .budget_ms(3_000);
+}
+
+#[test]
+fn mutated_daemon_settings() {
+    arbtest(|u| {
+        let bytes = mutate(u, DAEMON)?;
+        let checked = RawDaemonSettings::parse("f", &bytes).and_then(DaemonSettings::try_from);
+        if let Err(findings) = checked {
+            assert_places(&findings);
+        }
+        Ok(())
+    })
+    .seed(0x2_0000_2000)
+    .budget_ms(2_000);
+}
--- a/lib/tests/test_whole_path.rs
+++ b/lib/tests/test_whole_path.rs
@@ -1,5 +1,7 @@
 //! A request from a caller through every stage and back, over real sockets.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use {
     bytes::Bytes,
     hazelyoke_testutils::{
--- a/lib/testutils/src/plain.rs
+++ b/lib/testutils/src/plain.rs
@@ -23,7 +23,7 @@
 };
 
 /// Answers by idempotency key, as an endpoint that checks keys keeps them.
-type Answers = Arc<Mutex<HashMap<String, Bytes>>>;
+pub type Answers = Arc<Mutex<HashMap<String, Bytes>>>;
 
 /// A plain endpoint's usual time, slots and whether it checks idempotency keys.
 #[derive(Debug, Clone, Copy)]
@@ -133,6 +133,10 @@
         let mut answers = answers.lock().expect("no panic while held");
         answers.insert(key, output.clone());
     }
-    tokio::time::sleep(endpoint.time(endpoint.usual)).await;
+    let time = endpoint.time(endpoint.usual);
+    // Even a sleep of no time takes a tick of the timer.
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
     output
 }
