--- a/lib/src/sse.rs
+++ b/lib/src/sse.rs
@@ -9,7 +9,7 @@
 /// Longest event accepted from an engine, in bytes.
 const MAX_EVENT: usize = 64 * 1024;
 
-/// Reports an event longer than [`MAX_EVENT`].
+/// Reports an event longer than is accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("an event has more than {MAX_EVENT} bytes")]
 pub struct EventTooLong;
