--- a/bench/src/commands/demo.rs
+++ b/bench/src/commands/demo.rs
@@ -31,6 +31,7 @@
         let report = report::run(
             &experiment,
             experiment.policies[0],
+            1.0,
             |at, total, attained| {
                 println!(
                     "{:>3}s: {total} answered or refused, {attained} in time",
--- a/bench/src/commands/plot.rs
+++ b/bench/src/commands/plot.rs
@@ -72,9 +72,11 @@
 fn draw<B: DrawingBackend>(page: &DrawingArea<B, Shift>, reports: &[Report]) -> Result<(), String> {
     page.fill(&WHITE).map_err(|error| error.to_string())?;
     let halves = page.split_evenly((2, 1));
-    let goodput = |report: &Report| report.goodput / report.capacity;
     let panels = [
-        ("goodput, % of capacity", points(reports, goodput)),
+        (
+            "attained work at the busiest service, % of its capacity",
+            points(reports, |report| report.used),
+        ),
         (
             "endpoint time wasted, %",
             points(reports, |report| report.wasted),
--- a/bench/src/commands/run.rs
+++ b/bench/src/commands/run.rs
@@ -7,6 +7,7 @@
     },
     anyhow::{Context, Result, bail},
     argh::FromArgs,
+    hazelyoke_lib::settings::PolicyKind,
     std::{fs, io::Write, path::PathBuf},
 };
 
@@ -45,9 +46,9 @@
         }
         let mut reports = Vec::new();
         for experiment in &experiments {
-            for policy in &experiment.policies {
-                eprintln!("{} under {policy}", experiment.name);
-                let report = report::run(experiment, *policy, |_, _, _| {}).await?;
+            for (load, policy) in runs(experiment) {
+                eprintln!("{} at {load} under {policy}", experiment.name);
+                let report = report::run(experiment, policy, load, |_, _, _| {}).await?;
                 self.write(&report)?;
                 if self.details {
                     print_details(&report);
@@ -72,3 +73,9 @@
         Ok(())
     }
 }
+
+/// Every load under every policy.
+fn runs(experiment: &Experiment) -> impl Iterator<Item = (f64, PolicyKind)> {
+    let loads = experiment.loads.iter();
+    loads.flat_map(|load| experiment.policies.iter().map(|policy| (*load, *policy)))
+}
--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -32,6 +32,9 @@
     pub settings: String,
     /// Seed of all random choices.
     pub seed: u64,
+    /// Multiples of the capacity that are tried, each in a run of its own; phases without a load
+    /// of their own take it.
+    pub loads: Vec<f64>,
     /// Phases of load, one after the other.
     pub phases: Vec<Phase>,
     /// Weights of pipelines.
@@ -62,14 +65,17 @@
     Rate(Rate),
     /// Multiple of the capacity.
     OfCapacity(f64),
+    /// The run's own multiple of the capacity.
+    Swept,
 }
 
 impl Load {
-    /// Returns the requests a second.
-    pub fn rate(self, capacity: f64) -> f64 {
+    /// Returns the requests a second, in a run at `swept` times the capacity.
+    pub fn rate(self, capacity: f64, swept: f64) -> f64 {
         match self {
             Load::Rate(rate) => rate.0,
             Load::OfCapacity(share) => share * capacity,
+            Load::Swept => swept * capacity,
         }
     }
 }
@@ -149,6 +155,7 @@
     let daemons = root.take_parsed::<Count>("daemons");
     let seed = root.take_parsed::<u64>("seed");
     let policies = read_policies(&mut root);
+    let loads = read_loads(&mut root);
     let settings = read_settings(&mut root);
     let repeat = read_repeat(&mut root);
     let place = root.place().clone();
@@ -173,6 +180,7 @@
         policies,
         settings,
         seed: seed.map_or(1, |(seed, _)| seed),
+        loads,
         phases,
         mix: read_weights(mix, "pipeline", &place, &pipeline_names(&tree), found),
         customers: read_weights(customers, "customer", &place, &customer_names(&tree), found),
@@ -213,6 +221,25 @@
     policies
 }
 
+fn read_loads(root: &mut ObjectReader<'_>) -> Vec<f64> {
+    let mut loads = Vec::new();
+    for value in root.take_list("loads") {
+        let load = document::scalar_text(&value).and_then(|text| text.parse().ok());
+        match load.filter(|load| (0.0..=100.0).contains(load)) {
+            Some(load) => loads.push(load),
+            None => {
+                let message = "a load is a multiple of the capacity from 0 to 100";
+                let hint = "correct the number";
+                root.findings().add(&value.place, "loads", message, hint);
+            }
+        }
+    }
+    if loads.is_empty() {
+        loads.push(1.0);
+    }
+    loads
+}
+
 /// Settings are checked together with the tree when the run starts.
 fn read_settings(root: &mut ObjectReader<'_>) -> String {
     let fields = root.take_fields("settings");
@@ -280,15 +307,16 @@
     let share = reader.take_parsed::<f64>("of_capacity");
     let counted = reader.take_parsed::<bool>("counted");
     let place = reader.place().clone();
-    if rate.is_some() == share.is_some() {
-        let message = "a phase has either \"rate\" or \"of_capacity\"";
-        reader.findings().add(&place, "phase", message, "give one");
+    if rate.is_some() && share.is_some() {
+        let message = "a phase has both \"rate\" and \"of_capacity\"";
+        let hint = "give one, or none to take the run's";
+        reader.findings().add(&place, "phase", message, hint);
     }
     reader.finish();
     let load = match (rate, share) {
         (Some((rate, _)), _) => Load::Rate(rate),
         (None, Some((share, _))) => Load::OfCapacity(share),
-        (None, None) => return None,
+        (None, None) => Load::Swept,
     };
     Some(Phase {
         lasts: lasts?.0.to_duration(),
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         caller::{Order, Outcome, carry_out},
-        experiment::{Experiment, Phase},
+        experiment::Experiment,
         model,
     },
     hazelyoke_lib::tree::Tree,
@@ -16,6 +16,9 @@
     },
 };
 
+/// Least requests a second, so that a run at no load ends.
+const MIN_RATE: f64 = 0.1;
+
 /// Draws names by weight.
 struct Draw {
     names: Vec<(Arc<str>, f64)>,
@@ -98,11 +101,10 @@
     }
 }
 
-/// Returns when the next request is due after `at`, by the phase's rate.
-fn next_arrival(at: Duration, phase: &Phase, capacity: f64, rng: &mut SmallRng) -> Duration {
-    let rate = phase.load.rate(capacity).max(0.1);
+/// Returns when the next request is due after `at`, at a rate of requests a second.
+fn next_arrival(at: Duration, rate: f64, rng: &mut SmallRng) -> Duration {
     let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
-    at + Duration::from_secs_f64(-uniform.ln() / rate)
+    at + Duration::from_secs_f64(-uniform.ln() / rate.max(MIN_RATE))
 }
 
 /// Runs the load and hands each outcome over when it is known.
@@ -110,6 +112,7 @@
     tree: Arc<Tree>,
     callers: Vec<Caller>,
     experiment: &Experiment,
+    swept: f64,
     outcomes: mpsc::UnboundedSender<(Duration, Outcome)>,
 ) {
     let capacity = model::capacity(&tree, &experiment.mix);
@@ -119,7 +122,7 @@
     let start = Instant::now();
     let mut at = Duration::ZERO;
     while let Some(phase) = experiment.phase(at) {
-        at = next_arrival(at, phase, capacity, &mut rng);
+        at = next_arrival(at, phase.load.rate(capacity, swept), &mut rng);
         let due = start + at;
         let order = orders.order(&mut rng);
         let first = rng.random_range(0..callers.len());
--- a/bench/src/model.rs
+++ b/bench/src/model.rs
@@ -7,7 +7,10 @@
 };
 
 /// Factor from a service's floor to the usual time of a call.
-const USUAL: f64 = 1.5;
+const USUAL: f64 = 3.0;
+
+/// Factor from an engine's floor to the time of a generation alone on it.
+const ALONE: f64 = 2.0;
 
 /// Slowing of each sequence by a full batch.
 const BATCH_COST: f64 = 0.5;
@@ -25,12 +28,12 @@
     }
 }
 
-/// Model of an engine: its floor is a generation alone on it.
+/// Model of an engine: its floor is less than a generation alone on it.
 pub fn engine_model(service: &Service) -> EngineModel {
     let settings = &service.settings;
     let tokens = settings.max_tokens.value.0;
     EngineModel {
-        token: settings.floor.value.to_duration() / tokens,
+        token: settings.floor.value.to_duration().mul_f64(ALONE) / tokens,
         batch: settings.slots.value.0,
         batch_cost: BATCH_COST,
         tokens,
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -11,7 +11,7 @@
     },
     anyhow::{Result, bail},
     comfy_table::{Table, presets},
-    hazelyoke_lib::settings::PolicyKind,
+    hazelyoke_lib::{settings::PolicyKind, tree::Tree},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
     tokio::{sync::mpsc, time::Instant},
@@ -46,7 +46,9 @@
     pub p95_ms: f64,
     /// 99th percentile.
     pub p99_ms: f64,
-    /// Share of endpoint time that was wasted.
+    /// Attained work at the busiest service, as a share of its capacity.
+    pub used: f64,
+    /// Share of endpoint time, as the endpoints measure it, that served no attained request.
     pub wasted: f64,
     /// Attempts beyond the first, as a share of first attempts.
     pub extra: f64,
@@ -87,6 +89,7 @@
 pub async fn run(
     experiment: &Experiment,
     policy: PolicyKind,
+    swept: f64,
     mut progress: impl FnMut(Duration, u64, u64),
 ) -> Result<Report> {
     let separator = if experiment.settings.is_empty() {
@@ -102,6 +105,7 @@
         installation.tree.clone(),
         installation.callers.clone(),
         experiment,
+        swept,
         sender,
     );
     let faults = faults::run(
@@ -196,9 +200,9 @@
             sum.1 += cost.wasted.0;
         }
     }
-    let (useful, wasted) = stages
-        .values()
-        .fold((0.0, 0.0), |sum, cost| (sum.0 + cost.0, sum.1 + cost.1));
+    let useful: f64 = stages.values().map(|cost| cost.0).sum();
+    let lives = installation.slots.iter().flat_map(|slot| slot.lives());
+    let busy: f64 = lives.map(|life| life.busy().as_secs_f64() * 1000.0).sum();
     let seconds = experiment.counted_time().as_secs_f64().max(f64::EPSILON);
     let all = &tallies.all;
     let ms = |quantile| all.quantile(quantile).as_secs_f64() * 1000.0;
@@ -213,7 +217,8 @@
         p50_ms: ms(0.5),
         p95_ms: ms(0.95),
         p99_ms: ms(0.99),
-        wasted: wasted / (useful + wasted).max(f64::EPSILON),
+        used: used(&installation.tree, &tallies.pipelines, seconds),
+        wasted: (1.0 - useful / busy.max(f64::EPSILON)).max(0.0),
         extra: f64::from(u32::try_from(extra).unwrap_or(u32::MAX)) / first.max(1) as f64,
         endings: all.endings.clone(),
         pipelines: attainments(&tallies.pipelines),
@@ -229,6 +234,17 @@
     }
 }
 
+/// Attained work at the busiest service, as a share of its capacity.
+fn used(tree: &Tree, pipelines: &BTreeMap<String, Tally>, seconds: f64) -> f64 {
+    let attained = pipelines
+        .iter()
+        .map(|(name, tally)| (name.clone(), tally.attained as f64))
+        .filter(|(_, attained)| *attained > 0.0)
+        .collect::<BTreeMap<_, _>>();
+    let rate: f64 = attained.values().sum::<f64>() / seconds;
+    rate / model::capacity(tree, &attained)
+}
+
 /// Prints reports side by side.
 pub fn print_table(reports: &[Report]) {
     let mut table = Table::new();
@@ -240,6 +256,7 @@
         "REQUESTS",
         "ATTAINED",
         "GOODPUT/S",
+        "USED",
         "P50",
         "P95",
         "P99",
@@ -255,6 +272,7 @@
             report.requests.to_string(),
             format!("{:.3}%", report.attainment * 100.0),
             format!("{:.1}", report.goodput),
+            format!("{:.1}%", report.used * 100.0),
             format!("{:.1}ms", report.p50_ms),
             format!("{:.1}ms", report.p95_ms),
             format!("{:.1}ms", report.p99_ms),
--- a/lib/testutils/src/endpoint.rs
+++ b/lib/testutils/src/endpoint.rs
@@ -16,11 +16,14 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex,
-            atomic::{AtomicU32, Ordering},
+            atomic::{AtomicU32, AtomicU64, Ordering},
         },
         time::Duration,
     },
-    tokio::{sync::Semaphore, time::Instant},
+    tokio::{
+        sync::{Semaphore, SemaphorePermit},
+        time::Instant,
+    },
 };
 
 /// Bytes of a reply that is larger than any limit.
@@ -59,6 +62,7 @@
     present: AtomicU32,
     running: AtomicU32,
     cancelled: AtomicU32,
+    busy_micros: AtomicU64,
     runs: Mutex<Vec<Run>>,
     report: Mutex<Option<LoadReport>>,
 }
@@ -89,6 +93,24 @@
     }
 }
 
+/// Holds a slot and counts how long, whatever way the call ends.
+#[derive(Debug)]
+pub struct SlotHold<'e> {
+    endpoint: &'e Endpoint,
+    since: Instant,
+    _permit: SemaphorePermit<'e>,
+}
+
+impl Drop for SlotHold<'_> {
+    fn drop(&mut self) {
+        let micros = self.since.elapsed().as_micros() as u64;
+        self.endpoint
+            .busy_micros
+            .fetch_add(micros, Ordering::Relaxed);
+        self.endpoint.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Endpoint {
     /// Builds the state of an endpoint.
     pub fn new(name: &str, slots: u32, usual: Duration) -> Self {
@@ -101,6 +123,7 @@
             present: AtomicU32::new(0),
             running: AtomicU32::new(0),
             cancelled: AtomicU32::new(0),
+            busy_micros: AtomicU64::new(0),
             runs: Mutex::new(Vec::new()),
             report: Mutex::new(None),
         }
@@ -113,10 +136,19 @@
     }
 
     /// Waits for a slot.
-    pub async fn slot(&self) -> (tokio::sync::SemaphorePermit<'_>, Presence<'_>) {
+    pub async fn slot(&self) -> SlotHold<'_> {
         let permit = self.permits.acquire().await.expect("never closed");
         self.running.fetch_add(1, Ordering::Relaxed);
-        (permit, Presence(&self.running))
+        SlotHold {
+            endpoint: self,
+            since: Instant::now(),
+            _permit: permit,
+        }
+    }
+
+    /// Returns the time that slots were held, whatever came of it.
+    pub fn busy(&self) -> Duration {
+        Duration::from_micros(self.busy_micros.load(Ordering::Relaxed))
     }
 
     /// Returns the number of calls being worked on.
