admit: leave room between the expected time and the deadline

Cause: requests were admitted until the expected time filled 90% of the time left, so under overload every queue stood at the deadline's edge and half of what was admitted missed it, after its work had been spent.

Shares of the time left that expected work may take: low 0.7 -> 0.35, normal 0.9 -> 0.6, high 1.1 -> 0.9.

--- a/lib/src/policy_estimated.rs
+++ b/lib/src/policy_estimated.rs
@@ -24,9 +24,9 @@
 /// Share of the time left that the expected work may take, by priority.
 fn usable_share(priority: Priority) -> f64 {
     match priority {
-        Priority::Low => 0.7,
-        Priority::Normal => 0.9,
-        Priority::High => 1.1,
+        Priority::Low => 0.35,
+        Priority::Normal => 0.6,
+        Priority::High => 0.9,
     }
 }
 
