--- a/bench/src/commands/demo.rs
+++ b/bench/src/commands/demo.rs
@@ -23,13 +23,14 @@
     ///
     /// Returns an error when the installation can't be started.
     pub async fn run(self) -> Result<bool> {
-        let experiment = Experiment::parse("demo.jsonc", DEMO.as_bytes())?;
+        let experiments = Experiment::parse("demo.jsonc", DEMO.as_bytes())?;
+        let experiment = &experiments[0];
         println!(
             "{} daemons and their stand-ins on loopback, ten seconds of load",
             experiment.daemons
         );
         let report = report::run(
-            &experiment,
+            experiment,
             experiment.policies[0],
             1.0,
             |at, total, attained| {
--- a/bench/src/commands/run.rs
+++ b/bench/src/commands/run.rs
@@ -42,7 +42,7 @@
         for path in &self.experiments {
             let name = path.display().to_string();
             let bytes = fs::read(path).with_context(|| format!("can't read {name}"))?;
-            experiments.push(Experiment::parse(&name, &bytes)?);
+            experiments.extend(Experiment::parse(&name, &bytes)?);
         }
         let mut reports = Vec::new();
         for experiment in &experiments {
--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -115,17 +115,17 @@
 }
 
 impl Experiment {
-    /// Reads and checks an experiment.
+    /// Reads and checks the experiments of a file: one, or one for each of its cases.
     ///
     /// # Errors
     ///
     /// Returns all findings with their places.
-    pub fn parse(file: &str, bytes: &[u8]) -> Result<Self, Findings> {
+    pub fn parse(file: &str, bytes: &[u8]) -> Result<Vec<Self>, Findings> {
         let value = document::parse_bytes(file, bytes)?;
         let mut findings = Findings::default();
-        let experiment = read(file, value, &mut findings);
-        match experiment {
-            Some(experiment) => findings.into_result(experiment),
+        let experiments = read(file, value, &mut findings);
+        match experiments {
+            Some(experiments) => findings.into_result(experiments),
             None => Err(findings
                 .into_result(())
                 .expect_err("what is missing is always a finding")),
@@ -148,7 +148,7 @@
     }
 }
 
-fn read(file: &str, value: Value, findings: &mut Findings) -> Option<Experiment> {
+fn read(file: &str, value: Value, findings: &mut Findings) -> Option<Vec<Experiment>> {
     let mut root = ObjectReader::new(file, value, findings);
     let name = root.take_required::<String>("name");
     let user = root.take_required::<User>("tree");
@@ -163,6 +163,7 @@
     let customers = root.take_fields("customers");
     let phases = root.take_list("phases");
     let faults = root.take_list("faults");
+    let cases = root.take_list("cases");
     let (name, _) = name?;
     let (user, _) = user?;
     let tree = Values::example(user).tree().ok()?;
@@ -191,8 +192,38 @@
             .collect(),
         name,
     };
+    let cases: Vec<_> = cases
+        .into_iter()
+        .filter_map(|value| read_case(value, &experiment, &tree, found))
+        .collect();
     root.finish();
-    Some(experiment)
+    Some(if cases.is_empty() {
+        vec![experiment]
+    } else {
+        cases
+    })
+}
+
+/// Reads a case: the experiment under a name and with faults of its own beside the common ones.
+fn read_case(
+    value: Value,
+    common: &Experiment,
+    tree: &Tree,
+    findings: &mut Findings,
+) -> Option<Experiment> {
+    let mut reader = ObjectReader::new("case", value, findings);
+    let name = reader.take_required::<String>("name");
+    let faults = reader.take_list("faults");
+    let found = reader.findings();
+    let faults: Vec<_> = faults
+        .into_iter()
+        .filter_map(|value| read_fault(value, tree, found))
+        .collect();
+    reader.finish();
+    let mut case = common.clone();
+    case.name = format!("{}/{}", common.name, name?.0);
+    case.faults.extend(faults);
+    Some(case)
 }
 
 fn pipeline_names(tree: &Tree) -> Vec<String> {
