estimate: correct by whole times, count overdue calls, keep going once admitted

Cause: (1) a slow endpoint's replies raised the whole pool's unit cost, so its healthy siblings looked slow and requests were refused; (2) corrections compared service times, so a wrong wait was never noticed, and an endpoint whose calls don't end taught nothing until they did; (3) an admitted request met the same threshold again before each later stage, so at the threshold half were stopped after their first stages had run.

--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -60,6 +60,8 @@
     pub customers: BTreeMap<String, f64>,
     /// Endpoint milliseconds by pipeline and stage: useful, wasted.
     pub stages: BTreeMap<String, (f64, f64)>,
+    /// Share of their slots' time that the endpoints of each service were busy.
+    pub busy: BTreeMap<String, f64>,
     /// Attainment by second since the start.
     pub seconds: Vec<f64>,
     /// Promises that were broken.
@@ -224,6 +226,7 @@
         pipelines: attainments(&tallies.pipelines),
         customers: attainments(&tallies.customers),
         stages,
+        busy: busy_shares(experiment, installation),
         seconds: tallies.seconds.values().map(Tally::attainment).collect(),
         breaches: BTreeMap::from([
             ("wrong answers".to_owned(), breaches.wrong),
@@ -234,6 +237,23 @@
     }
 }
 
+fn busy_shares(experiment: &Experiment, installation: &Installation) -> BTreeMap<String, f64> {
+    let whole: Duration = experiment.phases.iter().map(|phase| phase.lasts).sum();
+    let mut busy: BTreeMap<String, (f64, f64)> = BTreeMap::new();
+    for slot in &installation.slots {
+        let sum = busy.entry(slot.service.id.to_string()).or_default();
+        sum.0 += slot
+            .lives()
+            .iter()
+            .map(|life| life.busy().as_secs_f64())
+            .sum::<f64>();
+        sum.1 += f64::from(slot.service.settings.slots.value.0) * whole.as_secs_f64();
+    }
+    busy.into_iter()
+        .map(|(service, (busy, whole))| (service, busy / whole))
+        .collect()
+}
+
 /// Attained work at the busiest service, as a share of its capacity.
 fn used(tree: &Tree, pipelines: &BTreeMap<String, Tally>, seconds: f64) -> f64 {
     let attained = pipelines
@@ -299,6 +319,9 @@
         ]);
     }
     println!("{}\n", table.trim_fmt());
+    for (service, busy) in &report.busy {
+        println!("{service}: {:.1}% busy", busy * 100.0);
+    }
     for (ending, count) in &report.endings {
         println!("{ending}: {count}");
     }
--- a/lib/src/core_admit.rs
+++ b/lib/src/core_admit.rs
@@ -74,7 +74,12 @@
         let stage = request.current();
         let policy = self.policy(&stage.settings);
         let remaining = request.remaining(now);
-        if policy.admits(remaining, expected, request.priority) {
+        let fits = if request.stage == 0 {
+            policy.admits(remaining, expected, request.priority)
+        } else {
+            policy.continues(remaining, expected)
+        };
+        if fits {
             return Ok(());
         }
         let wait = match self.fleet.pool(&stage.service) {
--- a/lib/src/core_attempt.rs
+++ b/lib/src/core_attempt.rs
@@ -46,14 +46,14 @@
         if hedge && tried.contains(&member.serial) {
             return;
         }
-        member.load.sent(now, work);
+        let expected = member.load.sent(now, work);
         self.last_attempt += 1;
         let attempt = Attempt {
             id: AttemptId(self.last_attempt),
             endpoint: member.spec.id.clone(),
             serial: member.serial,
             sent: now,
-            work,
+            expected,
             units,
             extra,
         };
--- a/lib/src/core_state.rs
+++ b/lib/src/core_state.rs
@@ -102,7 +102,7 @@
         let Some(member) = pool.member(&attempt.endpoint, attempt.serial) else {
             return;
         };
-        member.load.ended(attempt.work);
+        member.load.ended(attempt.sent, attempt.expected);
         let took = WorkMillis(now.millis_since(attempt.sent));
         let worked = match end {
             AttemptEnd::Answered(_) | AttemptEnd::StreamEnded { .. } => true,
@@ -116,7 +116,7 @@
         if worked {
             member.health.succeeded();
             let served = served.unwrap_or(took);
-            member.load.correct(attempt.work, served);
+            member.load.correct(now, attempt.expected, took);
             pool.learn(attempt.units, served);
         } else if ejects && pool.failed(now, &attempt.endpoint, attempt.serial) {
             counters.ejections += 1;
@@ -130,7 +130,7 @@
             .get_mut(service)
             .and_then(|pool| pool.member(&attempt.endpoint, attempt.serial));
         if let Some(member) = member {
-            member.load.ended(attempt.work);
+            member.load.ended(attempt.sent, attempt.expected);
         }
     }
 }
--- a/lib/src/policy.rs
+++ b/lib/src/policy.rs
@@ -28,6 +28,9 @@
     /// Decides whether work that needs `expected` is worth starting with `remaining` left.
     fn admits(&self, remaining: Millis, expected: WorkMillis, priority: Priority) -> bool;
 
+    /// Decides whether work that was admitted and needs `expected` is worth going on with.
+    fn continues(&self, remaining: Millis, expected: WorkMillis) -> bool;
+
     /// Decides whether a first attempt, once failed, may be followed by another one.
     fn grants_retry(&self, pool: &mut Pool) -> bool;
 
@@ -82,6 +85,10 @@
         delegate!(self, policy => policy.admits(remaining, expected, priority))
     }
 
+    fn continues(&self, remaining: Millis, expected: WorkMillis) -> bool {
+        delegate!(self, policy => policy.continues(remaining, expected))
+    }
+
     fn grants_retry(&self, pool: &mut Pool) -> bool {
         delegate!(self, policy => policy.grants_retry(pool))
     }
--- a/lib/src/policy_estimated.rs
+++ b/lib/src/policy_estimated.rs
@@ -137,6 +137,11 @@
         expected.0 <= remaining.0 as f64 * usable_share(priority)
     }
 
+    /// Looser than admission: what was spent on earlier stages is lost by stopping here.
+    fn continues(&self, remaining: Millis, expected: WorkMillis) -> bool {
+        expected.0 <= remaining.0 as f64
+    }
+
     fn grants_retry(&self, pool: &mut Pool) -> bool {
         pool.budget.withdraw()
     }
--- a/lib/src/policy_naive.rs
+++ b/lib/src/policy_naive.rs
@@ -39,6 +39,10 @@
         true
     }
 
+    fn continues(&self, _remaining: Millis, _expected: WorkMillis) -> bool {
+        true
+    }
+
     fn grants_retry(&self, _pool: &mut Pool) -> bool {
         true
     }
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -157,7 +157,8 @@
 
     /// Learns from a call of `units` that kept its endpoint busy for `served`.
     pub fn learn(&mut self, units: f64, served: WorkMillis) {
-        self.unit_cost.observe(served.0 / units.max(f64::EPSILON));
+        self.unit_cost
+            .observe_bounded(served.0 / units.max(f64::EPSILON));
         self.call_units.observe(units);
     }
 
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -68,8 +68,8 @@
     pub serial: MemberSerial,
     /// When it was sent.
     pub sent: Time,
-    /// Work by the estimate.
-    pub work: WorkMillis,
+    /// Time to its end by reports and own sends, before it was sent.
+    pub expected: WorkMillis,
     /// Units of the call.
     pub units: f64,
     /// Whether it follows another attempt at the same stage.
--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -162,7 +162,9 @@
     endpoint.record(&headers, generation.from);
     let started = Instant::now();
     let prefill = model.prefill_byte * generation.input.len() as u32;
-    tokio::time::sleep(endpoint.time(prefill)).await;
+    // Points in time, not pauses: the timer's rounding would else add up over a generation.
+    let mut next = started + endpoint.time(prefill);
+    tokio::time::sleep_until(next).await;
     for index in generation.from..generation.to {
         if generation.break_at == Some(index) {
             let _ = events.send(Err(io::Error::other("broken off"))).await;
@@ -170,7 +172,8 @@
         }
         let share = f64::from(endpoint.running()) / f64::from(model.batch);
         let pause = model.token.mul_f64(1.0 + model.batch_cost * share);
-        tokio::time::sleep(endpoint.time(pause)).await;
+        next += endpoint.time(pause);
+        tokio::time::sleep_until(next).await;
         let text = token(&endpoint.name, &generation.input, index);
         if send(&events, &StreamEvent::Token { index, text })
             .await
