admit: customers over their share have less room

Cause: under overload every customer was refused alike, so one that asks for ten times as much took ten times the room from the others.

Recent admitted work is kept by customer with a half-life of 2 s; beyond an equal share the room (the part of the time left that expected work may take) shrinks, down to 0.4 of it.

--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -4,6 +4,7 @@
     crate::{
         core_state::{Costs, Counters, Fleet, Timer, Timers},
         endpoint::{AttemptEnd, Call, LoadReport},
+        fair::FairShares,
         ids::{AttemptId, CustomerId, DataCentreId, EndpointId, RequestId, ServiceId},
         limit::CustomerUse,
         problem::{Code, Outcome, Problem},
@@ -96,6 +97,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) attempts: HashMap<AttemptId, RequestId>,
+    pub(crate) shares: FairShares,
     pub(crate) customers: HashMap<CustomerId, CustomerUse>,
     pub(crate) services: HashMap<ServiceId, Arc<Pipeline>>,
     pub(crate) timers: Timers,
@@ -116,6 +118,7 @@
             fleet: Fleet::default(),
             requests: HashMap::default(),
             attempts: HashMap::default(),
+            shares: FairShares::default(),
             customers: HashMap::default(),
             services: HashMap::default(),
             timers: Timers::default(),
--- a/lib/src/core_admit.rs
+++ b/lib/src/core_admit.rs
@@ -30,6 +30,8 @@
             let detail = format!("customer {} is over its limit", customer.id);
             return Err(Problem::not_run(Code::OverLimit, detail).retry_after(wait));
         }
+        let work = self.usual_work(&request);
+        self.shares.add(now, &request.customer, work);
         Ok(request)
     }
 
@@ -75,7 +77,8 @@
         let policy = self.policy(&stage.settings);
         let remaining = request.remaining(now);
         let fits = if request.stage == 0 {
-            policy.admits(remaining, expected, request.priority)
+            let room = self.shares.room(now, &request.customer);
+            policy.admits(remaining, expected, request.priority, room)
         } else {
             policy.continues(remaining, expected)
         };
@@ -90,6 +93,13 @@
         Err(Problem::not_run(Code::NoTime, detail).retry_after(wait))
     }
 
+    /// Estimates the endpoint time of a whole request.
+    fn usual_work(&self, request: &Request) -> WorkMillis {
+        let stages = request.pipeline.stages.iter();
+        let pools = stages.filter_map(|stage| self.fleet.pool(&stage.service));
+        WorkMillis(pools.map(|pool| pool.usual_work().0).sum())
+    }
+
     /// Estimates the time that the current and all later stages take.
     fn expected_rest(&self, now: Time, request: &Request) -> WorkMillis {
         let stages = &request.pipeline.stages[request.stage..];
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod endpoint;
 mod engine_client;
 pub mod estimate;
+pub mod fair;
 pub mod findings;
 pub mod health;
 pub mod http_transport;
--- a/lib/src/policy.rs
+++ b/lib/src/policy.rs
@@ -26,7 +26,15 @@
     ) -> Option<usize>;
 
     /// Decides whether work that needs `expected` is worth starting with `remaining` left.
-    fn admits(&self, remaining: Millis, expected: WorkMillis, priority: Priority) -> bool;
+    ///
+    /// `room` is the part of the usual room that the customer has by its share.
+    fn admits(
+        &self,
+        remaining: Millis,
+        expected: WorkMillis,
+        priority: Priority,
+        room: f64,
+    ) -> bool;
 
     /// Decides whether work that was admitted and needs `expected` is worth going on with.
     fn continues(&self, remaining: Millis, expected: WorkMillis) -> bool;
@@ -81,8 +89,14 @@
         delegate!(self, policy => policy.choose(now, pool, work, tried, rng))
     }
 
-    fn admits(&self, remaining: Millis, expected: WorkMillis, priority: Priority) -> bool {
-        delegate!(self, policy => policy.admits(remaining, expected, priority))
+    fn admits(
+        &self,
+        remaining: Millis,
+        expected: WorkMillis,
+        priority: Priority,
+        room: f64,
+    ) -> bool {
+        delegate!(self, policy => policy.admits(remaining, expected, priority, room))
     }
 
     fn continues(&self, remaining: Millis, expected: WorkMillis) -> bool {
--- a/lib/src/policy_estimated.rs
+++ b/lib/src/policy_estimated.rs
@@ -133,8 +133,14 @@
         best.found.map(|(_, _, index)| index)
     }
 
-    fn admits(&self, remaining: Millis, expected: WorkMillis, priority: Priority) -> bool {
-        expected.0 <= remaining.0 as f64 * usable_share(priority)
+    fn admits(
+        &self,
+        remaining: Millis,
+        expected: WorkMillis,
+        priority: Priority,
+        room: f64,
+    ) -> bool {
+        expected.0 <= remaining.0 as f64 * usable_share(priority) * room
     }
 
     /// Looser than admission: what was spent on earlier stages is lost by stopping here.
--- a/lib/src/policy_naive.rs
+++ b/lib/src/policy_naive.rs
@@ -35,7 +35,13 @@
         None
     }
 
-    fn admits(&self, _remaining: Millis, _expected: WorkMillis, _priority: Priority) -> bool {
+    fn admits(
+        &self,
+        _remaining: Millis,
+        _expected: WorkMillis,
+        _priority: Priority,
+        _room: f64,
+    ) -> bool {
         true
     }
 
--- /dev/null
+++ b/lib/tests/test_fair_shares.rs
@@ -0,0 +1,55 @@
+//! Shares of customers under overload.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use hazelyoke_lib::{
+    fair::FairShares,
+    ids::CustomerId,
+    units::{Time, WorkMillis},
+};
+
+const SECOND: u64 = 1_000_000;
+
+fn customer(name: &str) -> CustomerId {
+    name.parse().unwrap()
+}
+
+#[test]
+fn large_has_less() {
+    let mut shares = FairShares::default();
+    for i in 0..100 {
+        let now = Time(i * SECOND / 100);
+        shares.add(now, &customer("large"), WorkMillis(100.0));
+        if i % 10 == 0 {
+            shares.add(now, &customer("small"), WorkMillis(100.0));
+        }
+    }
+    let now = Time(SECOND);
+    assert_eq!(shares.room(now, &customer("small")), 1.0);
+    assert_eq!(shares.room(now, &customer("new")), 1.0);
+    let large = shares.room(now, &customer("large"));
+    assert!((0.4..0.7).contains(&large), "{large}");
+}
+
+#[test]
+fn alone_has_all() {
+    let mut shares = FairShares::default();
+    for i in 0..100 {
+        shares.add(Time(i * SECOND / 100), &customer("only"), WorkMillis(100.0));
+    }
+    assert_eq!(shares.room(Time(SECOND), &customer("only")), 1.0);
+}
+
+#[test]
+fn gone_are_forgotten() {
+    let mut shares = FairShares::default();
+    for i in 0..21_000 {
+        shares.add(Time(i), &customer(&format!("c{i}")), WorkMillis(10.0));
+    }
+    assert_eq!(shares.len(), 21_000);
+    for i in 0..1_000 {
+        let now = Time(60 * SECOND + i);
+        shares.add(now, &customer("still-here"), WorkMillis(10.0));
+    }
+    assert_eq!(shares.len(), 1);
+}
