pool, fair: find members by name; refuse for shares only under pressure

Cause: (1) a reply and a load report searched their pool from end to end, so cost grew with replicas; (2) after a burst, a large customer was still refused for its share while the queue was being worked off.

Members are found by a map. Shares count only while more work is asked for than is done (half-life 0.5 s).

--- a/bench/src/commands/mod.rs
+++ b/bench/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, a file each.
 
+mod decide;
 mod demo;
 mod overhead;
 mod plot;
@@ -17,6 +18,8 @@
     Run(run::Run),
     /// Results as a page.
     Plot(plot::Plot),
+    /// Time of one decision.
+    Decide(decide::Decide),
     /// Added time of the path.
     Overhead(overhead::Overhead),
 }
@@ -31,6 +34,7 @@
         Command::Demo(command) => command.run().await,
         Command::Run(command) => command.run().await,
         Command::Plot(command) => command.run(),
+        Command::Decide(command) => command.run().await,
         Command::Overhead(command) => command.run().await,
     }
 }
--- a/lib/src/core_admit.rs
+++ b/lib/src/core_admit.rs
@@ -24,13 +24,14 @@
         check_arrival(&arrival, &pipeline, &settings)?;
         self.check_stream(&arrival, &pipeline)?;
         let request = Request::new(arrival, pipeline, &settings, now);
+        let work = self.usual_work(&request);
+        self.shares.ask(now, work);
         self.check_time(now, &request)?;
         let used = self.customers.entry(request.customer.clone()).or_default();
         if let Err(wait) = used.enter(now, &customer.settings) {
             let detail = format!("customer {} is over its limit", customer.id);
             return Err(Problem::not_run(Code::OverLimit, detail).retry_after(wait));
         }
-        let work = self.usual_work(&request);
         self.shares.add(now, &request.customer, work);
         Ok(request)
     }
--- a/lib/src/core_attempt.rs
+++ b/lib/src/core_attempt.rs
@@ -144,7 +144,11 @@
         } else {
             &mut request.wasted
         };
-        account[request.stage].0 += served.unwrap_or(took).0;
+        let spent = served.unwrap_or(took);
+        account[request.stage].0 += spent.0;
+        if won {
+            self.shares.done(now, spent);
+        }
         let ejects = self.policy(&stage.settings).ejects();
         self.fleet.ended(
             now,
--- a/lib/src/core_state.rs
+++ b/lib/src/core_state.rs
@@ -71,14 +71,7 @@
             .homes
             .get(endpoint)
             .and_then(|service| self.pools.get_mut(service));
-        let Some(pool) = pool else {
-            return;
-        };
-        let member = pool
-            .members
-            .iter_mut()
-            .find(|member| member.spec.id == *endpoint);
-        if let Some(member) = member {
+        if let Some(member) = pool.and_then(|pool| pool.member_named(endpoint)) {
             member.leaving = report.leaving;
             member.load.take_report(now, report);
         }
--- a/lib/src/fair.rs
+++ b/lib/src/fair.rs
@@ -11,6 +11,14 @@
 /// Time after which half of a customer's past work is forgotten.
 const HALF_LIFE: Millis = Millis(2_000);
 
+/// The same for the work asked for and done by all, which tells whether there is too much now.
+const PRESSURE_HALF_LIFE: Millis = Millis(500);
+
+/// Ratio of work asked for to work done from which on shares begin to count, and the further part
+/// over which they come to count in full.
+const PRESSURE_FROM: f64 = 1.05;
+const PRESSURE_SPAN: f64 = 0.25;
+
 /// Work below which a customer counts as gone, in milliseconds.
 const GONE_BELOW: f64 = 0.5;
 
@@ -20,42 +28,72 @@
 /// Most customers looked at in one sweep for those that are gone.
 const SWEEP_EVERY: u32 = 256;
 
-/// Work of one customer, as of a time.
+/// Work that is forgotten by half in each half-life.
 #[derive(Debug, Clone, Copy)]
-struct Use {
+struct Decaying {
     work: f64,
     at: Time,
+    half_life: Millis,
 }
 
-impl Use {
+impl Decaying {
+    fn new(half_life: Millis) -> Self {
+        Self {
+            work: 0.0,
+            at: Time::default(),
+            half_life,
+        }
+    }
+
     fn now(&self, now: Time) -> f64 {
-        let halves = now.millis_since(self.at) / HALF_LIFE.0 as f64;
+        let halves = now.millis_since(self.at) / self.half_life.0 as f64;
         self.work * (-halves).exp2()
     }
+
+    fn add(&mut self, now: Time, work: WorkMillis) {
+        self.work = self.now(now) + work.0;
+        self.at = now;
+    }
 }
 
 /// Recent work of every customer that has any.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FairShares {
-    customers: HashMap<CustomerId, Use>,
-    total: Option<Use>,
+    customers: HashMap<CustomerId, Decaying>,
+    total: Decaying,
+    asked: Decaying,
+    done: Decaying,
     adds: u32,
 }
 
+impl Default for FairShares {
+    fn default() -> Self {
+        Self {
+            customers: HashMap::default(),
+            total: Decaying::new(HALF_LIFE),
+            asked: Decaying::new(PRESSURE_HALF_LIFE),
+            done: Decaying::new(PRESSURE_HALF_LIFE),
+            adds: 0,
+        }
+    }
+}
+
 impl FairShares {
+    /// Notes work that was asked for, whether or not it is admitted.
+    pub fn ask(&mut self, now: Time, work: WorkMillis) {
+        self.asked.add(now, work);
+    }
+
+    /// Notes work that endpoints have done.
+    pub fn done(&mut self, now: Time, work: WorkMillis) {
+        self.done.add(now, work);
+    }
+
     /// Notes work that was admitted for a customer.
     pub fn add(&mut self, now: Time, customer: &CustomerId, work: WorkMillis) {
         let own = self.customers.entry(customer.clone());
-        let own = own.or_insert(Use { work: 0.0, at: now });
-        *own = Use {
-            work: own.now(now) + work.0,
-            at: now,
-        };
-        let total = self.total.map_or(0.0, |total| total.now(now));
-        self.total = Some(Use {
-            work: total + work.0,
-            at: now,
-        });
+        own.or_insert(Decaying::new(HALF_LIFE)).add(now, work);
+        self.total.add(now, work);
         self.adds += 1;
         if self.adds.is_multiple_of(SWEEP_EVERY) {
             self.customers.retain(|_, own| own.now(now) > GONE_BELOW);
@@ -63,18 +101,25 @@
     }
 
     /// Returns the part of the usual room that a customer has: 1 up to an equal share of the
-    /// recent work, less beyond it.
+    /// recent work, less beyond it while more is asked for than is done.
     ///
     /// With less room, a customer over its share is refused while the queue is still short enough
-    /// for all others, so it can only take what they leave.
+    /// for all others, so it can only take what they leave. A queue that is being worked off is no
+    /// reason to refuse anybody: hence the look at what is asked for now.
     pub fn room(&self, now: Time, customer: &CustomerId) -> f64 {
         let own = self.customers.get(customer).map_or(0.0, |own| own.now(now));
-        let total = self.total.map_or(0.0, |total| total.now(now));
         if own <= 0.0 {
             return 1.0;
         }
-        let fair = total / self.customers.len() as f64;
-        (fair / own).clamp(LEAST_ROOM, 1.0)
+        let fair = self.total.now(now) / self.customers.len() as f64;
+        let room = (fair / own).clamp(LEAST_ROOM, 1.0);
+        1.0 - (1.0 - room) * self.pressure(now)
+    }
+
+    /// Returns 0 while no more is asked for than is done, 1 when it is far more.
+    fn pressure(&self, now: Time) -> f64 {
+        let ratio = self.asked.now(now) / self.done.now(now).max(f64::EPSILON);
+        ((ratio - PRESSURE_FROM) / PRESSURE_SPAN).clamp(0.0, 1.0)
     }
 
     /// Returns the number of customers with recent work.
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -9,6 +9,7 @@
         tree::{EndpointSpec, Service, ServiceKind},
         units::{Millis, Share, Time, WorkMillis},
     },
+    foldhash::HashMap,
     std::sync::Arc,
 };
 
@@ -61,6 +62,8 @@
     pub service: Arc<Service>,
     /// Its endpoints, in the tree's order.
     pub members: Vec<Member>,
+    /// Indexes of the endpoints by name, so that a reply costs the same in a pool of any size.
+    index: HashMap<EndpointId, usize>,
     /// Indexes of the endpoints in this daemon's data centre.
     pub local: Vec<usize>,
     /// Indexes of all others.
@@ -107,6 +110,11 @@
             };
             members.push(member);
         }
+        let index = members
+            .iter()
+            .enumerate()
+            .map(|(i, member)| (member.spec.id.clone(), i))
+            .collect();
         let is_local = |i: &usize| members[*i].spec.data_centre == *data_centre;
         let (local, remote) = (0..members.len()).partition(is_local);
         let floor = service.settings.floor.value.0 as f64;
@@ -126,6 +134,7 @@
         Self {
             service,
             members,
+            index,
             local,
             remote,
             budget,
@@ -162,11 +171,16 @@
         self.call_units.observe(units);
     }
 
+    /// Returns an endpoint by its name.
+    pub fn member_named(&mut self, endpoint: &EndpointId) -> Option<&mut Member> {
+        let index = self.index.get(endpoint)?;
+        self.members.get_mut(*index)
+    }
+
     /// Returns the member that an attempt was sent to, if it is still the same one.
     pub fn member(&mut self, endpoint: &EndpointId, serial: MemberSerial) -> Option<&mut Member> {
-        self.members
-            .iter_mut()
-            .find(|member| member.serial == serial && member.spec.id == *endpoint)
+        self.member_named(endpoint)
+            .filter(|member| member.serial == serial)
     }
 
     /// Estimates the earliest finish of a usual call over some endpoints of the pool.
--- a/lib/tests/test_fair_shares.rs
+++ b/lib/tests/test_fair_shares.rs
@@ -19,6 +19,8 @@
     let mut shares = FairShares::default();
     for i in 0..100 {
         let now = Time(i * SECOND / 100);
+        shares.ask(now, WorkMillis(200.0));
+        shares.done(now, WorkMillis(100.0));
         shares.add(now, &customer("large"), WorkMillis(100.0));
         if i % 10 == 0 {
             shares.add(now, &customer("small"), WorkMillis(100.0));
@@ -31,6 +33,20 @@
     assert!((0.4..0.7).contains(&large), "{large}");
 }
 
+#[test]
+fn drained_queue() {
+    let mut shares = FairShares::default();
+    for i in 0..100 {
+        let now = Time(i * SECOND / 100);
+        // As much is done as is asked for: nobody is refused for its share.
+        shares.ask(now, WorkMillis(70.0));
+        shares.done(now, WorkMillis(100.0));
+        shares.add(now, &customer("large"), WorkMillis(60.0));
+        shares.add(now, &customer("small"), WorkMillis(10.0));
+    }
+    assert_eq!(shares.room(Time(SECOND), &customer("large")), 1.0);
+}
+
 #[test]
 fn alone_has_all() {
     let mut shares = FairShares::default();
