prefix: prefer engines that probably hold a prompt's beginning

Blocks of 512 bytes are hashed in a chain; beliefs come from cache events (late, with gaps) and from own sends, in bounded memory, and are forgotten after 60 s. Holders join the sampled candidates with the work that they would save, so a holder with a long queue loses to another engine. Costs of a token and of a prompt byte are learnt apart from the engine's own report.

The idea to spill by queued work is the paper's (MoE-Prefill, 7.2 to 7.4); here it follows from the estimated finish, without a threshold of its own.

--- a/bench/src/caller.rs
+++ b/bench/src/caller.rs
@@ -29,8 +29,12 @@
 pub struct Order {
     /// Number of the request in its run.
     pub number: u64,
-    /// Pipeline to run.
-    pub pipeline: Arc<str>,
+    /// Path of the pipeline or service.
+    pub path: Arc<str>,
+    /// Its name.
+    pub target: Arc<str>,
+    /// Beginning that its prompt shares with others; may be empty.
+    pub context: Arc<str>,
     /// Customer that asks.
     pub customer: Arc<str>,
     /// Steps of the pipeline.
@@ -94,7 +98,14 @@
 
 /// Returns an order's body, which no other order has.
 fn body(order: &Order) -> Bytes {
-    Bytes::from(format!("{{\"order\":{}}}", order.number))
+    let Order {
+        context, number, ..
+    } = order;
+    if context.is_empty() {
+        Bytes::from(format!("{{\"order\":{number}}}"))
+    } else {
+        Bytes::from(format!("{{\"context\":\"{context}\",\"order\":{number}}}"))
+    }
 }
 
 /// Carries an order out; `due` is when it should have been sent, whether or not it could be.
@@ -135,9 +146,8 @@
     expected: &Bytes,
     due: Instant,
 ) -> (Try, Option<Duration>) {
-    let path = format!("/v1/pipelines/{}", order.pipeline);
     let left = order.deadline.saturating_sub(due.elapsed()).as_millis();
-    let mut request = CallerRequest::new(path, &order.customer, body.clone())
+    let mut request = CallerRequest::new(&*order.path, &order.customer, body.clone())
         .header("x-deadline-ms", left.max(1));
     if order.keyed {
         request = request.header("idempotency-key", format!("order-{}", order.number));
--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -37,16 +37,27 @@
     pub loads: Vec<f64>,
     /// Phases of load, one after the other.
     pub phases: Vec<Phase>,
-    /// Weights of pipelines.
+    /// Weights of pipelines, and of services that are called directly.
     pub mix: BTreeMap<String, f64>,
     /// Weights of customers.
     pub customers: BTreeMap<String, f64>,
+    /// What the beginnings of prompts are like, if they are shared.
+    pub context: Option<Context>,
     /// How callers repeat.
     pub repeat: Repeat,
     /// Faults by time.
     pub faults: Vec<Fault>,
 }
 
+/// Beginnings that prompts share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Context {
+    /// Number of different beginnings; each half as likely again as the one four places later.
+    pub groups: u32,
+    /// Bytes of each.
+    pub bytes: u32,
+}
+
 /// A time of steady load.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Phase {
@@ -158,6 +169,7 @@
     let loads = read_loads(&mut root);
     let settings = read_settings(&mut root);
     let repeat = read_repeat(&mut root);
+    let context = read_context(&mut root);
     let place = root.place().clone();
     let mix = root.take_fields("mix");
     let customers = root.take_fields("customers");
@@ -183,8 +195,15 @@
         seed: seed.map_or(1, |(seed, _)| seed),
         loads,
         phases,
-        mix: read_weights(mix, "pipeline", &place, &pipeline_names(&tree), found),
+        mix: read_weights(
+            mix,
+            "pipeline or service",
+            &place,
+            &target_names(&tree),
+            found,
+        ),
         customers: read_weights(customers, "customer", &place, &customer_names(&tree), found),
+        context,
         repeat,
         faults: faults
             .into_iter()
@@ -226,8 +245,10 @@
     Some(case)
 }
 
-fn pipeline_names(tree: &Tree) -> Vec<String> {
-    tree.pipelines.keys().map(ToString::to_string).collect()
+fn target_names(tree: &Tree) -> Vec<String> {
+    let pipelines = tree.pipelines.keys().map(ToString::to_string);
+    let services = tree.services.keys().map(ToString::to_string);
+    pipelines.chain(services).collect()
 }
 
 fn customer_names(tree: &Tree) -> Vec<String> {
@@ -299,6 +320,18 @@
     }
 }
 
+fn read_context(root: &mut ObjectReader<'_>) -> Option<Context> {
+    let value = root.take("context")?;
+    let mut reader = ObjectReader::new("context", value, root.findings());
+    let groups = reader.take_required::<Count>("groups");
+    let bytes = reader.take_required::<Count>("bytes");
+    reader.finish();
+    Some(Context {
+        groups: groups?.0.0,
+        bytes: bytes?.0.0,
+    })
+}
+
 fn read_weights(
     fields: Vec<Field>,
     what: &str,
--- a/bench/src/model.rs
+++ b/bench/src/model.rs
@@ -1,7 +1,7 @@
 //! Times of the stand-ins, taken from the tree, and the capacity that follows from them.
 
 use {
-    hazelyoke_lib::tree::{Service, ServiceKind, Tree},
+    hazelyoke_lib::tree::{Pipeline, Service, ServiceKind, Stage, Tree},
     hazelyoke_testutils::{engine::EngineModel, expect::Step, plain::PlainModel},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -15,6 +15,10 @@
 /// Slowing of each sequence by a full batch.
 const BATCH_COST: f64 = 0.5;
 
+/// Time of an engine's prefill for one byte, and blocks that its prefix cache holds.
+const PREFILL_BYTE: Duration = Duration::from_micros(25);
+const CACHE_BLOCKS: usize = 400;
+
 /// Usual size of an engine's input in bytes, for its capacity.
 const INPUT_BYTES: u32 = 30;
 
@@ -37,7 +41,8 @@
         batch: settings.slots.value.0,
         batch_cost: BATCH_COST,
         tokens,
-        ..EngineModel::default()
+        prefill_byte: PREFILL_BYTE,
+        cache_blocks: CACHE_BLOCKS,
     }
 }
 
@@ -61,7 +66,13 @@
 pub fn capacity(tree: &Tree, mix: &BTreeMap<String, f64>) -> f64 {
     let total: f64 = mix.values().sum();
     let mut demand: BTreeMap<_, f64> = BTreeMap::new();
-    for pipeline in tree.pipelines.values() {
+    let calls: Vec<_> = tree
+        .services
+        .values()
+        .map(|service| Tree::service_call(service))
+        .collect();
+    let pipelines = tree.pipelines.values().map(|pipeline| &**pipeline);
+    for pipeline in pipelines.chain(&calls) {
         let share = mix.get(pipeline.id.as_str()).copied().unwrap_or(0.0) / total;
         for stage in &pipeline.stages {
             *demand.entry(&stage.service).or_default() += share;
@@ -77,19 +88,30 @@
     rates.fold(f64::INFINITY, f64::min)
 }
 
-/// Steps of each pipeline, for the answers that callers expect.
+/// Steps of each pipeline, and of each service called directly, for the expected answers.
 pub fn steps(tree: &Tree) -> BTreeMap<String, Vec<Step>> {
-    let step = |stage: &hazelyoke_lib::tree::Stage| match &tree.services[&stage.service].kind {
+    let pipelines = tree
+        .pipelines
+        .values()
+        .map(|pipeline| Pipeline::clone(pipeline));
+    let calls = tree
+        .services
+        .values()
+        .map(|service| Tree::service_call(service));
+    calls
+        .chain(pipelines)
+        .map(|pipeline| {
+            let steps = pipeline.stages.iter().map(|stage| step(tree, stage));
+            (pipeline.id.to_string(), steps.collect())
+        })
+        .collect()
+}
+
+fn step(tree: &Tree, stage: &Stage) -> Step {
+    match &tree.services[&stage.service].kind {
         ServiceKind::Plain => Step::Plain(stage.service.as_str().into()),
         ServiceKind::Engine { model } => {
             Step::Engine(model.clone(), stage.settings.max_tokens.value.0)
         }
-    };
-    let pipelines = tree.pipelines.values();
-    pipelines
-        .map(|pipeline| {
-            let steps = pipeline.stages.iter().map(step).collect();
-            (pipeline.id.to_string(), steps)
-        })
-        .collect()
+    }
 }
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -60,6 +60,8 @@
     pub customers: BTreeMap<String, f64>,
     /// Endpoint milliseconds by pipeline and stage: useful, wasted.
     pub stages: BTreeMap<String, (f64, f64)>,
+    /// Share of the engines' prompt bytes that were found in their caches.
+    pub cached: f64,
     /// Share of their slots' time that the endpoints of each service were busy.
     pub busy: BTreeMap<String, f64>,
     /// Attainment by second since the start.
@@ -169,7 +171,7 @@
         return;
     }
     tallies.all.add(outcome);
-    let pipeline = outcome.order.pipeline.to_string();
+    let pipeline = outcome.order.target.to_string();
     tallies.pipelines.entry(pipeline).or_default().add(outcome);
     let customer = outcome.order.customer.to_string();
     tallies.customers.entry(customer).or_default().add(outcome);
@@ -226,6 +228,7 @@
         pipelines: attainments(&tallies.pipelines),
         customers: attainments(&tallies.customers),
         stages,
+        cached: cached_share(installation),
         busy: busy_shares(experiment, installation),
         seconds: tallies.seconds.values().map(Tally::attainment).collect(),
         breaches: BTreeMap::from([
@@ -237,6 +240,15 @@
     }
 }
 
+fn cached_share(installation: &Installation) -> f64 {
+    let lives = installation.slots.iter().flat_map(|slot| slot.lives());
+    let (prefilled, prompted) = lives.fold((0, 0), |sum, life| {
+        let (prefilled, prompted) = life.prefill();
+        (sum.0 + prefilled, sum.1 + prompted)
+    });
+    1.0 - prefilled as f64 / prompted.max(1) as f64
+}
+
 fn busy_shares(experiment: &Experiment, installation: &Installation) -> BTreeMap<String, f64> {
     let whole: Duration = experiment.phases.iter().map(|phase| phase.lasts).sum();
     let mut busy: BTreeMap<String, (f64, f64)> = BTreeMap::new();
@@ -282,6 +294,7 @@
         "P99",
         "WASTED",
         "EXTRA",
+        "CACHED",
         "BROKEN",
     ]);
     for report in reports {
@@ -298,6 +311,7 @@
             format!("{:.1}ms", report.p99_ms),
             format!("{:.2}%", report.wasted * 100.0),
             format!("{:.2}%", report.extra * 100.0),
+            format!("{:.1}%", report.cached * 100.0),
             report.breaches.values().sum::<u64>().to_string(),
         ]);
     }
--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -7,6 +7,7 @@
         fair::FairShares,
         ids::{AttemptId, CustomerId, DataCentreId, EndpointId, RequestId, ServiceId},
         limit::CustomerUse,
+        prefix::CacheEvent,
         problem::{Code, Outcome, Problem},
         request::{Answer, Arrival, Request},
         tree::{Pipeline, Tree},
@@ -58,6 +59,13 @@
         /// What it reports.
         report: LoadReport,
     },
+    /// An engine told of changes in its cache.
+    Cache {
+        /// The engine.
+        endpoint: EndpointId,
+        /// What changed.
+        events: Vec<CacheEvent>,
+    },
     /// A checked tree came in.
     Adopt(Arc<Tree>),
     /// A timer is due.
@@ -142,6 +150,7 @@
             Event::Ended { attempt, end } => self.ended(now, attempt, end),
             Event::Left(request) => self.left(now, request),
             Event::Load { endpoint, report } => self.fleet.load(now, &endpoint, report),
+            Event::Cache { endpoint, events } => self.fleet.cache(now, &endpoint, &events),
             Event::Adopt(tree) => self.adopt(tree),
             Event::Tick => self.tick(now),
         }
--- a/lib/src/core_attempt.rs
+++ b/lib/src/core_attempt.rs
@@ -27,10 +27,10 @@
             return self.fail(now, id, Code::NoEndpoint, "the service is gone".into());
         };
         let max_tokens = stage.settings.max_tokens.value.0;
-        let units = pool.units(request.input.len(), max_tokens);
-        let work = pool.work(units);
+        let size = pool.size(&request.input, max_tokens);
+        let job = pool.job(now, &size);
         let tried = &request.tried;
-        let Some(chosen) = policy.choose(now, pool, work, tried, &mut self.rng) else {
+        let Some(chosen) = policy.choose(now, pool, &job, tried, &mut self.rng) else {
             if !hedge {
                 let detail = format!("no endpoint of {} can take the call", stage.service);
                 self.fail(now, id, Code::NoEndpoint, detail);
@@ -46,7 +46,8 @@
         if hedge && tried.contains(&member.serial) {
             return;
         }
-        let expected = member.load.sent(now, work);
+        let serial = member.serial;
+        let expected = member.load.sent(now, job.work_at(serial));
         self.last_attempt += 1;
         let attempt = Attempt {
             id: AttemptId(self.last_attempt),
@@ -54,7 +55,7 @@
             serial: member.serial,
             sent: now,
             expected,
-            units,
+            size,
             extra,
         };
         let call = Call {
@@ -75,6 +76,7 @@
             resume: request.generated.clone(),
             trace_parent: request.trace_parent.clone(),
         };
+        pool.note_prefix(now, serial, &attempt.size.prefix);
         self.counters.sent(extra);
         self.attempts.insert(attempt.id, id);
         if let Some(wait) = stage.settings.hedge_after.value.0
--- a/lib/src/core_state.rs
+++ b/lib/src/core_state.rs
@@ -5,6 +5,7 @@
         endpoint::{AttemptEnd, LoadReport, NotRunCause},
         ids::{AttemptId, DataCentreId, EndpointId, PipelineId, RequestId, ServiceId, StageId},
         pool::{MemberSerial, Pool},
+        prefix::CacheEvent,
         problem::{Code, Problem},
         request::{Attempt, Request},
         tree::{ServiceKind, Tree},
@@ -77,6 +78,17 @@
         }
     }
 
+    /// Takes in what an engine tells of its cache.
+    pub fn cache(&mut self, now: Time, endpoint: &EndpointId, events: &[CacheEvent]) {
+        let pool = self
+            .homes
+            .get(endpoint)
+            .and_then(|service| self.pools.get_mut(service));
+        if let Some(pool) = pool {
+            pool.learn_cache(now, endpoint, events);
+        }
+    }
+
     /// Learns from the end of an attempt.
     #[allow(clippy::too_many_arguments)]
     pub fn ended(
@@ -110,7 +122,13 @@
             member.health.succeeded();
             let served = served.unwrap_or(took);
             member.load.correct(now, attempt.expected, took);
-            pool.learn(attempt.units, served);
+            let (tokens, prefill) = match end {
+                AttemptEnd::StreamEnded {
+                    tokens, prefill, ..
+                } => (*tokens, *prefill),
+                _ => (0, None),
+            };
+            pool.learn(&attempt.size, tokens, served, prefill);
         } else if ejects && pool.failed(now, &attempt.endpoint, attempt.serial) {
             counters.ejections += 1;
         }
--- a/lib/src/endpoint.rs
+++ b/lib/src/endpoint.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         ids::{CallIds, EndpointId, IdempotencyKey},
+        prefix::CacheEvents,
         settings::Priority,
         tree::ServiceKind,
         units::{ByteSize, Millis, WorkMillis},
@@ -61,6 +62,8 @@
         tokens: u32,
         /// Time the endpoint says it spent.
         served: Option<WorkMillis>,
+        /// What the engine says of its prefill.
+        prefill: Option<Prefill>,
     },
     /// Certainly not run: no byte of the call was sent, or the endpoint says so itself.
     NotRun(NotRunCause),
@@ -68,6 +71,15 @@
     Failed(FailCause),
 }
 
+/// What an engine says of the prefill of one generation.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Prefill {
+    /// Time it took.
+    pub spent: WorkMillis,
+    /// Bytes of the input that were found in the cache.
+    pub cached_bytes: u64,
+}
+
 /// A whole reply.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
@@ -171,6 +183,13 @@
     /// Tells an endpoint that nobody waits for a call any more; best effort.
     fn cancel(&self, call: Call) -> impl Future<Output = ()> + Send;
 
+    /// Reads the changes of an engine's cache from a number on.
+    fn cache_events(
+        &self,
+        address: SocketAddr,
+        after: u64,
+    ) -> impl Future<Output = Option<CacheEvents>> + Send;
+
     /// Reads an endpoint's load report.
     fn load(
         &self,
--- a/lib/src/engine_client.rs
+++ b/lib/src/engine_client.rs
@@ -102,9 +102,14 @@
             sink.token(index, text);
             None
         }
-        Ok(StreamEvent::Done { tokens, served_ms }) => Some(AttemptEnd::StreamEnded {
+        Ok(StreamEvent::Done {
+            tokens,
+            served_ms,
+            prefill,
+        }) => Some(AttemptEnd::StreamEnded {
             tokens,
             served: served_ms.filter(|WorkMillis(ms)| ms.is_finite()),
+            prefill,
         }),
         Err(_) => Some(AttemptEnd::Failed(FailCause::Garbage)),
     }
--- a/lib/src/http_transport.rs
+++ b/lib/src/http_transport.rs
@@ -4,6 +4,7 @@
     crate::{
         endpoint::{AttemptEnd, Call, FailCause, LoadReport, NotRunCause, TokenSink, Transport},
         engine_client, plain_client,
+        prefix::CacheEvents,
         tree::ServiceKind,
         units::{ByteSize, Millis},
         wire,
@@ -16,6 +17,7 @@
         client::legacy::{Client, Error as ClientError, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
     },
+    serde::de::DeserializeOwned,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -33,6 +35,9 @@
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 const LOAD_SIZE: ByteSize = ByteSize(4096);
 
+/// Largest answer with cache events.
+const EVENTS_SIZE: ByteSize = ByteSize(256 * 1024);
+
 /// Body of the client's requests.
 pub type Body = Full<Bytes>;
 
@@ -76,6 +81,22 @@
     }
 }
 
+impl HttpTransport {
+    /// Reads what an endpoint reports of itself; nothing if it doesn't do so soon.
+    async fn get_json<R: DeserializeOwned>(&self, uri: String, limit: ByteSize) -> Option<R> {
+        let request = Request::get(uri).body(Body::default()).ok()?;
+        let read = async {
+            let response = self.send(request).await.ok()?;
+            let body = read_body(response.into_body(), limit).await.ok()?;
+            serde_json::from_slice(&body).ok()
+        };
+        tokio::time::timeout(LOAD_TIMEOUT, read)
+            .await
+            .ok()
+            .flatten()
+    }
+}
+
 /// A refused connection means that no byte was sent; anything else may have reached the endpoint.
 fn end_without_reply(error: &ClientError) -> AttemptEnd {
     if error.is_connect() {
@@ -156,18 +177,14 @@
         }
     }
 
+    async fn cache_events(&self, address: SocketAddr, after: u64) -> Option<CacheEvents> {
+        let uri = format!("http://{address}{}?after={after}", wire::CACHE_PATH);
+        self.get_json(uri, EVENTS_SIZE).await
+    }
+
     async fn load(&self, address: SocketAddr, _kind: &ServiceKind) -> Option<LoadReport> {
         let uri = format!("http://{address}{}", wire::LOAD_PATH);
-        let request = Request::get(uri).body(Body::default()).ok()?;
-        let read = async {
-            let response = self.send(request).await.ok()?;
-            let body = read_body(response.into_body(), LOAD_SIZE).await.ok()?;
-            serde_json::from_slice(&body).ok()
-        };
-        tokio::time::timeout(LOAD_TIMEOUT, read)
-            .await
-            .ok()
-            .flatten()
+        self.get_json(uri, LOAD_SIZE).await
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod policy_estimated;
 pub mod policy_naive;
 pub mod pool;
+pub mod prefix;
 pub mod problem;
 pub mod raw_tree;
 pub mod request;
--- a/lib/src/policy.rs
+++ b/lib/src/policy.rs
@@ -4,7 +4,7 @@
     crate::{
         policy_estimated::Estimated,
         policy_naive::Naive,
-        pool::{MemberSerial, Pool},
+        pool::{Job, MemberSerial, Pool},
         settings::{PolicyKind, Priority},
         units::{Millis, Share, Time, WorkMillis},
     },
@@ -13,14 +13,14 @@
 
 /// The decisions that differ between implementations.
 pub trait Policy {
-    /// Chooses an endpoint for a call of `work`, by its index in the pool.
+    /// Chooses an endpoint for a call, by its index in the pool.
     ///
     /// Endpoints in `tried` come last: they are chosen only when no other can take the call.
     fn choose(
         &self,
         now: Time,
         pool: &mut Pool,
-        work: WorkMillis,
+        job: &Job,
         tried: &[MemberSerial],
         rng: &mut SmallRng,
     ) -> Option<usize>;
@@ -82,11 +82,11 @@
         &self,
         now: Time,
         pool: &mut Pool,
-        work: WorkMillis,
+        job: &Job,
         tried: &[MemberSerial],
         rng: &mut SmallRng,
     ) -> Option<usize> {
-        delegate!(self, policy => policy.choose(now, pool, work, tried, rng))
+        delegate!(self, policy => policy.choose(now, pool, job, tried, rng))
     }
 
     fn admits(
--- a/lib/src/policy_estimated.rs
+++ b/lib/src/policy_estimated.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         policy::Policy,
-        pool::{MemberSerial, Pool},
+        pool::{Job, MemberSerial, Pool},
         settings::Priority,
         units::{Millis, Share, Time, WorkMillis},
     },
@@ -50,33 +50,37 @@
     }
 }
 
-impl Estimated {
-    #[allow(clippy::too_many_arguments)]
-    fn look(
-        self,
-        now: Time,
-        pool: &Pool,
-        indexes: &[usize],
-        work: WorkMillis,
-        hop: f64,
-        tried: &[MemberSerial],
-        best: &mut Best,
-        mut pick: impl Iterator<Item = usize>,
-        wanted: usize,
-    ) {
+/// A search for the endpoint that would finish a call first.
+struct Search<'s> {
+    now: Time,
+    pool: &'s Pool,
+    job: &'s Job,
+    tried: &'s [MemberSerial],
+    best: Best,
+}
+
+impl Search<'_> {
+    /// Looks at one endpoint; returns whether it may get the call.
+    fn look(&mut self, index: usize, hop: f64) -> bool {
+        let member = &self.pool.members[index];
+        if !member.is_open(self.now) {
+            return false;
+        }
+        let work = self.job.work_at(member.serial);
+        let finish = member.load.finish(self.now, work).0 + hop;
+        let tried = self.tried.contains(&member.serial);
+        self.best.offer(tried, finish, index);
+        true
+    }
+
+    /// Looks at some endpoints of a list, from a random one on.
+    fn sample(&mut self, indexes: &[usize], hop: f64, wanted: usize, rng: &mut SmallRng) {
         let mut seen = 0;
-        while seen < wanted {
-            let Some(position) = pick.next() else {
+        for position in walk(indexes.len(), rng) {
+            if seen == wanted {
                 return;
-            };
-            let index = indexes[position];
-            let member = &pool.members[index];
-            if !member.is_open(now) {
-                continue;
             }
-            seen += 1;
-            let finish = member.load.finish(now, work).0 + hop;
-            best.offer(tried.contains(&member.serial), finish, index);
+            seen += usize::from(self.look(indexes[position], hop));
         }
     }
 }
@@ -96,41 +100,31 @@
         &self,
         now: Time,
         pool: &mut Pool,
-        work: WorkMillis,
+        job: &Job,
         tried: &[MemberSerial],
         rng: &mut SmallRng,
     ) -> Option<usize> {
-        let mut best = Best::default();
-        let near = walk(pool.local.len(), rng);
-        self.look(
+        let hop = self.hop.0 as f64;
+        let mut search = Search {
             now,
             pool,
-            &pool.local,
-            work,
-            0.0,
+            job,
             tried,
-            &mut best,
-            near,
-            LOCAL_SAMPLE,
-        );
-        let wanted = match best.found {
+            best: Best::default(),
+        };
+        search.sample(&pool.local, 0.0, LOCAL_SAMPLE, rng);
+        let wanted = match search.best.found {
             Some((false, ..)) => REMOTE_SAMPLE,
             _ => REMOTE_SAMPLE + LOCAL_SAMPLE,
         };
-        let far = walk(pool.remote.len(), rng);
-        let hop = self.hop.0 as f64;
-        self.look(
-            now,
-            pool,
-            &pool.remote,
-            work,
-            hop,
-            tried,
-            &mut best,
-            far,
-            wanted,
-        );
-        best.found.map(|(_, _, index)| index)
+        search.sample(&pool.remote, hop, wanted, rng);
+        // Who holds the prompt's beginning has less to do; with a long queue it still loses.
+        for holder in &job.holders {
+            if let Some(index) = pool.index_of(holder.serial) {
+                search.look(index, hop);
+            }
+        }
+        search.best.found.map(|(_, _, index)| index)
     }
 
     fn admits(
--- a/lib/src/policy_naive.rs
+++ b/lib/src/policy_naive.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         policy::Policy,
-        pool::{MemberSerial, Pool},
+        pool::{Job, MemberSerial, Pool},
         settings::Priority,
         units::{Millis, Share, Time, WorkMillis},
     },
@@ -19,7 +19,7 @@
         &self,
         _now: Time,
         pool: &mut Pool,
-        _work: WorkMillis,
+        _job: &Job,
         _tried: &[MemberSerial],
         _rng: &mut SmallRng,
     ) -> Option<usize> {
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::{
+        endpoint::Prefill,
         estimate::{Average, LoadEstimate},
         health::{Health, State},
         ids::{DataCentreId, EndpointId},
+        prefix::{BLOCK, CacheEvent, Holder, Prefix, PrefixIndex},
         retry::RetryBudget,
         tree::{EndpointSpec, Service, ServiceKind},
         units::{Millis, Share, Time, WorkMillis},
@@ -16,11 +18,41 @@
 /// Largest share of a pool that may be ejected at the same time.
 const MAX_EJECTED: Share = Share(0.5);
 
-/// First guess of a unit's time, until calls have been observed.
-const UNIT_GUESS: WorkMillis = WorkMillis(5.0);
+/// First guesses, until calls have been observed: of a plain call, a token, a byte of a prompt.
+const CALL_GUESS: WorkMillis = WorkMillis(5.0);
+const TOKEN_GUESS: WorkMillis = WorkMillis(5.0);
+const BYTE_GUESS: WorkMillis = WorkMillis(0.005);
 
-/// Bytes of a prompt that weigh as much as one generated token.
-const BYTES_PER_UNIT: f64 = 80.0;
+/// What determines the work of one call.
+#[derive(Debug, Clone, Default)]
+pub struct CallSize {
+    /// Bytes of the input.
+    pub bytes: usize,
+    /// Most tokens to generate.
+    pub tokens: u32,
+    /// Blocks of the input, if it is a prompt whose beginning may be cached.
+    pub prefix: Prefix,
+}
+
+/// A call about to be placed: its size, and who probably holds its beginning.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Work of the call where nothing is cached.
+    pub work: WorkMillis,
+    /// Work saved by each cached block.
+    pub block_saving: WorkMillis,
+    /// Engines that probably hold its beginning.
+    pub holders: Vec<Holder>,
+}
+
+impl Job {
+    /// Estimates the work of the call at one endpoint.
+    pub fn work_at(&self, serial: MemberSerial) -> WorkMillis {
+        let held = self.holders.iter().find(|holder| holder.serial == serial);
+        let saved = held.map_or(0.0, |held| held.blocks as f64 * self.block_saving.0);
+        WorkMillis((self.work.0 - saved).max(0.0))
+    }
+}
 
 /// Tells one stay of an endpoint in a pool from another one under the same name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -55,6 +87,50 @@
     }
 }
 
+/// Costs of a service's calls, in milliseconds of endpoint time.
+#[derive(Debug, Clone)]
+struct CallCosts {
+    /// A whole call, as it usually is.
+    call: Average,
+    /// One token of a generation.
+    token: Average,
+    /// One byte of a prompt that isn't cached.
+    byte: Average,
+}
+
+impl CallCosts {
+    fn new(service: &Service) -> Self {
+        let floor = service.settings.floor.value.0 as f64;
+        Self {
+            call: Average::new(floor.max(CALL_GUESS.0)),
+            token: Average::new(TOKEN_GUESS.0),
+            byte: Average::new(BYTE_GUESS.0),
+        }
+    }
+
+    fn learn(
+        &mut self,
+        size: &CallSize,
+        tokens: u32,
+        served: WorkMillis,
+        prefill: Option<Prefill>,
+    ) {
+        self.call.observe_bounded(served.0);
+        let Some(prefill) = prefill else {
+            self.token
+                .observe_bounded(served.0 / f64::from(tokens.max(1)));
+            return;
+        };
+        let decode = (served.0 - prefill.spent.0).max(0.0);
+        self.token
+            .observe_bounded(decode / f64::from(tokens.max(1)));
+        let uncached = (size.bytes as u64).saturating_sub(prefill.cached_bytes);
+        if uncached >= BLOCK as u64 {
+            self.byte.observe_bounded(prefill.spent.0 / uncached as f64);
+        }
+    }
+}
+
 /// The endpoints of one service.
 #[derive(Debug, Clone)]
 pub struct Pool {
@@ -70,10 +146,12 @@
     pub remote: Vec<usize>,
     /// Retries that may still be made.
     pub budget: RetryBudget,
-    /// Time of one unit of work.
-    unit_cost: Average,
-    /// Units of a usual call.
-    call_units: Average,
+    /// Costs learnt from calls.
+    costs: CallCosts,
+    /// Who probably holds which beginnings of prompts.
+    prefixes: PrefixIndex,
+    /// Indexes of the endpoints by their stay.
+    serials: HashMap<MemberSerial, usize>,
     /// Position of the next choice of the round-robin policy.
     pub cursor: usize,
 }
@@ -84,7 +162,7 @@
         service: Arc<Service>,
         data_centre: &DataCentreId,
         old: Option<Pool>,
-        serials: &mut impl FnMut() -> MemberSerial,
+        next_serial: &mut impl FnMut() -> MemberSerial,
     ) -> Self {
         let slots = service.settings.slots.value.0;
         let mut old_members = old
@@ -102,7 +180,7 @@
                 },
                 None => Member {
                     spec: spec.clone(),
-                    serial: serials(),
+                    serial: next_serial(),
                     load: LoadEstimate::new(slots),
                     health: Health::default(),
                     leaving: false,
@@ -117,17 +195,17 @@
             .collect();
         let is_local = |i: &usize| members[*i].spec.data_centre == *data_centre;
         let (local, remote) = (0..members.len()).partition(is_local);
-        let floor = service.settings.floor.value.0 as f64;
-        let guess = match service.kind {
-            ServiceKind::Plain => floor.max(UNIT_GUESS.0),
-            ServiceKind::Engine { .. } => UNIT_GUESS.0,
-        };
-        let (budget, unit_cost, call_units, cursor) = match old {
-            Some(pool) => (pool.budget, pool.unit_cost, pool.call_units, pool.cursor),
+        let serials = members
+            .iter()
+            .enumerate()
+            .map(|(i, member)| (member.serial, i))
+            .collect();
+        let (budget, costs, prefixes, cursor) = match old {
+            Some(pool) => (pool.budget, pool.costs, pool.prefixes, pool.cursor),
             None => (
                 RetryBudget::default(),
-                Average::new(guess),
-                Average::new(1.0),
+                CallCosts::new(&service),
+                PrefixIndex::default(),
                 0,
             ),
         };
@@ -138,37 +216,75 @@
             local,
             remote,
             budget,
-            unit_cost,
-            call_units,
+            costs,
+            prefixes,
+            serials,
             cursor,
         }
     }
 
-    /// Returns the units of a call: one for a plain service, tokens and prompt for an engine.
-    pub fn units(&self, input_bytes: usize, max_tokens: u32) -> f64 {
-        match self.service.kind {
-            ServiceKind::Plain => 1.0,
-            ServiceKind::Engine { .. } => {
-                f64::from(max_tokens) + input_bytes as f64 / BYTES_PER_UNIT
-            }
+    /// Measures a call.
+    pub fn size(&self, input: &[u8], tokens: u32) -> CallSize {
+        let prompts = matches!(self.service.kind, ServiceKind::Engine { .. });
+        let affinity = prompts && self.service.settings.affinity.value;
+        CallSize {
+            bytes: input.len(),
+            tokens,
+            prefix: if affinity {
+                Prefix::of(input)
+            } else {
+                Prefix::default()
+            },
         }
     }
 
-    /// Estimates the endpoint time of a call of so many units.
-    pub fn work(&self, units: f64) -> WorkMillis {
-        WorkMillis(self.unit_cost.get() * units)
+    /// Prepares the placing of a call.
+    pub fn job(&self, now: Time, size: &CallSize) -> Job {
+        let byte = self.costs.byte.get();
+        let work = match self.service.kind {
+            ServiceKind::Plain => self.costs.call.get(),
+            ServiceKind::Engine { .. } => {
+                self.costs.token.get() * f64::from(size.tokens) + byte * size.bytes as f64
+            }
+        };
+        Job {
+            work: WorkMillis(work),
+            block_saving: WorkMillis(byte * BLOCK as f64),
+            holders: self.prefixes.holders(now, &size.prefix),
+        }
     }
 
     /// Estimates the endpoint time of a usual call.
     pub fn usual_work(&self) -> WorkMillis {
-        self.work(self.call_units.get())
+        WorkMillis(self.costs.call.get())
+    }
+
+    /// Learns from a call that kept its endpoint busy for `served`.
+    pub fn learn(
+        &mut self,
+        size: &CallSize,
+        tokens: u32,
+        served: WorkMillis,
+        prefill: Option<Prefill>,
+    ) {
+        self.costs.learn(size, tokens, served, prefill);
+    }
+
+    /// Notes that an endpoint was sent a prompt, whose beginning it will hold.
+    pub fn note_prefix(&mut self, now: Time, serial: MemberSerial, prefix: &Prefix) {
+        self.prefixes.sent(now, serial, prefix);
+    }
+
+    /// Takes in what an engine tells of its cache.
+    pub fn learn_cache(&mut self, now: Time, endpoint: &EndpointId, events: &[CacheEvent]) {
+        if let Some(serial) = self.member_named(endpoint).map(|member| member.serial) {
+            self.prefixes.learn(now, serial, events);
+        }
     }
 
-    /// Learns from a call of `units` that kept its endpoint busy for `served`.
-    pub fn learn(&mut self, units: f64, served: WorkMillis) {
-        self.unit_cost
-            .observe_bounded(served.0 / units.max(f64::EPSILON));
-        self.call_units.observe(units);
+    /// Returns the index of a stay, if it is still in the pool.
+    pub fn index_of(&self, serial: MemberSerial) -> Option<usize> {
+        self.serials.get(&serial).copied()
     }
 
     /// Returns an endpoint by its name.
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -4,7 +4,7 @@
     crate::{
         endpoint::Resume,
         ids::{AttemptId, CustomerId, EndpointId, IdempotencyKey, RequestId},
-        pool::MemberSerial,
+        pool::{CallSize, MemberSerial},
         problem::{Code, Outcome, Problem},
         settings::{Priority, Settings},
         tree::{Pipeline, Stage},
@@ -70,8 +70,8 @@
     pub sent: Time,
     /// Time to its end by reports and own sends, before it was sent.
     pub expected: WorkMillis,
-    /// Units of the call.
-    pub units: f64,
+    /// Size of the call.
+    pub size: CallSize,
     /// Whether it follows another attempt at the same stage.
     pub extra: bool,
 }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -240,6 +240,8 @@
     Call max_tokens: Count = "256";
     /// Calls one endpoint works on at the same time, used until it reports its load.
     Call slots: Count = "8";
+    /// Whether engines that hold a prompt's beginning in their cache are preferred.
+    Call affinity: bool = "true";
     /// Implementation that chooses endpoints.
     Call policy: PolicyKind = "estimated";
 }
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -1,7 +1,7 @@
 //! Names and forms of the endpoints' protocol; `docs/PROTOCOLS.md` states each assumption.
 
 use {
-    crate::{ids::CallIds, units::WorkMillis},
+    crate::{endpoint::Prefill, ids::CallIds, units::WorkMillis},
     http::{HeaderMap, HeaderValue},
     serde::{Deserialize, Serialize},
     serde_json::value::RawValue,
@@ -37,6 +37,8 @@
 pub const GENERATE_PATH: &str = "/v1/generate";
 /// Path by which an engine is told that nobody waits any more.
 pub const CANCEL_PATH: &str = "/v1/cancel";
+/// Path of an engine's cache events; `?after=` and a number follow.
+pub const CACHE_PATH: &str = "/v1/cache-events";
 /// Path of an endpoint's load report.
 pub const LOAD_PATH: &str = "/v1/load";
 
@@ -73,6 +75,9 @@
         tokens: u32,
         /// Milliseconds that the engine spent.
         served_ms: Option<WorkMillis>,
+        /// What it says of its prefill.
+        #[serde(default)]
+        prefill: Option<Prefill>,
     },
 }
 
--- a/lib/testutils/src/core_run.rs
+++ b/lib/testutils/src/core_run.rs
@@ -384,6 +384,7 @@
         Ok(AttemptEnd::StreamEnded {
             tokens: TOKENS,
             served: Some(WorkMillis(1.0)),
+            prefill: None,
         })
     }
 
--- a/lib/testutils/src/endpoint.rs
+++ b/lib/testutils/src/endpoint.rs
@@ -63,6 +63,8 @@
     running: AtomicU32,
     cancelled: AtomicU32,
     busy_micros: AtomicU64,
+    prefilled: AtomicU64,
+    prompted: AtomicU64,
     runs: Mutex<Vec<Run>>,
     report: Mutex<Option<LoadReport>>,
 }
@@ -124,6 +126,8 @@
             running: AtomicU32::new(0),
             cancelled: AtomicU32::new(0),
             busy_micros: AtomicU64::new(0),
+            prefilled: AtomicU64::new(0),
+            prompted: AtomicU64::new(0),
             runs: Mutex::new(Vec::new()),
             report: Mutex::new(None),
         }
@@ -146,6 +150,18 @@
         }
     }
 
+    /// Counts the bytes of a prompt, and those of them that weren't cached.
+    pub fn count_prefill(&self, uncached: u64, all: u64) {
+        self.prefilled.fetch_add(uncached, Ordering::Relaxed);
+        self.prompted.fetch_add(all, Ordering::Relaxed);
+    }
+
+    /// Returns the bytes of all prompts that weren't cached, and all their bytes.
+    pub fn prefill(&self) -> (u64, u64) {
+        let prefilled = self.prefilled.load(Ordering::Relaxed);
+        (prefilled, self.prompted.load(Ordering::Relaxed))
+    }
+
     /// Returns the time that slots were held, whatever came of it.
     pub fn busy(&self) -> Duration {
         Duration::from_micros(self.busy_micros.load(Ordering::Relaxed))
--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -5,18 +5,25 @@
         endpoint::{Endpoint, EndpointServer},
         expect::token,
         faults::Damage,
-        http_server::{ReplyBody, Server, empty_body},
+        http_server::{ReplyBody, Server, empty_body, whole_body},
+        prefix_cache::PrefixCache,
     },
     bytes::Bytes,
     futures_util::stream,
     hazelyoke_lib::{
+        endpoint::Prefill,
         units::WorkMillis,
         wire::{self, GenerateBody, StreamEvent},
     },
     http::{HeaderMap, Request, Response, StatusCode},
     http_body_util::{BodyExt, StreamBody},
     hyper::body::{Frame, Incoming},
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
     tokio::{sync::mpsc, time::Instant},
 };
 
@@ -36,6 +43,8 @@
     pub batch_cost: f64,
     /// Tokens of one generation, unless the call allows less.
     pub tokens: u32,
+    /// Blocks that its prefix cache holds.
+    pub cache_blocks: usize,
 }
 
 impl Default for EngineModel {
@@ -46,6 +55,7 @@
             batch: 16,
             batch_cost: 1.0,
             tokens: 16,
+            cache_blocks: 1_024,
         }
     }
 }
@@ -67,26 +77,45 @@
     model: EngineModel,
 ) -> io::Result<EndpointServer> {
     let endpoint = Arc::new(Endpoint::new(name, model.batch, model.usual()));
-    let shared = endpoint.clone();
-    let server = Server::start(address, move |request| {
-        handle(shared.clone(), model, request)
-    })
-    .await?;
+    let engine = Arc::new(Engine {
+        endpoint: endpoint.clone(),
+        model,
+        cache: Mutex::new(PrefixCache::new(model.cache_blocks)),
+    });
+    let server = Server::start(address, move |request| handle(engine.clone(), request)).await?;
     Ok(EndpointServer { endpoint, server })
 }
 
-async fn handle(
+/// State of one engine.
+struct Engine {
     endpoint: Arc<Endpoint>,
     model: EngineModel,
-    request: Request<Incoming>,
-) -> Option<Response<ReplyBody>> {
+    cache: Mutex<PrefixCache>,
+}
+
+impl Engine {
+    fn cache_events(&self, query: Option<&str>) -> Response<ReplyBody> {
+        let after = query.and_then(|query| query.strip_prefix("after="));
+        let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let events = self
+            .cache
+            .lock()
+            .expect("no panic while held")
+            .events(after);
+        Response::new(whole_body(serde_json::to_vec(&events).unwrap_or_default()))
+    }
+}
+
+async fn handle(engine: Arc<Engine>, request: Request<Incoming>) -> Option<Response<ReplyBody>> {
+    let endpoint = &engine.endpoint;
     match request.uri().path() {
+        wire::CACHE_PATH => Some(engine.cache_events(request.uri().query())),
         wire::LOAD_PATH => Some(endpoint.report_reply()),
         wire::CANCEL_PATH => {
             endpoint.cancel();
             Some(Response::new(empty_body()))
         }
-        wire::GENERATE_PATH => generate(endpoint, model, request).await,
+        wire::GENERATE_PATH => generate(engine, request).await,
         _ => Response::builder()
             .status(StatusCode::NOT_FOUND)
             .body(empty_body())
@@ -94,11 +123,10 @@
     }
 }
 
-async fn generate(
-    endpoint: Arc<Endpoint>,
-    model: EngineModel,
-    request: Request<Incoming>,
-) -> Option<Response<ReplyBody>> {
+async fn generate(engine: Arc<Engine>, request: Request<Incoming>) -> Option<Response<ReplyBody>> {
+    let Engine {
+        endpoint, model, ..
+    } = &*engine;
     let (head, body) = request.into_parts();
     let body = body.collect().await.ok()?.to_bytes();
     let headers = head.headers;
@@ -128,7 +156,7 @@
     };
     let reply = endpoint.reply_head(&headers, started);
     let (events, received) = mpsc::channel(QUEUE);
-    tokio::spawn(run(endpoint, model, headers, generation, events));
+    tokio::spawn(run(engine.clone(), headers, generation, events));
     let frames = stream::unfold(received, |mut received| async {
         received.recv().await.map(|frame| (frame, received))
     });
@@ -147,13 +175,12 @@
 type Events = mpsc::Sender<Result<Frame<Bytes>, io::Error>>;
 
 /// Generates until the end or until nobody listens: a closed channel is a cancelled stream.
-async fn run(
-    endpoint: Arc<Endpoint>,
-    model: EngineModel,
-    headers: HeaderMap,
-    generation: Generation,
-    events: Events,
-) {
+async fn run(engine: Arc<Engine>, headers: HeaderMap, generation: Generation, events: Events) {
+    let Engine {
+        endpoint,
+        model,
+        cache,
+    } = &*engine;
     let _present = endpoint.enter();
     let _slot = tokio::select! {
         slot = endpoint.slot() => slot,
@@ -161,7 +188,13 @@
     };
     endpoint.record(&headers, generation.from);
     let started = Instant::now();
-    let prefill = model.prefill_byte * generation.input.len() as u32;
+    let cached = cache
+        .lock()
+        .expect("no panic while held")
+        .take(&generation.input);
+    let uncached = generation.input.len() as u64 - cached;
+    endpoint.count_prefill(uncached, generation.input.len() as u64);
+    let prefill = model.prefill_byte * uncached as u32;
     // Points in time, not pauses: the timer's rounding would else add up over a generation.
     let mut next = started + endpoint.time(prefill);
     tokio::time::sleep_until(next).await;
@@ -194,6 +227,10 @@
             let done = StreamEvent::Done {
                 tokens: generation.to,
                 served_ms: Some(WorkMillis(ms)),
+                prefill: Some(Prefill {
+                    spent: WorkMillis(endpoint.time(prefill).as_secs_f64() * 1000.0),
+                    cached_bytes: cached,
+                }),
             };
             let _ = send(&events, &done).await;
         }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod http_client;
 pub mod http_server;
 pub mod plain;
+pub mod prefix_cache;
 pub mod seeds;
