admit, health: weigh the wait, not the work; eject by rate; measure more

Cause: (1) the stricter thresholds of low priority and of customers over their share applied to a request's own work as well, so a low-priority generation of a large customer (0.14 of 4 s) was refused at a moderate queue; (2) an endpoint that fails now and then was never ejected, since any success reset the count of failures in a row, and it used up the retry budget.

Thresholds now limit the wait, as a share of the time left beside the request's own work. Endpoints are ejected as well when more than a quarter of recent calls fail.

New: hazelyoke-bench scale and tokens.

--- a/bench/src/commands/mod.rs
+++ b/bench/src/commands/mod.rs
@@ -5,6 +5,8 @@
 mod overhead;
 mod plot;
 mod run;
+mod scale;
+mod tokens;
 
 use {anyhow::Result, argh::FromArgs};
 
@@ -22,6 +24,10 @@
     Decide(decide::Decide),
     /// Added time of the path.
     Overhead(overhead::Overhead),
+    /// Processor time of a token.
+    Tokens(tokens::Tokens),
+    /// Memory and time at larger sizes.
+    Scale(scale::Scale),
 }
 
 /// Runs a command; returns whether every promise was kept.
@@ -36,5 +42,7 @@
         Command::Plot(command) => command.run(),
         Command::Decide(command) => command.run().await,
         Command::Overhead(command) => command.run().await,
+        Command::Tokens(command) => command.run().await,
+        Command::Scale(command) => command.run().await,
     }
 }
--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -43,6 +43,9 @@
     pub customers: BTreeMap<String, f64>,
     /// What the beginnings of prompts are like, if they are shared.
     pub context: Option<Context>,
+    /// Whether all engines of a service share one prefix cache: the most that an exchange of KV
+    /// caches between them could give.
+    pub shared_cache: bool,
     /// How callers repeat.
     pub repeat: Repeat,
     /// Faults by time.
@@ -170,6 +173,7 @@
     let settings = read_settings(&mut root);
     let repeat = read_repeat(&mut root);
     let context = read_context(&mut root);
+    let shared_cache = root.take_parsed::<bool>("shared_cache");
     let place = root.place().clone();
     let mix = root.take_fields("mix");
     let customers = root.take_fields("customers");
@@ -204,6 +208,7 @@
         ),
         customers: read_weights(customers, "customer", &place, &customer_names(&tree), found),
         context,
+        shared_cache: shared_cache.is_some_and(|(shared, _)| shared),
         repeat,
         faults: faults
             .into_iter()
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod model;
 mod observer;
+mod process;
 mod report;
 mod tally;
 mod trees;
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -102,7 +102,7 @@
         ", "
     };
     let settings = format!("\"policy\": \"{policy}\"{separator}{}", experiment.settings);
-    let installation = Installation::start(experiment.user, experiment.daemons, &settings).await?;
+    let installation = Installation::start(experiment, &settings).await?;
     let (sender, mut outcomes) = mpsc::unbounded_channel();
     let start = Instant::now();
     let load = load::run(
--- a/lib/src/core_admit.rs
+++ b/lib/src/core_admit.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         core::Core,
-        policy::{AnyPolicy, Policy},
+        policy::{AnyPolicy, Needs, Policy},
         problem::{Code, Problem},
         request::{Arrival, Request, Target},
         settings::{Guard, Settings},
@@ -73,15 +73,15 @@
 
     /// Refuses a request at once that can't meet its deadline, by the estimate.
     pub(crate) fn check_time(&self, now: Time, request: &Request) -> Result<(), Problem> {
-        let expected = self.expected_rest(now, request);
+        let needs = self.needs(now, request);
         let stage = request.current();
         let policy = self.policy(&stage.settings);
         let remaining = request.remaining(now);
         let fits = if request.stage == 0 {
             let room = self.shares.room(now, &request.customer);
-            policy.admits(remaining, expected, request.priority, room)
+            policy.admits(remaining, needs, request.priority, room)
         } else {
-            policy.continues(remaining, expected)
+            policy.continues(remaining, needs)
         };
         if fits {
             return Ok(());
@@ -90,7 +90,8 @@
             Some(pool) => pool.retry_after(now),
             None => Millis(1_000),
         };
-        let detail = format!("about {expected} needed, {remaining} left");
+        let Needs { work, wait: queue } = needs;
+        let detail = format!("about {work} of work after a wait of {queue}, {remaining} left");
         Err(Problem::not_run(Code::NoTime, detail).retry_after(wait))
     }
 
@@ -101,19 +102,24 @@
         WorkMillis(pools.map(|pool| pool.usual_work().0).sum())
     }
 
-    /// Estimates the time that the current and all later stages take.
-    fn expected_rest(&self, now: Time, request: &Request) -> WorkMillis {
-        let stages = &request.pipeline.stages[request.stage..];
-        let expected = stages.iter().map(|stage| {
+    /// Estimates the time that the current and all later stages need.
+    fn needs(&self, now: Time, request: &Request) -> Needs {
+        let mut needs = Needs {
+            work: WorkMillis(0.0),
+            wait: WorkMillis(0.0),
+        };
+        for stage in &request.pipeline.stages[request.stage..] {
             let floor = stage.settings.floor.value.0 as f64;
-            match self.fleet.pool(&stage.service) {
-                Some(pool) => pool
-                    .best_finish(now, pool.usual_work(), ESTIMATE_SAMPLE)
-                    .map_or(floor, |finish| finish.0.max(floor)),
-                None => floor,
-            }
-        });
-        WorkMillis(expected.sum())
+            let Some(pool) = self.fleet.pool(&stage.service) else {
+                needs.work.0 += floor;
+                continue;
+            };
+            let work = pool.usual_work();
+            let finish = pool.best_finish(now, work, ESTIMATE_SAMPLE);
+            needs.work.0 += work.0.max(floor);
+            needs.wait.0 += finish.map_or(0.0, |finish| (finish.0 - work.0).max(0.0));
+        }
+        needs
     }
 
     pub(crate) fn policy(&self, settings: &Settings) -> AnyPolicy {
--- a/lib/src/policy.rs
+++ b/lib/src/policy.rs
@@ -11,6 +11,15 @@
     rand::rngs::SmallRng,
 };
 
+/// Time that a request still needs, by the estimate.
+#[derive(Debug, Clone, Copy)]
+pub struct Needs {
+    /// Its own work at the endpoints.
+    pub work: WorkMillis,
+    /// Waiting for others' work before it.
+    pub wait: WorkMillis,
+}
+
 /// The decisions that differ between implementations.
 pub trait Policy {
     /// Chooses an endpoint for a call, by its index in the pool.
@@ -25,19 +34,13 @@
         rng: &mut SmallRng,
     ) -> Option<usize>;
 
-    /// Decides whether work that needs `expected` is worth starting with `remaining` left.
+    /// Decides whether work is worth starting with `remaining` left.
     ///
     /// `room` is the part of the usual room that the customer has by its share.
-    fn admits(
-        &self,
-        remaining: Millis,
-        expected: WorkMillis,
-        priority: Priority,
-        room: f64,
-    ) -> bool;
+    fn admits(&self, remaining: Millis, needs: Needs, priority: Priority, room: f64) -> bool;
 
-    /// Decides whether work that was admitted and needs `expected` is worth going on with.
-    fn continues(&self, remaining: Millis, expected: WorkMillis) -> bool;
+    /// Decides whether work that was admitted is worth going on with.
+    fn continues(&self, remaining: Millis, needs: Needs) -> bool;
 
     /// Decides whether a first attempt, once failed, may be followed by another one.
     fn grants_retry(&self, pool: &mut Pool) -> bool;
@@ -89,18 +92,12 @@
         delegate!(self, policy => policy.choose(now, pool, job, tried, rng))
     }
 
-    fn admits(
-        &self,
-        remaining: Millis,
-        expected: WorkMillis,
-        priority: Priority,
-        room: f64,
-    ) -> bool {
-        delegate!(self, policy => policy.admits(remaining, expected, priority, room))
+    fn admits(&self, remaining: Millis, needs: Needs, priority: Priority, room: f64) -> bool {
+        delegate!(self, policy => policy.admits(remaining, needs, priority, room))
     }
 
-    fn continues(&self, remaining: Millis, expected: WorkMillis) -> bool {
-        delegate!(self, policy => policy.continues(remaining, expected))
+    fn continues(&self, remaining: Millis, needs: Needs) -> bool {
+        delegate!(self, policy => policy.continues(remaining, needs))
     }
 
     fn grants_retry(&self, pool: &mut Pool) -> bool {
--- a/lib/src/policy_estimated.rs
+++ b/lib/src/policy_estimated.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        policy::Policy,
+        policy::{Needs, Policy},
         pool::{Job, MemberSerial, Pool},
         settings::Priority,
-        units::{Millis, Share, Time, WorkMillis},
+        units::{Millis, Share, Time},
     },
     rand::{RngExt, rngs::SmallRng},
 };
@@ -21,7 +21,7 @@
     pub hop: Millis,
 }
 
-/// Share of the time left that the expected work may take, by priority.
+/// Share of the time left beside its own work that a request may spend waiting, by priority.
 fn usable_share(priority: Priority) -> f64 {
     match priority {
         Priority::Low => 0.35,
@@ -127,19 +127,14 @@
         search.best.found.map(|(_, _, index)| index)
     }
 
-    fn admits(
-        &self,
-        remaining: Millis,
-        expected: WorkMillis,
-        priority: Priority,
-        room: f64,
-    ) -> bool {
-        expected.0 <= remaining.0 as f64 * usable_share(priority) * room
+    fn admits(&self, remaining: Millis, needs: Needs, priority: Priority, room: f64) -> bool {
+        let slack = remaining.0 as f64 - needs.work.0;
+        slack >= 0.0 && needs.wait.0 <= slack * usable_share(priority) * room
     }
 
     /// Looser than admission: what was spent on earlier stages is lost by stopping here.
-    fn continues(&self, remaining: Millis, expected: WorkMillis) -> bool {
-        expected.0 <= remaining.0 as f64
+    fn continues(&self, remaining: Millis, needs: Needs) -> bool {
+        needs.work.0 + needs.wait.0 <= remaining.0 as f64
     }
 
     fn grants_retry(&self, pool: &mut Pool) -> bool {
--- a/lib/src/policy_naive.rs
+++ b/lib/src/policy_naive.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        policy::Policy,
+        policy::{Needs, Policy},
         pool::{Job, MemberSerial, Pool},
         settings::Priority,
-        units::{Millis, Share, Time, WorkMillis},
+        units::{Millis, Share, Time},
     },
     rand::rngs::SmallRng,
 };
@@ -35,17 +35,11 @@
         None
     }
 
-    fn admits(
-        &self,
-        _remaining: Millis,
-        _expected: WorkMillis,
-        _priority: Priority,
-        _room: f64,
-    ) -> bool {
+    fn admits(&self, _remaining: Millis, _needs: Needs, _priority: Priority, _room: f64) -> bool {
         true
     }
 
-    fn continues(&self, _remaining: Millis, _expected: WorkMillis) -> bool {
+    fn continues(&self, _remaining: Millis, _needs: Needs) -> bool {
         true
     }
 
--- a/lib/src/sse.rs
+++ b/lib/src/sse.rs
@@ -40,17 +40,29 @@
         loop {
             let end = find_end(&self.buffer)?;
             let event = self.buffer.split_to(end + 2).freeze();
-            let data = event
-                .strip_prefix(b"data: ")
-                .or_else(|| event.strip_prefix(b"data:"));
-            if let Some(data) = data {
-                let start = event.len() - data.len();
+            if let Some(start) = data_start(&event) {
                 return Some(event.slice(start..event.len() - 2));
             }
         }
     }
 }
 
+/// Returns where the data of an event starts, after the event's other lines.
+fn data_start(event: &[u8]) -> Option<usize> {
+    const FIELD: &[u8] = b"data:";
+    let line = if event.starts_with(FIELD) {
+        0
+    } else {
+        event
+            .windows(FIELD.len() + 1)
+            .position(|six| six == b"\ndata:")?
+            + 1
+    };
+    let start = line + FIELD.len();
+    let space = usize::from(event.get(start) == Some(&b' '));
+    Some(start + space)
+}
+
 fn find_end(buffer: &[u8]) -> Option<usize> {
     buffer.windows(2).position(|pair| pair == b"\n\n")
 }
--- /dev/null
+++ b/lib/tests/test_health.rs
@@ -0,0 +1,56 @@
+//! Ejection of endpoints that fail, and probing them back.
+
+use hazelyoke_lib::{
+    health::{Health, State},
+    units::{Millis, Time},
+};
+
+#[test]
+fn eject_and_probe() {
+    let mut health = Health::default();
+    let now = Time(1);
+    assert!(!health.failed(now, true));
+    assert!(!health.failed(now, true));
+    assert!(health.failed(now, true));
+    assert_eq!(health.state(now), State::Ejected);
+    let later = now + Millis(500);
+    assert_eq!(health.state(later), State::Probing);
+    // A failed probe doubles the time; a good one ends it.
+    assert!(health.failed(later, true));
+    assert_eq!(health.state(later + Millis(999)), State::Ejected);
+    let later = later + Millis(1_000);
+    assert_eq!(health.state(later), State::Probing);
+    health.succeeded();
+    assert_eq!(health.state(later), State::Healthy);
+}
+
+#[test]
+fn pool_spares_none() {
+    let mut health = Health::default();
+    for _ in 0..10 {
+        assert!(!health.failed(Time(1), false));
+    }
+    assert_eq!(health.state(Time(1)), State::Healthy);
+}
+
+#[test]
+fn some_succeed() {
+    let mut health = Health::default();
+    let ejected = (0..200).any(|i| {
+        if i % 5 < 2 {
+            return health.failed(Time(1), true);
+        }
+        health.succeeded();
+        false
+    });
+    assert!(ejected, "two of five calls fail");
+    let mut health = Health::default();
+    let ejected = (0..200).any(|i| {
+        if i % 20 == 0 {
+            return health.failed(Time(1), true);
+        }
+        health.succeeded();
+        false
+    });
+    assert!(!ejected, "one of twenty calls fails");
+}
--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -66,6 +66,14 @@
     }
 }
 
+/// A prefix cache that several engines can share.
+pub type SharedCache = Arc<Mutex<PrefixCache>>;
+
+/// Builds an engine's prefix cache.
+pub fn new_cache(model: &EngineModel) -> SharedCache {
+    Arc::new(Mutex::new(PrefixCache::new(model.cache_blocks)))
+}
+
 /// Starts an engine.
 ///
 /// # Errors
@@ -75,12 +83,27 @@
     name: &str,
     address: SocketAddr,
     model: EngineModel,
+) -> io::Result<EndpointServer> {
+    start_sharing(name, address, model, new_cache(&model)).await
+}
+
+/// Starts an engine on a cache that others may share, as if whatever one holds were with all the
+/// others at once and for nothing.
+///
+/// # Errors
+///
+/// Returns an error when the address can't be bound.
+pub async fn start_sharing(
+    name: &str,
+    address: SocketAddr,
+    model: EngineModel,
+    cache: SharedCache,
 ) -> io::Result<EndpointServer> {
     let endpoint = Arc::new(Endpoint::new(name, model.batch, model.usual()));
     let engine = Arc::new(Engine {
         endpoint: endpoint.clone(),
         model,
-        cache: Mutex::new(PrefixCache::new(model.cache_blocks)),
+        cache,
     });
     let server = Server::start(address, move |request| handle(engine.clone(), request)).await?;
     Ok(EndpointServer { endpoint, server })
@@ -90,7 +113,7 @@
 struct Engine {
     endpoint: Arc<Endpoint>,
     model: EngineModel,
-    cache: Mutex<PrefixCache>,
+    cache: SharedCache,
 }
 
 impl Engine {
