config: read the whole tree only when its root has changed

A stopping daemon could also turn ready again when a tree came in.

Every change raises the version in the root value, so a root that is the same as in the last valid tree means that nothing changed; an invalid tree is read again at each poll until it is whole. Stopping is a state of its own.

--- a/lib/src/api.rs
+++ b/lib/src/api.rs
@@ -64,8 +64,10 @@
     pub limits: ApiLimits,
     /// Measures that outlive a request.
     pub metrics: Metrics,
-    /// Whether the balancer may send requests here.
+    /// Whether a tree is in force.
     pub ready: AtomicBool,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
     permits: Arc<Semaphore>,
 }
 
@@ -78,10 +80,16 @@
             limits,
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
             permits: Arc::new(Semaphore::new(limits.requests.0 as usize)),
         }
     }
 
+    /// Returns whether the balancer may send requests here.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire) && !self.stopping.load(Ordering::Acquire)
+    }
+
     fn permit(&self) -> Result<OwnedSemaphorePermit, ApiProblem> {
         self.permits.clone().try_acquire_owned().map_err(|_| {
             let detail = format!("{} requests are in hand already", self.limits.requests);
@@ -174,7 +182,7 @@
 async fn get_ready(
     context: RequestContext<Arc<ApiContext>>,
 ) -> Result<Response<Body>, ProblemBody> {
-    if context.context().ready.load(Ordering::Acquire) {
+    if context.context().is_ready() {
         return respond(Ok(Response::new(Body::from("true"))));
     }
     let detail = "the daemon is starting or stopping";
@@ -202,8 +210,7 @@
     context: RequestContext<Arc<ApiContext>>,
 ) -> Result<HttpResponseOk<StatusBody>, ProblemBody> {
     let context = context.context();
-    let ready = context.ready.load(Ordering::Acquire);
-    let body = StatusBody::new(&context.host, ready, &context.node.snapshot());
+    let body = StatusBody::new(&context.host, context.is_ready(), &context.node.snapshot());
     Ok(HttpResponseOk(body))
 }
 
--- a/lib/src/config_service.rs
+++ b/lib/src/config_service.rs
@@ -50,6 +50,8 @@
 pub struct FetchedTree {
     /// The checked tree.
     pub tree: Tree,
+    /// Its root value, as it was read.
+    pub root: Bytes,
     /// Hash over all of its values.
     pub hash: u64,
 }
@@ -105,34 +107,48 @@
         Ok(body)
     }
 
-    /// Reads a tree with all the values it spans, and checks it.
+    /// Reads a tree with all the values it spans, and checks it; nothing if its root value is
+    /// still `last`.
     ///
     /// # Errors
     ///
     /// Returns an error when a value can't be read or the tree is invalid.
-    pub async fn tree(&self, root: &str) -> Result<FetchedTree, ConfigError> {
+    pub async fn changed_tree(
+        &self,
+        root: &str,
+        last: Option<&Bytes>,
+    ) -> Result<Option<FetchedTree>, ConfigError> {
+        let value = self.value(root).await?;
+        if last == Some(&value) {
+            return Ok(None);
+        }
+        self.read_tree(root, value).await.map(Some)
+    }
+
+    async fn read_tree(&self, root: &str, value: Bytes) -> Result<FetchedTree, ConfigError> {
         let mut fetched = FetchedValues::default();
-        let mut wanted = BTreeSet::from([root.to_owned()]);
+        fetched.values.insert(root.to_owned(), value);
         loop {
-            for name in wanted {
-                let value = self.value(&name).await?;
-                fetched.values.insert(name, value);
-            }
             let raw = RawTree::read(&fetched, root);
-            wanted = fetched.missing.take();
+            let wanted = fetched.missing.take();
             if wanted.is_empty() {
-                return finish_tree(raw, &fetched);
+                return finish_tree(raw, root, &fetched);
             }
             if fetched.values.len() + wanted.len() > MAX_VALUES {
                 let message = format!("the tree spans more than {MAX_VALUES} values");
                 return Err(ConfigError::Unreadable(message));
             }
+            for name in wanted {
+                let value = self.value(&name).await?;
+                fetched.values.insert(name, value);
+            }
         }
     }
 }
 
 fn finish_tree(
     raw: Result<RawTree, Findings>,
+    root: &str,
     fetched: &FetchedValues,
 ) -> Result<FetchedTree, ConfigError> {
     let tree = raw.and_then(Tree::try_from).map_err(ConfigError::Invalid)?;
@@ -145,6 +161,7 @@
     }
     Ok(FetchedTree {
         tree,
+        root: fetched.values.get(root).cloned().unwrap_or_default(),
         hash: hash.digest(),
     })
 }
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -96,7 +96,7 @@
     /// requests in flight end.
     pub async fn stop(self) {
         let context = self.server.app_private();
-        context.ready.store(false, Ordering::Release);
+        context.stopping.store(true, Ordering::Release);
         log::info!(in_flight = self.node.in_flight(); "stopping: not ready any more");
         tokio::time::sleep(self.settings.stop_grace.to_duration()).await;
         if let Err(error) = self.server.close().await {
@@ -139,12 +139,19 @@
 async fn watch_tree(context: Arc<ApiContext>, settings: ConfigSettings) {
     let client = ConfigClient::new(settings.address);
     let mut current = None;
+    let mut root = None;
     let mut ticks = tokio::time::interval(settings.poll.to_duration());
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        match client.tree(&settings.tree).await {
-            Ok(fetched) => take_tree(&context, &mut current, fetched),
+        // Every change raises the version in the root value; while that is the same as in the
+        // last tree that was valid, nothing else has to be read or checked.
+        match client.changed_tree(&settings.tree, root.as_ref()).await {
+            Ok(None) => {}
+            Ok(Some(fetched)) => {
+                root = Some(fetched.root.clone());
+                take_tree(&context, &mut current, fetched);
+            }
             Err(error) => {
                 if matches!(error, ConfigError::Invalid(_)) {
                     context.metrics.tree_refused();
--- a/lib/tests/test_config_watch.rs
+++ b/lib/tests/test_config_watch.rs
@@ -66,6 +66,48 @@
     assert_eq!(caller.get("/v1/ready").await.unwrap().status, 200);
 }
 
+#[tokio::test]
+async fn unchanged_tree() {
+    let fixture = Fixture::start().await;
+    // The tree spans two values; the second is read again only when the first has changed.
+    let root = |version: u64| {
+        format!(
+            r#"{{ "version": {version}, "name": "top", "groups": {{ "g": {{ "include": "part" }} }} }}"#
+        )
+    };
+    let part = |name: &str| format!(r#"{{ "customers": {{ "{name}": {{}} }} }}"#);
+    fixture.config.publish("part", part("first"));
+    fixture.config.publish(TREE, root(1));
+    let (daemon, _caller) = fixture.daemon().await;
+    let reads = fixture.config.reads();
+    wait_for("more reads", async || fixture.config.reads() >= reads + 5).await;
+    fixture.config.publish("part", part("second"));
+    fixture.config.publish(TREE, root(2));
+    let known = async || {
+        let tree = daemon.node().tree();
+        tree.customers.keys().any(|id| id.as_str() == "second")
+    };
+    wait_for("the second version", known).await;
+}
+
+#[tokio::test]
+async fn late_part() {
+    let fixture = Fixture::start().await;
+    // The root was published before its part: that is refused, and read again until it is whole.
+    let root = r#"{ "version": 1, "name": "top", "groups": { "g": { "include": "part" } } }"#;
+    fixture.config.publish(TREE, root);
+    let daemon = hazelyoke_lib::daemon::Daemon::start(fixture.daemon_settings("entry-1"));
+    let daemon = daemon.unwrap();
+    let reads = fixture.config.reads();
+    wait_for("more reads", async || fixture.config.reads() >= reads + 5).await;
+    assert_eq!(daemon.node().tree().version, TreeVersion(0));
+    fixture.config.publish("part", "{}");
+    wait_for("the whole tree", async || {
+        daemon.node().tree().version == TreeVersion(1)
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn planned_stop() {
     let fixture = Fixture::start().await;
