claims: votes of hosts for keyed calls, as a core with its proof

Cause: a caller may repeat a keyed call through another entry host, and without an agreement between hosts it would run twice there.

Found by the runs: with a fixed set of keys the run without the lease showed nothing, since every key was taken before the first replacement; keys are now new all the time.

--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -1,7 +1,7 @@
 //! Newtypes that identify the things hazelyoke decides about.
 
 use {
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _},
     std::{fmt, str::FromStr, sync::Arc},
     thiserror::Error,
     uuid::Uuid,
@@ -85,6 +85,19 @@
                 f.write_str(&self.0)
             }
         }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(D::Error::custom)
+            }
+        }
     )*};
 }
 
--- a/lib/testutils/src/claim_run.rs
+++ b/lib/testutils/src/claim_run.rs
@@ -23,14 +23,22 @@
 const USUAL_DELAY: u64 = 10_000;
 
 /// Time of a whole run, and the part in which disturbances begin, in microseconds.
-const END: u64 = 6_000_000;
-const CALM_AFTER: u64 = 4_000_000;
+const END: u64 = 3_500_000;
+const CALM_AFTER: u64 = 2_500_000;
 
 /// Time between two disturbances or claims at most.
 const GAP: u64 = 40_000;
 
-/// Keys that are claimed again and again.
-const KEYS: u128 = 6;
+/// Least time between two wakes of a process, in microseconds.
+const MIN_WAKE: u64 = 500;
+
+/// Keys that are claimed again and again at the same time, and the time after which a new one
+/// takes the place of the oldest, in microseconds.
+const KEYS: u128 = 4;
+const NEW_KEY_EVERY: u64 = 150_000;
+
+/// Time after which a caller gives up, in microseconds.
+const CALLER_PATIENCE: u64 = 800_000;
 
 /// How a run is set up.
 #[derive(Debug, Clone, Copy)]
@@ -48,6 +56,8 @@
 pub struct ClaimFindings {
     /// Keys that ran more than once.
     pub doubled: u32,
+    /// Keys that were claimed.
+    pub keys: u32,
     /// Requests that ran.
     pub ran: u32,
     /// Repeats that were given the first one's answer.
@@ -61,13 +71,14 @@
     host: usize,
     claims: Claims,
     paused_until: u64,
+    /// Number of the planned wake that counts; others are out of date.
+    wake: u64,
     dead: bool,
-    waiting: Vec<Due>,
 }
 
 #[derive(Clone)]
 enum Due {
-    Wake(usize),
+    Wake(usize, u64),
     Deliver(usize, Envelope),
     Settle(usize, RequestId, ClaimKey),
     Disturb,
@@ -127,6 +138,8 @@
             self.happen(due)?;
         }
         self.findings.doubled = self.runs.values().filter(|runs| runs.len() > 1).count() as u32;
+        let keys: BTreeSet<_> = self.requests.values().collect();
+        self.findings.keys = keys.len() as u32;
         self.findings.ran = self.runs.values().map(|runs| runs.len() as u32).sum();
         Ok(self.findings)
     }
@@ -153,15 +166,21 @@
             host,
             claims,
             paused_until: 0,
+            wake: 0,
             dead: false,
-            waiting: Vec::new(),
         });
-        self.plan(self.now, Due::Wake(number));
+        self.plan_wake(number, self.now);
+    }
+
+    /// Plans the next wake of a process; an earlier plan no longer counts.
+    fn plan_wake(&mut self, process: usize, at: u64) {
+        self.plan(at, Due::Wake(process, self.last + 1));
+        self.processes[process].wake = self.last;
     }
 
     fn happen(&mut self, due: Due) -> Result<()> {
         let process = match &due {
-            Due::Wake(process) | Due::Deliver(process, _) | Due::Settle(process, ..) => *process,
+            Due::Wake(process, _) | Due::Deliver(process, _) | Due::Settle(process, ..) => *process,
             Due::Disturb => return self.disturb(),
         };
         let state = &mut self.processes[process];
@@ -169,16 +188,18 @@
             return Ok(());
         }
         if state.paused_until > self.now {
-            state.waiting.push(due);
+            let until = state.paused_until;
+            self.plan(until, due);
             return Ok(());
         }
         let now = Time(self.now);
         match due {
-            Due::Wake(_) => {
+            Due::Wake(_, number) if number == state.wake => {
                 state.claims.tick(now);
-                let next = state.claims.next_timer().0.max(self.now + 1);
-                self.plan(next, Due::Wake(process));
+                let next = state.claims.next_timer().0.max(self.now + MIN_WAKE);
+                self.plan_wake(process, next);
             }
+            Due::Wake(..) => {}
             Due::Deliver(_, envelope) => state.claims.receive(now, envelope),
             Due::Settle(_, request, key) => self.settle(process, request, key)?,
             Due::Disturb => {}
@@ -340,18 +361,14 @@
             return Ok(());
         }
         state.paused_until = until;
-        // What waits while the process is paused happens when it wakes.
-        self.plan(until, Due::Wake(process));
-        let waiting = std::mem::take(&mut self.processes[process].waiting);
-        for due in waiting {
-            self.plan(until, due);
-        }
+        self.plan_wake(process, until);
         Ok(())
     }
 
     fn claim(&mut self, host: usize) -> Result<()> {
         let process = self.receiver(host)?;
-        let key = ClaimKey(self.choices.int_in_range(1..=KEYS)?);
+        let newest = u128::from(self.now / NEW_KEY_EVERY) + KEYS;
+        let key = ClaimKey(newest - self.choices.int_in_range(0..=KEYS - 1)?);
         if self.processes[process].paused_until > self.now {
             return Ok(());
         }
@@ -360,7 +377,9 @@
         let claims = &mut self.processes[process].claims;
         claims.claim(Time(self.now), request, key);
         self.perform(process)?;
-        self.plan(self.now, Due::Wake(process));
+        self.plan_wake(process, self.now);
+        let gives_up = self.now + CALLER_PATIENCE;
+        self.plan(gives_up, Due::Settle(process, request, key));
         Ok(())
     }
 }
--- a/lib/testutils/src/seeds.rs
+++ b/lib/testutils/src/seeds.rs
@@ -8,6 +8,14 @@
 /// Bits below a seed's number that `arbtest` takes as the size of its input.
 const SIZE_BITS: u32 = 32;
 
+/// Set to a number to run so many times as many seeds.
+const FACTOR: &str = "HAZELYOKE_SEEDS_FACTOR";
+
+fn factor() -> u64 {
+    let text = std::env::var(FACTOR).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(1)
+}
+
 /// Runs `property` once for each of `count` seeds, with `size` bytes of choices each.
 ///
 /// A failing seed is printed by `arbtest`; running it alone repeats the failure.
@@ -16,7 +24,7 @@
     size: u32,
     mut property: impl FnMut(&mut Unstructured<'_>) -> Result<()>,
 ) {
-    for number in 1..=count {
+    for number in 1..=count * factor() {
         let seed = (number << SIZE_BITS) | u64::from(size);
         arbtest(&mut property).seed(seed).run();
     }
