--- a/bench/src/commands/decide.rs
+++ b/bench/src/commands/decide.rs
@@ -1,17 +1,13 @@
 //! `hazelyoke-bench decide`: time of one decision over pools of different sizes.
 
 use {
-    anyhow::Result,
+    crate::core_load::{arrival, good_end, read_tree, report_all},
+    anyhow::{Context, Result},
     argh::FromArgs,
-    bytes::Bytes,
     hazelyoke_lib::{
         core::{Action, Core, CoreConfig, Event},
-        endpoint::{AttemptEnd, LoadReport, Reply},
-        ids::RequestId,
-        raw_tree::{RawTree, ValueSource},
-        request::{Arrival, Target},
         tree::Tree,
-        units::{Millis, Time, WorkMillis},
+        units::{Millis, Time},
     },
     std::{sync::Arc, time::Instant},
 };
@@ -34,14 +30,6 @@
     decisions: usize,
 }
 
-struct Text(String);
-
-impl ValueSource for Text {
-    fn read(&self, _: &str) -> Result<Vec<u8>, String> {
-        Ok(self.0.clone().into_bytes())
-    }
-}
-
 fn tree(replicas: usize) -> Result<Tree> {
     let endpoints: Vec<_> = (0..replicas)
         .map(|i| {
@@ -60,7 +48,7 @@
           "pipelines": {{ "p": {{ "stages": [{{ "name": "s", "service": "llm" }}] }} }} }}"#,
         endpoints.join(",")
     );
-    Ok(Tree::try_from(RawTree::read(&Text(text), "root")?)?)
+    read_tree(text)
 }
 
 /// Times of one size, in nanoseconds.
@@ -113,11 +101,12 @@
         });
         core.step(Time(0), Event::Adopt(tree.clone()));
         report_all(&mut core, &tree);
+        let customer = tree.customers.keys().next().context("no customer")?;
         let mut times = Times::default();
         let mut pending = std::collections::VecDeque::new();
         for number in 0..self.decisions {
             let now = Time(STEP * (number as u64 + 1));
-            let arrival = arrival(number)?;
+            let arrival = arrival(number, customer, "p")?;
             let started = Instant::now();
             let actions = core.step(now, Event::Arrived(arrival));
             times.arrival.push(started.elapsed().as_nanos() as u64);
@@ -128,11 +117,7 @@
             if pending.len() > IN_FLIGHT
                 && let Some(attempt) = pending.pop_front()
             {
-                let end = AttemptEnd::Answered(Reply {
-                    status: 200,
-                    body: Bytes::from_static(b"{}"),
-                    served: Some(WorkMillis(5.0)),
-                });
+                let end = good_end();
                 let started = Instant::now();
                 core.step(now, Event::Ended { attempt, end });
                 times.reply.push(started.elapsed().as_nanos() as u64);
@@ -141,35 +126,3 @@
         Ok(times)
     }
 }
-
-fn report_all(core: &mut Core, tree: &Tree) {
-    for spec in tree
-        .services
-        .values()
-        .flat_map(|service| &service.endpoints)
-    {
-        let report = LoadReport {
-            backlog: WorkMillis(20.0),
-            running: 2,
-            slots: 8,
-            age: Millis(10),
-            leaving: false,
-        };
-        let endpoint = spec.id.clone();
-        core.step(Time(1), Event::Load { endpoint, report });
-    }
-}
-
-fn arrival(number: usize) -> Result<Arrival> {
-    Ok(Arrival {
-        id: RequestId::from_random(number as u128 + 1),
-        customer: "c".parse()?,
-        target: Target::Pipeline("p".parse()?),
-        remaining: None,
-        priority: None,
-        key: None,
-        stream: false,
-        body: Bytes::from_static(b"{}"),
-        trace_parent: None,
-    })
-}
--- a/bench/src/commands/scale.rs
+++ b/bench/src/commands/scale.rs
@@ -1,18 +1,17 @@
 //! `hazelyoke-bench scale`: memory and time of one daemon's view as the installation grows.
 
 use {
-    crate::process::resident,
+    crate::{
+        core_load::{arrival, good_end, read_tree, report_all},
+        process::resident,
+    },
     anyhow::Result,
     argh::FromArgs,
-    bytes::Bytes,
     hazelyoke_lib::{
         core::{Action, Core, CoreConfig, Event},
-        endpoint::{AttemptEnd, LoadReport, Reply},
-        ids::{CustomerId, RequestId},
-        raw_tree::{RawTree, ValueSource},
-        request::{Arrival, Target},
+        ids::CustomerId,
         tree::Tree,
-        units::{Millis, Time, WorkMillis},
+        units::{Millis, Time},
     },
     std::{fmt::Write, sync::Arc, time::Instant},
 };
@@ -33,14 +32,6 @@
 #[argh(subcommand, name = "scale")]
 pub struct Scale {}
 
-struct Text(String);
-
-impl ValueSource for Text {
-    fn read(&self, _: &str) -> Result<Vec<u8>, String> {
-        Ok(self.0.clone().into_bytes())
-    }
-}
-
 /// Writes a tree: each model a service of its own, each pipeline over four of them.
 fn tree_text(customers: usize, replicas: usize) -> String {
     let mut text = String::from(r#"{ "version": 1, "name": "top", "data_centres": ["#);
@@ -139,10 +130,11 @@
 }
 
 fn measure(customers: usize, replicas: usize) -> Result<Row> {
-    let text = Text(tree_text(customers, replicas));
+    let text = tree_text(customers, replicas);
+    let size = text.len();
     let before = resident()?;
     let started = Instant::now();
-    let tree = Arc::new(Tree::try_from(RawTree::read(&text, "root")?)?);
+    let tree = Arc::new(read_tree(text)?);
     let read_ms = started.elapsed().as_secs_f64() * 1000.0;
     let tree_kb = grown(before)?;
     let mut core = Core::new(CoreConfig {
@@ -156,7 +148,7 @@
     let adopt_ms = started.elapsed().as_secs_f64() * 1000.0;
     let request_us = use_all(&mut core, &tree)?;
     Ok(Row {
-        text: text.0.len(),
+        text: size,
         read_ms,
         tree_kb,
         adopt_ms,
@@ -171,18 +163,7 @@
 
 /// Lets every endpoint report and every customer run one pipeline; returns the time of a request.
 fn use_all(core: &mut Core, tree: &Tree) -> Result<f64> {
-    let services = tree.services.values();
-    for spec in services.flat_map(|service| &service.endpoints) {
-        let report = LoadReport {
-            backlog: WorkMillis(20.0),
-            running: 2,
-            slots: 8,
-            age: Millis(10),
-            leaving: false,
-        };
-        let endpoint = spec.id.clone();
-        core.step(Time(1), Event::Load { endpoint, report });
-    }
+    report_all(core, tree);
     let started = Instant::now();
     for (number, customer) in tree.customers.keys().enumerate() {
         let now = Time(STEP * (number as u64 + 1));
@@ -200,24 +181,10 @@
     customer: &CustomerId,
     pipeline: &str,
 ) -> Result<()> {
-    let arrival = Arrival {
-        id: RequestId::from_random(number as u128 + 1),
-        customer: customer.clone(),
-        target: Target::Pipeline(pipeline.parse()?),
-        remaining: None,
-        priority: None,
-        key: None,
-        stream: false,
-        body: Bytes::from_static(b"{}"),
-        trace_parent: None,
-    };
+    let arrival = arrival(number, customer, pipeline)?;
     let mut actions = core.step(now, Event::Arrived(arrival));
     while let Some(Action::Send(call)) = actions.pop() {
-        let end = AttemptEnd::Answered(Reply {
-            status: 200,
-            body: Bytes::from_static(b"{}"),
-            served: Some(WorkMillis(5.0)),
-        });
+        let end = good_end();
         let attempt = call.ids.attempt;
         actions = core.step(now, Event::Ended { attempt, end });
     }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod commands;
+mod core_load;
 mod experiment;
 mod faults;
 mod installation;
--- a/lib/src/claim.rs
+++ b/lib/src/claim.rs
@@ -8,6 +8,7 @@
 
 use {
     crate::{
+        claim_answers::Answers,
         claim_message::{
             Body, ClaimKey, Envelope, Holder, Incarnation, KnownVote, Settlement, VotesPart,
         },
@@ -26,12 +27,6 @@
 /// Longest pause before an abandoned claim is tried again.
 const RETRY_PAUSE: Millis = Millis(30);
 
-/// Answers kept for repeats, in bytes; the oldest are given up first.
-const MAX_ANSWERS: usize = 8 * 1024 * 1024;
-
-/// Fixed part of a kept answer's size.
-const ANSWER_OVERHEAD: usize = 128;
-
 /// Which rules are followed: all of them, but for tests that show what each is needed for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rules {
@@ -81,6 +76,12 @@
         self.roster.len() / 2 + 1
     }
 
+    /// Returns all hosts but this one.
+    pub fn others(&self) -> Vec<HostId> {
+        let roster = self.roster.iter();
+        roster.filter(|host| **host != self.host).cloned().collect()
+    }
+
     /// Returns the number of voting peers that a new process has to read.
     pub fn readers(&self) -> usize {
         self.roster.len() - self.quorum() + 1
@@ -122,13 +123,6 @@
     stand: Stand,
 }
 
-#[derive(Debug, Clone)]
-struct Answer {
-    holder: Holder,
-    settlement: Settlement,
-    at: Time,
-}
-
 /// Claims of one process.
 #[derive(Debug)]
 pub struct Claims {
@@ -136,9 +130,7 @@
     witness: Witness,
     claims: BTreeMap<RequestId, Claim>,
     attempts: HashMap<u64, RequestId>,
-    answers: HashMap<ClaimKey, Answer>,
-    order: std::collections::VecDeque<(Time, ClaimKey)>,
-    answer_bytes: usize,
+    answers: Answers,
     last_number: u64,
     rng: SmallRng,
     actions: Vec<ClaimAction>,
@@ -152,9 +144,7 @@
             config,
             claims: BTreeMap::new(),
             attempts: HashMap::default(),
-            answers: HashMap::default(),
-            order: std::collections::VecDeque::new(),
-            answer_bytes: 0,
+            answers: Answers::default(),
             last_number: 0,
             rng: SmallRng::seed_from_u64(seed),
             actions: Vec::new(),
@@ -196,26 +186,26 @@
             return;
         };
         let Stand::Holding { holder } = claim.stand else {
-            return self.forget(now, claim);
+            return self.forget(claim);
         };
         self.attempts.remove(&holder.number);
         match settlement {
-            Some(settlement) => self.keep_answer(now, claim.key, holder, settlement),
-            None => self.release(now, claim.key, &holder),
+            Some(settlement) => self.answers.keep(now, claim.key, holder, settlement),
+            None => self.release(claim.key, &holder),
         }
     }
 
     /// Gives up a request that doesn't hold its key.
-    pub fn abandon(&mut self, now: Time, request: RequestId) {
+    pub fn abandon(&mut self, request: RequestId) {
         if let Some(claim) = self.claims.remove(&request) {
-            self.forget(now, claim);
+            self.forget(claim);
         }
     }
 
-    fn forget(&mut self, now: Time, claim: Claim) {
+    fn forget(&mut self, claim: Claim) {
         if let Stand::Asking { holder, .. } = claim.stand {
             self.attempts.remove(&holder.number);
-            self.release(now, claim.key, &holder);
+            self.release(claim.key, &holder);
         }
     }
 
@@ -233,7 +223,7 @@
         for request in due {
             self.go_on(now, request);
         }
-        self.expire(now);
+        self.answers.expire(now, self.config.horizon);
     }
 
     fn is_due(&self, now: Time, claim: &Claim) -> bool {
@@ -276,7 +266,7 @@
             denied: BTreeMap::new(),
         };
         self.attempts.insert(holder.number, request);
-        for host in self.others() {
+        for host in self.config.others() {
             let holder = holder.clone();
             self.send(&host, Body::Ask { key, holder });
         }
@@ -348,7 +338,7 @@
             until: now + Millis(pause),
         };
         let key = claim.key;
-        self.release(now, key, holder);
+        self.release(key, holder);
     }
 
     fn follow(&mut self, now: Time, request: RequestId, holder: Holder) {
@@ -361,7 +351,7 @@
             next: now + FOLLOW_EVERY,
         };
         if holder.host == self.config.host {
-            if let Some(settlement) = self.settlement(now, key, &holder) {
+            if let Some(settlement) = self.settlement(key, &holder) {
                 self.followed(now, request, settlement);
             }
         } else {
@@ -386,21 +376,19 @@
     }
 
     /// Returns how an attempt of this host has settled; none while it is under way.
-    fn settlement(&mut self, now: Time, key: ClaimKey, holder: &Holder) -> Option<Settlement> {
+    fn settlement(&mut self, key: ClaimKey, holder: &Holder) -> Option<Settlement> {
         if holder.incarnation != self.witness.incarnation() {
             return Some(Settlement::Lost);
         }
         if self.attempts.contains_key(&holder.number) {
             return None;
         }
-        if let Some(answer) = self.answers.get(&key)
-            && answer.holder == *holder
-        {
-            return Some(answer.settlement.clone());
+        if let Some(settlement) = self.answers.get(key, holder) {
+            return Some(settlement.clone());
         }
         if self.witness.knows(key, holder) {
             // A vote that came after its attempt was given up.
-            self.release(now, key, holder);
+            self.release(key, holder);
         }
         Some(Settlement::Gone)
     }
@@ -427,7 +415,7 @@
             Body::Vote { asked, voted, .. } => self.take_vote(now, &from, &asked, voted),
             Body::Release { key, holder } => self.witness.release(key, &holder),
             Body::Follow { key, holder } => {
-                if let Some(settlement) = self.settlement(now, key, &holder) {
+                if let Some(settlement) = self.settlement(key, &holder) {
                     let settled = Body::Settled {
                         key,
                         holder,
@@ -465,65 +453,14 @@
         }
     }
 
-    fn keep_answer(&mut self, now: Time, key: ClaimKey, holder: Holder, settlement: Settlement) {
-        self.answer_bytes += ANSWER_OVERHEAD + settlement.size();
-        self.order.push_back((now, key));
-        let answer = Answer {
-            holder,
-            settlement,
-            at: now,
-        };
-        if let Some(old) = self.answers.insert(key, answer) {
-            self.answer_bytes -= ANSWER_OVERHEAD + old.settlement.size();
-        }
-        while self.answer_bytes > MAX_ANSWERS {
-            self.drop_oldest();
-        }
-    }
-
-    /// Gives up the oldest answer; its key stays taken, and repeats hear `unknown`.
-    fn drop_oldest(&mut self) {
-        let Some((at, key)) = self.order.pop_front() else {
-            return;
-        };
-        if let Some(answer) = self.answers.get_mut(&key)
-            && answer.at == at
-        {
-            self.answer_bytes -= answer.settlement.size();
-            answer.settlement = Settlement::Lost;
-        }
-    }
-
-    fn expire(&mut self, now: Time) {
-        while let Some((at, key)) = self.order.front().copied()
-            && at + self.config.horizon <= now
-        {
-            self.order.pop_front();
-            if let Some(answer) = self.answers.get(&key)
-                && answer.at == at
-            {
-                self.answer_bytes -= ANSWER_OVERHEAD + answer.settlement.size();
-                self.answers.remove(&key);
-            }
-        }
-    }
-
-    fn release(&mut self, _now: Time, key: ClaimKey, holder: &Holder) {
+    fn release(&mut self, key: ClaimKey, holder: &Holder) {
         self.witness.release(key, holder);
-        for host in self.others() {
+        for host in self.config.others() {
             let holder = holder.clone();
             self.send(&host, Body::Release { key, holder });
         }
     }
 
-    fn others(&self) -> Vec<HostId> {
-        let roster = self.config.roster.iter();
-        roster
-            .filter(|host| **host != self.config.host)
-            .cloned()
-            .collect()
-    }
-
     fn send(&mut self, to: &HostId, body: Body) {
         let envelope = Envelope {
             from: self.config.host.clone(),
--- a/lib/src/claim_witness.rs
+++ b/lib/src/claim_witness.rs
@@ -187,14 +187,6 @@
         }
     }
 
-    fn others(&self) -> Vec<HostId> {
-        let roster = self.config.roster.iter();
-        roster
-            .filter(|host| **host != self.config.host)
-            .cloned()
-            .collect()
-    }
-
     fn progress(&self) -> Progress {
         match self.stage {
             Stage::Voting => Progress::Voting,
@@ -217,7 +209,7 @@
             acks: BTreeSet::new(),
             fresh: BTreeSet::new(),
         });
-        for host in self.others() {
+        for host in self.config.others() {
             sends.push((host, Body::Heartbeat { number, progress }));
         }
         let own = self.config.host.clone();
@@ -266,7 +258,7 @@
             next: now + READ_EVERY,
             read: BTreeMap::new(),
         };
-        for host in self.others() {
+        for host in self.config.others() {
             sends.push((host, Body::ReadVotes { number }));
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod api_problem;
 pub mod api_stream;
 pub mod claim;
+pub mod claim_answers;
 pub mod claim_message;
 pub mod claim_witness;
 pub mod config_service;
--- a/lib/tests/test_bad_endpoints.rs
+++ b/lib/tests/test_bad_endpoints.rs
@@ -44,15 +44,13 @@
     servers.flat_map(|server| server.endpoint.runs()).collect()
 }
 
-#[tokio::test]
-async fn damaged_plain_replies() {
+/// One endpoint of a service damages every reply in each way; the other one takes over.
+async fn assert_taken_over(service: &str) {
     for damage in DAMAGES {
         let fixture = Fixture::start().await;
         let (_daemon, caller) = fixture.daemon().await;
-        fixture.endpoints["encoder"][0]
-            .endpoint
-            .faults
-            .damage(damage, 1.0);
+        let damaged = &fixture.endpoints[service][0].endpoint;
+        damaged.faults.damage(damage, 1.0);
         for i in 0..6 {
             let reply = summary(&caller, i).await;
             assert_eq!(reply.status, 200, "{damage:?}: {:?}", reply.body);
@@ -61,21 +59,14 @@
     }
 }
 
+#[tokio::test]
+async fn damaged_plain_replies() {
+    assert_taken_over("encoder").await;
+}
+
 #[tokio::test]
 async fn damaged_streams() {
-    for damage in DAMAGES {
-        let fixture = Fixture::start().await;
-        let (_daemon, caller) = fixture.daemon().await;
-        fixture.endpoints["llm"][0]
-            .endpoint
-            .faults
-            .damage(damage, 1.0);
-        for i in 0..6 {
-            let reply = summary(&caller, i).await;
-            assert_eq!(reply.status, 200, "{damage:?}: {:?}", reply.body);
-            assert_eq!(reply.body, expected(i), "{damage:?}");
-        }
-    }
+    assert_taken_over("llm").await;
 }
 
 #[tokio::test]
--- a/lib/tests/test_core_random.rs
+++ b/lib/tests/test_core_random.rs
@@ -4,26 +4,15 @@
 
 use {
     arbtest::arbitrary::Unstructured,
-    hazelyoke_lib::{
-        problem::Outcome,
-        raw_tree::{RawTree, ValueSource},
-        tree::Tree,
-    },
+    hazelyoke_lib::{problem::Outcome, raw_tree::RawTree, tree::Tree},
     hazelyoke_testutils::{
         core_run::{CoreRun, RunOptions, TOKENS, Told},
+        one_value::OneValue,
         seeds::for_seeds,
     },
     std::{cell::Cell, sync::Arc},
 };
 
-struct One(String);
-
-impl ValueSource for One {
-    fn read(&self, _: &str) -> Result<Vec<u8>, String> {
-        Ok(self.0.clone().into_bytes())
-    }
-}
-
 /// Three plain services, one of them guarded, and an engine; `policy` and `guarded` are settings.
 fn tree(policy: &str, guarded: &str, slots: u32) -> Arc<Tree> {
     let mut port = 0;
@@ -68,7 +57,7 @@
   }}
 }}"#
     );
-    Tree::try_from(RawTree::read(&One(text), "root").unwrap())
+    Tree::try_from(RawTree::read(&OneValue::from(text), "root").unwrap())
         .unwrap()
         .into()
 }
--- a/lib/tests/test_diff.rs
+++ b/lib/tests/test_diff.rs
@@ -2,20 +2,11 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
-use hazelyoke_lib::{
-    diff::diff,
-    raw_tree::{RawTree, ValueSource},
-    tree::Tree,
+use {
+    hazelyoke_lib::{diff::diff, raw_tree::RawTree, tree::Tree},
+    hazelyoke_testutils::one_value::OneValue,
 };
 
-struct One(String);
-
-impl ValueSource for One {
-    fn read(&self, _: &str) -> Result<Vec<u8>, String> {
-        Ok(self.0.clone().into_bytes())
-    }
-}
-
 const TREE: &str = r#"{
   "version": 1, "name": "top", "data_centres": ["a", "b"],
   "services": {
@@ -35,7 +26,9 @@
     let new = replace
         .iter()
         .fold(TREE.to_owned(), |text, (old, new)| text.replace(old, new));
-    let read = |text: String| Tree::try_from(RawTree::read(&One(text), "root").unwrap()).unwrap();
+    let read = |text: String| {
+        Tree::try_from(RawTree::read(&OneValue::from(text), "root").unwrap()).unwrap()
+    };
     let lines = diff(&read(TREE.to_owned()), &read(new))
         .into_iter()
         .flat_map(|change| {
--- a/lib/tests/test_tree_fuzz.rs
+++ b/lib/tests/test_tree_fuzz.rs
@@ -5,10 +5,10 @@
     hazelyoke_lib::{
         daemon_settings::{DaemonSettings, RawDaemonSettings},
         findings::Findings,
-        raw_tree::{RawTree, ValueSource},
+        raw_tree::RawTree,
         tree::Tree,
     },
-    hazelyoke_testutils::seeds::for_seeds,
+    hazelyoke_testutils::{one_value::OneValue, seeds::for_seeds},
 };
 
 /// Seeds of each test, and the bytes of choices of each run.
@@ -24,14 +24,6 @@
     b"{", b"}", b"[", b"]", b",", b"null", b"\"", b"-1", b"1e999", b"\xff", b"\"4s\"", b"//",
 ];
 
-struct OneValue(Vec<u8>);
-
-impl ValueSource for OneValue {
-    fn read(&self, _: &str) -> std::result::Result<Vec<u8>, String> {
-        Ok(self.0.clone())
-    }
-}
-
 /// Cuts, doubles or replaces some ranges of a text.
 fn mutate(u: &mut Unstructured<'_>, text: &str) -> Result<Vec<u8>> {
     let mut bytes = text.as_bytes().to_vec();
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fixture;
 pub mod http_client;
 pub mod http_server;
+pub mod one_value;
 pub mod plain;
 pub mod prefix_cache;
 pub mod seeds;
