--- a/bench/src/commands/run.rs
+++ b/bench/src/commands/run.rs
@@ -23,6 +23,10 @@
     #[argh(option)]
     out: Option<PathBuf>,
 
+    /// only read and check the experiments
+    #[argh(switch)]
+    check: bool,
+
     /// print each run in full
     #[argh(switch)]
     details: bool,
@@ -44,6 +48,10 @@
             let bytes = fs::read(path).with_context(|| format!("can't read {name}"))?;
             experiments.extend(Experiment::parse(&name, &bytes)?);
         }
+        if self.check {
+            println!("{} experiments: fine", experiments.len());
+            return Ok(true);
+        }
         let mut reports = Vec::new();
         for experiment in &experiments {
             for (load, policy) in runs(experiment) {
