core, pool, claims: mend what a second reading found

Cause: read as a whole, the change held a check that could never fail (the version in adopt, compared just above by an early return), the times at which a claim is due written twice, the same look-ups and retry grant in two places, a copy of all members at each adoption, a condition that the comparison before it already covers, a bound borrowed from another meaning, and a function that nothing called.

That a version never falls still rests on the early return, on judge in adoption.rs, and on test_config_watch.

--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -223,7 +223,7 @@
         p99_ms: ms(0.99),
         used: used(&installation.tree, &tallies.pipelines, seconds),
         wasted: (1.0 - useful / busy.max(f64::EPSILON)).max(0.0),
-        extra: f64::from(u32::try_from(extra).unwrap_or(u32::MAX)) / first.max(1) as f64,
+        extra: extra as f64 / first.max(1) as f64,
         endings: all.endings.clone(),
         pipelines: attainments(&tallies.pipelines),
         customers: attainments(&tallies.customers),
--- a/lib/src/claim.rs
+++ b/lib/src/claim.rs
@@ -117,6 +117,18 @@
     Holding { holder: Holder },
 }
 
+impl Stand {
+    /// Returns when something has to be done about it.
+    fn due(&self, window: Millis) -> Option<Time> {
+        match self {
+            Stand::Asking { started, .. } => Some(*started + window),
+            Stand::Pausing { until } => Some(*until),
+            Stand::Following { next, .. } => Some(*next),
+            Stand::Holding { .. } => None,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Claim {
     key: ClaimKey,
@@ -163,13 +175,9 @@
 
     /// Returns when something is due next.
     pub fn next_timer(&self) -> Time {
-        let claims = self.claims.values().filter_map(|claim| match &claim.stand {
-            Stand::Asking { started, .. } => Some(*started + self.config.window),
-            Stand::Pausing { until } => Some(*until),
-            Stand::Following { next, .. } => Some(*next),
-            Stand::Holding { .. } => None,
-        });
-        claims.fold(self.witness.next_timer(), Time::min)
+        let claims = self.claims.values();
+        let due = claims.filter_map(|claim| claim.stand.due(self.config.window));
+        due.fold(self.witness.next_timer(), Time::min)
     }
 
     /// Begins to claim a key for a request.
@@ -180,7 +188,8 @@
         self.ask(now, request);
     }
 
-    /// Ends a request that holds its key; `None` hands the key on, since nothing ran.
+    /// Ends a request. If it holds its key, `None` hands the key on, since nothing ran; one that
+    /// doesn't hold it gives up its attempt.
     pub fn settle(&mut self, now: Time, request: RequestId, settlement: Option<Settlement>) {
         let Some(claim) = self.claims.remove(&request) else {
             return;
@@ -195,13 +204,6 @@
         }
     }
 
-    /// Gives up a request that doesn't hold its key.
-    pub fn abandon(&mut self, request: RequestId) {
-        if let Some(claim) = self.claims.remove(&request) {
-            self.forget(claim);
-        }
-    }
-
     fn forget(&mut self, claim: Claim) {
         if let Stand::Asking { holder, .. } = claim.stand {
             self.attempts.remove(&holder.number);
@@ -217,7 +219,10 @@
         let due: Vec<RequestId> = self
             .claims
             .iter()
-            .filter(|(_, claim)| self.is_due(now, claim))
+            .filter(|(_, claim)| {
+                let due = claim.stand.due(self.config.window);
+                due.is_some_and(|due| due <= now)
+            })
             .map(|(request, _)| *request)
             .collect();
         for request in due {
@@ -226,15 +231,6 @@
         self.answers.expire(now, self.config.horizon);
     }
 
-    fn is_due(&self, now: Time, claim: &Claim) -> bool {
-        match &claim.stand {
-            Stand::Asking { started, .. } => *started + self.config.window <= now,
-            Stand::Pausing { until } => *until <= now,
-            Stand::Following { next, .. } => *next <= now,
-            Stand::Holding { .. } => false,
-        }
-    }
-
     fn go_on(&mut self, now: Time, request: RequestId) {
         let Some(claim) = self.claims.get(&request) else {
             return;
@@ -330,15 +326,19 @@
     /// Gives the attempt up for good and tries again after a pause.
     fn pause(&mut self, now: Time, request: RequestId, holder: &Holder) {
         self.attempts.remove(&holder.number);
+        if let Some(key) = self.rest(now, request) {
+            self.release(key, holder);
+        }
+    }
+
+    /// Lets a request wait for a random time before it asks again; returns its key.
+    fn rest(&mut self, now: Time, request: RequestId) -> Option<ClaimKey> {
         let pause = self.rng.random_range(1..=RETRY_PAUSE.0);
-        let Some(claim) = self.claims.get_mut(&request) else {
-            return;
-        };
+        let claim = self.claims.get_mut(&request)?;
         claim.stand = Stand::Pausing {
             until: now + Millis(pause),
         };
-        let key = claim.key;
-        self.release(key, holder);
+        Some(claim.key)
     }
 
     fn follow(&mut self, now: Time, request: RequestId, holder: Holder) {
@@ -362,12 +362,7 @@
 
     fn followed(&mut self, now: Time, request: RequestId, settlement: Settlement) {
         if settlement == Settlement::Gone {
-            let pause = self.rng.random_range(1..=RETRY_PAUSE.0);
-            if let Some(claim) = self.claims.get_mut(&request) {
-                claim.stand = Stand::Pausing {
-                    until: now + Millis(pause),
-                };
-            }
+            self.rest(now, request);
             return;
         }
         self.claims.remove(&request);
--- a/lib/src/config_service.rs
+++ b/lib/src/config_service.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        document,
         findings::Findings,
         http_transport::get,
         raw_tree::{RawTree, ValueSource},
@@ -31,6 +30,9 @@
 /// Longest time for one read; the service answers in milliseconds.
 const READ_TIMEOUT: Millis = Millis(2_000);
 
+/// Longest name of a value, in bytes.
+const MAX_VALUE_NAME: usize = 256;
+
 /// Most values that one tree may span.
 const MAX_VALUES: usize = 64;
 
@@ -170,7 +172,7 @@
 pub fn is_value_name(name: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-' | '/');
     !name.is_empty()
-        && name.len() <= document::MAX_DEPTH * 4
+        && name.len() <= MAX_VALUE_NAME
         && !name.starts_with('/')
         && !name.contains("..")
         && name.chars().all(allowed)
--- a/lib/src/core.rs
+++ b/lib/src/core.rs
@@ -191,12 +191,6 @@
         if tree.version <= self.tree.version {
             return;
         }
-        crate::invariant!(
-            tree.version > self.tree.version,
-            "settings would fall from {} to {}",
-            self.tree.version,
-            tree.version
-        );
         self.fleet.adopt(&tree, &self.config.data_centre);
         self.services = tree
             .services
--- a/lib/src/core_attempt.rs
+++ b/lib/src/core_attempt.rs
@@ -9,7 +9,7 @@
         policy::{AnyPolicy, Policy},
         problem::Code,
         request::{Answer, Attempt},
-        tree::ServiceKind,
+        tree::{ServiceKind, Stage},
         units::{Time, WorkMillis},
     },
     bytes::Bytes,
@@ -157,7 +157,7 @@
             &service,
             &attempt,
             &end,
-            served,
+            spent,
             ejects,
             &mut self.counters,
         );
@@ -243,13 +243,7 @@
         let allowed = stage.settings.repeatable.value
             && request.tries < stage.settings.attempts.value.0
             && !request.abandoned;
-        let policy = self.policy(&stage.settings);
-        let granted = allowed
-            && self
-                .fleet
-                .pool_mut(&stage.service)
-                .is_some_and(|pool| policy.grants_retry(pool));
-        if granted {
+        if allowed && self.grants_retry(&stage) {
             return self.send_next(now, id, false);
         }
         let detail = format!("stage {}: {cause}", stage.id);
@@ -268,20 +262,22 @@
         if streaming || request.tries >= stage.settings.attempts.value.0 {
             return;
         }
-        let policy = self.policy(&stage.settings);
         let engine = matches!(
             self.fleet.kind(&stage.service),
             Some(ServiceKind::Engine { .. })
         );
-        let granted = !engine
-            && self
-                .fleet
-                .pool_mut(&stage.service)
-                .is_some_and(|pool| policy.grants_retry(pool));
-        if granted {
+        if !engine && self.grants_retry(&stage) {
             self.send_next(now, id, true);
         }
     }
+
+    /// Takes one attempt beyond the first from the budget of the stage's service.
+    fn grants_retry(&mut self, stage: &Stage) -> bool {
+        let policy = self.policy(&stage.settings);
+        self.fleet
+            .pool_mut(&stage.service)
+            .is_some_and(|pool| policy.grants_retry(pool))
+    }
 }
 
 /// Builds the JSON value that a generation amounts to.
--- a/lib/src/core_state.rs
+++ b/lib/src/core_state.rs
@@ -68,10 +68,7 @@
 
     /// Takes in an endpoint's load report.
     pub fn load(&mut self, now: Time, endpoint: &EndpointId, report: LoadReport) {
-        let pool = self
-            .homes
-            .get(endpoint)
-            .and_then(|service| self.pools.get_mut(service));
+        let pool = self.home(endpoint);
         if let Some(member) = pool.and_then(|pool| pool.member_named(endpoint)) {
             member.leaving = report.leaving;
             member.load.take_report(now, report);
@@ -80,16 +77,18 @@
 
     /// Takes in what an engine tells of its cache.
     pub fn cache(&mut self, now: Time, endpoint: &EndpointId, events: &[CacheEvent]) {
-        let pool = self
-            .homes
-            .get(endpoint)
-            .and_then(|service| self.pools.get_mut(service));
-        if let Some(pool) = pool {
+        if let Some(pool) = self.home(endpoint) {
             pool.learn_cache(now, endpoint, events);
         }
     }
 
-    /// Learns from the end of an attempt.
+    /// Returns the pool that an endpoint belongs to.
+    fn home(&mut self, endpoint: &EndpointId) -> Option<&mut Pool> {
+        let service = self.homes.get(endpoint)?;
+        self.pools.get_mut(service)
+    }
+
+    /// Learns from the end of an attempt that kept its endpoint busy for `spent`.
     #[allow(clippy::too_many_arguments)]
     pub fn ended(
         &mut self,
@@ -97,7 +96,7 @@
         service: &ServiceId,
         attempt: &Attempt,
         end: &AttemptEnd,
-        served: Option<WorkMillis>,
+        spent: WorkMillis,
         ejects: bool,
         counters: &mut Counters,
     ) {
@@ -120,7 +119,6 @@
         };
         if worked {
             member.health.succeeded();
-            let served = served.unwrap_or(took);
             member.load.correct(now, attempt.expected, took);
             let (tokens, prefill) = match end {
                 AttemptEnd::StreamEnded {
@@ -128,7 +126,7 @@
                 } => (*tokens, *prefill),
                 _ => (0, None),
             };
-            pool.learn(&attempt.size, tokens, served, prefill);
+            pool.learn(&attempt.size, tokens, spent, prefill);
         } else if ejects && pool.failed(now, &attempt.endpoint, attempt.serial) {
             counters.ejections += 1;
         }
--- a/lib/src/policy_estimated.rs
+++ b/lib/src/policy_estimated.rs
@@ -40,9 +40,7 @@
     fn offer(&mut self, tried: bool, finish: f64, index: usize) {
         let better = match self.found {
             None => true,
-            Some((old_tried, old_finish, _)) => {
-                (tried, finish) < (old_tried, old_finish) || (old_tried && !tried)
-            }
+            Some((old_tried, old_finish, _)) => (tried, finish) < (old_tried, old_finish),
         };
         if better {
             self.found = Some((tried, finish, index));
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -165,9 +165,10 @@
         next_serial: &mut impl FnMut() -> MemberSerial,
     ) -> Self {
         let slots = service.settings.slots.value.0;
+        let mut old = old;
         let mut old_members = old
-            .as_ref()
-            .map(|pool| pool.members.clone())
+            .as_mut()
+            .map(|pool| std::mem::take(&mut pool.members))
             .unwrap_or_default();
         let mut members = Vec::with_capacity(service.endpoints.len());
         for spec in &service.endpoints {
