--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,47 +1,111 @@
 //! The hazelyoke daemon: reads its settings, serves callers, stops cleanly on SIGTERM or SIGINT.
 
+mod log_lines;
+
 use {
     anyhow::{Context, Result},
     argh::FromArgs,
     hazelyoke_lib::{
         daemon::Daemon,
         daemon_settings::{DaemonSettings, RawDaemonSettings},
+        gateway::server::Server,
+    },
+    hazelyoke_platform::{PlatformDialect, Store, read_settings, settings_path},
+    log_lines::LogGuard,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+    tokio::{
+        runtime::Builder,
+        signal::unix::{SignalKind, signal},
+        task::LocalSet,
     },
-    std::{fs, path::PathBuf},
-    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// Serve requests of callers through pipelines of endpoints.
 #[derive(Debug, FromArgs)]
 struct Args {
-    /// file with the daemon's settings, in JSON with comments
+    /// run on the users' platform, with the settings that it writes
+    #[argh(switch)]
+    platform: bool,
+
+    /// file with the daemon's settings: JSON with comments, or the platform's own form
     #[argh(positional)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
 }
 
-#[tokio::main]
-async fn main() -> Result<()> {
+fn main() -> Result<()> {
     let args: Args = argh::from_env();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let daemon = Daemon::start(read_settings(&args.settings)?)?;
-    wait_for_stop().await?;
-    daemon.stop().await;
+    let logs = log_lines::start();
+    let result = if args.platform {
+        run_on_platform(args.settings.unwrap_or_else(settings_path))
+    } else {
+        let path = args.settings.context("no settings file is named")?;
+        run_own(path)
+    };
+    if let Err(error) = &result {
+        log::error!(error = format!("{error:#}").as_str(); "daemon.failed");
+    }
+    tell_dropped(&logs);
+    result
+}
+
+fn tell_dropped(logs: &LogGuard) {
+    let lines = logs.dropped();
+    if lines > 0 {
+        log::warn!(lines; "log.dropped");
+    }
+}
+
+fn run_own(path: PathBuf) -> Result<()> {
+    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let daemon = Daemon::start(read_own_settings(&path)?)?;
+        wait_for_stop(|| Ok(())).await?;
+        daemon.stop().await;
+        Ok(())
+    })
+}
+
+fn run_on_platform(path: PathBuf) -> Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let settings = read_settings(&path)?;
+        let store = Store::new(settings.store);
+        let server: Server<PlatformDialect> = Server::start(settings.gateway, store).await?;
+        wait_for_stop(|| reload(&path)).await?;
+        server.stop().await;
+        Ok(())
+    })
+}
+
+/// Reads changed settings; what is wrong with them is told, and the old ones stay in force.
+fn reload(path: &Path) -> Result<()> {
+    match read_settings(path) {
+        Ok(_) => log::info!("settings.reloaded"),
+        Err(error) => log::error!(error:%; "settings.refused"),
+    }
     Ok(())
 }
 
-fn read_settings(path: &PathBuf) -> Result<DaemonSettings> {
+fn read_own_settings(path: &PathBuf) -> Result<DaemonSettings> {
     let name = path.display().to_string();
     let bytes = fs::read(path).with_context(|| format!("can't read {name}"))?;
     let raw = RawDaemonSettings::parse(&name, &bytes)?;
     Ok(DaemonSettings::try_from(raw)?)
 }
 
-async fn wait_for_stop() -> Result<()> {
+/// Waits for SIGTERM or SIGINT; SIGHUP reloads and never ends the process.
+async fn wait_for_stop(mut reload: impl FnMut() -> Result<()>) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut hang_up = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hang_up.recv() => reload()?,
+        }
     }
-    Ok(())
 }
--- a/lib/src/core_admit.rs
+++ b/lib/src/core_admit.rs
@@ -159,8 +159,7 @@
                 return Err(Problem::not_run(Code::KeyMissing, detail));
             }
             Guard::Fleet => {
-                // TODO: claims among daemons aren't built yet, and without them a repeat through
-                // another host could run twice; refusing is the only answer that keeps the promise.
+                // Nothing shared could hold the key over hosts; refusing keeps the promise.
                 let detail = format!("stage {} has guard \"fleet\"", stage.id);
                 return Err(Problem::not_run(Code::GuardUnavailable, detail));
             }
--- /dev/null
+++ b/lib/src/gateway/catalogue.rs
@@ -0,0 +1,156 @@
+//! The endpoints there are, as the directory and peers tell, and which of them may get work.
+
+use {
+    crate::{
+        ids::{DataCentreId, EndpointId, ServiceId},
+        units::{Millis, Time},
+    },
+    foldhash::{HashMap, HashSet},
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// Time for which endpoints that vanished while the directory was out of reach stay in use, to
+/// let the living ones write themselves down again.
+const DOUBT: Millis = Millis(2_000);
+
+/// One endpoint as the directory has it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointEntry {
+    /// Its id; a new one at each of its starts.
+    pub id: EndpointId,
+    /// Service it belongs to.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Data centre it stands in.
+    pub data_centre: DataCentreId,
+    /// Requests it works on at the same time.
+    pub slots: u32,
+    /// Whether it said that it is leaving.
+    pub draining: bool,
+    /// Revision of the entry in the directory.
+    pub revision: u64,
+}
+
+/// Why a catalogue changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Learnt {
+    /// An endpoint is new.
+    Added(Arc<EndpointEntry>),
+    /// An endpoint said that it is leaving.
+    Draining(Arc<EndpointEntry>),
+    /// An endpoint's entry is gone.
+    Gone(Arc<EndpointEntry>),
+    /// An endpoint's entry vanished while the directory couldn't be read; it stays for a while.
+    Doubted(Arc<EndpointEntry>),
+}
+
+/// The endpoints as of one revision of the directory.
+#[derive(Debug, Clone, Default)]
+pub struct Catalogue {
+    revision: u64,
+    entries: HashMap<EndpointId, Arc<EndpointEntry>>,
+    /// Endpoints without an entry that may yet be alive, with the time until which they are used.
+    doubted: HashMap<EndpointId, Time>,
+}
+
+impl Catalogue {
+    /// Returns the revision up to which changes were taken in.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns all entries, those of leaving endpoints included.
+    pub fn entries(&self) -> impl Iterator<Item = &Arc<EndpointEntry>> {
+        self.entries.values()
+    }
+
+    /// Returns an entry.
+    pub fn get(&self, id: &EndpointId) -> Option<&Arc<EndpointEntry>> {
+        self.entries.get(id)
+    }
+
+    /// Takes in one changed entry.
+    pub fn put(&mut self, entry: EndpointEntry) -> Option<Learnt> {
+        let old = self.entries.get(&entry.id);
+        if old.is_some_and(|old| old.revision > entry.revision) {
+            return None;
+        }
+        let was_open = old.is_some_and(|old| !old.draining);
+        let known = old.is_some();
+        let entry = Arc::new(entry);
+        self.doubted.remove(&entry.id);
+        self.entries.insert(entry.id.clone(), entry.clone());
+        match (known, entry.draining) {
+            (false, _) => Some(Learnt::Added(entry)),
+            (true, true) if was_open => Some(Learnt::Draining(entry)),
+            _ => None,
+        }
+    }
+
+    /// Takes in that an entry is gone; `doubt` tells that the directory was out of reach, so that
+    /// it may have lapsed although its endpoint lives.
+    pub fn remove(&mut self, now: Time, id: &EndpointId, doubt: bool) -> Option<Learnt> {
+        let entry = self.entries.get(id)?.clone();
+        if doubt && !entry.draining {
+            if self.doubted.contains_key(id) {
+                return None;
+            }
+            self.doubted.insert(id.clone(), now + DOUBT);
+            return Some(Learnt::Doubted(entry));
+        }
+        self.doubted.remove(id);
+        self.entries.remove(id);
+        Some(Learnt::Gone(entry))
+    }
+
+    /// Notes that all changes up to a revision were taken in.
+    pub fn reached(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes in a whole list as of `revision`.
+    pub fn replace(
+        &mut self,
+        now: Time,
+        revision: u64,
+        list: Vec<EndpointEntry>,
+        doubt: bool,
+    ) -> Vec<Learnt> {
+        let listed: HashSet<EndpointId> = list.iter().map(|entry| entry.id.clone()).collect();
+        let missing: Vec<EndpointId> = self
+            .entries
+            .values()
+            .filter(|entry| !listed.contains(&entry.id) && entry.revision <= revision)
+            .map(|entry| entry.id.clone())
+            .collect();
+        let mut learnt: Vec<Learnt> = list
+            .into_iter()
+            .filter_map(|entry| self.put(entry))
+            .collect();
+        learnt.extend(missing.iter().filter_map(|id| self.remove(now, id, doubt)));
+        self.reached(revision);
+        learnt
+    }
+
+    /// Drops the endpoints whose time of doubt is over.
+    pub fn settle(&mut self, now: Time) -> Vec<Learnt> {
+        let due: Vec<EndpointId> = self
+            .doubted
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        due.iter()
+            .filter_map(|id| self.remove(now, id, false))
+            .collect()
+    }
+
+    /// Postpones the end of all doubts while the directory can't be read at all.
+    pub fn extend_doubts(&mut self, now: Time) {
+        for until in self.doubted.values_mut() {
+            *until = now + DOUBT;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/egress.rs
@@ -0,0 +1,118 @@
+//! Sends one request to one endpoint, on a connection of its own.
+//!
+//! A connection serves one request, so that no late or extra answer can be taken for another
+//! request's, and no idle connection closes under a request that may not be repeated. What a
+//! new connection costs is in `docs/MEASUREMENTS.md`.
+
+use {
+    bytes::Bytes,
+    http::{Request, Response},
+    http_body_util::Full,
+    hyper::body::Incoming,
+    hyper_util::rt::TokioIo,
+    socket2::{SockRef, TcpKeepalive},
+    std::{io, net::SocketAddr, time::Duration},
+    thiserror::Error,
+    tokio::{net::TcpStream, task::AbortHandle},
+};
+
+/// Time without an answer to keep-alive probes after which a silent endpoint's connection breaks.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Time after which unacknowledged bytes break a connection.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+
+/// Why there is no reply.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// No connection came up, so no byte was sent.
+    #[error("not connected: {0}")]
+    NotSent(io::Error),
+    /// The connection broke after the request may have been sent.
+    #[error("broken off: {0}")]
+    MaybeSent(hyper::Error),
+    /// The reply broke off or didn't come; the request was sent.
+    #[error("no whole reply: {0}")]
+    Broken(String),
+}
+
+/// Keeps the connection of a reply open; dropping it closes the connection at once.
+#[derive(Debug)]
+pub struct ConnectionGuard(AbortHandle);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection that has carried no request yet.
+#[derive(Debug)]
+pub struct FreshConnection {
+    sender: hyper::client::conn::http1::SendRequest<Full<Bytes>>,
+    guard: ConnectionGuard,
+}
+
+/// Opens a connection within `limit`.
+///
+/// # Errors
+///
+/// Returns why there is none; no byte of a request was sent then.
+pub async fn connect(address: SocketAddr, limit: Duration) -> Result<FreshConnection, SendError> {
+    let stream = open_stream(address, limit)
+        .await
+        .map_err(SendError::NotSent)?;
+    let (sender, connection) = hyper::client::conn::http1::Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| SendError::NotSent(io::Error::other(error)))?;
+    let task = tokio::task::spawn_local(async move {
+        // The reply's reader hears of an error too; nothing else is to be done about it.
+        let _ = connection.await;
+    });
+    Ok(FreshConnection {
+        sender,
+        guard: ConnectionGuard(task.abort_handle()),
+    })
+}
+
+/// Opens a TCP connection that notices a silent peer within seconds.
+///
+/// # Errors
+///
+/// Returns an error when it doesn't come up within `limit`.
+pub async fn open_stream(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let stream = tokio::time::timeout(limit, TcpStream::connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(&stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_IDLE)
+        .with_retries(KEEPALIVE_PROBES);
+    // Both are only ways to notice a dead peer sooner; a system without them still works.
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    Ok(stream)
+}
+
+impl FreshConnection {
+    /// Sends the connection's only request and waits for the head of the reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no head; the request may have been sent then.
+    pub async fn send(
+        mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, ConnectionGuard), SendError> {
+        let response = self
+            .sender
+            .send_request(request)
+            .await
+            .map_err(SendError::MaybeSent)?;
+        Ok((response, self.guard))
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/fleet.rs
@@ -0,0 +1,440 @@
+//! The endpoints as this daemon sees them, and the choice among them.
+
+use {
+    crate::{
+        gateway::{
+            catalogue::EndpointEntry,
+            dialect::{Prompt, ReplyLoad},
+        },
+        health::{Health, State},
+        ids::{DataCentreId, EndpointId, ServiceId},
+        units::{ByteSize, Millis, Time},
+    },
+    foldhash::HashMap,
+    std::{
+        hash::{BuildHasher, Hash},
+        sync::Arc,
+    },
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Prompt tokens that an engine reads in a millisecond, until its own pace is known.
+const TOKENS_PER_MS: f64 = 50.0;
+
+/// Time to the first event that each running generation adds.
+const RUNNING_MS: f64 = 1.0;
+
+/// Time for which a part of a prompt is believed to stay where it was sent.
+const PART_KEPT: Millis = Millis(20_000);
+
+/// Most parts remembered for one endpoint.
+const PARTS_KNOWN: usize = 4_096;
+
+/// Share of the saving that is expected where daemons agree to send a part without knowing of it.
+const AGREED_SAVING: f64 = 0.5;
+
+/// Cost of a call into another data centre, and of each megabyte of inputs from one.
+const HOP_MS: f64 = 1.0;
+const INPUT_MB_MS: f64 = 100.0;
+
+/// First guess of a plain call's time, and the weight of a new time in what is known.
+const CALL_MS: f64 = 15.0;
+const GAIN: f64 = 0.15;
+
+/// Pace of an endpoint relative to what was expected; beyond these it isn't believed.
+const PACE_BOUNDS: (f64, f64) = (0.5, 20.0);
+
+/// Time after which a pace far from the usual is forgotten, so that the endpoint is tried again.
+const PACE_KEPT: Millis = Millis(4_000);
+
+/// Largest share of a service's endpoints that may be ejected.
+const MAX_EJECTED: f64 = 0.5;
+
+/// Time for which an endpoint that refused a connection is passed over.
+const UNREACHABLE: Millis = Millis(400);
+
+/// Load that other daemons put on an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PeerLoad {
+    /// Their requests in flight.
+    pub running: u32,
+    /// Prompt tokens of theirs that aren't read yet.
+    pub prefill: f64,
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Member {
+    /// Its entry.
+    pub entry: Arc<EndpointEntry>,
+    /// Requests in flight from this daemon.
+    pub running: u32,
+    /// Prompt tokens sent by this daemon that aren't read yet.
+    pub prefill: f64,
+    /// Load from other daemons, as they told.
+    pub peers: PeerLoad,
+    /// Load that it told itself, and when.
+    pub told: Option<(Time, ReplyLoad)>,
+    health: Health,
+    unreachable_until: Option<Time>,
+    /// It answered that it is another endpoint, or leaving.
+    replaced: bool,
+    /// Usual time of a plain call, in milliseconds.
+    call_ms: f64,
+    /// Observed over expected time to a first event.
+    pace: f64,
+    pace_at: Time,
+    parts: HashMap<u64, Time>,
+}
+
+impl Member {
+    fn new(entry: Arc<EndpointEntry>) -> Self {
+        Self {
+            entry,
+            running: 0,
+            prefill: 0.0,
+            peers: PeerLoad::default(),
+            told: None,
+            health: Health::default(),
+            unreachable_until: None,
+            replaced: false,
+            call_ms: CALL_MS,
+            pace: 1.0,
+            pace_at: Time::default(),
+            parts: HashMap::default(),
+        }
+    }
+
+    /// Returns whether new work may be sent to the endpoint at all.
+    pub fn is_open(&self) -> bool {
+        !self.entry.draining && !self.replaced
+    }
+
+    /// Returns the requests in flight that this daemon knows of.
+    pub fn outstanding(&self) -> u32 {
+        self.running + self.peers.running
+    }
+
+    fn is_sound(&self, now: Time) -> bool {
+        let reachable = self.unreachable_until.is_none_or(|until| until <= now);
+        let healthy = match self.health.state(now) {
+            State::Healthy => true,
+            State::Ejected => false,
+            State::Probing => self.running == 0,
+        };
+        reachable && healthy
+    }
+
+    fn pace(&self, now: Time) -> f64 {
+        if now.since(self.pace_at) > PACE_KEPT.to_duration() {
+            1.0
+        } else {
+            self.pace
+        }
+    }
+
+    fn cached_tokens(&self, now: Time, prompt: &Prompt) -> u32 {
+        let held = |id: &u64| {
+            self.parts
+                .get(id)
+                .is_some_and(|sent| now.since(*sent) < PART_KEPT.to_duration())
+        };
+        prompt
+            .parts
+            .iter()
+            .take_while(|part| held(&part.id))
+            .map(|part| part.tokens)
+            .sum()
+    }
+}
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// Its prompt; empty for a plain call.
+    pub prompt: &'a Prompt,
+    /// Whether endpoints holding its beginning are preferred.
+    pub affinity: bool,
+    /// Endpoints that already had it.
+    pub tried: &'a [EndpointId],
+    /// Where its inputs lie.
+    pub inputs: &'a [(DataCentreId, ByteSize)],
+}
+
+/// An endpoint chosen, with what decided.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The endpoint.
+    pub entry: Arc<EndpointEntry>,
+    /// Expected time, in milliseconds.
+    pub expected_ms: f64,
+    /// Prompt tokens that it probably has to read.
+    pub uncached: u32,
+    /// Requests in flight there, as far as is known.
+    pub outstanding: u32,
+    /// Endpoints that could have been chosen.
+    pub candidates: usize,
+}
+
+/// How a request at an endpoint ended, for what is believed of the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Ending {
+    /// It was served; for a plain call, within this many milliseconds.
+    Served(Option<f64>),
+    /// The endpoint failed.
+    Failed,
+    /// The endpoint refused for lack of room.
+    Full,
+    /// The endpoint is another one, or is leaving.
+    Replaced,
+    /// No connection came up.
+    Unreachable,
+    /// Nothing was learnt.
+    Neutral,
+}
+
+/// The endpoints of all services.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    members: HashMap<EndpointId, Member>,
+    services: HashMap<ServiceId, Vec<EndpointId>>,
+}
+
+impl Fleet {
+    /// Takes in an entry.
+    pub fn put(&mut self, entry: Arc<EndpointEntry>) {
+        let id = entry.id.clone();
+        match self.members.get_mut(&id) {
+            Some(member) => member.entry = entry,
+            None => {
+                let ids = self.services.entry(entry.service.clone()).or_default();
+                ids.push(id.clone());
+                self.members.insert(id, Member::new(entry));
+            }
+        }
+    }
+
+    /// Takes out an endpoint.
+    pub fn remove(&mut self, id: &EndpointId) {
+        if let Some(member) = self.members.remove(id)
+            && let Some(ids) = self.services.get_mut(&member.entry.service)
+        {
+            ids.retain(|other| other != id);
+        }
+    }
+
+    /// Returns the endpoints of a service.
+    pub fn service(&self, id: &ServiceId) -> impl Iterator<Item = &Member> {
+        let ids = self.services.get(id).into_iter().flatten();
+        ids.filter_map(|id| self.members.get(id))
+    }
+
+    /// Returns all endpoints.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, id: &EndpointId) -> Option<&Member> {
+        self.members.get(id)
+    }
+
+    /// Chooses the endpoint where a request is expected to be served first.
+    pub fn choose(
+        &self,
+        now: Time,
+        here: &DataCentreId,
+        service: &ServiceId,
+        demand: &Demand<'_>,
+    ) -> Option<Choice> {
+        let open: Vec<&Member> = self
+            .service(service)
+            .filter(|member| member.is_open() && !demand.tried.contains(&member.entry.id))
+            .collect();
+        let sound: Vec<&Member> = open
+            .iter()
+            .copied()
+            .filter(|member| member.is_sound(now))
+            .collect();
+        let among = if sound.is_empty() { &open } else { &sound };
+        let agreed = agreed_endpoint(among, demand.prompt);
+        let score = |member: &Member| {
+            let (expected, uncached) = expected_ms(now, member, demand, agreed);
+            (expected + distance_ms(member, here, demand), uncached)
+        };
+        let (member, (expected_ms, uncached)) = among
+            .iter()
+            .map(|member| (*member, score(member)))
+            .min_by(|(_, a), (_, b)| a.0.total_cmp(&b.0))?;
+        Some(Choice {
+            entry: member.entry.clone(),
+            expected_ms,
+            uncached,
+            outstanding: member.outstanding(),
+            candidates: among.len(),
+        })
+    }
+
+    /// Notes that a request was sent.
+    pub fn sent(&mut self, now: Time, id: &EndpointId, prompt: &Prompt, uncached: u32) {
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        member.running += 1;
+        member.prefill += f64::from(uncached);
+        if member.parts.len() > PARTS_KNOWN {
+            member.parts.clear();
+        }
+        for part in &prompt.parts {
+            member.parts.insert(part.id, now);
+        }
+    }
+
+    /// Notes that a prompt was read: its first event came after `waited_ms`.
+    pub fn first_event(&mut self, now: Time, choice: &Choice, waited_ms: f64) {
+        let Some(member) = self.members.get_mut(&choice.entry.id) else {
+            return;
+        };
+        member.prefill = (member.prefill - f64::from(choice.uncached)).max(0.0);
+        let observed = waited_ms / choice.expected_ms.max(30.0);
+        let pace = member.pace(now);
+        let next = pace + GAIN * (observed - pace);
+        member.pace = next.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        member.pace_at = now;
+    }
+
+    /// Notes that a prompt won't be read by the endpoint any more.
+    pub fn forget_prefill(&mut self, id: &EndpointId, uncached: u32) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.prefill = (member.prefill - f64::from(uncached)).max(0.0);
+        }
+    }
+
+    /// Notes that a request left an endpoint; returns whether the endpoint was ejected for it.
+    pub fn ended(&mut self, now: Time, id: &EndpointId, ending: Ending) -> bool {
+        let may_eject = self.may_eject(now, id);
+        let Some(member) = self.members.get_mut(id) else {
+            return false;
+        };
+        member.running = member.running.saturating_sub(1);
+        match ending {
+            Ending::Served(call_ms) => {
+                member.health.succeeded();
+                member.unreachable_until = None;
+                if let Some(call_ms) = call_ms {
+                    member.call_ms += GAIN * (call_ms - member.call_ms);
+                }
+                false
+            }
+            Ending::Failed => member.health.failed(now, may_eject),
+            Ending::Unreachable => {
+                member.unreachable_until = Some(now + UNREACHABLE);
+                true
+            }
+            Ending::Replaced => {
+                member.replaced = true;
+                true
+            }
+            Ending::Full | Ending::Neutral => false,
+        }
+    }
+
+    /// Notes the load that an endpoint told with a reply.
+    pub fn told(&mut self, now: Time, id: &EndpointId, load: ReplyLoad) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.told = Some((now, load));
+        }
+    }
+
+    /// Takes in the sums of what other daemons have in flight.
+    pub fn set_peer_loads(&mut self, loads: &HashMap<u32, PeerLoad>) {
+        for member in self.members.values_mut() {
+            let key = short_hash(&member.entry.id);
+            member.peers = loads.get(&key).copied().unwrap_or_default();
+        }
+    }
+
+    fn may_eject(&self, now: Time, id: &EndpointId) -> bool {
+        let Some(member) = self.members.get(id) else {
+            return false;
+        };
+        let pool: Vec<&Member> = self.service(&member.entry.service).collect();
+        let out = pool.iter().filter(|other| !other.is_sound(now)).count();
+        (out as f64 + 1.0) <= pool.len() as f64 * MAX_EJECTED
+    }
+}
+
+/// Returns a short name of an endpoint for messages between daemons.
+pub fn short_hash(id: &EndpointId) -> u32 {
+    xxh3_64(id.as_str().as_bytes()) as u32
+}
+
+/// Returns the endpoint that all daemons prefer for a prompt's deepest shared part, by rendezvous
+/// hashing.
+fn agreed_endpoint<'a>(among: &[&'a Member], prompt: &Prompt) -> Option<&'a EndpointId> {
+    let shared = prompt.parts.len().checked_sub(2)?;
+    let part = prompt.parts[shared].id;
+    let weight = |member: &&&Member| {
+        let mut bytes = part.to_le_bytes().to_vec();
+        bytes.extend_from_slice(member.entry.id.as_str().as_bytes());
+        xxh3_64(&bytes)
+    };
+    among.iter().max_by_key(weight).map(|m| &m.entry.id)
+}
+
+fn expected_ms(
+    now: Time,
+    member: &Member,
+    demand: &Demand<'_>,
+    agreed: Option<&EndpointId>,
+) -> (f64, u32) {
+    let outstanding = f64::from(member.outstanding());
+    let slots = f64::from(member.entry.slots.max(1));
+    if demand.prompt.tokens_in == 0 && demand.prompt.parts.is_empty() {
+        let queued = (outstanding + 1.0 - slots).max(0.0) / slots;
+        let crowding = 0.5 * outstanding / slots;
+        return (member.call_ms * (1.0 + queued + crowding), 0);
+    }
+    let total = demand.prompt.tokens_in;
+    let cached = if demand.affinity {
+        member.cached_tokens(now, demand.prompt)
+    } else {
+        0
+    };
+    let uncached = total.saturating_sub(cached);
+    let mut work = f64::from(uncached);
+    if cached == 0 && demand.affinity && agreed == Some(&member.entry.id) {
+        let shared: u32 = demand.prompt.parts.iter().map(|part| part.tokens).sum();
+        work -= f64::from(shared.min(total)) * AGREED_SAVING;
+    }
+    let waiting = member.prefill + member.peers.prefill + work.max(0.0);
+    let overfull = (outstanding + 1.0 - slots).max(0.0) * 100.0;
+    let ms = waiting / TOKENS_PER_MS + outstanding * RUNNING_MS + overfull;
+    (ms * member.pace(now), uncached)
+}
+
+fn distance_ms(member: &Member, here: &DataCentreId, demand: &Demand<'_>) -> f64 {
+    let there = &member.entry.data_centre;
+    let far: u64 = demand
+        .inputs
+        .iter()
+        .filter(|(data_centre, _)| data_centre != there)
+        .map(|(_, size)| size.0)
+        .sum();
+    let hop = if there == here { 0.0 } else { HOP_MS };
+    hop + far as f64 / 1e6 * INPUT_MB_MS
+}
+
+/// Picks one of several weighted things by a hash, the same way on every daemon.
+pub fn weighted<T>(seed: impl Hash, choices: &[T], weight: impl Fn(&T) -> f64) -> Option<&T> {
+    let total: f64 = choices.iter().map(&weight).sum();
+    let hash = foldhash::fast::FixedState::default().hash_one(seed);
+    let mut point = (hash as f64 / u64::MAX as f64) * total;
+    for choice in choices {
+        point -= weight(choice);
+        if point < 0.0 {
+            return Some(choice);
+        }
+    }
+    choices.last()
+}
--- /dev/null
+++ b/lib/src/gateway/mod.rs
@@ -0,0 +1,35 @@
+//! Forwarding of callers' own HTTP requests to endpoints, with the work that must come before.
+//!
+//! A [`Table`](table::Table) says which route a request takes, a
+//! [`Directory`](directory::Directory) which endpoints there are, and a
+//! [`Dialect`](dialect::Dialect) how requests and replies are spelled. Everything that decides is
+//! here; an installation brings only those three translations.
+
+pub mod budget;
+pub mod catalogue;
+pub mod dialect;
+pub mod directory;
+pub mod egress;
+pub mod event_stream;
+pub mod fleet;
+pub mod follow;
+pub mod forward;
+mod headers;
+pub mod ingress;
+pub mod metrics;
+pub mod operator;
+pub mod pause;
+pub mod peer_message;
+pub mod peers;
+pub mod relay;
+mod reply;
+mod reply_stream;
+pub mod server;
+pub mod settings;
+pub mod stage_batch;
+pub mod stage_chain;
+pub mod stage_job;
+pub mod stage_owner;
+mod stage_worker;
+pub mod state;
+pub mod table;
--- /dev/null
+++ b/lib/src/gateway/operator.rs
@@ -0,0 +1,155 @@
+//! Small interfaces beside the callers': readiness, metrics, and what the daemon believes.
+
+use {
+    crate::gateway::{dialect::Dialect, peer_message::Phase, reply::ReplyBody, state::Gateway},
+    http::{HeaderValue, Method, Request, Response, StatusCode, header},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    serde::Serialize,
+    std::{convert::Infallible, rc::Rc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// Longest time for a head to arrive.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+
+/// Pause after a connection couldn't be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Path of what the daemon believes.
+const STATUS_PATH: &str = "/v1/status";
+
+/// Serves readiness, metrics and state on one address for good.
+pub async fn serve<D: Dialect>(gateway: Rc<Gateway<D>>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:%; "operator.accept_failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let response = answer(&gateway, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // Whoever asked may be gone.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIME)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn answer<D: Dialect>(gateway: &Gateway<D>, request: &Request<Incoming>) -> Response<ReplyBody> {
+    if request.method() != Method::GET {
+        return text(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "text/plain",
+            "only GET\n".into(),
+        );
+    }
+    match request.uri().path() {
+        path if path == D::READY_PATH => {
+            let status = if gateway.phase() == Phase::Ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
+            text(status, "text/plain", String::new())
+        }
+        METRICS_PATH => text(
+            StatusCode::OK,
+            "text/plain; version=0.0.4",
+            gateway.metrics.text(),
+        ),
+        STATUS_PATH => {
+            let json = serde_json::to_string(&status(gateway)).unwrap_or_default();
+            text(StatusCode::OK, "application/json", json)
+        }
+        _ => text(StatusCode::NOT_FOUND, "text/plain", String::new()),
+    }
+}
+
+fn text(status: StatusCode, kind: &'static str, body: String) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::whole(body));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
+/// What a daemon believes, for people.
+#[derive(Debug, Serialize)]
+struct GatewayStatus {
+    host: String,
+    phase: Phase,
+    table: u64,
+    catalogue: u64,
+    in_flight: usize,
+    jobs: usize,
+    directory_lost: bool,
+    peers: Vec<PeerStatus>,
+    endpoints: Vec<EndpointStatus>,
+}
+
+#[derive(Debug, Serialize)]
+struct PeerStatus {
+    host: String,
+    address: String,
+    phase: Phase,
+    table: u64,
+    catalogue: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct EndpointStatus {
+    id: String,
+    service: String,
+    address: String,
+    open: bool,
+    running: u32,
+    peers_running: u32,
+    revision: u64,
+}
+
+fn status<D: Dialect>(gateway: &Gateway<D>) -> GatewayStatus {
+    let phase = gateway.phase();
+    let state = gateway.state.borrow();
+    let peers = state.peers.alive().map(|peer| PeerStatus {
+        host: peer.host.to_string(),
+        address: peer.address.to_string(),
+        phase: peer.phase,
+        table: peer.table,
+        catalogue: peer.catalogue,
+    });
+    let endpoints = state.fleet.members().map(|member| EndpointStatus {
+        id: member.entry.id.to_string(),
+        service: member.entry.service.to_string(),
+        address: member.entry.address.to_string(),
+        open: member.is_open(),
+        running: member.running,
+        peers_running: member.peers.running,
+        revision: member.entry.revision,
+    });
+    GatewayStatus {
+        host: gateway.settings.host.to_string(),
+        phase,
+        table: state.published.as_ref().map_or(0, |p| p.table.version),
+        catalogue: state.catalogue.revision(),
+        in_flight: gateway.in_flight.get(),
+        jobs: state.planning.jobs(),
+        directory_lost: state.contact.is_lost(),
+        peers: peers.collect(),
+        endpoints: endpoints.collect(),
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/peer_message.rs
@@ -0,0 +1,237 @@
+//! What daemons say to each other: heartbeats in datagrams, and frames on links.
+
+use {
+    crate::{
+        gateway::{
+            catalogue::EndpointEntry,
+            stage_job::{Handle, JobEnd, PieceInput},
+            table::Version,
+        },
+        ids::{DataCentreId, HostId, ServiceId},
+    },
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, sync::Arc},
+    thiserror::Error,
+};
+
+/// Version of these messages; a daemon ignores all others.
+pub const PROTOCOL: u16 = 1;
+
+/// Largest message accepted.
+pub const MAX_MESSAGE: usize = 8 << 20;
+
+/// Reports bytes that are no message.
+#[derive(Debug, Error)]
+pub enum MessageError {
+    /// The message can't be decoded.
+    #[error("not a message: {0}")]
+    Decode(String),
+    /// The message is of another version.
+    #[error("a message of version {0}, not {PROTOCOL}")]
+    Version(u16),
+}
+
+/// How far a daemon is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// It doesn't know yet what it needs to serve.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It is about to end.
+    Stopping,
+}
+
+/// A daemon that the sender of a heartbeat knows of.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerNote {
+    /// Its address for other daemons.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Milliseconds since the sender heard of it.
+    #[serde(rename = "g")]
+    pub age_ms: u32,
+}
+
+/// What a daemon has in flight at one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNote(
+    /// Short name of the endpoint.
+    pub u32,
+    /// Requests in flight.
+    pub u16,
+    /// Prompt tokens not read yet.
+    pub u32,
+);
+
+/// Expected time of a stage at the daemon that plans for its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueNote(
+    /// Short name of the service.
+    pub u32,
+    /// Expected time of a job of one piece, in milliseconds.
+    pub u32,
+);
+
+/// A datagram that tells that its sender is alive and what it knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Version of the messages.
+    #[serde(rename = "v")]
+    pub protocol: u16,
+    /// Name of the host.
+    #[serde(rename = "h")]
+    pub host: HostId,
+    /// Tells one life of the process from another.
+    #[serde(rename = "r")]
+    pub run: u64,
+    /// Counts the heartbeats of this life.
+    #[serde(rename = "s")]
+    pub sequence: u64,
+    /// Address for other daemons.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Data centre.
+    #[serde(rename = "d")]
+    pub data_centre: DataCentreId,
+    /// How far it is.
+    #[serde(rename = "p")]
+    pub phase: Phase,
+    /// Version of its table; 0 for none.
+    #[serde(rename = "t")]
+    pub table: Version,
+    /// Fingerprint of its table.
+    #[serde(rename = "f")]
+    pub fingerprint: u64,
+    /// Revision of its list of endpoints.
+    #[serde(rename = "c")]
+    pub catalogue: u64,
+    /// Some daemons that it knows of.
+    #[serde(rename = "n")]
+    pub peers: Vec<PeerNote>,
+    /// What it has in flight.
+    #[serde(rename = "l")]
+    pub loads: Vec<LoadNote>,
+    /// What it plans.
+    #[serde(rename = "q")]
+    pub queues: Vec<QueueNote>,
+}
+
+/// A job handed to the daemon that plans for its service; times are relative.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobOrder {
+    /// Service that does it.
+    pub service: ServiceId,
+    /// Request it belongs to.
+    pub request: Arc<str>,
+    /// Place of its stage in the route.
+    pub stage: u32,
+    /// Number of pieces.
+    pub pieces: u32,
+    /// What each is made from.
+    pub input: PieceInput,
+    /// Time left of the request.
+    pub remaining_ms: u64,
+    /// Time left for the answer to be worth most; negative if that time is over.
+    pub objective_ms: i64,
+    /// Rank of the request.
+    pub rank: u32,
+    /// Usual size of one result.
+    pub result: u64,
+}
+
+/// What is asked on a link.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Send the table.
+    Table,
+    /// Send the list of endpoints.
+    Endpoints,
+    /// Make the pieces of a stage.
+    Job(JobOrder),
+    /// Forget a job: the number of its frame.
+    Cancel(u64),
+    /// Results that are no longer needed.
+    Release(ServiceId, Vec<Handle>),
+}
+
+/// What is answered on a link.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The table as it was published.
+    Table {
+        /// Its bytes.
+        #[serde(with = "serde_bytes_vec")]
+        bytes: Vec<u8>,
+    },
+    /// The list of endpoints as of a revision.
+    Endpoints {
+        /// The revision.
+        revision: u64,
+        /// The list.
+        entries: Vec<EndpointEntry>,
+    },
+    /// How a job ended.
+    Job(JobEnd),
+    /// It is done, and nothing is to be told of it.
+    Done,
+    /// The daemon can't do what is asked.
+    Unable,
+}
+
+/// One message of a link; an answer carries the number of what it answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Frame<T> {
+    /// Its number.
+    pub number: u64,
+    /// Its content.
+    pub content: T,
+}
+
+/// Keeps a table's bytes as a byte string instead of a list of numbers.
+mod serde_bytes_vec {
+    use serde::{Deserializer, Serializer, de::Visitor};
+
+    pub fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(bytes)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+        struct Bytes;
+
+        impl Visitor<'_> for Bytes {
+            type Value = Vec<u8>;
+
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("a byte string")
+            }
+
+            fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
+                Ok(bytes.to_vec())
+            }
+
+            fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
+                Ok(bytes)
+            }
+        }
+
+        deserializer.deserialize_byte_buf(Bytes)
+    }
+}
+
+/// Encodes a message.
+pub fn encode(message: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(512);
+    // Writing into memory fails for no message of these types.
+    let _ = ciborium::into_writer(message, &mut bytes);
+    bytes
+}
+
+/// Decodes a message.
+///
+/// # Errors
+///
+/// Returns an error when the bytes are no message of the type.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, MessageError> {
+    ciborium::from_reader(bytes).map_err(|error| MessageError::Decode(error.to_string()))
+}
--- /dev/null
+++ b/lib/src/gateway/relay.rs
@@ -0,0 +1,485 @@
+//! Talks to other daemons: heartbeats in datagrams, and links for what is larger or answered.
+//!
+//! A link is a WebSocket connection with one CBOR frame a message. The daemon that opened it asks,
+//! the other one answers. A link to a daemon that falls silent is closed, which ends what waits on
+//! it at once.
+
+use {
+    crate::{
+        gateway::{
+            dialect::Dialect,
+            egress,
+            peer_message::{
+                Ask, Frame, Heartbeat, JobOrder, MAX_MESSAGE, PROTOCOL, Phase, Reply, decode,
+                encode,
+            },
+            peers::{HEARTBEAT, PeerChange},
+            stage_job::{Handle, Job, JobEnd},
+            state::Gateway,
+        },
+        ids::ServiceId,
+        units::{ByteSize, Millis},
+    },
+    bytes::Bytes,
+    foldhash::HashMap,
+    futures_util::{SinkExt, StreamExt},
+    std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream, UdpSocket},
+        sync::{mpsc, oneshot},
+        task::AbortHandle,
+    },
+    tokio_tungstenite::{
+        WebSocketStream, accept_async_with_config, client_async_with_config,
+        tungstenite::{Message, protocol::WebSocketConfig},
+    },
+};
+
+/// Longest time to set up a link.
+const LINK_LIMIT: Duration = Duration::from_millis(300);
+
+/// Longest time for a table or a list.
+const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Messages that may wait on one link before it counts as stuck.
+const QUEUE: usize = 1_024;
+
+/// Largest datagram accepted.
+const DATAGRAM: usize = 16 * 1024;
+
+/// Heartbeats heard without a directory before a list is asked of a peer.
+const LIST_LAG: Millis = Millis(500);
+
+/// Links that this daemon opened, by the other daemon's address.
+#[derive(Debug, Default)]
+pub struct Links {
+    open: RefCell<HashMap<SocketAddr, Link>>,
+}
+
+#[derive(Debug, Clone)]
+struct Link {
+    asks: mpsc::Sender<(Ask, oneshot::Sender<Reply>)>,
+    task: AbortHandle,
+}
+
+impl Links {
+    /// Asks another daemon; nothing if there is no answer. Dropping it stops waiting.
+    pub async fn ask(&self, peer: SocketAddr, ask: Ask) -> Option<Reply> {
+        let asks = self.link(peer).asks;
+        let (sender, receiver) = oneshot::channel();
+        asks.try_send((ask, sender)).ok()?;
+        receiver.await.ok()
+    }
+
+    /// Tells another daemon something that needs no answer.
+    pub fn tell(&self, peer: SocketAddr, ask: Ask) {
+        let (sender, _) = oneshot::channel();
+        // A full or closed link loses it; whoever tells has to bear that.
+        let _ = self.link(peer).asks.try_send((ask, sender));
+    }
+
+    /// Closes the link to a daemon that is lost.
+    pub fn close(&self, peer: SocketAddr) {
+        if let Some(link) = self.open.borrow_mut().remove(&peer) {
+            link.task.abort();
+        }
+    }
+
+    fn link(&self, peer: SocketAddr) -> Link {
+        let mut open = self.open.borrow_mut();
+        if let Some(link) = open.get(&peer)
+            && !link.asks.is_closed()
+        {
+            return link.clone();
+        }
+        let (asks, queue) = mpsc::channel(QUEUE);
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = run_link(peer, queue).await {
+                log::info!(peer:% = peer, error; "link.closed");
+            }
+        });
+        let link = Link {
+            asks,
+            task: task.abort_handle(),
+        };
+        open.insert(peer, link.clone());
+        link
+    }
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE))
+        .max_frame_size(Some(MAX_MESSAGE))
+}
+
+type Asks = mpsc::Receiver<(Ask, oneshot::Sender<Reply>)>;
+
+/// Carries asks to one daemon until the link breaks; all that wait are dropped with it.
+async fn run_link(peer: SocketAddr, mut asks: Asks) -> Result<(), String> {
+    let stream = egress::open_stream(peer, LINK_LIMIT)
+        .await
+        .map_err(|error| error.to_string())?;
+    let url = format!("ws://{peer}/link");
+    let upgrade = client_async_with_config(url, stream, Some(config()));
+    let (mut socket, _) = tokio::time::timeout(LINK_LIMIT, upgrade)
+        .await
+        .map_err(|_| "no upgrade in time".to_owned())?
+        .map_err(|error| error.to_string())?;
+    let mut waiting: HashMap<u64, oneshot::Sender<Reply>> = HashMap::default();
+    let mut number = 0;
+    let mut sweep = tokio::time::interval(HEARTBEAT.to_duration());
+    loop {
+        tokio::select! {
+            ask = asks.recv() => {
+                let Some((content, sender)) = ask else {
+                    return Ok(());
+                };
+                number += 1;
+                waiting.insert(number, sender);
+                let frame = encode(&Frame { number, content });
+                send(&mut socket, frame).await?;
+            }
+            message = socket.next() => {
+                let bytes = read(message)?;
+                let Some(bytes) = bytes else { continue };
+                let frame: Frame<Reply> = decode(&bytes).map_err(|error| error.to_string())?;
+                if let Some(sender) = waiting.remove(&frame.number) {
+                    // Whoever asked may have left.
+                    let _ = sender.send(frame.content);
+                }
+            }
+            _ = sweep.tick() => {
+                let left: Vec<u64> = waiting
+                    .iter()
+                    .filter(|(_, sender)| sender.is_closed())
+                    .map(|(number, _)| *number)
+                    .collect();
+                for job in left {
+                    waiting.remove(&job);
+                    number += 1;
+                    let content = Ask::Cancel(job);
+                    send(&mut socket, encode(&Frame { number, content })).await?;
+                }
+            }
+        }
+    }
+}
+
+async fn send(socket: &mut WebSocketStream<TcpStream>, bytes: Vec<u8>) -> Result<(), String> {
+    let sent = socket.send(Message::Binary(bytes.into()));
+    tokio::time::timeout(FETCH_LIMIT, sent)
+        .await
+        .map_err(|_| "the other end doesn't read".to_owned())?
+        .map_err(|error| error.to_string())
+}
+
+/// Takes the bytes out of a message; nothing for one that carries none.
+fn read(
+    message: Option<Result<Message, tokio_tungstenite::tungstenite::Error>>,
+) -> Result<Option<Bytes>, String> {
+    match message {
+        None | Some(Ok(Message::Close(_))) => Err("closed by the other end".into()),
+        Some(Err(error)) => Err(error.to_string()),
+        Some(Ok(Message::Binary(bytes))) => Ok(Some(bytes)),
+        Some(Ok(_)) => Ok(None),
+    }
+}
+
+/// Accepts links from other daemons for good.
+pub async fn serve_links<D: Dialect>(gateway: Rc<Gateway<D>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let gateway = gateway.clone();
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = serve_link(gateway, stream).await {
+                        log::info!(from:% = from, error; "link.ended");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!(error:%; "link.accept_failed");
+                tokio::time::sleep(LINK_LIMIT).await;
+            }
+        }
+    }
+}
+
+async fn serve_link<D: Dialect>(gateway: Rc<Gateway<D>>, stream: TcpStream) -> Result<(), String> {
+    stream
+        .set_nodelay(true)
+        .map_err(|error| error.to_string())?;
+    let upgrade = accept_async_with_config(stream, Some(config()));
+    let mut socket = tokio::time::timeout(LINK_LIMIT, upgrade)
+        .await
+        .map_err(|_| "no upgrade in time".to_owned())?
+        .map_err(|error| error.to_string())?;
+    let (replies, mut done) = mpsc::channel::<Frame<Reply>>(QUEUE);
+    let mut jobs = tokio::task::JoinSet::new();
+    let mut tasks: HashMap<u64, AbortHandle> = HashMap::default();
+    loop {
+        tokio::select! {
+            Some(frame) = done.recv() => {
+                tasks.remove(&frame.number);
+                send(&mut socket, encode(&frame)).await?;
+            }
+            Some(_) = jobs.join_next() => {}
+            message = socket.next() => {
+                let Some(bytes) = read(message)? else { continue };
+                let frame: Frame<Ask> = decode(&bytes).map_err(|error| error.to_string())?;
+                if let Ask::Cancel(job) = frame.content {
+                    if let Some(task) = tasks.remove(&job) {
+                        task.abort();
+                    }
+                    continue;
+                }
+                let gateway = gateway.clone();
+                let replies = replies.clone();
+                let task = jobs.spawn_local(async move {
+                    let content = answer(&gateway, frame.content).await;
+                    // The link may have ended meanwhile.
+                    let _ = replies.send(Frame { number: frame.number, content }).await;
+                });
+                tasks.insert(frame.number, task);
+            }
+        }
+    }
+}
+
+async fn answer<D: Dialect>(gateway: &Gateway<D>, ask: Ask) -> Reply {
+    match ask {
+        Ask::Table => match gateway.published() {
+            Some(published) => Reply::Table {
+                bytes: published.bytes.to_vec(),
+            },
+            None => Reply::Unable,
+        },
+        Ask::Endpoints => {
+            let state = gateway.state.borrow();
+            if !state.listed {
+                return Reply::Unable;
+            }
+            Reply::Endpoints {
+                revision: state.catalogue.revision(),
+                entries: state
+                    .catalogue
+                    .entries()
+                    .map(|entry| (**entry).clone())
+                    .collect(),
+            }
+        }
+        Ask::Job(order) => {
+            if gateway.phase() == Phase::Starting {
+                return Reply::Unable;
+            }
+            let service = order.service.clone();
+            let job = job_of(gateway, order);
+            Reply::Job(gateway.make_here(&service, job).await)
+        }
+        Ask::Release(service, handles) => {
+            gateway
+                .state
+                .borrow_mut()
+                .planning
+                .release(&service, handles);
+            gateway.work.notify_one();
+            Reply::Done
+        }
+        Ask::Cancel(_) => Reply::Done,
+    }
+}
+
+fn job_of<D: Dialect>(gateway: &Gateway<D>, order: JobOrder) -> Job {
+    let now = gateway.now();
+    let objective = if order.objective_ms >= 0 {
+        now + Millis(order.objective_ms as u64)
+    } else {
+        crate::units::Time(
+            now.0
+                .saturating_sub(order.objective_ms.unsigned_abs() * 1000),
+        )
+    };
+    Job {
+        request: order.request,
+        stage: order.stage,
+        pieces: order.pieces,
+        input: order.input,
+        deadline: now + Millis(order.remaining_ms),
+        objective,
+        rank: order.rank,
+        result: ByteSize(order.result),
+    }
+}
+
+/// Turns a job into an order for another daemon; times become relative.
+pub fn order_of<D: Dialect>(gateway: &Gateway<D>, service: &ServiceId, job: &Job) -> JobOrder {
+    let now = gateway.now();
+    let objective_us = job.objective.0 as i64 - now.0 as i64;
+    JobOrder {
+        service: service.clone(),
+        request: job.request.clone(),
+        stage: job.stage,
+        pieces: job.pieces,
+        input: job.input.clone(),
+        remaining_ms: job.deadline.since(now).as_millis() as u64,
+        objective_ms: objective_us / 1000,
+        rank: job.rank,
+        result: job.result.0,
+    }
+}
+
+/// Reads how a job ended at another daemon; nothing if that daemon can't tell.
+pub fn job_end(reply: Option<Reply>) -> Option<JobEnd> {
+    match reply {
+        Some(Reply::Job(end)) => Some(end),
+        _ => None,
+    }
+}
+
+/// Tells the planner of a service that results are no longer needed.
+pub fn release<D: Dialect>(gateway: &Gateway<D>, service: &ServiceId, handles: Vec<Handle>) {
+    use crate::gateway::peers::Planner;
+    if handles.is_empty() {
+        return;
+    }
+    let ready = gateway.phase() == Phase::Ready;
+    let planner = gateway.state.borrow().peers.planner(service, ready, &[]);
+    match planner {
+        Planner::Me => gateway
+            .state
+            .borrow_mut()
+            .planning
+            .release(service, handles),
+        Planner::Peer(peer) => gateway
+            .links
+            .tell(peer, Ask::Release(service.clone(), handles)),
+    }
+}
+
+/// Sends heartbeats, and asks peers for what is newer there.
+pub async fn run_heartbeats<D: Dialect>(gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
+    let mut ticks = tokio::time::interval(HEARTBEAT.to_duration());
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = gateway.now();
+        let beliefs = gateway.beliefs();
+        let lost = gateway.state.borrow_mut().peers.tick(now);
+        for change in &lost {
+            note_change(&gateway, change);
+        }
+        let (heartbeat, targets) = gateway.state.borrow_mut().peers.heartbeat(now, beliefs);
+        let bytes = encode(&heartbeat);
+        for target in targets {
+            // A datagram may be lost in any case.
+            let _ = socket.try_send_to(&bytes, target);
+        }
+        let loads = gateway.state.borrow().peers.loads();
+        gateway.state.borrow_mut().fleet.set_peer_loads(&loads);
+        gateway.settle_doubts();
+    }
+}
+
+/// Takes in heartbeats for good.
+pub async fn hear_heartbeats<D: Dialect>(gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => take_heartbeat(&gateway, &buffer[..length], from),
+            Err(error) => {
+                log::warn!(error:%; "heartbeat.receive_failed");
+                tokio::time::sleep(HEARTBEAT.to_duration()).await;
+            }
+        }
+    }
+}
+
+fn take_heartbeat<D: Dialect>(gateway: &Gateway<D>, bytes: &[u8], from: SocketAddr) {
+    let heartbeat: Heartbeat = match decode(bytes) {
+        Ok(heartbeat) => heartbeat,
+        Err(error) => {
+            log::debug!(from:% = from, error:%; "heartbeat.refused");
+            return;
+        }
+    };
+    // A daemon speaks for itself alone.
+    if heartbeat.protocol != PROTOCOL || heartbeat.address.ip() != from.ip() {
+        log::warn!(from:% = from, protocol = heartbeat.protocol; "heartbeat.refused");
+        return;
+    }
+    let now = gateway.now();
+    let change = gateway.state.borrow_mut().peers.heard(now, heartbeat);
+    if let Some(change) = change {
+        note_change(gateway, &change);
+    }
+}
+
+fn note_change<D: Dialect>(gateway: &Gateway<D>, change: &PeerChange) {
+    let (event, address, host) = match change {
+        PeerChange::Met(address, host) => ("peer.met", address, host),
+        PeerChange::Restarted(address, host) => ("peer.restarted", address, host),
+        PeerChange::Lost(address, host) => ("peer.lost", address, host),
+    };
+    log::info!(peer:% = address, host:% = host; "{event}");
+    if !matches!(change, PeerChange::Met(..)) {
+        gateway.links.close(*address);
+    }
+}
+
+/// Asks peers for a newer table, and for a newer list while the directory is out of reach.
+pub async fn run_catch_up<D: Dialect>(gateway: Rc<Gateway<D>>) {
+    let mut ticks = tokio::time::interval(HEARTBEAT.to_duration());
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        catch_up_table(&gateway).await;
+        catch_up_endpoints(&gateway).await;
+    }
+}
+
+async fn catch_up_table<D: Dialect>(gateway: &Gateway<D>) {
+    let version = gateway.published().map_or(0, |p| p.table.version);
+    let newer = gateway.state.borrow().peers.newer_table(version);
+    let Some((peer, _)) = newer else { return };
+    let asked = tokio::time::timeout(FETCH_LIMIT, gateway.links.ask(peer, Ask::Table)).await;
+    if let Ok(Some(Reply::Table { bytes })) = asked {
+        let source = format!("peer {peer}");
+        gateway.adopt_table(&Bytes::from(bytes), &source);
+    }
+}
+
+async fn catch_up_endpoints<D: Dialect>(gateway: &Gateway<D>) {
+    let now = gateway.now();
+    let newer = {
+        let state = gateway.state.borrow();
+        let heard = state.contact.heard.unwrap_or_default();
+        if now.since(heard) < crate::gateway::follow::WAIT + LIST_LAG.to_duration() && state.listed
+        {
+            return;
+        }
+        let least = if state.listed {
+            state.catalogue.revision()
+        } else {
+            0
+        };
+        state.peers.newer_catalogue(least)
+    };
+    let Some((peer, _)) = newer else { return };
+    let asked = tokio::time::timeout(FETCH_LIMIT, gateway.links.ask(peer, Ask::Endpoints)).await;
+    if let Ok(Some(Reply::Endpoints { revision, entries })) = asked {
+        let source = format!("peer {peer}");
+        gateway.replace_endpoints(revision, entries, &source);
+    }
+}
+
+/// Opens the sockets for other daemons.
+///
+/// # Errors
+///
+/// Returns an error when the address can't be had.
+pub async fn bind(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let listener = TcpListener::bind(address).await?;
+    let socket = UdpSocket::bind(listener.local_addr()?).await?;
+    Ok((listener, socket))
+}
--- /dev/null
+++ b/lib/src/gateway/reply.rs
@@ -0,0 +1,97 @@
+//! Answers to callers: an endpoint's own, or a problem of this daemon.
+
+use {
+    crate::{gateway::dialect::Dialect, problem::Problem},
+    bytes::Bytes,
+    http::{HeaderValue, Response, StatusCode, header},
+    hyper::body::{Body, Frame, SizeHint},
+    serde::Serialize,
+    std::{
+        pin::Pin,
+        task::{Context, Poll},
+    },
+    thiserror::Error,
+    tokio::sync::mpsc,
+};
+
+/// Ends a body before it is whole, so that it can't look complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the answer breaks off")]
+pub struct BrokenOff;
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// Whole.
+    Whole(Option<Bytes>),
+    /// Coming piece by piece.
+    Stream(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+}
+
+impl ReplyBody {
+    /// Returns a whole body.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        let bytes = bytes.into();
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(receiver) => receiver
+                .poll_recv(context)
+                .map(|next| next.map(|next| next.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct ProblemBody<'a> {
+    title: &'static str,
+    code: &'static str,
+    outcome: &'static str,
+    detail: &'a str,
+}
+
+/// Builds the answer that tells a problem.
+pub fn problem_reply<D: Dialect>(problem: &Problem) -> Response<ReplyBody> {
+    let body = ProblemBody {
+        title: "the request was not answered",
+        code: problem.code.as_str(),
+        outcome: problem.outcome.as_str(),
+        detail: &problem.detail,
+    };
+    let json = serde_json::to_vec(&body).unwrap_or_default();
+    let mut response = Response::new(ReplyBody::whole(json));
+    let status = StatusCode::from_u16(problem.code.status());
+    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
+    if let Some(wait) = problem.retry_after {
+        D::write_retry_after(response.headers_mut(), wait.to_duration());
+    }
+    response
+}
--- /dev/null
+++ b/lib/src/gateway/reply_stream.rs
@@ -0,0 +1,309 @@
+//! Passes a stream of events on, and takes it up at another endpoint when it breaks off.
+
+use {
+    crate::{
+        gateway::{
+            dialect::Dialect,
+            egress::{self, ConnectionGuard},
+            event_stream::EventSplitter,
+            fleet::{Demand, Ending},
+            forward::{CONNECT_LIMIT, Call, InFlight, Ticket, outbound_request, run_stages},
+            metrics::Repeat,
+            reply::BrokenOff,
+            stage_chain::Results,
+            state::Gateway,
+            table::RouteKind,
+        },
+        ids::EndpointId,
+    },
+    bytes::Bytes,
+    http::StatusCode,
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    std::{rc::Rc, time::Duration},
+    tokio::sync::mpsc,
+};
+
+/// Chunks of a stream that may wait for its reader.
+const QUEUE: usize = 8;
+
+/// Silence after which a stream that can be resumed is taken up at another endpoint, before its
+/// first event and between two.
+const FIRST_SILENCE: Duration = Duration::from_millis(3_000);
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Where a stream comes from.
+pub(crate) struct StreamSource<D: Dialect> {
+    pub(crate) body: Incoming,
+    pub(crate) guard: ConnectionGuard,
+    pub(crate) ticket: Ticket<D>,
+}
+
+struct Pump<D: Dialect> {
+    gateway: Rc<Gateway<D>>,
+    call: Rc<Call>,
+    tried: Vec<EndpointId>,
+    sent: u32,
+    results: Option<Results<D>>,
+    splitter: EventSplitter,
+    events_begun: bool,
+    sink: mpsc::Sender<Result<Bytes, BrokenOff>>,
+    _in_flight: InFlight<D>,
+}
+
+/// How a source ended.
+enum SourceEnd {
+    Whole,
+    Broken(String),
+    CallerLeft,
+    TimeOver,
+}
+
+/// Starts to pass a stream on; returns its body.
+pub(crate) fn start<D: Dialect>(
+    gateway: Rc<Gateway<D>>,
+    call: Rc<Call>,
+    source: StreamSource<D>,
+    tried: Vec<EndpointId>,
+    sent: u32,
+    results: Option<Results<D>>,
+    in_flight: InFlight<D>,
+) -> mpsc::Receiver<Result<Bytes, BrokenOff>> {
+    let (sink, receiver) = mpsc::channel(QUEUE);
+    let splitter = EventSplitter::after(call.inbound.last_event);
+    let pump = Pump {
+        gateway,
+        call,
+        tried,
+        sent,
+        results,
+        splitter,
+        events_begun: false,
+        sink,
+        _in_flight: in_flight,
+    };
+    tokio::task::spawn_local(pump.run(source));
+    receiver
+}
+
+impl<D: Dialect> Pump<D> {
+    async fn run(mut self, source: StreamSource<D>) {
+        let mut source = source;
+        loop {
+            let StreamSource {
+                mut body,
+                guard,
+                mut ticket,
+            } = source;
+            let end = self.pass(&mut body, &mut ticket).await;
+            // The run at this endpoint ends before another one begins.
+            drop(body);
+            drop(guard);
+            let endpoint = ticket.choice.entry.id.clone();
+            let took_ms = ticket.took_ms();
+            let outcome = match &end {
+                SourceEnd::Whole => "answered",
+                SourceEnd::Broken(_) => "broken",
+                SourceEnd::CallerLeft => "caller_left",
+                SourceEnd::TimeOver => "time_over",
+            };
+            log::info!(
+                request = self.call.id(),
+                endpoint:% = endpoint,
+                outcome,
+                last_event = self.splitter.last().unwrap_or(0),
+                took_ms;
+                "attempt.ended"
+            );
+            match end {
+                SourceEnd::Whole => {
+                    ticket.end(Ending::Served(None));
+                    return self.finish("answered");
+                }
+                SourceEnd::CallerLeft => {
+                    self.gateway.metrics.caller_left();
+                    return;
+                }
+                SourceEnd::TimeOver => return self.break_off("the request's time is over").await,
+                SourceEnd::Broken(why) => {
+                    ticket.end(Ending::Failed);
+                    match self.resume(&why).await {
+                        Some(next) => source = next,
+                        None => return self.break_off(&why).await,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes events on until the source ends.
+    async fn pass(&mut self, body: &mut Incoming, ticket: &mut Ticket<D>) -> SourceEnd {
+        let deadline = self.gateway.instant(self.call.deadline);
+        let resumable = self.call.route.kind.is_repeatable();
+        loop {
+            let silence = if self.events_begun {
+                SILENCE
+            } else {
+                FIRST_SILENCE
+            };
+            let frame = tokio::select! {
+                biased;
+                () = self.sink.closed() => return SourceEnd::CallerLeft,
+                frame = body.frame() => frame,
+                () = tokio::time::sleep_until(deadline) => return SourceEnd::TimeOver,
+                () = tokio::time::sleep(silence), if resumable => {
+                    return SourceEnd::Broken("silent".into());
+                }
+            };
+            let data = match frame {
+                None if self.splitter.is_partial() => {
+                    return SourceEnd::Broken("ended within an event".into());
+                }
+                None => return SourceEnd::Whole,
+                Some(Err(error)) => return SourceEnd::Broken(error.to_string()),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => data,
+                    Err(_) => continue,
+                },
+            };
+            let events = self.splitter.feed(&data);
+            if !events.is_empty() {
+                if !std::mem::replace(&mut self.events_begun, true) {
+                    // The endpoint has taken its inputs and read the prompt.
+                    self.results = None;
+                }
+                ticket.first_event();
+                if self.sink.send(Ok(events)).await.is_err() {
+                    return SourceEnd::CallerLeft;
+                }
+            }
+            if self.splitter.is_broken() {
+                return SourceEnd::Broken("an event out of order".into());
+            }
+        }
+    }
+
+    /// Takes the stream up at another endpoint, if that is allowed and one is found.
+    async fn resume(&mut self, why: &str) -> Option<StreamSource<D>> {
+        let RouteKind::Stream {
+            resumable: true, ..
+        } = self.call.route.kind
+        else {
+            return None;
+        };
+        if self.results.is_none() {
+            // The results went when the first endpoint had taken them; they are made again.
+            self.results = run_stages(&self.gateway, &self.call).await.ok()?;
+        }
+        while self.sent < self.call.route.attempts && self.gateway.withdraw(&self.call.service) {
+            match self.connect_next(why).await {
+                Some(source) => return Some(source),
+                None if self.sent >= self.call.route.attempts => return None,
+                None => {}
+            }
+        }
+        None
+    }
+
+    async fn connect_next(&mut self, why: &str) -> Option<StreamSource<D>> {
+        let sites = self
+            .results
+            .as_ref()
+            .map(Results::sites)
+            .unwrap_or_default();
+        let demand = Demand {
+            prompt: &self.call.inbound.prompt,
+            affinity: self.call.route.affinity,
+            tried: &self.tried,
+            inputs: &sites,
+        };
+        let now = self.gateway.now();
+        let here = &self.gateway.settings.data_centre;
+        let choice = {
+            let state = self.gateway.state.borrow();
+            state.fleet.choose(now, here, &self.call.service, &demand)
+        };
+        let Some(choice) = choice else {
+            self.sent = self.call.route.attempts;
+            return None;
+        };
+        self.tried.push(choice.entry.id.clone());
+        let last = self.splitter.last();
+        log::info!(
+            request = self.call.id(),
+            endpoint:% = choice.entry.id,
+            why,
+            last_event = last.unwrap_or(0);
+            "attempt.resumed"
+        );
+        let inputs = self
+            .results
+            .as_ref()
+            .map(Results::inputs)
+            .unwrap_or_default();
+        let request = outbound_request::<D>(&self.gateway, &self.call, &choice, &inputs, last);
+        let mut ticket = Ticket::new(&self.gateway, &self.call, choice);
+        let Ok(connection) = egress::connect(ticket.choice.entry.address, CONNECT_LIMIT).await
+        else {
+            ticket.end(Ending::Unreachable);
+            return None;
+        };
+        self.sent += 1;
+        self.gateway.metrics.repeat(Repeat::Resume);
+        let deadline = self.gateway.instant(self.call.deadline);
+        let sent = tokio::select! {
+            () = self.sink.closed() => return None,
+            sent = tokio::time::timeout_at(deadline, connection.send(request)) => sent,
+        };
+        let Ok(Ok((response, guard))) = sent else {
+            ticket.end(Ending::Failed);
+            return None;
+        };
+        let (head, body) = response.into_parts();
+        let facts = D::read_reply(&head);
+        let fits = head.status == StatusCode::OK
+            && facts.signed
+            && facts.request.as_deref() == Some(self.call.id());
+        if !fits {
+            ticket.end(if facts.not_run {
+                Ending::Full
+            } else {
+                Ending::Failed
+            });
+            return None;
+        }
+        ticket.first_event();
+        self.splitter = EventSplitter::after(last);
+        Some(StreamSource {
+            body,
+            guard,
+            ticket,
+        })
+    }
+
+    fn finish(self, outcome: &str) {
+        let took = self.gateway.now().since(self.call.arrived);
+        self.gateway.metrics.answered(took);
+        log::info!(
+            request = self.call.id(),
+            outcome,
+            last_event = self.splitter.last().unwrap_or(0),
+            took_ms = took.as_millis() as u64;
+            "request.answered"
+        );
+    }
+
+    async fn break_off(self, why: &str) {
+        let took = self.gateway.now().since(self.call.arrived);
+        self.gateway.metrics.broken_off();
+        log::info!(
+            request = self.call.id(),
+            why,
+            last_event = self.splitter.last().unwrap_or(0),
+            took_ms = took.as_millis() as u64;
+            "request.broken_off"
+        );
+        // A caller that left needs no sign of it.
+        let _ = self.sink.send(Err(BrokenOff)).await;
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/stage_batch.rs
@@ -0,0 +1,543 @@
+//! Plans which pieces of stages go to which endpoint, and when: the queue of one service.
+//!
+//! A call costs an endpoint a fixed time and a little for each piece, so throughput is the fill of
+//! its calls. One daemon at a time plans for a service. It gives an endpoint its next call when
+//! the endpoint is free, so that calls grow by themselves as the load grows. Any piece may be made
+//! again; a second planner costs time, never safety.
+
+use {
+    crate::{
+        gateway::{
+            budget::WindowBudget,
+            catalogue::EndpointEntry,
+            stage_job::{Handle, Job, JobEnd, JobId, PieceEnd, PieceTask},
+            stage_worker::Worker,
+            table::BatchLimits,
+        },
+        ids::EndpointId,
+        units::{ByteSize, Millis, Time},
+    },
+    foldhash::HashMap,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Headstart that each rank gives over the next one.
+const RANK_STEP: Millis = Millis(400);
+
+/// Handicap of a job that can't meet its objective any more.
+const LATE_STEP: Millis = Millis(20_000);
+
+/// Times that one piece is tried.
+const PIECE_TRIES: u32 = 3;
+
+/// A call that takes longer than this many times what was expected, and a little, is overdue.
+const OVERDUE_FACTOR: f64 = 1.7;
+const OVERDUE_MS: f64 = 120.0;
+
+/// Pace above which an endpoint gets no call while others may take it.
+const SLOW_PACE: f64 = 1.8;
+
+/// Time for which an endpoint is passed over after it refused, broke off or wasn't reached.
+const PASSED_OVER: Millis = Millis(300);
+
+/// One call of one endpoint.
+#[derive(Debug, Clone)]
+pub struct BatchCall {
+    /// Tells it from other calls.
+    pub id: u64,
+    /// Endpoint to call.
+    pub entry: Arc<EndpointEntry>,
+    /// Its pieces.
+    pub pieces: Vec<PieceTask>,
+    /// Time it should take, in milliseconds.
+    pub expected_ms: f64,
+    /// Pieces that waited when it was planned.
+    pub waiting: usize,
+    /// Pieces in it that were sent before.
+    pub repeated: usize,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The endpoint answered for each piece.
+    Answered(Vec<PieceEnd>),
+    /// The endpoint didn't take it.
+    Refused,
+    /// The endpoint is another one, or is leaving.
+    Replaced,
+    /// There was no answer.
+    Broken,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum PieceState {
+    Waiting,
+    Running,
+    Made(Handle),
+}
+
+#[derive(Debug)]
+struct JobState {
+    job: Job,
+    pieces: Vec<PieceState>,
+    tries: Vec<u32>,
+    waiting: usize,
+}
+
+impl JobState {
+    fn order(&self, now: Time) -> Time {
+        let late = if now > self.job.objective {
+            LATE_STEP.0
+        } else {
+            0
+        };
+        self.job.objective + Millis(u64::from(self.job.rank) * RANK_STEP.0 + late)
+    }
+
+    fn can_repeat(&self, piece: usize) -> bool {
+        self.tries[piece] < PIECE_TRIES
+    }
+
+    fn requeue(&mut self, piece: usize) {
+        self.pieces[piece] = PieceState::Waiting;
+        self.waiting += 1;
+    }
+}
+
+#[derive(Debug)]
+struct RunningCall {
+    endpoint: EndpointId,
+    sent: Time,
+    expected_ms: f64,
+    pieces: Vec<(JobId, usize)>,
+    reserved: u64,
+    overdue: bool,
+}
+
+/// The queue of one service.
+#[derive(Debug)]
+pub struct BatchQueue {
+    limits: BatchLimits,
+    budget: WindowBudget,
+    daemons: usize,
+    jobs: BTreeMap<JobId, JobState>,
+    workers: HashMap<EndpointId, Worker>,
+    calls: HashMap<u64, RunningCall>,
+    next_call: u64,
+    ended: Vec<(JobId, JobEnd)>,
+    /// Results that nobody waits for any more.
+    surplus: Vec<Handle>,
+}
+
+impl BatchQueue {
+    /// Starts without jobs and endpoints.
+    pub fn new(limits: BatchLimits, budget: WindowBudget) -> Self {
+        Self {
+            limits,
+            budget,
+            daemons: 1,
+            jobs: BTreeMap::new(),
+            workers: HashMap::default(),
+            calls: HashMap::default(),
+            next_call: 0,
+            ended: Vec::new(),
+            surplus: Vec::new(),
+        }
+    }
+
+    /// Takes in new limits, and how many daemons share the budget of repeats.
+    pub fn set_limits(&mut self, limits: BatchLimits, daemons: usize) {
+        self.limits = limits;
+        self.daemons = daemons;
+    }
+
+    /// Takes in which endpoints may be called.
+    pub fn set_endpoints(&mut self, open: &[Arc<EndpointEntry>]) {
+        self.workers
+            .retain(|id, worker| worker.calls > 0 || open.iter().any(|entry| entry.id == *id));
+        for (id, worker) in &mut self.workers {
+            worker.open = open.iter().any(|entry| entry.id == *id);
+        }
+        for entry in open {
+            let worker = self
+                .workers
+                .entry(entry.id.clone())
+                .or_insert_with(|| Worker::new(entry.clone()));
+            worker.entry = entry.clone();
+        }
+    }
+
+    /// Takes in a job.
+    pub fn add(&mut self, now: Time, id: JobId, job: Job) {
+        for _ in 0..job.pieces {
+            self.budget.deposit(now);
+        }
+        let pieces = job.pieces as usize;
+        let state = JobState {
+            job,
+            pieces: vec![PieceState::Waiting; pieces],
+            tries: vec![0; pieces],
+            waiting: pieces,
+        };
+        self.jobs.insert(id, state);
+    }
+
+    /// Drops a job; what it has made is released.
+    pub fn cancel(&mut self, id: JobId) {
+        if let Some(state) = self.jobs.remove(&id) {
+            self.surplus.extend(made(state));
+        }
+    }
+
+    /// Notes that results are no longer kept.
+    pub fn released(&mut self, handles: &[Handle]) {
+        for worker in self.workers.values_mut() {
+            for handle in handles {
+                worker.kept.remove(handle);
+            }
+        }
+    }
+
+    /// Returns the pieces that wait.
+    pub fn waiting(&self) -> usize {
+        self.jobs.values().map(|state| state.waiting).sum()
+    }
+
+    /// Returns the jobs in hand.
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Estimates the time from now to the end of a job of `pieces` that is added now.
+    pub fn expected_ms(&self, now: Time, pieces: usize) -> f64 {
+        let sound = self.sound_workers(now).max(1) as f64;
+        let full = self.full_call_ms();
+        let waiting = self.waiting() as f64;
+        let calls_ahead = waiting / self.limits.pieces.max(1) as f64;
+        let busy = self.calls.len() as f64 / sound;
+        let own = self.limits.call_ms + self.limits.piece_ms * pieces as f64;
+        own + full * (calls_ahead / sound) + 0.5 * busy.min(1.0) * full / sound
+    }
+
+    fn full_call_ms(&self) -> f64 {
+        self.limits.call_ms + self.limits.piece_ms * self.limits.pieces as f64
+    }
+
+    fn sound_workers(&self, now: Time) -> usize {
+        self.workers
+            .values()
+            .filter(|worker| worker.is_ready(now) && worker.pace(now) < SLOW_PACE)
+            .count()
+    }
+
+    /// Plans the calls to be made now.
+    pub fn plan(&mut self, now: Time) -> Vec<BatchCall> {
+        self.drop_hopeless(now);
+        self.requeue_overdue(now);
+        let mut calls = Vec::new();
+        loop {
+            let free = self.free_workers(now);
+            if free.is_empty() || self.waiting() == 0 {
+                return calls;
+            }
+            let share = self.waiting().div_ceil(free.len());
+            let target = share.min(self.limits.pieces);
+            let planned = free
+                .iter()
+                .find_map(|endpoint| self.plan_call(now, endpoint, target));
+            match planned {
+                Some(call) => calls.push(call),
+                None => return calls,
+            }
+        }
+    }
+
+    /// Takes in how a call ended.
+    pub fn call_ended(&mut self, now: Time, id: u64, end: CallEnd) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let limits = self.limits;
+        if let Some(worker) = self.workers.get_mut(&call.endpoint) {
+            worker.calls = worker.calls.saturating_sub(1);
+            worker.reserved = worker.reserved.saturating_sub(call.reserved);
+            match &end {
+                CallEnd::Answered(_) => {
+                    worker.learn_pace(now, now.millis_since(call.sent) / call.expected_ms);
+                }
+                CallEnd::Refused | CallEnd::Broken => {
+                    worker.passed_over_until = now + PASSED_OVER;
+                }
+                CallEnd::Replaced => worker.open = false,
+            }
+        }
+        match end {
+            CallEnd::Answered(ends) => {
+                let until = now + limits.keep;
+                for ((job, piece), end) in call.pieces.iter().zip(ends) {
+                    self.piece_ended(now, (*job, *piece), end, &call.endpoint, until);
+                }
+            }
+            CallEnd::Refused | CallEnd::Replaced => self.put_back(now, &call.pieces, true),
+            CallEnd::Broken => self.put_back(now, &call.pieces, false),
+        }
+    }
+
+    /// Returns the jobs that ended since the last call.
+    pub fn take_ended(&mut self) -> Vec<(JobId, JobEnd)> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Returns the results that nobody waits for any more, since the last call.
+    pub fn take_surplus(&mut self) -> Vec<Handle> {
+        std::mem::take(&mut self.surplus)
+    }
+
+    /// Returns endpoints that may take a call, the fastest first.
+    fn free_workers(&self, now: Time) -> Vec<EndpointId> {
+        let any_sound = self.sound_workers(now) > 0;
+        let mut free: Vec<&Worker> = self
+            .workers
+            .values()
+            .filter(|worker| worker.calls < self.limits.slots.max(1))
+            .filter(|worker| worker.is_ready(now))
+            .filter(|worker| !any_sound || worker.pace(now) < SLOW_PACE)
+            .collect();
+        free.sort_by(|a, b| {
+            let pace = a.pace(now).total_cmp(&b.pace(now));
+            pace.then_with(|| a.entry.id.cmp(&b.entry.id))
+        });
+        free.iter().map(|worker| worker.entry.id.clone()).collect()
+    }
+
+    fn plan_call(&mut self, now: Time, endpoint: &EndpointId, target: usize) -> Option<BatchCall> {
+        let limits = self.limits;
+        let worker = self.workers.get_mut(endpoint)?;
+        let mut room = worker.room(now, &limits);
+        let entry = worker.entry.clone();
+        let waiting = self.waiting();
+        let mut order: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, state)| state.waiting > 0)
+            .map(|(id, _)| *id)
+            .collect();
+        order.sort_by_key(|id| (self.jobs[id].order(now), *id));
+        let mut chosen = Vec::new();
+        let mut tasks = Vec::new();
+        let mut reserved = 0;
+        let mut repeated = 0;
+        for id in order {
+            if chosen.len() >= target {
+                break;
+            }
+            let Some(state) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            for piece in 0..state.pieces.len() {
+                // A job that was begun is taken whole where it fits, past the target too.
+                let size = state.job.result.0;
+                if chosen.len() >= limits.pieces || size > room {
+                    break;
+                }
+                if state.pieces[piece] != PieceState::Waiting {
+                    continue;
+                }
+                room -= size;
+                reserved += size;
+                state.pieces[piece] = PieceState::Running;
+                state.waiting -= 1;
+                repeated += usize::from(state.tries[piece] > 0);
+                state.tries[piece] += 1;
+                chosen.push((id, piece));
+                tasks.push(task(now, &state.job, piece));
+            }
+        }
+        if chosen.is_empty() {
+            return None;
+        }
+        let expected_ms = limits.call_ms + limits.piece_ms * chosen.len() as f64;
+        let id = self.next_call;
+        self.next_call += 1;
+        if let Some(worker) = self.workers.get_mut(endpoint) {
+            worker.calls += 1;
+            worker.reserved += reserved;
+        }
+        self.calls.insert(
+            id,
+            RunningCall {
+                endpoint: endpoint.clone(),
+                sent: now,
+                expected_ms,
+                pieces: chosen,
+                reserved,
+                overdue: false,
+            },
+        );
+        Some(BatchCall {
+            id,
+            entry,
+            pieces: tasks,
+            expected_ms,
+            waiting,
+            repeated,
+        })
+    }
+
+    fn drop_hopeless(&mut self, now: Time) {
+        let least = Millis(self.limits.call_ms as u64);
+        let hopeless: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, state)| state.waiting > 0 && now + least > state.job.deadline)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in hopeless {
+            self.end(id, JobEnd::Late);
+        }
+    }
+
+    fn requeue_overdue(&mut self, now: Time) {
+        let mut overdue = Vec::new();
+        for call in self.calls.values_mut() {
+            let bound = call.expected_ms * OVERDUE_FACTOR + OVERDUE_MS;
+            let waited = now.millis_since(call.sent);
+            if call.overdue || waited < bound {
+                continue;
+            }
+            call.overdue = true;
+            overdue.extend(call.pieces.iter().copied());
+            if let Some(worker) = self.workers.get_mut(&call.endpoint) {
+                worker.is_overdue(now, waited / call.expected_ms);
+            }
+        }
+        self.put_back_overdue(now, &overdue);
+    }
+
+    /// Puts pieces back into the queue; `free` gives a try back where nothing was run.
+    fn put_back(&mut self, now: Time, pieces: &[(JobId, usize)], free: bool) {
+        for (id, piece) in pieces {
+            let Some(state) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            if free && state.pieces[*piece] == PieceState::Running {
+                state.tries[*piece] = state.tries[*piece].saturating_sub(1);
+            }
+            if state.pieces[*piece] != PieceState::Running {
+                continue;
+            }
+            if !state.can_repeat(*piece) || !self.budget.withdraw(now, self.daemons) {
+                self.end(*id, JobEnd::Failed);
+                continue;
+            }
+            state.requeue(*piece);
+        }
+    }
+
+    /// Puts pieces of calls that are out for too long back, as far as the budget has it; the calls
+    /// go on, and the first result wins.
+    fn put_back_overdue(&mut self, now: Time, pieces: &[(JobId, usize)]) {
+        for (id, piece) in pieces {
+            let Some(state) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            let repeat = state.pieces[*piece] == PieceState::Running
+                && state.can_repeat(*piece)
+                && self.budget.withdraw(now, self.daemons);
+            if repeat {
+                state.requeue(*piece);
+            }
+        }
+    }
+
+    fn piece_ended(
+        &mut self,
+        now: Time,
+        (id, piece): (JobId, usize),
+        end: PieceEnd,
+        endpoint: &EndpointId,
+        until: Time,
+    ) {
+        if let PieceEnd::Made(handle) = end {
+            self.piece_made(id, piece, handle, endpoint, until);
+            return;
+        }
+        if !self.jobs.contains_key(&id) {
+            return;
+        }
+        match end {
+            PieceEnd::Late => self.end(id, JobEnd::Late),
+            PieceEnd::InputGone => self.end(id, JobEnd::InputsGone),
+            PieceEnd::NoRoom => {
+                if let Some(worker) = self.workers.get_mut(endpoint) {
+                    let size = self.limits.room;
+                    // It has less room than was believed; it gets time to clear.
+                    let handle = Handle(format!("full/{endpoint}").into());
+                    let half = ByteSize(size.0 / 2);
+                    worker.kept.insert(handle, (half, until));
+                }
+                self.put_back(now, &[(id, piece)], true);
+            }
+            PieceEnd::Failed | PieceEnd::Made(_) => self.put_back(now, &[(id, piece)], false),
+        }
+    }
+
+    fn piece_made(
+        &mut self,
+        id: JobId,
+        piece: usize,
+        handle: Handle,
+        endpoint: &EndpointId,
+        until: Time,
+    ) {
+        let Some(state) = self.jobs.get_mut(&id) else {
+            self.surplus.push(handle);
+            return;
+        };
+        if matches!(state.pieces[piece], PieceState::Made(_)) {
+            self.surplus.push(handle);
+            return;
+        }
+        if state.pieces[piece] == PieceState::Waiting {
+            state.waiting -= 1;
+        }
+        if let Some(worker) = self.workers.get_mut(endpoint) {
+            worker
+                .kept
+                .insert(handle.clone(), (state.job.result, until));
+        }
+        state.pieces[piece] = PieceState::Made(handle);
+        let whole = state
+            .pieces
+            .iter()
+            .all(|state| matches!(state, PieceState::Made(_)));
+        if whole && let Some(state) = self.jobs.remove(&id) {
+            self.ended.push((id, JobEnd::Made(made(state).collect())));
+        }
+    }
+
+    fn end(&mut self, id: JobId, end: JobEnd) {
+        if let Some(state) = self.jobs.remove(&id) {
+            self.surplus.extend(made(state));
+            self.ended.push((id, end));
+        }
+    }
+}
+
+fn made(state: JobState) -> impl Iterator<Item = Handle> {
+    state.pieces.into_iter().filter_map(|piece| match piece {
+        PieceState::Made(handle) => Some(handle),
+        PieceState::Waiting | PieceState::Running => None,
+    })
+}
+
+fn task(now: Time, job: &Job, piece: usize) -> PieceTask {
+    PieceTask {
+        request: job.request.clone(),
+        stage: job.stage,
+        piece: piece as u32,
+        remaining: Millis(job.deadline.since(now).as_millis() as u64),
+        input: job.input.clone(),
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/stage_owner.rs
@@ -0,0 +1,361 @@
+//! Plans the pieces of the services that this daemon plans for, and calls their endpoints.
+
+use {
+    crate::{
+        gateway::{
+            budget::{BudgetLimits, WindowBudget},
+            dialect::Dialect,
+            egress,
+            fleet::Fleet,
+            stage_batch::{BatchCall, BatchQueue, CallEnd},
+            stage_job::{Handle, Job, JobEnd, JobId},
+            state::Gateway,
+            table::{BatchLimits, Table},
+        },
+        ids::{EndpointId, ServiceId},
+        units::Time,
+    },
+    bytes::Bytes,
+    foldhash::HashMap,
+    http::{HeaderMap, Request, StatusCode, header},
+    http_body_util::{BodyExt, Full, Limited},
+    std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::sync::oneshot,
+};
+
+/// Longest time to connect to an endpoint.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
+/// Longest time for the answer to a call, beyond a multiple of what was expected.
+const CALL_LIMIT: Duration = Duration::from_millis(2_500);
+const CALL_FACTOR: f64 = 6.0;
+
+/// Largest answer to a call.
+const ANSWER_SIZE: usize = 256 * 1024;
+
+/// Time between two looks at jobs in hand.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// Time for which results that are no longer needed are gathered before they are told.
+const GATHER: Duration = Duration::from_millis(60);
+
+/// The queues of the services whose endpoints run pieces.
+#[derive(Debug, Default)]
+pub struct Planning {
+    queues: BTreeMap<ServiceId, BatchQueue>,
+    limits: BTreeMap<ServiceId, BatchLimits>,
+    waiters: HashMap<JobId, oneshot::Sender<JobEnd>>,
+    services: HashMap<JobId, ServiceId>,
+    releases: HashMap<ServiceId, Vec<Handle>>,
+    last_job: u64,
+}
+
+impl Planning {
+    /// Takes in which services run pieces.
+    pub fn set_services(&mut self, table: &Table) {
+        self.limits = table
+            .services()
+            .filter_map(|service| Some((service.id.clone(), service.batch?)))
+            .collect();
+        let limits = &self.limits;
+        self.queues
+            .retain(|id, queue| limits.contains_key(id) || queue.jobs() > 0);
+    }
+
+    /// Takes in which endpoints may be called.
+    pub fn sync(&mut self, fleet: &Fleet, budget: BudgetLimits, daemons: usize) {
+        for (service, limits) in &self.limits {
+            let queue = self.queues.entry(service.clone()).or_insert_with(|| {
+                BatchQueue::new(*limits, WindowBudget::new(budget, Time::default()))
+            });
+            queue.set_limits(*limits, daemons);
+            let open: Vec<_> = fleet
+                .service(service)
+                .filter(|member| member.is_open())
+                .map(|member| member.entry.clone())
+                .collect();
+            queue.set_endpoints(&open);
+        }
+    }
+
+    /// Returns the expected time of a job of one piece for each service with jobs in hand.
+    pub fn expected(&self, now: Time) -> impl Iterator<Item = (&ServiceId, f64)> {
+        self.queues
+            .iter()
+            .filter(|(_, queue)| queue.jobs() > 0)
+            .map(move |(id, queue)| (id, queue.expected_ms(now, 1)))
+    }
+
+    /// Returns the number of jobs in hand.
+    pub fn jobs(&self) -> usize {
+        self.services.len()
+    }
+
+    fn add(&mut self, now: Time, service: &ServiceId, job: Job) -> Option<JobTicket> {
+        let queue = self.queues.get_mut(service)?;
+        self.last_job += 1;
+        let id = JobId(self.last_job);
+        queue.add(now, id, job);
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.insert(id, sender);
+        self.services.insert(id, service.clone());
+        Some(JobTicket { id, receiver })
+    }
+
+    fn cancel(&mut self, id: JobId) {
+        self.waiters.remove(&id);
+        if let Some(service) = self.services.remove(&id)
+            && let Some(queue) = self.queues.get_mut(&service)
+        {
+            queue.cancel(id);
+        }
+    }
+
+    /// Notes results that are no longer needed.
+    pub fn release(&mut self, service: &ServiceId, handles: Vec<Handle>) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.released(&handles);
+        }
+        let gathered = self.releases.entry(service.clone()).or_default();
+        gathered.extend(handles);
+    }
+
+    fn plan(&mut self, now: Time) -> Vec<(ServiceId, BatchCall)> {
+        let mut calls = Vec::new();
+        for (service, queue) in &mut self.queues {
+            let planned = queue.plan(now);
+            calls.extend(planned.into_iter().map(|call| (service.clone(), call)));
+        }
+        self.settle();
+        calls
+    }
+
+    /// Tells the ends of jobs to those who wait for them.
+    fn settle(&mut self) {
+        for (service, queue) in &mut self.queues {
+            for (id, end) in queue.take_ended() {
+                self.services.remove(&id);
+                let unheard = match self.waiters.remove(&id) {
+                    Some(waiter) => waiter.send(end).err(),
+                    None => Some(end),
+                };
+                if let Some(JobEnd::Made(handles)) = unheard {
+                    self.releases
+                        .entry(service.clone())
+                        .or_default()
+                        .extend(handles);
+                }
+            }
+            let surplus = queue.take_surplus();
+            queue.released(&surplus);
+            if !surplus.is_empty() {
+                self.releases
+                    .entry(service.clone())
+                    .or_default()
+                    .extend(surplus);
+            }
+        }
+    }
+
+    fn call_ended(&mut self, now: Time, service: &ServiceId, id: u64, end: CallEnd) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.call_ended(now, id, end);
+        }
+        self.settle();
+    }
+
+    fn take_releases(&mut self) -> HashMap<ServiceId, Vec<Handle>> {
+        std::mem::take(&mut self.releases)
+    }
+}
+
+/// A job in the hands of this daemon's planner.
+#[derive(Debug)]
+pub struct JobTicket {
+    /// Its id.
+    pub id: JobId,
+    /// Its end.
+    pub receiver: oneshot::Receiver<JobEnd>,
+}
+
+/// Cancels a job when it is dropped before its end.
+struct CancelOnDrop<'a, D: Dialect> {
+    gateway: &'a Gateway<D>,
+    id: JobId,
+}
+
+impl<D: Dialect> Drop for CancelOnDrop<'_, D> {
+    fn drop(&mut self) {
+        // After its end, this finds nothing.
+        self.gateway.state.borrow_mut().planning.cancel(self.id);
+        self.gateway.work.notify_one();
+    }
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Makes the pieces of a job through this daemon's own planner; dropping it cancels the job.
+    pub async fn make_here(&self, service: &ServiceId, job: Job) -> JobEnd {
+        let now = self.now();
+        let ticket = self.state.borrow_mut().planning.add(now, service, job);
+        let Some(JobTicket { id, receiver }) = ticket else {
+            return JobEnd::Failed;
+        };
+        let cancel = CancelOnDrop { gateway: self, id };
+        self.work.notify_one();
+        let end = receiver.await.unwrap_or(JobEnd::Failed);
+        drop(cancel);
+        end
+    }
+
+    fn start_calls(self: &Rc<Self>) {
+        let now = self.now();
+        let calls = self.state.borrow_mut().planning.plan(now);
+        for (service, call) in calls {
+            self.metrics
+                .call(call.pieces.len() - call.repeated, call.repeated);
+            log_call(&service, &call);
+            tokio::task::spawn_local(run_call(self.clone(), service, call));
+        }
+    }
+}
+
+fn log_call(service: &ServiceId, call: &BatchCall) {
+    let requests: Vec<&str> = call.pieces.iter().map(|piece| &*piece.request).collect();
+    log::info!(
+        call = call.id,
+        service:% = service,
+        endpoint:% = call.entry.id,
+        pieces = call.pieces.len(),
+        repeated = call.repeated,
+        waiting = call.waiting,
+        expected_ms = call.expected_ms,
+        requests:? = distinct(requests);
+        "pieces.sent"
+    );
+}
+
+fn distinct(mut names: Vec<&str>) -> Vec<&str> {
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
+/// Plans whenever there is something new, and looks again now and then while jobs are in hand.
+pub async fn run_planner<D: Dialect>(gateway: Rc<Gateway<D>>) {
+    loop {
+        let busy = gateway.state.borrow().planning.jobs() > 0;
+        if busy {
+            let _ = tokio::time::timeout(LOOK, gateway.work.notified()).await;
+        } else {
+            gateway.work.notified().await;
+        }
+        gateway.start_calls();
+    }
+}
+
+/// Tells endpoints which results are no longer needed.
+pub async fn run_releases<D: Dialect>(gateway: Rc<Gateway<D>>) {
+    loop {
+        tokio::time::sleep(GATHER).await;
+        let releases = gateway.state.borrow_mut().planning.take_releases();
+        for (_, handles) in releases {
+            let mut by_maker: HashMap<SocketAddr, Vec<Handle>> = HashMap::default();
+            for handle in handles {
+                if let Some(address) = handle.address() {
+                    by_maker.entry(address).or_default().push(handle);
+                }
+            }
+            for (address, handles) in by_maker {
+                tokio::task::spawn_local(async move {
+                    let body = D::write_release(&handles);
+                    // An endpoint that doesn't hear of it drops the results by itself later.
+                    let _ = post::<D>(address, D::RELEASE_PATH, None, body, CONNECT_LIMIT).await;
+                });
+            }
+        }
+    }
+}
+
+async fn run_call<D: Dialect>(gateway: Rc<Gateway<D>>, service: ServiceId, call: BatchCall) {
+    let limit = CALL_LIMIT + Duration::from_secs_f64(call.expected_ms * CALL_FACTOR / 1_000.0);
+    let body = D::write_pieces(&call.pieces);
+    let sent = gateway.now();
+    let endpoint = Some(&call.entry.id);
+    let posted = post::<D>(call.entry.address, D::PIECES_PATH, endpoint, body, limit).await;
+    let end = match posted {
+        Ok((StatusCode::OK, body)) => match D::read_pieces(&body) {
+            Ok(ends) if ends.len() == call.pieces.len() => CallEnd::Answered(ends),
+            Ok(_) | Err(_) => CallEnd::Broken,
+        },
+        Ok((StatusCode::MISDIRECTED_REQUEST, _)) => CallEnd::Replaced,
+        Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => CallEnd::Refused,
+        Ok(_) => CallEnd::Broken,
+        Err(egress::SendError::NotSent(_)) => CallEnd::Refused,
+        Err(egress::SendError::MaybeSent(_) | egress::SendError::Broken(_)) => CallEnd::Broken,
+    };
+    let now = gateway.now();
+    let took_ms = now.millis_since(sent);
+    let outcome = match &end {
+        CallEnd::Answered(_) => "answered",
+        CallEnd::Refused => "refused",
+        CallEnd::Replaced => "replaced",
+        CallEnd::Broken => "broken",
+    };
+    log::info!(
+        call = call.id,
+        service:% = service,
+        endpoint:% = call.entry.id,
+        outcome,
+        took_ms,
+        expected_ms = call.expected_ms;
+        "pieces.ended"
+    );
+    gateway
+        .state
+        .borrow_mut()
+        .planning
+        .call_ended(now, &service, call.id, end);
+    gateway.work.notify_one();
+}
+
+/// Posts a body to an endpoint and reads the whole answer within `limit`.
+async fn post<D: Dialect>(
+    address: SocketAddr,
+    path: &str,
+    endpoint: Option<&EndpointId>,
+    body: Bytes,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), egress::SendError> {
+    let connection = egress::connect(address, CONNECT_LIMIT).await?;
+    let mut headers = HeaderMap::new();
+    if let Some(endpoint) = endpoint {
+        D::write_call(&mut headers, endpoint);
+    }
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = http::Method::POST;
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.headers_mut() = headers;
+    let host = address.to_string();
+    if let Ok(host) = host.parse() {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    request.headers_mut().insert(
+        header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    let exchange = async {
+        let (response, _guard) = connection.send(request).await?;
+        let status = response.status();
+        let collected = Limited::new(response.into_body(), ANSWER_SIZE)
+            .collect()
+            .await;
+        match collected {
+            Ok(body) => Ok((status, body.to_bytes())),
+            Err(error) => Err(egress::SendError::Broken(error.to_string())),
+        }
+    };
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(egress::SendError::Broken("no answer in time".into())),
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/state.rs
@@ -0,0 +1,405 @@
+//! What a forwarding daemon believes, and how it comes to believe it.
+
+use {
+    crate::{
+        gateway::{
+            budget::WindowBudget,
+            catalogue::{Catalogue, EndpointEntry, Learnt},
+            dialect::Dialect,
+            fleet::{Fleet, short_hash},
+            metrics::GatewayMetrics,
+            peer_message::{LoadNote, Phase, QueueNote},
+            peers::{Beliefs, Identity, Peers},
+            relay::Links,
+            settings::GatewaySettings,
+            stage_owner::Planning,
+            table::{Table, Version},
+        },
+        ids::{EndpointId, ServiceId},
+        units::{Millis, Time},
+    },
+    bytes::Bytes,
+    foldhash::HashMap,
+    std::{
+        cell::{Cell, RefCell},
+        marker::PhantomData,
+        rc::Rc,
+        sync::Arc,
+    },
+    tokio::{sync::Notify, time::Instant},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Time after a failed read of the directory during which vanished entries are doubted.
+const OUTAGE: Millis = Millis(1_500);
+
+/// A table together with the bytes it was read from.
+#[derive(Debug)]
+pub struct Published {
+    /// The table.
+    pub table: Table,
+    /// Its bytes, to be passed on to other daemons.
+    pub bytes: Bytes,
+    /// Fingerprint of the bytes.
+    pub fingerprint: u64,
+}
+
+/// How far the directory can be read.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct DirectoryContact {
+    /// Last answer.
+    pub heard: Option<Time>,
+    /// Last failure.
+    pub failed: Option<Time>,
+}
+
+impl DirectoryContact {
+    /// Returns whether entries that vanish now may have lapsed although their endpoints live.
+    fn is_doubtful(&self, now: Time) -> bool {
+        self.failed
+            .is_some_and(|failed| now.since(failed) < OUTAGE.to_duration())
+    }
+
+    /// Returns whether the directory can't be read just now.
+    pub fn is_lost(&self) -> bool {
+        self.failed > self.heard
+    }
+}
+
+/// What a daemon believes.
+#[derive(Debug)]
+pub struct State {
+    /// The table in force.
+    pub published: Option<Rc<Published>>,
+    /// The endpoints there are.
+    pub catalogue: Catalogue,
+    /// The endpoints as they serve.
+    pub fleet: Fleet,
+    /// The other daemons.
+    pub peers: Peers,
+    /// Jobs of services that this daemon plans for.
+    pub planning: Planning,
+    /// How far the directory can be read.
+    pub contact: DirectoryContact,
+    /// Whether a list of endpoints was ever had.
+    pub listed: bool,
+    budgets: HashMap<ServiceId, WindowBudget>,
+}
+
+/// One forwarding daemon.
+#[derive(Debug)]
+pub struct Gateway<D> {
+    /// What it was told at its start.
+    pub settings: GatewaySettings,
+    /// What it believes.
+    pub state: RefCell<State>,
+    /// Links to other daemons.
+    pub links: Links,
+    /// Counters and histograms.
+    pub metrics: GatewayMetrics,
+    /// Whether a stop was asked for.
+    pub stopping: Cell<bool>,
+    /// Requests without a final answer.
+    pub in_flight: Cell<usize>,
+    /// Wakes the planner of stages.
+    pub work: Notify,
+    start: Instant,
+    dialect: PhantomData<D>,
+}
+
+/// What came of a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Adoption {
+    /// It is in force now.
+    Adopted,
+    /// It is the one in force, or an older one.
+    Known,
+    /// It is invalid, or has the version of another one.
+    Refused,
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Starts without any belief.
+    pub fn new(settings: GatewaySettings) -> Rc<Self> {
+        let run = rand::random();
+        let me = Identity {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            address: settings.peer,
+            run,
+        };
+        let peers = Peers::new(me, &settings.seeds);
+        Rc::new(Self {
+            settings,
+            state: RefCell::new(State {
+                published: None,
+                catalogue: Catalogue::default(),
+                fleet: Fleet::default(),
+                peers,
+                planning: Planning::default(),
+                contact: DirectoryContact::default(),
+                listed: false,
+                budgets: HashMap::default(),
+            }),
+            links: Links::default(),
+            metrics: GatewayMetrics::default(),
+            stopping: Cell::new(false),
+            in_flight: Cell::new(0),
+            work: Notify::new(),
+            start: Instant::now(),
+            dialect: PhantomData,
+        })
+    }
+
+    /// Returns the time on the daemon's own clock.
+    pub fn now(&self) -> Time {
+        Time(self.start.elapsed().as_micros() as u64)
+    }
+
+    /// Returns the instant of a time on the daemon's own clock.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.start + time.since(Time::default())
+    }
+
+    /// Returns how far the daemon is.
+    pub fn phase(&self) -> Phase {
+        let state = self.state.borrow();
+        if self.stopping.get() {
+            Phase::Stopping
+        } else if state.published.is_some() && state.listed {
+            Phase::Ready
+        } else {
+            Phase::Starting
+        }
+    }
+
+    /// Returns the table in force.
+    pub fn published(&self) -> Option<Rc<Published>> {
+        self.state.borrow().published.clone()
+    }
+
+    /// Takes in a table from `source` if it is newer than the one in force.
+    pub fn adopt_table(&self, bytes: &Bytes, source: &str) -> Adoption {
+        let fingerprint = xxh3_64(bytes);
+        let current = self.published();
+        if current
+            .as_ref()
+            .is_some_and(|current| current.fingerprint == fingerprint)
+        {
+            return Adoption::Known;
+        }
+        let table = match D::read_table(bytes) {
+            Ok(table) => table,
+            Err(error) => {
+                log::error!(source, error:%; "table.refused");
+                self.metrics.table_refused();
+                return Adoption::Refused;
+            }
+        };
+        let old: Version = current.map_or(0, |current| current.table.version);
+        let version = table.version;
+        if version < old {
+            log::info!(source, version, current = old; "table.older");
+            return Adoption::Known;
+        }
+        if version == old {
+            log::error!(source, version; "table.conflict");
+            self.metrics.table_refused();
+            return Adoption::Refused;
+        }
+        let routes = table.routes().count();
+        let mut state = self.state.borrow_mut();
+        state.planning.set_services(&table);
+        state.published = Some(Rc::new(Published {
+            table,
+            bytes: bytes.clone(),
+            fingerprint,
+        }));
+        drop(state);
+        self.sync_planning();
+        log::info!(source, version, before = old, routes; "table.adopted");
+        Adoption::Adopted
+    }
+
+    /// Takes in one changed entry of the directory.
+    pub fn put_endpoint(&self, entry: EndpointEntry, source: &str) {
+        let mut state = self.state.borrow_mut();
+        let learnt = state.catalogue.put(entry.clone());
+        if state
+            .catalogue
+            .get(&entry.id)
+            .is_some_and(|kept| kept.revision == entry.revision)
+        {
+            state.fleet.put(Arc::new(entry));
+        }
+        drop(state);
+        self.note_learnt(learnt, source);
+    }
+
+    /// Takes in that an entry is gone from the directory.
+    pub fn remove_endpoint(&self, id: &EndpointId) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let doubt = state.contact.is_doubtful(now);
+        let learnt = state.catalogue.remove(now, id, doubt);
+        drop(state);
+        self.note_learnt(learnt, "directory");
+    }
+
+    /// Takes in a whole list of endpoints.
+    pub fn replace_endpoints(&self, revision: u64, list: Vec<EndpointEntry>, source: &str) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let doubt = state.contact.is_doubtful(now);
+        for entry in &list {
+            let newer = state
+                .catalogue
+                .get(&entry.id)
+                .is_none_or(|old| old.revision <= entry.revision);
+            if newer {
+                state.fleet.put(Arc::new(entry.clone()));
+            }
+        }
+        let learnt = state.catalogue.replace(now, revision, list, doubt);
+        state.listed = true;
+        drop(state);
+        for one in learnt {
+            self.note_learnt(Some(one), source);
+        }
+        self.sync_planning();
+    }
+
+    /// Notes that all changes up to a revision were taken in.
+    pub fn reached(&self, revision: u64) {
+        self.state.borrow_mut().catalogue.reached(revision);
+    }
+
+    /// Drops endpoints that were doubted for long enough.
+    pub fn settle_doubts(&self) {
+        let now = self.now();
+        let learnt = self.state.borrow_mut().catalogue.settle(now);
+        for one in learnt {
+            self.note_learnt(Some(one), "doubt over");
+        }
+    }
+
+    fn note_learnt(&self, learnt: Option<Learnt>, source: &str) {
+        let Some(learnt) = learnt else {
+            return;
+        };
+        let (event, entry) = match &learnt {
+            Learnt::Added(entry) => ("endpoint.added", entry),
+            Learnt::Draining(entry) => ("endpoint.draining", entry),
+            Learnt::Gone(entry) => ("endpoint.gone", entry),
+            Learnt::Doubted(entry) => ("endpoint.doubted", entry),
+        };
+        log::info!(
+            endpoint:% = entry.id,
+            service:% = entry.service,
+            address:% = entry.address,
+            revision = entry.revision,
+            source;
+            "{event}"
+        );
+        if let Learnt::Gone(entry) = &learnt {
+            self.state.borrow_mut().fleet.remove(&entry.id);
+        }
+        self.sync_planning();
+    }
+
+    /// Notes that the directory answered.
+    pub fn directory_answered(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let lost = state.contact.is_lost();
+        let failed = state.contact.failed;
+        state.contact.heard = Some(now);
+        drop(state);
+        if lost {
+            let for_ms = failed.map_or(0.0, |failed| now.millis_since(failed));
+            log::info!(for_ms; "directory.regained");
+        }
+    }
+
+    /// Notes that the directory didn't answer.
+    pub fn directory_failed(&self, error: &str) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let lost = state.contact.is_lost();
+        state.contact.failed = Some(now);
+        state.catalogue.extend_doubts(now);
+        drop(state);
+        self.metrics.directory_failed();
+        if !lost {
+            log::warn!(error; "directory.lost");
+        }
+    }
+
+    /// Counts a request for a service.
+    pub fn deposit(&self, service: &ServiceId) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.deposit(now));
+    }
+
+    /// Counts one repeat at a service if the budget has it.
+    pub fn withdraw(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let daemons = self.state.borrow().peers.daemons();
+        self.with_budget(service, |budget| budget.withdraw(now, daemons))
+    }
+
+    fn with_budget<R>(&self, service: &ServiceId, act: impl FnOnce(&mut WindowBudget) -> R) -> R {
+        let limits = self.settings.budget;
+        let mut state = self.state.borrow_mut();
+        let budget = state
+            .budgets
+            .entry(service.clone())
+            .or_insert_with(|| WindowBudget::new(limits, Time::default()));
+        act(budget)
+    }
+
+    /// Tells the planner which endpoints may be called.
+    fn sync_planning(&self) {
+        let limits = self.settings.budget;
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let daemons = state.peers.daemons();
+        state.planning.sync(&state.fleet, limits, daemons);
+        self.work.notify_one();
+    }
+
+    /// Returns what this daemon tells others of itself.
+    pub fn beliefs(&self) -> Beliefs {
+        let now = self.now();
+        let phase = self.phase();
+        let state = self.state.borrow();
+        let published = state.published.as_ref();
+        let loads = state
+            .fleet
+            .members()
+            .filter(|member| member.running > 0)
+            .map(|member| {
+                let running = member.running.min(u32::from(u16::MAX)) as u16;
+                LoadNote(short_hash(&member.entry.id), running, member.prefill as u32)
+            })
+            .collect();
+        let queues = state
+            .planning
+            .expected(now)
+            .map(|(service, ms)| QueueNote(short_hash_of(service), ms as u32))
+            .collect();
+        Beliefs {
+            phase,
+            table: published.map_or(0, |published| published.table.version),
+            fingerprint: published.map_or(0, |published| published.fingerprint),
+            catalogue: state.catalogue.revision(),
+            loads,
+            queues,
+        }
+    }
+}
+
+/// Returns a short name of a service for messages between daemons.
+pub fn short_hash_of(service: &ServiceId) -> u32 {
+    xxh3_64(service.as_str().as_bytes()) as u32
+}
--- /dev/null
+++ b/lib/src/gateway/table.rs
@@ -0,0 +1,236 @@
+//! The routes, services and customers in force: one immutable value for each version.
+
+use {
+    crate::{
+        ids::{CustomerId, ServiceId},
+        units::{ByteSize, Millis},
+    },
+    foldhash::HashMap,
+    std::sync::Arc,
+};
+
+/// Numbers the published versions of a table; a later one is greater.
+pub type Version = u64;
+
+/// What may be repeated of a route's requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// A request may run more than once.
+    Repeatable,
+    /// A request runs at most once.
+    Guarded,
+    /// The answer is a stream of events; it runs at most once unless it can be resumed.
+    Stream {
+        /// Whether another endpoint can take a broken stream up.
+        resumable: bool,
+        /// Longest pause between two events of an answer that is in time.
+        gap: Millis,
+    },
+}
+
+impl RouteKind {
+    /// Returns whether a request may be sent again although it may have run.
+    pub fn is_repeatable(self) -> bool {
+        match self {
+            RouteKind::Repeatable => true,
+            RouteKind::Guarded => false,
+            RouteKind::Stream { resumable, .. } => resumable,
+        }
+    }
+
+    /// Returns whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, RouteKind::Stream { .. })
+    }
+}
+
+/// A service that may take a route's requests, and its share of them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Backend {
+    /// The service.
+    pub service: ServiceId,
+    /// Its share, relative to the other backends of the route.
+    pub weight: f64,
+}
+
+/// Work that must be finished before a route's request can run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteStage {
+    /// Service that does it.
+    pub service: ServiceId,
+    /// Stages whose results it needs, by their places.
+    pub after: Vec<usize>,
+    /// Usual size of one result.
+    pub result: ByteSize,
+}
+
+/// Where requests of one host and path go, and within which limits.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Its name, for logs.
+    pub name: Arc<str>,
+    /// Host that callers name, in lower case.
+    pub host: Arc<str>,
+    /// Beginning of the paths it takes, with a slash at both ends.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time a request is held.
+    pub timeout: Millis,
+    /// Time within which an answer is worth most.
+    pub objective: Millis,
+    /// Rank; 0 goes first.
+    pub rank: u32,
+    /// Services that take its requests.
+    pub backends: Vec<Backend>,
+    /// Most endpoints that one request may be sent to.
+    pub attempts: u32,
+    /// Work before the request.
+    pub stages: Vec<RouteStage>,
+    /// Whether requests need no key.
+    pub public: bool,
+    /// Whether endpoints that hold the beginning of a prompt are preferred.
+    pub affinity: bool,
+}
+
+/// How endpoints of a service run pieces of a stage.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BatchLimits {
+    /// Calls that an endpoint works on at the same time.
+    pub slots: usize,
+    /// Most pieces in one call.
+    pub pieces: usize,
+    /// Time of a call apart from its pieces, in milliseconds.
+    pub call_ms: f64,
+    /// Time of one piece, in milliseconds.
+    pub piece_ms: f64,
+    /// Room that an endpoint has for results.
+    pub room: ByteSize,
+    /// Time after which an endpoint drops a result by itself.
+    pub keep: Millis,
+}
+
+/// What is known of a service from the table.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceEntry {
+    /// Its name.
+    pub id: ServiceId,
+    /// Most connections that one endpoint accepts from all callers together.
+    pub connections: usize,
+    /// Whether its endpoints generate text in batches and cache beginnings of prompts.
+    pub engine: bool,
+    /// Set for a service that runs pieces of stages.
+    pub batch: Option<BatchLimits>,
+}
+
+/// A customer, as its keys identify it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CustomerEntry {
+    /// Its name.
+    pub id: CustomerId,
+    /// Rank; goes before that of the route, and 0 goes first.
+    pub rank: u32,
+}
+
+/// Limits on what a caller may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IngressLimits {
+    /// Largest head.
+    pub head: ByteSize,
+    /// Largest body.
+    pub body: ByteSize,
+    /// Longest time for a head to arrive.
+    pub head_time: Millis,
+    /// Longest time that a connection may rest between two requests.
+    pub idle: Millis,
+}
+
+/// Everything published under one version.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    /// The version.
+    pub version: Version,
+    /// Routes by host, those with longer prefixes first.
+    hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    services: HashMap<ServiceId, Arc<ServiceEntry>>,
+    /// Customers by key; nothing if requests need none at all.
+    customers: Option<HashMap<Arc<str>, Arc<CustomerEntry>>>,
+    limits: Option<IngressLimits>,
+}
+
+impl Table {
+    /// Builds a table from checked parts.
+    pub fn new(
+        version: Version,
+        routes: Vec<Route>,
+        services: Vec<ServiceEntry>,
+        customers: Option<Vec<(Arc<str>, Arc<CustomerEntry>)>>,
+        limits: IngressLimits,
+    ) -> Self {
+        let mut hosts: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::default();
+        for route in routes {
+            hosts
+                .entry(route.host.clone())
+                .or_default()
+                .push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self {
+            version,
+            hosts,
+            services: services
+                .into_iter()
+                .map(|service| (service.id.clone(), Arc::new(service)))
+                .collect(),
+            customers: customers.map(|customers| customers.into_iter().collect()),
+            limits: Some(limits),
+        }
+    }
+
+    /// Finds the route of a host and path: the one with the longest prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host_name(host).to_ascii_lowercase();
+        let routes = self.hosts.get(name.as_str())?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
+    /// Returns a service.
+    pub fn service(&self, id: &ServiceId) -> Option<&Arc<ServiceEntry>> {
+        self.services.get(id)
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceEntry>> {
+        self.services.values()
+    }
+
+    /// Returns whether requests need keys at all.
+    pub fn needs_keys(&self) -> bool {
+        self.customers.is_some()
+    }
+
+    /// Finds the customer that holds a key.
+    pub fn customer(&self, key: &str) -> Option<&Arc<CustomerEntry>> {
+        self.customers.as_ref()?.get(key)
+    }
+
+    /// Returns the limits on callers; nothing before the first version.
+    pub fn limits(&self) -> Option<&IngressLimits> {
+        self.limits.as_ref()
+    }
+}
+
+/// Takes the port off a host.
+fn host_name(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- a/lib/src/problem.rs
+++ b/lib/src/problem.rs
@@ -63,6 +63,8 @@
 codes! {
     /// The body, a header or the path can't be understood.
     BadRequest = "bad_request", 400;
+    /// The request carries no key that any customer holds.
+    Unauthorized = "unauthorized", 401;
     /// No such resource.
     NotFound = "not_found", 404;
     /// The customer isn't in the settings tree.
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -106,7 +106,7 @@
         None = "none",
         /// The endpoint checks the idempotency key itself.
         Endpoint = "endpoint",
-        /// The daemons claim the key among themselves before the call is sent.
+        /// All daemons together; none can give it, so that such calls are refused.
         Fleet = "fleet",
     }
 }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -3,7 +3,6 @@
 //! They speak the protocols of `docs/PROTOCOLS.md` on loopback, take time as real ones do, and
 //! misbehave on request. Tests and the bench share them.
 
-pub mod claim_run;
 pub mod collector;
 pub mod config_service;
 pub mod core_run;
