stage planner: pass over an endpoint without room only shortly

Cause: a result without room made the planner count half of the endpoint's room as taken for as long as results are kept (4 s), so that calls were at a third of their size while a thousand pieces waited. Ruled out: too few calls (endpoints were busy all the time), order of jobs.

Conclusion: room itself bounds the calls now; results are held too long.

--- a/lib/src/gateway/stage_batch.rs
+++ b/lib/src/gateway/stage_batch.rs
@@ -15,7 +15,7 @@
             table::BatchLimits,
         },
         ids::EndpointId,
-        units::{ByteSize, Millis, Time},
+        units::{Millis, Time},
     },
     foldhash::HashMap,
     std::{collections::BTreeMap, sync::Arc},
@@ -40,6 +40,9 @@
 /// Time for which an endpoint is passed over after it refused, broke off or wasn't reached.
 const PASSED_OVER: Millis = Millis(300);
 
+/// Time for which an endpoint without room for a result is passed over.
+const FULL_PASSED_OVER: Millis = Millis(60);
+
 /// One call of one endpoint.
 #[derive(Debug, Clone)]
 pub struct BatchCall {
@@ -471,11 +474,8 @@
             PieceEnd::InputGone => self.end(id, JobEnd::InputsGone),
             PieceEnd::NoRoom => {
                 if let Some(worker) = self.workers.get_mut(endpoint) {
-                    let size = self.limits.room;
-                    // It has less room than was believed; it gets time to clear.
-                    let handle = Handle(format!("full/{endpoint}").into());
-                    let half = ByteSize(size.0 / 2);
-                    worker.kept.insert(handle, (half, until));
+                    // It has less room than was believed, and gets time to clear.
+                    worker.passed_over_until = now + FULL_PASSED_OVER;
                 }
                 self.put_back(now, &[(id, piece)], true);
             }
--- a/lib/src/gateway/stage_owner.rs
+++ b/lib/src/gateway/stage_owner.rs
@@ -37,7 +37,7 @@
 const LOOK: Duration = Duration::from_millis(25);
 
 /// Time for which results that are no longer needed are gathered before they are told.
-const GATHER: Duration = Duration::from_millis(60);
+const GATHER: Duration = Duration::from_millis(15);
 
 /// The queues of the services whose endpoints run pieces.
 #[derive(Debug, Default)]
