stage planner: give inputs up once a call has fetched them

Cause: results were kept until the stage after had ended (about 500 ms), and room for results bounded the calls of the largest stage. Ruled out: late release (gathered for 15 ms only).

--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -13,6 +13,7 @@
     foldhash::HashMap,
     std::{
         hash::{BuildHasher, Hash},
+        net::SocketAddr,
         sync::Arc,
     },
     xxhash_rust::xxh3::xxh3_64,
@@ -239,6 +240,14 @@
         self.members.get(id)
     }
 
+    /// Returns the service of the endpoint at an address.
+    pub fn service_at(&self, address: SocketAddr) -> Option<&ServiceId> {
+        self.members
+            .values()
+            .find(|member| member.entry.address == address)
+            .map(|member| &member.entry.service)
+    }
+
     /// Chooses the endpoint where a request is expected to be served first.
     pub fn choose(
         &self,
--- a/lib/src/gateway/stage_batch.rs
+++ b/lib/src/gateway/stage_batch.rs
@@ -10,7 +10,7 @@
         gateway::{
             budget::WindowBudget,
             catalogue::EndpointEntry,
-            stage_job::{Handle, Job, JobEnd, JobId, PieceEnd, PieceTask},
+            stage_job::{Handle, Job, JobEnd, JobId, PieceEnd, PieceInput, PieceTask},
             stage_worker::Worker,
             table::BatchLimits,
         },
@@ -40,6 +40,9 @@
 /// Time for which an endpoint is passed over after it refused, broke off or wasn't reached.
 const PASSED_OVER: Millis = Millis(300);
 
+/// Time within which an endpoint has fetched the inputs of a call.
+const FETCH: Millis = Millis(100);
+
 /// Time for which an endpoint without room for a result is passed over.
 const FULL_PASSED_OVER: Millis = Millis(60);
 
@@ -83,6 +86,10 @@
 #[derive(Debug)]
 struct JobState {
     job: Job,
+    /// When its last piece was sent.
+    last_sent: Time,
+    /// Whether its inputs were given up.
+    fetched: bool,
     pieces: Vec<PieceState>,
     tries: Vec<u32>,
     waiting: usize,
@@ -131,6 +138,8 @@
     ended: Vec<(JobId, JobEnd)>,
     /// Results that nobody waits for any more.
     surplus: Vec<Handle>,
+    /// Inputs that the endpoints have fetched.
+    fetched: Vec<Handle>,
 }
 
 impl BatchQueue {
@@ -146,6 +155,7 @@
             next_call: 0,
             ended: Vec::new(),
             surplus: Vec::new(),
+            fetched: Vec::new(),
         }
     }
 
@@ -179,6 +189,8 @@
         let pieces = job.pieces as usize;
         let state = JobState {
             job,
+            last_sent: now,
+            fetched: false,
             pieces: vec![PieceState::Waiting; pieces],
             tries: vec![0; pieces],
             waiting: pieces,
@@ -297,6 +309,22 @@
         std::mem::take(&mut self.surplus)
     }
 
+    /// Returns the inputs that aren't needed any more since the last call: an endpoint fetches them
+    /// when it begins a call, so that their makers needn't keep them until its end. A piece that
+    /// has to be made again then finds them gone, and its request's stages start over.
+    pub fn take_fetched(&mut self, now: Time) -> Vec<Handle> {
+        for state in self.jobs.values_mut() {
+            let begun = state.waiting == 0 && now.since(state.last_sent) >= FETCH.to_duration();
+            if begun && !state.fetched
+                && let PieceInput::Results(handles) = &state.job.input
+            {
+                state.fetched = true;
+                self.fetched.extend(handles.iter().cloned());
+            }
+        }
+        std::mem::take(&mut self.fetched)
+    }
+
     /// Returns endpoints that may take a call, the fastest first.
     fn free_workers(&self, now: Time) -> Vec<EndpointId> {
         let any_sound = self.sound_workers(now) > 0;
@@ -353,6 +381,7 @@
                 state.waiting -= 1;
                 repeated += usize::from(state.tries[piece] > 0);
                 state.tries[piece] += 1;
+                state.last_sent = now;
                 chosen.push((id, piece));
                 tasks.push(task(now, &state.job, piece));
             }
--- a/lib/src/gateway/stage_owner.rs
+++ b/lib/src/gateway/stage_owner.rs
@@ -7,6 +7,7 @@
             dialect::Dialect,
             egress,
             fleet::Fleet,
+            relay,
             stage_batch::{BatchCall, BatchQueue, CallEnd},
             stage_job::{Handle, Job, JobEnd, JobId},
             state::Gateway,
@@ -157,6 +158,14 @@
         }
     }
 
+    /// Returns inputs that endpoints have fetched and that can be given up.
+    fn take_fetched(&mut self, now: Time) -> Vec<Handle> {
+        self.queues
+            .values_mut()
+            .flat_map(|queue| queue.take_fetched(now))
+            .collect()
+    }
+
     fn call_ended(&mut self, now: Time, service: &ServiceId, id: u64, end: CallEnd) {
         if let Some(queue) = self.queues.get_mut(service) {
             queue.call_ended(now, id, end);
@@ -207,6 +216,24 @@
         end
     }
 
+    /// Gives up inputs that endpoints have fetched.
+    fn release_fetched(&self) {
+        let now = self.now();
+        let fetched = self.state.borrow_mut().planning.take_fetched(now);
+        let mut by_service: BTreeMap<ServiceId, Vec<Handle>> = BTreeMap::new();
+        let state = self.state.borrow();
+        for handle in fetched {
+            let maker = handle.address().and_then(|at| state.fleet.service_at(at));
+            if let Some(service) = maker {
+                by_service.entry(service.clone()).or_default().push(handle);
+            }
+        }
+        drop(state);
+        for (service, handles) in by_service {
+            relay::release(self, &service, handles);
+        }
+    }
+
     fn start_calls(self: &Rc<Self>) {
         let now = self.now();
         let calls = self.state.borrow_mut().planning.plan(now);
@@ -250,6 +277,7 @@
             gateway.work.notified().await;
         }
         gateway.start_calls();
+        gateway.release_fetched();
     }
 }
 
