fleet: send shared parts of prompts where all daemons agree

Rendezvous hashing on the deepest shared part names one endpoint; a shared token that has to be read again costs 0.06 ms beside its time.

--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -31,8 +31,9 @@
 /// Most parts remembered for one endpoint.
 const PARTS_KNOWN: usize = 4_096;
 
-/// Share of the saving that is expected where daemons agree to send a part without knowing of it.
-const AGREED_SAVING: f64 = 0.5;
+/// Cost of each shared token of a prompt that has to be read again, beside the time it takes.
+/// Reading it is a price of its own, and it displaces what others may still want.
+const SHARED_TOKEN_MS: f64 = 0.06;
 
 /// Cost of a call into another data centre, and of each megabyte of inputs from one.
 const HOP_MS: f64 = 1.0;
@@ -410,16 +411,27 @@
     } else {
         0
     };
-    let uncached = total.saturating_sub(cached);
-    let mut work = f64::from(uncached);
-    if cached == 0 && demand.affinity && agreed == Some(&member.entry.id) {
-        let shared: u32 = demand.prompt.parts.iter().map(|part| part.tokens).sum();
-        work -= f64::from(shared.min(total)) * AGREED_SAVING;
-    }
-    let waiting = member.prefill + member.peers.prefill + work.max(0.0);
+    // All daemons send a part to the same endpoint where they can, so that it is probably there
+    // although this daemon didn't send it.
+    let agreed = demand.affinity && agreed == Some(&member.entry.id);
+    let shared = shared_tokens(demand.prompt).min(total);
+    let held = if agreed { cached.max(shared) } else { cached };
+    let uncached = total.saturating_sub(held);
+    let missing = if demand.affinity {
+        f64::from(shared.saturating_sub(held)) * SHARED_TOKEN_MS
+    } else {
+        0.0
+    };
+    let waiting = member.prefill + member.peers.prefill + f64::from(uncached);
     let overfull = (outstanding + 1.0 - slots).max(0.0) * 100.0;
     let ms = waiting / TOKENS_PER_MS + outstanding * RUNNING_MS + overfull;
-    (ms * member.pace(now), uncached)
+    (ms * member.pace(now) + missing, uncached)
+}
+
+/// Returns the tokens of a prompt that other requests may share: all but its last part.
+fn shared_tokens(prompt: &Prompt) -> u32 {
+    let parts = prompt.parts.len().saturating_sub(1);
+    prompt.parts[..parts].iter().map(|part| part.tokens).sum()
 }
 
 fn distance_ms(member: &Member, here: &DataCentreId, demand: &Demand<'_>) -> f64 {
