--- a/lib/src/gateway/stage_owner.rs
+++ b/lib/src/gateway/stage_owner.rs
@@ -114,13 +114,17 @@
 
     /// Notes results that are no longer needed.
     pub fn release(&mut self, service: &ServiceId, handles: Vec<Handle>) {
-        if let Some(queue) = self.queues.get_mut(service) {
-            queue.released(&handles);
-        }
         let gathered = self.releases.entry(service.clone()).or_default();
         gathered.extend(handles);
     }
 
+    /// Notes that an endpoint dropped results, so that it has room again.
+    fn released(&mut self, service: &ServiceId, handles: &[Handle]) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.released(handles);
+        }
+    }
+
     fn plan(&mut self, now: Time) -> Vec<(ServiceId, BatchCall)> {
         let mut calls = Vec::new();
         for (service, queue) in &mut self.queues {
@@ -148,7 +152,6 @@
                 }
             }
             let surplus = queue.take_surplus();
-            queue.released(&surplus);
             if !surplus.is_empty() {
                 self.releases
                     .entry(service.clone())
@@ -286,7 +289,7 @@
     loop {
         tokio::time::sleep(GATHER).await;
         let releases = gateway.state.borrow_mut().planning.take_releases();
-        for (_, handles) in releases {
+        for (service, handles) in releases {
             let mut by_maker: HashMap<SocketAddr, Vec<Handle>> = HashMap::default();
             for handle in handles {
                 if let Some(address) = handle.address() {
@@ -294,16 +297,35 @@
                 }
             }
             for (address, handles) in by_maker {
+                let gateway = gateway.clone();
+                let service = service.clone();
                 tokio::task::spawn_local(async move {
-                    let body = D::write_release(&handles);
-                    // An endpoint that doesn't hear of it drops the results by itself later.
-                    let _ = post::<D>(address, D::RELEASE_PATH, None, body, CONNECT_LIMIT).await;
+                    tell_release(&gateway, &service, address, &handles).await;
                 });
             }
         }
     }
 }
 
+/// Tells one endpoint; one that doesn't hear of it drops the results by itself later.
+async fn tell_release<D: Dialect>(
+    gateway: &Gateway<D>,
+    service: &ServiceId,
+    address: SocketAddr,
+    handles: &[Handle],
+) {
+    let body = D::write_release(handles);
+    let told = post::<D>(address, D::RELEASE_PATH, None, body, CONNECT_LIMIT).await;
+    if matches!(told, Ok((StatusCode::OK, _))) {
+        gateway
+            .state
+            .borrow_mut()
+            .planning
+            .released(service, handles);
+        gateway.work.notify_one();
+    }
+}
+
 async fn run_call<D: Dialect>(gateway: Rc<Gateway<D>>, service: ServiceId, call: BatchCall) {
     let limit = CALL_LIMIT + Duration::from_secs_f64(call.expected_ms * CALL_FACTOR / 1_000.0);
     let body = D::write_pieces(&call.pieces);
