admission: refuse at once what can't be made in time

Daemons now tell what they have taken on; a request is refused at once, with when to come back, if its stages would end past its objective.

--- a/lib/src/gateway/forward.rs
+++ b/lib/src/gateway/forward.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         gateway::{
+            admission::Verdict,
             dialect::{Dialect, Inbound, Outbound},
             egress::{self, ConnectionGuard, SendError},
             fleet::{Choice, Demand, Ending, weighted},
@@ -13,6 +14,7 @@
             stage_chain::{self, ChainError, ChainRequest, Results},
             state::{Gateway, Published},
             table::{CustomerEntry, Route, RouteKind},
+            workload,
         },
         ids::{EndpointId, ServiceId},
         problem::{Code, Outcome, Problem},
@@ -48,6 +50,11 @@
 /// Waiting time for the head of a stream that can be resumed.
 const STREAM_PATIENCE: Duration = Duration::from_millis(2_500);
 
+/// Time that callers of a stream wait for its first event: the longest of these.
+const LEAST_WAIT: Millis = Millis(2_000);
+const WAIT_OBJECTIVES: u64 = 4;
+const WAIT_GAPS: u64 = 8;
+
 /// Time that is expected of a caller that names none.
 const DEFAULT_TIME: Millis = Millis(30_000);
 
@@ -69,6 +76,18 @@
         &self.inbound.id
     }
 
+    /// Returns when a caller of a stream gives up before its first event.
+    fn give_up(&self) -> Time {
+        let RouteKind::Stream { gap, .. } = self.route.kind else {
+            return self.deadline;
+        };
+        let longest = LEAST_WAIT
+            .0
+            .max(self.route.objective.0 * WAIT_OBJECTIVES)
+            .max(gap.0 * WAIT_GAPS);
+        self.arrived + Millis(longest)
+    }
+
     pub(crate) fn remaining(&self, now: Time) -> Millis {
         Millis(self.deadline.since(now).as_millis() as u64)
     }
@@ -434,6 +453,7 @@
     progress: &mut Progress,
     in_flight: InFlight<D>,
 ) -> Result<Response<ReplyBody>, Problem> {
+    check_admission(gateway, call)?;
     let mut results = run_stages(gateway, call).await?;
     loop {
         let Some(choice) = choose(gateway, call, progress, results.as_ref()) else {
@@ -496,6 +516,26 @@
     }
 }
 
+/// Refuses a request at once whose stages can't be made in time.
+fn check_admission<D: Dialect>(gateway: &Gateway<D>, call: &Call) -> Result<(), Problem> {
+    if call.route.stages.is_empty() || call.inbound.pieces.iter().all(|count| *count == 0) {
+        return Ok(());
+    }
+    match workload::admit(gateway, &call.route, &call.inbound) {
+        Verdict::Take(expected_ms) => {
+            log::info!(request = call.id(), expected_ms, objective_ms = call.route.objective.0; "request.admitted");
+            Ok(())
+        }
+        Verdict::Refuse {
+            expected_ms,
+            retry_after,
+        } => {
+            let detail = format!("the stages would take about {expected_ms:.0} ms");
+            Err(Problem::not_run(Code::NoTime, detail).retry_after(retry_after))
+        }
+    }
+}
+
 /// Runs the stages before the request, if there are any.
 pub(crate) async fn run_stages<D: Dialect>(
     gateway: &Rc<Gateway<D>>,
@@ -508,7 +548,7 @@
     let request = ChainRequest::new(
         &call.inbound,
         &call.route,
-        call.deadline,
+        call.deadline.min(call.give_up()),
         objective,
         call.urgency,
     );
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! [`Dialect`](dialect::Dialect) how requests and replies are spelled. Everything that decides is
 //! here; an installation brings only those three translations.
 
+pub mod admission;
 pub mod budget;
 pub mod catalogue;
 pub mod dialect;
@@ -33,3 +34,4 @@
 mod stage_worker;
 pub mod state;
 pub mod table;
+pub mod workload;
--- a/lib/src/gateway/peer_message.rs
+++ b/lib/src/gateway/peer_message.rs
@@ -64,12 +64,21 @@
     pub u32,
 );
 
-/// Expected time of a stage at the daemon that plans for its service.
+/// What the daemon that plans for a service knows of its endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueueNote(
     /// Short name of the service.
     pub u32,
-    /// Expected time of a job of one piece, in milliseconds.
+    /// Endpoints that take calls and are about as fast as usual.
+    pub u32,
+);
+
+/// Pieces that a daemon has taken on and that aren't made yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkNote(
+    /// Short name of the service.
+    pub u32,
+    /// The pieces.
     pub u32,
 );
 
@@ -115,6 +124,9 @@
     /// What it plans.
     #[serde(rename = "q")]
     pub queues: Vec<QueueNote>,
+    /// What it has taken on.
+    #[serde(rename = "w")]
+    pub work: Vec<WorkNote>,
 }
 
 /// A job handed to the daemon that plans for its service; times are relative.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -8,7 +8,7 @@
     crate::{
         gateway::{
             fleet::PeerLoad,
-            peer_message::{Heartbeat, LoadNote, PROTOCOL, PeerNote, Phase, QueueNote},
+            peer_message::{Heartbeat, LoadNote, PROTOCOL, PeerNote, Phase, QueueNote, WorkNote},
             table::Version,
         },
         ids::{DataCentreId, HostId, ServiceId},
@@ -51,6 +51,8 @@
     pub loads: Vec<LoadNote>,
     /// What it plans.
     pub queues: Vec<QueueNote>,
+    /// What it has taken on.
+    pub work: Vec<WorkNote>,
 }
 
 /// Who this daemon is.
@@ -162,6 +164,7 @@
             peers,
             loads,
             queues: beliefs.queues,
+            work: beliefs.work,
         };
         (heartbeat, targets)
     }
@@ -288,10 +291,21 @@
         sums
     }
 
-    /// Returns what a daemon says of the queue of a service.
-    pub fn queue_ms(&self, planner: SocketAddr, service: u32) -> Option<f64> {
-        let (_, heartbeat) = self.known.get(&planner)?.heard.as_ref()?;
-        let note = heartbeat.queues.iter().find(|note| note.0 == service)?;
-        Some(f64::from(note.1))
+    /// Returns the endpoints of a service that take calls, as the daemon says that plans for it.
+    pub fn sound_endpoints(&self, service: u32) -> Option<usize> {
+        let notes = self.alive().flat_map(|heartbeat| &heartbeat.queues);
+        notes
+            .filter(|note| note.0 == service)
+            .map(|note| note.1 as usize)
+            .max()
+    }
+
+    /// Returns the pieces of a service that other daemons have taken on.
+    pub fn outstanding(&self, service: u32) -> u32 {
+        let notes = self.alive().flat_map(|heartbeat| &heartbeat.work);
+        notes
+            .filter(|note| note.0 == service)
+            .map(|note| note.1)
+            .fold(0, u32::saturating_add)
     }
 }
--- a/lib/src/gateway/stage_batch.rs
+++ b/lib/src/gateway/stage_batch.rs
@@ -224,22 +224,8 @@
         self.jobs.len()
     }
 
-    /// Estimates the time from now to the end of a job of `pieces` that is added now.
-    pub fn expected_ms(&self, now: Time, pieces: usize) -> f64 {
-        let sound = self.sound_workers(now).max(1) as f64;
-        let full = self.full_call_ms();
-        let waiting = self.waiting() as f64;
-        let calls_ahead = waiting / self.limits.pieces.max(1) as f64;
-        let busy = self.calls.len() as f64 / sound;
-        let own = self.limits.call_ms + self.limits.piece_ms * pieces as f64;
-        own + full * (calls_ahead / sound) + 0.5 * busy.min(1.0) * full / sound
-    }
-
-    fn full_call_ms(&self) -> f64 {
-        self.limits.call_ms + self.limits.piece_ms * self.limits.pieces as f64
-    }
-
-    fn sound_workers(&self, now: Time) -> usize {
+    /// Returns the number of endpoints that take calls and are about as fast as usual.
+    pub fn sound_workers(&self, now: Time) -> usize {
         self.workers
             .values()
             .filter(|worker| worker.is_ready(now) && worker.pace(now) < SLOW_PACE)
@@ -315,7 +301,8 @@
     pub fn take_fetched(&mut self, now: Time) -> Vec<Handle> {
         for state in self.jobs.values_mut() {
             let begun = state.waiting == 0 && now.since(state.last_sent) >= FETCH.to_duration();
-            if begun && !state.fetched
+            if begun
+                && !state.fetched
                 && let PieceInput::Results(handles) = &state.job.input
             {
                 state.fetched = true;
--- a/lib/src/gateway/stage_chain.rs
+++ b/lib/src/gateway/stage_chain.rs
@@ -10,6 +10,7 @@
             stage_job::{Handle, Job, JobEnd, PieceInput},
             state::Gateway,
             table::{Route, RouteStage},
+            workload::WorkClaim,
         },
         ids::{DataCentreId, ServiceId},
         units::{ByteSize, Millis, Time},
@@ -174,6 +175,7 @@
     request: &ChainRequest,
 ) -> Result<Results<D>, ChainError> {
     let mut results = Results::new(gateway.clone(), &request.route);
+    let mut claim = WorkClaim::new(gateway, &request.route, &request.pieces);
     let stages = &request.route.stages;
     let mut begun = vec![false; stages.len()];
     let mut remakes = 0;
@@ -202,6 +204,7 @@
         };
         match end {
             JobEnd::Made(handles) => {
+                claim.settle(stage);
                 results.stages[stage].1 = Some(handles);
                 release_used(request, &mut results);
             }
@@ -214,6 +217,7 @@
                 running = FuturesUnordered::new();
                 begun.fill(false);
                 results.release_all();
+                claim = WorkClaim::new(gateway, &request.route, &request.pieces);
             }
             JobEnd::InputsGone => return Err(ChainError::Failed),
         }
--- a/lib/src/gateway/stage_owner.rs
+++ b/lib/src/gateway/stage_owner.rs
@@ -79,12 +79,18 @@
         }
     }
 
-    /// Returns the expected time of a job of one piece for each service with jobs in hand.
-    pub fn expected(&self, now: Time) -> impl Iterator<Item = (&ServiceId, f64)> {
+    /// Returns the services with jobs in hand, and their endpoints that take calls.
+    pub fn busy(&self, now: Time) -> impl Iterator<Item = (&ServiceId, usize)> {
         self.queues
             .iter()
             .filter(|(_, queue)| queue.jobs() > 0)
-            .map(move |(id, queue)| (id, queue.expected_ms(now, 1)))
+            .map(move |(id, queue)| (id, queue.sound_workers(now)))
+    }
+
+    /// Returns the endpoints of a service that take calls, if this daemon has jobs for it in hand.
+    pub fn sound_endpoints(&self, now: Time, service: &ServiceId) -> Option<usize> {
+        let queue = self.queues.get(service)?;
+        (queue.jobs() > 0).then(|| queue.sound_workers(now))
     }
 
     /// Returns the number of jobs in hand.
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -14,6 +14,7 @@
             settings::GatewaySettings,
             stage_owner::Planning,
             table::{Table, Version},
+            workload::Workload,
         },
         ids::{EndpointId, ServiceId},
         units::{Millis, Time},
@@ -83,6 +84,8 @@
     pub contact: DirectoryContact,
     /// Whether a list of endpoints was ever had.
     pub listed: bool,
+    /// What this daemon has taken on.
+    pub workload: Workload,
     budgets: HashMap<ServiceId, WindowBudget>,
 }
 
@@ -139,6 +142,7 @@
                 planning: Planning::default(),
                 contact: DirectoryContact::default(),
                 listed: false,
+                workload: Workload::default(),
                 budgets: HashMap::default(),
             }),
             links: Links::default(),
@@ -385,8 +389,8 @@
             .collect();
         let queues = state
             .planning
-            .expected(now)
-            .map(|(service, ms)| QueueNote(short_hash_of(service), ms as u32))
+            .busy(now)
+            .map(|(service, endpoints)| QueueNote(short_hash_of(service), endpoints as u32))
             .collect();
         Beliefs {
             phase,
@@ -395,6 +399,7 @@
             catalogue: state.catalogue.revision(),
             loads,
             queues,
+            work: state.workload.notes(),
         }
     }
 }
