stage planner: early release only where room is short; repeats wait for the budget

Cause: inputs were given up early everywhere, so that any failed piece started its request over; and pieces that the budget of repeats didn't cover yet ended their request. Now the planner tells in heartbeats that its endpoints are short of room, and a repeat waits in the queue until the budget has it.

--- a/lib/src/gateway/peer_message.rs
+++ b/lib/src/gateway/peer_message.rs
@@ -71,6 +71,8 @@
     pub u32,
     /// Endpoints that take calls and are about as fast as usual.
     pub u32,
+    /// Whether they are short of room for results.
+    pub bool,
 );
 
 /// Pieces that a daemon has taken on and that aren't made yet.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -300,6 +300,12 @@
             .max()
     }
 
+    /// Returns whether the endpoints of a service are short of room for results, as others say.
+    pub fn is_short_of_room(&self, service: u32) -> bool {
+        let mut notes = self.alive().flat_map(|heartbeat| &heartbeat.queues);
+        notes.any(|note| note.0 == service && note.2)
+    }
+
     /// Returns the pieces of a service that other daemons have taken on.
     pub fn outstanding(&self, service: u32) -> u32 {
         let notes = self.alive().flat_map(|heartbeat| &heartbeat.work);
--- a/lib/src/gateway/stage_batch.rs
+++ b/lib/src/gateway/stage_batch.rs
@@ -40,6 +40,9 @@
 /// Time for which an endpoint is passed over after it refused, broke off or wasn't reached.
 const PASSED_OVER: Millis = Millis(300);
 
+/// Time for which a lack of room counts.
+const SHORTAGE: Millis = Millis(1_000);
+
 /// Time within which an endpoint has fetched the inputs of a call.
 const FETCH: Millis = Millis(100);
 
@@ -138,8 +141,8 @@
     ended: Vec<(JobId, JobEnd)>,
     /// Results that nobody waits for any more.
     surplus: Vec<Handle>,
-    /// Inputs that the endpoints have fetched.
-    fetched: Vec<Handle>,
+    /// When a call was last kept small for lack of room for results.
+    short_of_room: Option<Time>,
 }
 
 impl BatchQueue {
@@ -155,7 +158,7 @@
             next_call: 0,
             ended: Vec::new(),
             surplus: Vec::new(),
-            fetched: Vec::new(),
+            short_of_room: None,
         }
     }
 
@@ -280,8 +283,8 @@
                     self.piece_ended(now, (*job, *piece), end, &call.endpoint, until);
                 }
             }
-            CallEnd::Refused | CallEnd::Replaced => self.put_back(now, &call.pieces, true),
-            CallEnd::Broken => self.put_back(now, &call.pieces, false),
+            CallEnd::Refused | CallEnd::Replaced => self.put_back(&call.pieces, true),
+            CallEnd::Broken => self.put_back(&call.pieces, false),
         }
     }
 
@@ -295,21 +298,30 @@
         std::mem::take(&mut self.surplus)
     }
 
-    /// Returns the inputs that aren't needed any more since the last call: an endpoint fetches them
-    /// when it begins a call, so that their makers needn't keep them until its end. A piece that
-    /// has to be made again then finds them gone, and its request's stages start over.
-    pub fn take_fetched(&mut self, now: Time) -> Vec<Handle> {
+    /// Returns whether calls were kept small lately because endpoints had no room for results.
+    pub fn is_short_of_room(&self, now: Time) -> bool {
+        self.short_of_room
+            .is_some_and(|at| now.since(at) < SHORTAGE.to_duration())
+    }
+
+    /// Returns inputs whose makers are short of room and that aren't needed any more: an endpoint
+    /// fetches them when it begins a call. A piece that has to be made again then finds them gone,
+    /// and its request's stages start over, so that this is done only where room is short.
+    pub fn take_fetched(&mut self, now: Time, is_short: impl Fn(&Handle) -> bool) -> Vec<Handle> {
+        let mut fetched = Vec::new();
         for state in self.jobs.values_mut() {
             let begun = state.waiting == 0 && now.since(state.last_sent) >= FETCH.to_duration();
-            if begun
-                && !state.fetched
-                && let PieceInput::Results(handles) = &state.job.input
+            if !begun || state.fetched {
+                continue;
+            }
+            if let PieceInput::Results(handles) = &state.job.input
+                && handles.iter().any(&is_short)
             {
                 state.fetched = true;
-                self.fetched.extend(handles.iter().cloned());
+                fetched.extend(handles.iter().cloned());
             }
         }
-        std::mem::take(&mut self.fetched)
+        fetched
     }
 
     /// Returns endpoints that may take a call, the fastest first.
@@ -356,12 +368,20 @@
             for piece in 0..state.pieces.len() {
                 // A job that was begun is taken whole where it fits, past the target too.
                 let size = state.job.result.0;
-                if chosen.len() >= limits.pieces || size > room {
+                if chosen.len() >= limits.pieces {
+                    break;
+                }
+                if size > room {
+                    self.short_of_room = Some(now);
                     break;
                 }
                 if state.pieces[piece] != PieceState::Waiting {
                     continue;
                 }
+                // A repeat that the budget doesn't have yet waits until it does.
+                if state.tries[piece] > 0 && !self.budget.withdraw(now, self.daemons) {
+                    continue;
+                }
                 room -= size;
                 reserved += size;
                 state.pieces[piece] = PieceState::Running;
@@ -431,11 +451,11 @@
                 worker.is_overdue(now, waited / call.expected_ms);
             }
         }
-        self.put_back_overdue(now, &overdue);
+        self.put_back_overdue(&overdue);
     }
 
     /// Puts pieces back into the queue; `free` gives a try back where nothing was run.
-    fn put_back(&mut self, now: Time, pieces: &[(JobId, usize)], free: bool) {
+    fn put_back(&mut self, pieces: &[(JobId, usize)], free: bool) {
         for (id, piece) in pieces {
             let Some(state) = self.jobs.get_mut(id) else {
                 continue;
@@ -446,7 +466,7 @@
             if state.pieces[*piece] != PieceState::Running {
                 continue;
             }
-            if !state.can_repeat(*piece) || !self.budget.withdraw(now, self.daemons) {
+            if !state.can_repeat(*piece) {
                 self.end(*id, JobEnd::Failed);
                 continue;
             }
@@ -454,17 +474,14 @@
         }
     }
 
-    /// Puts pieces of calls that are out for too long back, as far as the budget has it; the calls
-    /// go on, and the first result wins.
-    fn put_back_overdue(&mut self, now: Time, pieces: &[(JobId, usize)]) {
+    /// Puts pieces of calls that are out for too long back; the calls go on, and the first result
+    /// wins.
+    fn put_back_overdue(&mut self, pieces: &[(JobId, usize)]) {
         for (id, piece) in pieces {
             let Some(state) = self.jobs.get_mut(id) else {
                 continue;
             };
-            let repeat = state.pieces[*piece] == PieceState::Running
-                && state.can_repeat(*piece)
-                && self.budget.withdraw(now, self.daemons);
-            if repeat {
+            if state.pieces[*piece] == PieceState::Running && state.can_repeat(*piece) {
                 state.requeue(*piece);
             }
         }
@@ -493,9 +510,9 @@
                     // It has less room than was believed, and gets time to clear.
                     worker.passed_over_until = now + FULL_PASSED_OVER;
                 }
-                self.put_back(now, &[(id, piece)], true);
+                self.put_back(&[(id, piece)], true);
             }
-            PieceEnd::Failed | PieceEnd::Made(_) => self.put_back(now, &[(id, piece)], false),
+            PieceEnd::Failed | PieceEnd::Made(_) => self.put_back(&[(id, piece)], false),
         }
     }
 
--- a/lib/src/gateway/stage_owner.rs
+++ b/lib/src/gateway/stage_owner.rs
@@ -7,17 +7,18 @@
             dialect::Dialect,
             egress,
             fleet::Fleet,
+            peer_message::QueueNote,
             relay,
             stage_batch::{BatchCall, BatchQueue, CallEnd},
             stage_job::{Handle, Job, JobEnd, JobId},
-            state::Gateway,
+            state::{Gateway, short_hash_of},
             table::{BatchLimits, Table},
         },
         ids::{EndpointId, ServiceId},
         units::Time,
     },
     bytes::Bytes,
-    foldhash::HashMap,
+    foldhash::{HashMap, HashSet},
     http::{HeaderMap, Request, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -79,12 +80,20 @@
         }
     }
 
-    /// Returns the services with jobs in hand, and their endpoints that take calls.
-    pub fn busy(&self, now: Time) -> impl Iterator<Item = (&ServiceId, usize)> {
+    /// Returns what others should know of the services with jobs in hand.
+    pub fn busy(&self, now: Time) -> impl Iterator<Item = QueueNote> {
         self.queues
             .iter()
             .filter(|(_, queue)| queue.jobs() > 0)
-            .map(move |(id, queue)| (id, queue.sound_workers(now)))
+            .map(move |(id, queue)| {
+                let endpoints = queue.sound_workers(now) as u32;
+                QueueNote(short_hash_of(id), endpoints, queue.is_short_of_room(now))
+            })
+    }
+
+    fn is_short_of_room(&self, now: Time, service: &ServiceId) -> bool {
+        let queue = self.queues.get(service);
+        queue.is_some_and(|queue| queue.is_short_of_room(now))
     }
 
     /// Returns the endpoints of a service that take calls, if this daemon has jobs for it in hand.
@@ -167,11 +176,12 @@
         }
     }
 
-    /// Returns inputs that endpoints have fetched and that can be given up.
-    fn take_fetched(&mut self, now: Time) -> Vec<Handle> {
+    /// Returns inputs that endpoints have fetched and whose makers are short of room.
+    fn take_fetched(&mut self, now: Time, short: &HashSet<SocketAddr>) -> Vec<Handle> {
+        let is_short = |handle: &Handle| handle.address().is_some_and(|at| short.contains(&at));
         self.queues
             .values_mut()
-            .flat_map(|queue| queue.take_fetched(now))
+            .flat_map(|queue| queue.take_fetched(now, is_short))
             .collect()
     }
 
@@ -228,7 +238,11 @@
     /// Gives up inputs that endpoints have fetched.
     fn release_fetched(&self) {
         let now = self.now();
-        let fetched = self.state.borrow_mut().planning.take_fetched(now);
+        let short = self.short_of_room(now);
+        if short.is_empty() {
+            return;
+        }
+        let fetched = self.state.borrow_mut().planning.take_fetched(now, &short);
         let mut by_service: BTreeMap<ServiceId, Vec<Handle>> = BTreeMap::new();
         let state = self.state.borrow();
         for handle in fetched {
@@ -243,6 +257,20 @@
         }
     }
 
+    /// Returns the addresses of the endpoints of services that are short of room for results.
+    fn short_of_room(&self, now: Time) -> HashSet<SocketAddr> {
+        let state = self.state.borrow();
+        let is_short = |service: &ServiceId| {
+            state.planning.is_short_of_room(now, service)
+                || state.peers.is_short_of_room(short_hash_of(service))
+        };
+        let services = state.planning.limits.keys().filter(|id| is_short(id));
+        services
+            .flat_map(|service| state.fleet.service(service))
+            .map(|member| member.entry.address)
+            .collect()
+    }
+
     fn start_calls(self: &Rc<Self>) {
         let now = self.now();
         let calls = self.state.borrow_mut().planning.plan(now);
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -8,7 +8,7 @@
             dialect::Dialect,
             fleet::{Fleet, short_hash},
             metrics::GatewayMetrics,
-            peer_message::{LoadNote, Phase, QueueNote},
+            peer_message::{LoadNote, Phase},
             peers::{Beliefs, Identity, Peers},
             relay::Links,
             settings::GatewaySettings,
@@ -387,11 +387,7 @@
                 LoadNote(short_hash(&member.entry.id), running, member.prefill as u32)
             })
             .collect();
-        let queues = state
-            .planning
-            .busy(now)
-            .map(|(service, endpoints)| QueueNote(short_hash_of(service), endpoints as u32))
-            .collect();
+        let queues = state.planning.busy(now).collect();
         Beliefs {
             phase,
             table: published.map_or(0, |published| published.table.version),
