--- a/lib/src/gateway/stage_batch.rs
+++ b/lib/src/gateway/stage_batch.rs
@@ -15,7 +15,7 @@
             table::BatchLimits,
         },
         ids::EndpointId,
-        units::{Millis, Time},
+        units::{ByteSize, Millis, Time},
     },
     foldhash::HashMap,
     std::{collections::BTreeMap, sync::Arc},
@@ -123,7 +123,8 @@
     endpoint: EndpointId,
     sent: Time,
     expected_ms: f64,
-    pieces: Vec<(JobId, usize)>,
+    /// Job, place within it, and usual size of its result.
+    pieces: Vec<(JobId, usize, ByteSize)>,
     reserved: u64,
     overdue: bool,
 }
@@ -279,8 +280,9 @@
         match end {
             CallEnd::Answered(ends) => {
                 let until = now + limits.keep;
-                for ((job, piece), end) in call.pieces.iter().zip(ends) {
-                    self.piece_ended(now, (*job, *piece), end, &call.endpoint, until);
+                for ((job, piece, size), end) in call.pieces.iter().zip(ends) {
+                    let at = &call.endpoint;
+                    self.piece_ended(now, (*job, *piece), *size, end, at, until);
                 }
             }
             CallEnd::Refused | CallEnd::Replaced => self.put_back(&call.pieces, true),
@@ -389,7 +391,7 @@
                 repeated += usize::from(state.tries[piece] > 0);
                 state.tries[piece] += 1;
                 state.last_sent = now;
-                chosen.push((id, piece));
+                chosen.push((id, piece, state.job.result));
                 tasks.push(task(now, &state.job, piece));
             }
         }
@@ -455,8 +457,8 @@
     }
 
     /// Puts pieces back into the queue; `free` gives a try back where nothing was run.
-    fn put_back(&mut self, pieces: &[(JobId, usize)], free: bool) {
-        for (id, piece) in pieces {
+    fn put_back(&mut self, pieces: &[(JobId, usize, ByteSize)], free: bool) {
+        for (id, piece, _) in pieces {
             let Some(state) = self.jobs.get_mut(id) else {
                 continue;
             };
@@ -476,8 +478,8 @@
 
     /// Puts pieces of calls that are out for too long back; the calls go on, and the first result
     /// wins.
-    fn put_back_overdue(&mut self, pieces: &[(JobId, usize)]) {
-        for (id, piece) in pieces {
+    fn put_back_overdue(&mut self, pieces: &[(JobId, usize, ByteSize)]) {
+        for (id, piece, _) in pieces {
             let Some(state) = self.jobs.get_mut(id) else {
                 continue;
             };
@@ -491,12 +493,13 @@
         &mut self,
         now: Time,
         (id, piece): (JobId, usize),
+        size: ByteSize,
         end: PieceEnd,
         endpoint: &EndpointId,
         until: Time,
     ) {
         if let PieceEnd::Made(handle) = end {
-            self.piece_made(id, piece, handle, endpoint, until);
+            self.piece_made((id, piece), handle, size, endpoint, until);
             return;
         }
         if !self.jobs.contains_key(&id) {
@@ -510,20 +513,23 @@
                     // It has less room than was believed, and gets time to clear.
                     worker.passed_over_until = now + FULL_PASSED_OVER;
                 }
-                self.put_back(&[(id, piece)], true);
+                self.put_back(&[(id, piece, size)], true);
             }
-            PieceEnd::Failed | PieceEnd::Made(_) => self.put_back(&[(id, piece)], false),
+            PieceEnd::Failed | PieceEnd::Made(_) => self.put_back(&[(id, piece, size)], false),
         }
     }
 
     fn piece_made(
         &mut self,
-        id: JobId,
-        piece: usize,
+        (id, piece): (JobId, usize),
         handle: Handle,
+        size: ByteSize,
         endpoint: &EndpointId,
         until: Time,
     ) {
+        if let Some(worker) = self.workers.get_mut(endpoint) {
+            worker.kept.insert(handle.clone(), (size, until));
+        }
         let Some(state) = self.jobs.get_mut(&id) else {
             self.surplus.push(handle);
             return;
@@ -535,11 +541,6 @@
         if state.pieces[piece] == PieceState::Waiting {
             state.waiting -= 1;
         }
-        if let Some(worker) = self.workers.get_mut(endpoint) {
-            worker
-                .kept
-                .insert(handle.clone(), (state.job.result, until));
-        }
         state.pieces[piece] = PieceState::Made(handle);
         let whole = state
             .pieces
--- a/lib/src/gateway/stage_owner.rs
+++ b/lib/src/gateway/stage_owner.rs
@@ -10,7 +10,7 @@
             peer_message::QueueNote,
             relay,
             stage_batch::{BatchCall, BatchQueue, CallEnd},
-            stage_job::{Handle, Job, JobEnd, JobId},
+            stage_job::{Handle, Job, JobEnd, JobId, PieceEnd},
             state::{Gateway, short_hash_of},
             table::{BatchLimits, Table},
         },
@@ -385,11 +385,18 @@
         CallEnd::Replaced => "replaced",
         CallEnd::Broken => "broken",
     };
+    let count = |wanted: fn(&PieceEnd) -> bool| match &end {
+        CallEnd::Answered(ends) => ends.iter().filter(|end| wanted(end)).count(),
+        CallEnd::Refused | CallEnd::Replaced | CallEnd::Broken => 0,
+    };
     log::info!(
         call = call.id,
         service:% = service,
         endpoint:% = call.entry.id,
         outcome,
+        made = count(|end| matches!(end, PieceEnd::Made(_))),
+        no_room = count(|end| matches!(end, PieceEnd::NoRoom)),
+        input_gone = count(|end| matches!(end, PieceEnd::InputGone)),
         took_ms,
         expected_ms = call.expected_ms;
         "pieces.ended"
--- a/lib/src/gateway/stage_worker.rs
+++ b/lib/src/gateway/stage_worker.rs
@@ -9,6 +9,10 @@
     std::sync::Arc,
 };
 
+/// Part of an endpoint's room that is filled; sizes of results are known about only.
+const ROOM_USED: f64 = 0.92;
+
+/// Weight of a new pace in what is known, and the time for which it is believed.
 const PACE_GAIN: f64 = 0.5;
 const PACE_KEPT: Millis = Millis(3_000);
 
@@ -51,7 +55,8 @@
     pub(crate) fn room(&mut self, now: Time, limits: &BatchLimits) -> u64 {
         self.kept.retain(|_, (_, until)| *until > now);
         let kept: u64 = self.kept.values().map(|(size, _)| size.0).sum();
-        limits.room.0.saturating_sub(kept + self.reserved)
+        let room = (limits.room.0 as f64 * ROOM_USED) as u64;
+        room.saturating_sub(kept + self.reserved)
     }
 
     /// Notes that a call has been out for much longer than expected.
