admission: keep a prompt's own time; grant returning callers less

Cause: requests were taken that then ended just past their objective: the time to read a prompt (up to 300 ms) counted as 150 ms, and a caller that came back was granted 1.7 objectives, at the cost of those that could have been in time.

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -6,8 +6,11 @@
 
 use crate::units::Millis;
 
-/// Time that a request needs beside its stages, in milliseconds.
-const OWN_MS: f64 = 150.0;
+/// Time that a request needs beside its stages and its prompt, in milliseconds.
+const OWN_MS: f64 = 80.0;
+
+/// Prompt tokens that an engine reads in a millisecond.
+const TOKENS_PER_MS: f64 = 50.0;
 
 /// Part of a service's full pace that is reached.
 const EFFICIENCY: f64 = 0.85;
@@ -20,7 +23,7 @@
 const RANK_MARGIN: f64 = 0.05;
 
 /// What a caller that was refused before is granted beyond others.
-const RETURNING_MARGIN: f64 = 0.7;
+const RETURNING_MARGIN: f64 = 0.2;
 
 /// Bounds of the time after which a refused caller may come back, in milliseconds.
 const LEAST_RETURN_MS: f64 = 300.0;
@@ -87,6 +90,8 @@
     pub objective: Millis,
     /// Rank of its route.
     pub rank: u32,
+    /// Tokens of its prompt.
+    pub tokens: u32,
     /// Whether it was probably refused before.
     pub returning: bool,
 }
@@ -105,6 +110,11 @@
     },
 }
 
+/// Estimates the time that a request itself takes to its first event, in milliseconds.
+pub fn own_ms(tokens: u32) -> f64 {
+    OWN_MS + f64::from(tokens) / TOKENS_PER_MS
+}
+
 /// Estimates the time to the end of all stages, in milliseconds.
 pub fn expected_ms(stages: &[PlannedStage]) -> f64 {
     let mut ends = Vec::with_capacity(stages.len());
@@ -127,7 +137,7 @@
 
 /// Decides whether a request is taken.
 pub fn decide(request: &AdmissionRequest) -> Verdict {
-    let expected_ms = expected_ms(&request.stages) + OWN_MS;
+    let expected_ms = expected_ms(&request.stages) + own_ms(request.tokens);
     let objective = request.objective.0 as f64;
     let mut margin = MARGIN - RANK_MARGIN * f64::from(request.rank);
     if request.returning {
--- a/lib/src/gateway/stage_chain.rs
+++ b/lib/src/gateway/stage_chain.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         gateway::{
+            admission,
             dialect::{Dialect, Inbound},
             peer_message::{Ask, Phase},
             peers::Planner,
@@ -19,9 +20,8 @@
     std::{net::SocketAddr, rc::Rc, sync::Arc},
 };
 
-/// Time kept of a request's objective for each stage that comes later, and for the request itself.
+/// Time kept of a request's objective for each stage that comes later.
 const LATER_STAGE: Millis = Millis(350);
-const OWN_TIME: Millis = Millis(250);
 
 /// Times that a stage is made again because its results were gone.
 const REMAKES: u32 = 2;
@@ -46,6 +46,8 @@
     pub objective: Time,
     /// Its rank.
     pub rank: u32,
+    /// Time that the request itself needs.
+    pub own_time: Millis,
 }
 
 impl ChainRequest {
@@ -65,6 +67,7 @@
             deadline,
             objective,
             rank,
+            own_time: Millis(admission::own_ms(inbound.prompt.tokens_in) as u64),
         }
     }
 
@@ -278,7 +281,7 @@
     input: PieceInput,
 ) -> (usize, JobEnd) {
     let service = request.route.stages[stage].service.clone();
-    let reserve = LATER_STAGE.0 * request.later(stage) + OWN_TIME.0;
+    let reserve = LATER_STAGE.0 * request.later(stage) + request.own_time.0;
     let job = Job {
         request: request.id.clone(),
         stage: stage as u32,
--- a/lib/src/gateway/workload.rs
+++ b/lib/src/gateway/workload.rs
@@ -135,6 +135,7 @@
         stages,
         objective: route.objective,
         rank: route.rank,
+        tokens: inbound.prompt.tokens_in,
         returning,
     })
 }
