admission: treat callers that come back as all others

Cause: whoever was refused before was granted more of the objective and so came late himself and made others late. The guess of who comes back is removed.

--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -22,9 +22,6 @@
 const MARGIN: f64 = 1.0;
 const RANK_MARGIN: f64 = 0.05;
 
-/// What a caller that was refused before is granted beyond others.
-const RETURNING_MARGIN: f64 = 0.2;
-
 /// Bounds of the time after which a refused caller may come back, in milliseconds.
 const LEAST_RETURN_MS: f64 = 300.0;
 const LONGEST_RETURN_MS: f64 = 3_500.0;
@@ -92,8 +89,6 @@
     pub rank: u32,
     /// Tokens of its prompt.
     pub tokens: u32,
-    /// Whether it was probably refused before.
-    pub returning: bool,
 }
 
 /// What was decided.
@@ -139,11 +134,7 @@
 pub fn decide(request: &AdmissionRequest) -> Verdict {
     let expected_ms = expected_ms(&request.stages) + own_ms(request.tokens);
     let objective = request.objective.0 as f64;
-    let mut margin = MARGIN - RANK_MARGIN * f64::from(request.rank);
-    if request.returning {
-        margin += RETURNING_MARGIN;
-    }
-    let allowed = objective * margin;
+    let allowed = objective * (MARGIN - RANK_MARGIN * f64::from(request.rank));
     if expected_ms <= allowed {
         return Verdict::Take(expected_ms);
     }
--- a/lib/src/gateway/workload.rs
+++ b/lib/src/gateway/workload.rs
@@ -10,25 +10,16 @@
             table::Route,
         },
         ids::ServiceId,
-        units::{ByteSize, Millis, Time},
+        units::ByteSize,
     },
     foldhash::HashMap,
-    std::{rc::Rc, sync::Arc},
+    std::rc::Rc,
 };
 
-/// Time by which a caller's remaining time has to be shorter than usual for it to count as one
-/// that was refused before.
-const SHORTER: Millis = Millis(120);
-
-/// Time for which the longest remaining time of a route's callers is remembered.
-const REMEMBERED: Millis = Millis(20_000);
-
-/// What this daemon has taken on, and what it knows of its callers.
+/// What this daemon has taken on.
 #[derive(Debug, Default)]
 pub struct Workload {
     outstanding: HashMap<ServiceId, u32>,
-    /// Longest remaining time that callers of a route named, and when.
-    longest: HashMap<Arc<str>, (Millis, Time)>,
 }
 
 impl Workload {
@@ -53,24 +44,6 @@
             *outstanding = outstanding.saturating_sub(pieces);
         }
     }
-
-    /// Returns whether a caller names less time than others of its route do: it was probably
-    /// refused before, and has come back.
-    fn is_returning(&mut self, now: Time, route: &Route, remaining: Option<Millis>) -> bool {
-        let Some(remaining) = remaining else {
-            return false;
-        };
-        let longest = self
-            .longest
-            .entry(route.name.clone())
-            .or_insert((remaining, now));
-        let forgotten = now.since(longest.1) > REMEMBERED.to_duration();
-        if remaining >= longest.0 || forgotten {
-            *longest = (remaining, now);
-            return false;
-        }
-        remaining.0 + SHORTER.0 < longest.0.0
-    }
 }
 
 /// Pieces of one request that aren't made yet; those left are given back when it is dropped.
@@ -116,11 +89,6 @@
 
 /// Decides whether a request with stages is taken.
 pub fn admit<D: Dialect>(gateway: &Gateway<D>, route: &Route, inbound: &Inbound) -> Verdict {
-    let now = gateway.now();
-    let returning = {
-        let mut state = gateway.state.borrow_mut();
-        state.workload.is_returning(now, route, inbound.remaining)
-    };
     let stages = route
         .stages
         .iter()
@@ -136,7 +104,6 @@
         objective: route.objective,
         rank: route.rank,
         tokens: inbound.prompt.tokens_in,
-        returning,
     })
 }
 
