--- a/lib/src/gateway/admission.rs
+++ b/lib/src/gateway/admission.rs
@@ -9,6 +9,10 @@
 /// Time that a request needs beside its stages and its prompt, in milliseconds.
 const OWN_MS: f64 = 80.0;
 
+/// Most time of a prompt that counts against its admission, in milliseconds. A long prompt costs the
+/// stages no more than a short one, and refusing it for its length alone would starve its kind.
+const MOST_OWN_MS: f64 = 200.0;
+
 /// Prompt tokens that an engine reads in a millisecond.
 const TOKENS_PER_MS: f64 = 50.0;
 
@@ -132,7 +136,7 @@
 
 /// Decides whether a request is taken.
 pub fn decide(request: &AdmissionRequest) -> Verdict {
-    let expected_ms = expected_ms(&request.stages) + own_ms(request.tokens);
+    let expected_ms = expected_ms(&request.stages) + own_ms(request.tokens).min(MOST_OWN_MS);
     let objective = request.objective.0 as f64;
     let allowed = objective * (MARGIN - RANK_MARGIN * f64::from(request.rank));
     if expected_ms <= allowed {
