--- /dev/null
+++ b/lib/src/gateway/call.rs
@@ -0,0 +1,177 @@
+//! One request in this daemon: what doesn't change of it, and what is counted while it lasts.
+
+use {
+    crate::{
+        gateway::{
+            dialect::{Dialect, Inbound},
+            fleet::{Choice, Ending},
+            state::Gateway,
+            table::{CustomerEntry, Route, RouteKind},
+        },
+        ids::ServiceId,
+        units::{Millis, Time},
+    },
+    bytes::Bytes,
+    http::request::Parts,
+    std::{rc::Rc, sync::Arc},
+};
+
+/// Time that callers of a stream wait for its first event: the longest of these.
+const LEAST_WAIT: Millis = Millis(2_000);
+const WAIT_OBJECTIVES: u64 = 4;
+const WAIT_GAPS: u64 = 8;
+
+/// One request, as far as it doesn't change.
+pub(crate) struct Call {
+    pub(crate) inbound: Inbound,
+    pub(crate) route: Arc<Route>,
+    pub(crate) customer: Option<Arc<CustomerEntry>>,
+    pub(crate) service: ServiceId,
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Time,
+    pub(crate) deadline: Time,
+    pub(crate) urgency: u32,
+}
+
+impl Call {
+    pub(crate) fn id(&self) -> &str {
+        &self.inbound.id
+    }
+
+    /// Returns when a caller of a stream gives up before its first event.
+    pub(crate) fn give_up(&self) -> Time {
+        let RouteKind::Stream { gap, .. } = self.route.kind else {
+            return self.deadline;
+        };
+        let longest = LEAST_WAIT
+            .0
+            .max(self.route.objective.0 * WAIT_OBJECTIVES)
+            .max(gap.0 * WAIT_GAPS);
+        self.arrived + Millis(longest)
+    }
+
+    pub(crate) fn remaining(&self, now: Time) -> Millis {
+        Millis(self.deadline.since(now).as_millis() as u64)
+    }
+}
+
+/// Counts a request in flight at an endpoint until it is told how that ended.
+pub(crate) struct Ticket<D: Dialect> {
+    gateway: Rc<Gateway<D>>,
+    pub(crate) choice: Choice,
+    sent: Time,
+    prefill: bool,
+    ended: bool,
+}
+
+impl<D: Dialect> Ticket<D> {
+    pub(crate) fn new(gateway: &Rc<Gateway<D>>, call: &Call, choice: Choice) -> Self {
+        let now = gateway.now();
+        let mut state = gateway.state.borrow_mut();
+        let prompt = &call.inbound.prompt;
+        state
+            .fleet
+            .sent(now, &choice.entry.id, prompt, choice.uncached);
+        drop(state);
+        Self {
+            gateway: gateway.clone(),
+            choice,
+            sent: now,
+            prefill: true,
+            ended: false,
+        }
+    }
+
+    pub(crate) fn first_event(&mut self) {
+        if std::mem::take(&mut self.prefill) {
+            let now = self.gateway.now();
+            let waited = now.millis_since(self.sent);
+            let mut state = self.gateway.state.borrow_mut();
+            state.fleet.first_event(now, &self.choice, waited);
+        }
+    }
+
+    pub(crate) fn end(mut self, ending: Ending) {
+        self.settle(ending);
+    }
+
+    pub(crate) fn took_ms(&self) -> f64 {
+        self.gateway.now().millis_since(self.sent)
+    }
+
+    fn settle(&mut self, ending: Ending) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.gateway.now();
+        let id = &self.choice.entry.id;
+        let mut state = self.gateway.state.borrow_mut();
+        if self.prefill {
+            state.fleet.forget_prefill(id, self.choice.uncached);
+        }
+        let set_aside = state.fleet.ended(now, id, ending);
+        drop(state);
+        if set_aside {
+            log::info!(endpoint:% = id, ending:? = ending; "endpoint.set_aside");
+        }
+    }
+}
+
+impl<D: Dialect> Drop for Ticket<D> {
+    fn drop(&mut self) {
+        self.settle(Ending::Neutral);
+    }
+}
+
+/// Counts a request of this daemon until its answer is whole.
+pub(crate) struct InFlight<D: Dialect> {
+    gateway: Rc<Gateway<D>>,
+}
+
+impl<D: Dialect> InFlight<D> {
+    pub(crate) fn new(gateway: &Rc<Gateway<D>>) -> Self {
+        gateway.in_flight.set(gateway.in_flight.get() + 1);
+        Self {
+            gateway: gateway.clone(),
+        }
+    }
+}
+
+impl<D: Dialect> Drop for InFlight<D> {
+    fn drop(&mut self) {
+        let left = self.gateway.in_flight.get().saturating_sub(1);
+        self.gateway.in_flight.set(left);
+    }
+}
+
+/// Notes a caller that left: the request's future is dropped before its end.
+pub(crate) struct LeftEarly<'a, D: Dialect> {
+    gateway: &'a Gateway<D>,
+    call: &'a Call,
+    armed: bool,
+}
+
+impl<'a, D: Dialect> LeftEarly<'a, D> {
+    pub(crate) fn new(gateway: &'a Gateway<D>, call: &'a Call) -> Self {
+        Self {
+            gateway,
+            call,
+            armed: true,
+        }
+    }
+
+    pub(crate) fn defuse(mut self) {
+        self.armed = false;
+    }
+}
+
+impl<D: Dialect> Drop for LeftEarly<'_, D> {
+    fn drop(&mut self) {
+        if self.armed {
+            let took = self.gateway.now().since(self.call.arrived);
+            self.gateway.metrics.caller_left();
+            log::info!(request = self.call.id(), took_ms = took.as_millis() as u64; "request.caller_left");
+        }
+    }
+}
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -5,8 +5,11 @@
 //! [`Dialect`](dialect::Dialect) how requests and replies are spelled. Everything that decides is
 //! here; an installation brings only those three translations.
 
+mod accept;
 pub mod admission;
+mod attempt;
 pub mod budget;
+mod call;
 pub mod catalogue;
 pub mod dialect;
 pub mod directory;
@@ -22,12 +25,14 @@
 pub mod pause;
 pub mod peer_message;
 pub mod peers;
+pub mod progress;
 pub mod relay;
 mod reply;
 mod reply_stream;
 pub mod server;
 pub mod settings;
 pub mod stage_batch;
+pub mod stage_calls;
 pub mod stage_chain;
 pub mod stage_job;
 pub mod stage_owner;
--- a/lib/src/gateway/reply_stream.rs
+++ b/lib/src/gateway/reply_stream.rs
@@ -3,11 +3,13 @@
 use {
     crate::{
         gateway::{
+            attempt::{CONNECT_LIMIT, outbound_request},
+            call::{Call, InFlight, Ticket},
             dialect::Dialect,
             egress::{self, ConnectionGuard},
             event_stream::EventSplitter,
             fleet::{Demand, Ending},
-            forward::{CONNECT_LIMIT, Call, InFlight, Ticket, outbound_request, run_stages},
+            forward::run_stages,
             metrics::Repeat,
             reply::BrokenOff,
             stage_chain::Results,
--- a/lib/src/gateway/stage_batch.rs
+++ b/lib/src/gateway/stage_batch.rs
@@ -10,7 +10,8 @@
         gateway::{
             budget::WindowBudget,
             catalogue::EndpointEntry,
-            stage_job::{Handle, Job, JobEnd, JobId, PieceEnd, PieceInput, PieceTask},
+            stage_calls::{BatchCall, CallEnd, JobState, PieceState, made, task},
+            stage_job::{Handle, Job, JobEnd, JobId, PieceEnd, PieceInput},
             stage_worker::Worker,
             table::BatchLimits,
         },
@@ -21,15 +22,6 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
-/// Headstart that each rank gives over the next one.
-const RANK_STEP: Millis = Millis(400);
-
-/// Handicap of a job that can't meet its objective any more.
-const LATE_STEP: Millis = Millis(20_000);
-
-/// Times that one piece is tried.
-const PIECE_TRIES: u32 = 3;
-
 /// A call that takes longer than this many times what was expected, and a little, is overdue.
 const OVERDUE_FACTOR: f64 = 1.7;
 const OVERDUE_MS: f64 = 120.0;
@@ -49,75 +41,6 @@
 /// Time for which an endpoint without room for a result is passed over.
 const FULL_PASSED_OVER: Millis = Millis(60);
 
-/// One call of one endpoint.
-#[derive(Debug, Clone)]
-pub struct BatchCall {
-    /// Tells it from other calls.
-    pub id: u64,
-    /// Endpoint to call.
-    pub entry: Arc<EndpointEntry>,
-    /// Its pieces.
-    pub pieces: Vec<PieceTask>,
-    /// Time it should take, in milliseconds.
-    pub expected_ms: f64,
-    /// Pieces that waited when it was planned.
-    pub waiting: usize,
-    /// Pieces in it that were sent before.
-    pub repeated: usize,
-}
-
-/// How a call ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum CallEnd {
-    /// The endpoint answered for each piece.
-    Answered(Vec<PieceEnd>),
-    /// The endpoint didn't take it.
-    Refused,
-    /// The endpoint is another one, or is leaving.
-    Replaced,
-    /// There was no answer.
-    Broken,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum PieceState {
-    Waiting,
-    Running,
-    Made(Handle),
-}
-
-#[derive(Debug)]
-struct JobState {
-    job: Job,
-    /// When its last piece was sent.
-    last_sent: Time,
-    /// Whether its inputs were given up.
-    fetched: bool,
-    pieces: Vec<PieceState>,
-    tries: Vec<u32>,
-    waiting: usize,
-}
-
-impl JobState {
-    fn order(&self, now: Time) -> Time {
-        let late = if now > self.job.objective {
-            LATE_STEP.0
-        } else {
-            0
-        };
-        self.job.objective + Millis(u64::from(self.job.rank) * RANK_STEP.0 + late)
-    }
-
-    fn can_repeat(&self, piece: usize) -> bool {
-        self.tries[piece] < PIECE_TRIES
-    }
-
-    fn requeue(&mut self, piece: usize) {
-        self.pieces[piece] = PieceState::Waiting;
-        self.waiting += 1;
-    }
-}
-
 #[derive(Debug)]
 struct RunningCall {
     endpoint: EndpointId,
@@ -558,20 +481,3 @@
         }
     }
 }
-
-fn made(state: JobState) -> impl Iterator<Item = Handle> {
-    state.pieces.into_iter().filter_map(|piece| match piece {
-        PieceState::Made(handle) => Some(handle),
-        PieceState::Waiting | PieceState::Running => None,
-    })
-}
-
-fn task(now: Time, job: &Job, piece: usize) -> PieceTask {
-    PieceTask {
-        request: job.request.clone(),
-        stage: job.stage,
-        piece: piece as u32,
-        remaining: Millis(job.deadline.since(now).as_millis() as u64),
-        input: job.input.clone(),
-    }
-}
