--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -33,8 +33,8 @@
 const FANOUT: usize = 12;
 const NAMED: usize = 8;
 
-/// Loads that one heartbeat carries, so that it fits into a datagram.
-const LOADS: usize = 50;
+/// Loads that one heartbeat carries, the largest first, so that it fits into a datagram.
+const LOADS: usize = 32;
 
 /// What this daemon tells of itself.
 #[derive(Debug, Clone, PartialEq)]
@@ -149,6 +149,7 @@
         notes.sort_unstable_by_key(|note| note.address);
         let peers = notes.sample(&mut self.rng, NAMED).cloned().collect();
         let mut loads = beliefs.loads;
+        loads.sort_unstable_by_key(|note| std::cmp::Reverse((note.2, note.1)));
         loads.truncate(LOADS);
         let heartbeat = Heartbeat {
             protocol: PROTOCOL,
--- /dev/null
+++ b/lib/tests/test_batch_queue.rs
@@ -0,0 +1,365 @@
+//! Pieces of stages are planned, made again and told to the right requests, whatever endpoints do.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use {
+    arbtest::arbitrary::{Result, Unstructured},
+    hazelyoke_lib::{
+        gateway::{
+            budget::{BudgetLimits, WindowBudget},
+            catalogue::EndpointEntry,
+            stage_batch::BatchQueue,
+            stage_calls::{BatchCall, CallEnd},
+            stage_job::{Handle, Job, JobEnd, JobId, PieceEnd, PieceInput},
+            table::BatchLimits,
+        },
+        units::{ByteSize, Millis, Share, Time},
+    },
+    hazelyoke_testutils::seeds::for_seeds,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+const LIMITS: BatchLimits = BatchLimits {
+    slots: 1,
+    pieces: 8,
+    call_ms: 200.0,
+    piece_ms: 10.0,
+    room: ByteSize(20_000),
+    keep: Millis(4_000),
+};
+
+fn budget() -> WindowBudget {
+    let limits = BudgetLimits {
+        ratio: Share(0.2),
+        slack: 1_000.0,
+        window: Millis(10_000),
+    };
+    WindowBudget::new(limits, Time(0))
+}
+
+fn queue(limits: BatchLimits, endpoints: usize) -> BatchQueue {
+    let mut queue = BatchQueue::new(limits, budget());
+    queue.set_endpoints(&entries(endpoints));
+    queue
+}
+
+fn entries(count: usize) -> Vec<Arc<EndpointEntry>> {
+    let entry = |i: usize| EndpointEntry {
+        id: format!("e{i}").parse().unwrap(),
+        service: "s".parse().unwrap(),
+        address: format!("10.0.0.{}:80", i + 1).parse().unwrap(),
+        data_centre: "z".parse().unwrap(),
+        slots: 1,
+        draining: false,
+        revision: 1,
+    };
+    (0..count).map(|i| Arc::new(entry(i))).collect()
+}
+
+fn job(request: &str, pieces: u32, now: Time) -> Job {
+    Job {
+        request: request.into(),
+        stage: 1,
+        pieces,
+        input: PieceInput::Results(vec![Handle("10.0.0.9:80/in".into())]),
+        deadline: now + Millis(10_000),
+        objective: now + Millis(2_000),
+        rank: 0,
+        result: ByteSize(1_000),
+    }
+}
+
+fn handle(call: &BatchCall, piece: usize) -> Handle {
+    let task = &call.pieces[piece];
+    let name = format!(
+        "{}/{}-{}-{}",
+        call.entry.address, task.request, task.piece, call.id
+    );
+    Handle(name.into())
+}
+
+fn all_made(call: &BatchCall) -> CallEnd {
+    let made = |piece| PieceEnd::Made(handle(call, piece));
+    CallEnd::Answered((0..call.pieces.len()).map(made).collect())
+}
+
+/// A start late enough for the budget's slack to be there.
+fn start() -> Time {
+    Time(0) + Millis(20_000)
+}
+
+#[test]
+fn pieces_of_several_requests_share_a_call() {
+    let now = start();
+    let mut queue = queue(LIMITS, 1);
+    queue.add(now, JobId(1), job("a", 3, now));
+    queue.add(now, JobId(2), job("b", 2, now));
+    let calls = queue.plan(now);
+    assert_eq!(calls.len(), 1);
+    assert_eq!(calls[0].pieces.len(), 5);
+    queue.call_ended(now + Millis(250), calls[0].id, all_made(&calls[0]));
+    let ended = queue.take_ended();
+    assert_eq!(ended.len(), 2);
+    let JobEnd::Made(handles) = &ended[0].1 else {
+        panic!("the first job wasn't made: {ended:?}");
+    };
+    assert_eq!(handles.len(), 3);
+}
+
+#[test]
+fn an_endpoint_gets_no_second_call_beyond_its_slots() {
+    let now = start();
+    let mut queue = queue(LIMITS, 1);
+    queue.add(now, JobId(1), job("a", 1, now));
+    assert_eq!(queue.plan(now).len(), 1);
+    queue.add(now, JobId(2), job("b", 1, now));
+    assert!(queue.plan(now).is_empty());
+}
+
+#[test]
+fn idle_endpoints_share_what_waits() {
+    let now = start();
+    let mut queue = queue(LIMITS, 4);
+    for id in 0..4 {
+        queue.add(now, JobId(id), job("a", 2, now));
+    }
+    let sizes: Vec<usize> = queue.plan(now).iter().map(|c| c.pieces.len()).collect();
+    assert_eq!(sizes, [2, 2, 2, 2]);
+}
+
+#[test]
+fn calls_are_kept_within_the_room_for_results() {
+    let now = start();
+    let limits = BatchLimits {
+        room: ByteSize(4_400),
+        ..LIMITS
+    };
+    let mut queue = queue(limits, 1);
+    queue.add(now, JobId(1), job("a", 8, now));
+    let calls = queue.plan(now);
+    assert_eq!(calls[0].pieces.len(), 4);
+    assert!(queue.is_short_of_room(now));
+    queue.call_ended(now + Millis(250), calls[0].id, all_made(&calls[0]));
+    // The results are kept until their endpoint was told to drop them.
+    assert!(queue.plan(now + Millis(251)).is_empty());
+    let kept: Vec<Handle> = (0..4).map(|piece| handle(&calls[0], piece)).collect();
+    queue.released(&kept);
+    assert_eq!(queue.plan(now + Millis(252))[0].pieces.len(), 4);
+}
+
+#[test]
+fn an_overdue_call_is_made_again_elsewhere_and_the_first_result_wins() {
+    let now = start();
+    let mut queue = queue(LIMITS, 2);
+    queue.add(now, JobId(1), job("a", 1, now));
+    let slow = queue.plan(now).remove(0);
+    assert!(queue.plan(now + Millis(400)).is_empty());
+    let again = queue.plan(now + Millis(600)).remove(0);
+    assert_ne!(again.entry.id, slow.entry.id);
+    assert_eq!(again.repeated, 1);
+    queue.call_ended(now + Millis(810), again.id, all_made(&again));
+    assert_eq!(
+        queue.take_ended(),
+        [(JobId(1), JobEnd::Made(vec![handle(&again, 0)]))]
+    );
+    queue.call_ended(now + Millis(2_000), slow.id, all_made(&slow));
+    assert!(queue.take_ended().is_empty());
+    assert_eq!(queue.take_surplus(), [handle(&slow, 0)]);
+}
+
+#[test]
+fn a_job_that_cannot_end_in_time_ends_at_once() {
+    let now = start();
+    let mut queue = queue(LIMITS, 1);
+    let late = Job {
+        deadline: now + Millis(150),
+        ..job("a", 1, now)
+    };
+    queue.add(now, JobId(1), late);
+    assert!(queue.plan(now).is_empty());
+    assert_eq!(queue.take_ended(), [(JobId(1), JobEnd::Late)]);
+}
+
+#[test]
+fn inputs_are_given_up_early_only_where_room_is_short() {
+    let now = start();
+    let mut queue = queue(LIMITS, 1);
+    queue.add(now, JobId(1), job("a", 1, now));
+    queue.plan(now);
+    let later = now + Millis(150);
+    assert!(queue.take_fetched(now, |_| true).is_empty());
+    assert!(queue.take_fetched(later, |_| false).is_empty());
+    assert_eq!(queue.take_fetched(later, |_| true).len(), 1);
+    assert!(queue.take_fetched(later, |_| true).is_empty());
+}
+
+#[test]
+fn a_cancelled_job_leaves_no_result_behind() {
+    let now = start();
+    let mut queue = queue(LIMITS, 1);
+    queue.add(now, JobId(1), job("a", 2, now));
+    let call = queue.plan(now).remove(0);
+    queue.cancel(JobId(1));
+    queue.call_ended(now + Millis(250), call.id, all_made(&call));
+    assert!(queue.take_ended().is_empty());
+    assert_eq!(queue.take_surplus().len(), 2);
+    assert_eq!(queue.jobs(), 0);
+}
+
+#[test]
+fn an_endpoint_that_broke_off_is_passed_over_for_a_while() {
+    let now = start();
+    let mut queue = queue(LIMITS, 1);
+    queue.add(now, JobId(1), job("a", 1, now));
+    let call = queue.plan(now).remove(0);
+    queue.call_ended(now, call.id, CallEnd::Broken);
+    assert!(queue.plan(now + Millis(200)).is_empty());
+    assert_eq!(queue.plan(now + Millis(301)).len(), 1);
+}
+
+/// A queue under any order of jobs, answers, failures, cancels and departures.
+struct Run {
+    queue: BatchQueue,
+    now: Time,
+    /// Calls in hand, with the pieces that their endpoint has to answer.
+    calls: Vec<BatchCall>,
+    /// Pieces of each job that isn't over.
+    open: BTreeMap<JobId, (String, u32)>,
+    over: BTreeSet<JobId>,
+    next: u64,
+}
+
+impl Run {
+    fn new() -> Self {
+        Self {
+            queue: queue(LIMITS, 4),
+            now: start(),
+            calls: Vec::new(),
+            open: BTreeMap::new(),
+            over: BTreeSet::new(),
+            next: 0,
+        }
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        self.now = self.now + Millis(u.int_in_range(0..=120)?);
+        match u.int_in_range(0..=9u8)? {
+            0..=2 => self.add(u)?,
+            3..=6 => self.end_call(u)?,
+            7 => self.cancel(u)?,
+            8 => {
+                let left = u.int_in_range(1..=4)?;
+                self.queue.set_endpoints(&entries(left));
+            }
+            _ => {}
+        }
+        self.plan();
+        self.check();
+        Ok(())
+    }
+
+    fn add(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        self.next += 1;
+        let id = JobId(self.next);
+        let request = format!("r{}", self.next);
+        let pieces = u.int_in_range(1..=10)?;
+        self.queue
+            .add(self.now, id, job(&request, pieces, self.now));
+        self.open.insert(id, (request, pieces));
+        Ok(())
+    }
+
+    fn end_call(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.calls.is_empty() {
+            return Ok(());
+        }
+        let at = u.choose_index(self.calls.len())?;
+        let call = self.calls.swap_remove(at);
+        let end = match u.int_in_range(0..=9u8)? {
+            0 => CallEnd::Refused,
+            1 => CallEnd::Replaced,
+            2 => CallEnd::Broken,
+            _ => {
+                let mut ends = Vec::new();
+                for piece in 0..call.pieces.len() {
+                    ends.push(match u.int_in_range(0..=19u8)? {
+                        0 => PieceEnd::Failed,
+                        1 => PieceEnd::NoRoom,
+                        2 => PieceEnd::InputGone,
+                        3 => PieceEnd::Late,
+                        _ => PieceEnd::Made(handle(&call, piece)),
+                    });
+                }
+                CallEnd::Answered(ends)
+            }
+        };
+        self.queue.call_ended(self.now, call.id, end);
+        Ok(())
+    }
+
+    fn cancel(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let ids: Vec<JobId> = self.open.keys().copied().collect();
+        if !ids.is_empty() {
+            let id = *u.choose(&ids)?;
+            self.queue.cancel(id);
+            self.open.remove(&id);
+            self.over.insert(id);
+        }
+        Ok(())
+    }
+
+    fn plan(&mut self) {
+        for call in self.queue.plan(self.now) {
+            assert!(!call.pieces.is_empty() && call.pieces.len() <= LIMITS.pieces);
+            let busy = self.calls.iter().filter(|c| c.entry.id == call.entry.id);
+            assert_eq!(busy.count(), 0, "an endpoint got a call beyond its slots");
+            self.calls.push(call);
+        }
+    }
+
+    fn check(&mut self) {
+        for (id, end) in self.queue.take_ended() {
+            let (request, pieces) = self.open.remove(&id).expect("a job ends once");
+            assert!(self.over.insert(id));
+            let JobEnd::Made(handles) = end else { continue };
+            assert_eq!(handles.len(), pieces as usize);
+            for (piece, handle) in handles.iter().enumerate() {
+                let own = format!("/{request}-{piece}-");
+                assert!(
+                    handle.0.contains(&own),
+                    "{handle} isn't piece {piece} of {request}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn each_job_ends_once_with_its_own_pieces() {
+    for_seeds(400, 1_024, |u| {
+        let mut run = Run::new();
+        while !u.is_empty() {
+            run.step(u)?;
+        }
+        // Once endpoints answer, nothing is left.
+        run.queue.set_endpoints(&entries(4));
+        let mut rounds = 0;
+        while !run.open.is_empty() && rounds < 2_000 {
+            rounds += 1;
+            run.now = run.now + Millis(100);
+            run.plan();
+            for call in std::mem::take(&mut run.calls) {
+                let end = all_made(&call);
+                run.queue.call_ended(run.now, call.id, end);
+            }
+            let surplus = run.queue.take_surplus();
+            run.queue.released(&surplus);
+            run.check();
+        }
+        assert!(run.open.is_empty(), "jobs never ended: {:?}", run.open);
+        Ok(())
+    });
+}
--- /dev/null
+++ b/lib/tests/test_catalogue.rs
@@ -0,0 +1,114 @@
+//! Which endpoints are believed to be there while the directory comes and goes.
+
+use hazelyoke_lib::{
+    gateway::catalogue::{Catalogue, EndpointEntry, Learnt},
+    ids::EndpointId,
+    units::{Millis, Time},
+};
+
+fn entry(id: &str, revision: u64, draining: bool) -> EndpointEntry {
+    EndpointEntry {
+        id: id.parse().unwrap(),
+        service: "s".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "z".parse().unwrap(),
+        slots: 4,
+        draining,
+        revision,
+    }
+}
+
+fn id(text: &str) -> EndpointId {
+    text.parse().unwrap()
+}
+
+fn names(catalogue: &Catalogue) -> Vec<String> {
+    let mut names: Vec<String> = catalogue
+        .entries()
+        .map(|entry| entry.id.to_string())
+        .collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn an_entry_that_goes_is_gone_at_once() {
+    let mut catalogue = Catalogue::default();
+    catalogue.put(entry("a", 1, false));
+    let learnt = catalogue.remove(Time(0), &id("a"), false);
+    assert!(matches!(learnt, Some(Learnt::Gone(_))));
+    assert!(names(&catalogue).is_empty());
+}
+
+#[test]
+fn an_entry_that_lapses_in_an_outage_stays_for_a_while() {
+    let mut catalogue = Catalogue::default();
+    catalogue.put(entry("a", 1, false));
+    let learnt = catalogue.remove(Time(0), &id("a"), true);
+    assert!(matches!(learnt, Some(Learnt::Doubted(_))));
+    assert_eq!(names(&catalogue), ["a"]);
+    assert!(catalogue.settle(Time(0) + Millis(1_000)).is_empty());
+    let settled = catalogue.settle(Time(0) + Millis(2_001));
+    assert!(matches!(settled[..], [Learnt::Gone(_)]));
+    assert!(names(&catalogue).is_empty());
+}
+
+#[test]
+fn a_living_endpoint_that_writes_again_is_no_longer_doubted() {
+    let mut catalogue = Catalogue::default();
+    catalogue.put(entry("a", 1, false));
+    catalogue.remove(Time(0), &id("a"), true);
+    catalogue.put(entry("a", 5, false));
+    assert!(catalogue.settle(Time(0) + Millis(60_000)).is_empty());
+    assert_eq!(names(&catalogue), ["a"]);
+}
+
+#[test]
+fn doubts_last_as_long_as_the_directory_is_out_of_reach() {
+    let mut catalogue = Catalogue::default();
+    catalogue.put(entry("a", 1, false));
+    catalogue.remove(Time(0), &id("a"), true);
+    catalogue.extend_doubts(Time(0) + Millis(1_900));
+    assert!(catalogue.settle(Time(0) + Millis(2_500)).is_empty());
+    assert_eq!(catalogue.settle(Time(0) + Millis(4_000)).len(), 1);
+}
+
+#[test]
+fn an_endpoint_that_said_it_leaves_is_never_doubted() {
+    let mut catalogue = Catalogue::default();
+    catalogue.put(entry("a", 1, false));
+    let learnt = catalogue.put(entry("a", 2, true));
+    assert!(matches!(learnt, Some(Learnt::Draining(_))));
+    let learnt = catalogue.remove(Time(0), &id("a"), true);
+    assert!(matches!(learnt, Some(Learnt::Gone(_))));
+}
+
+#[test]
+fn an_older_entry_changes_nothing() {
+    let mut catalogue = Catalogue::default();
+    catalogue.put(entry("a", 5, true));
+    assert!(catalogue.put(entry("a", 4, false)).is_none());
+    assert!(catalogue.get(&id("a")).unwrap().draining);
+}
+
+#[test]
+fn a_list_replaces_what_it_should_have_known() {
+    let mut catalogue = Catalogue::default();
+    catalogue.put(entry("a", 1, false));
+    catalogue.put(entry("b", 2, false));
+    catalogue.put(entry("c", 9, false));
+    // The list is as of revision 5: it tells that b is gone, and nothing of c.
+    let list = vec![entry("a", 1, false), entry("d", 4, false)];
+    let learnt = catalogue.replace(Time(0), 5, list, false);
+    assert_eq!(learnt.len(), 2);
+    assert_eq!(names(&catalogue), ["a", "c", "d"]);
+    assert_eq!(catalogue.revision(), 5);
+}
+
+#[test]
+fn revisions_never_fall() {
+    let mut catalogue = Catalogue::default();
+    catalogue.reached(9);
+    catalogue.replace(Time(0), 5, Vec::new(), false);
+    assert_eq!(catalogue.revision(), 9);
+}
--- /dev/null
+++ b/lib/tests/test_event_splitter.rs
@@ -0,0 +1,72 @@
+//! Events are passed on whole and in order, however their bytes arrive.
+
+use {hazelyoke_lib::gateway::event_stream::EventSplitter, hazelyoke_testutils::seeds::for_seeds};
+
+fn event(id: u64) -> Vec<u8> {
+    format!("id: {id}\ndata: word {id}\n\n").into_bytes()
+}
+
+#[test]
+fn an_unfinished_event_is_held_back() {
+    let mut splitter = EventSplitter::default();
+    let first = event(1);
+    assert!(splitter.feed(&first[..first.len() - 1]).is_empty());
+    assert!(splitter.is_partial());
+    assert_eq!(splitter.last(), None);
+    assert_eq!(splitter.feed(b"\n"), first);
+    assert!(!splitter.is_partial());
+    assert_eq!(splitter.last(), Some(1));
+}
+
+#[test]
+fn an_event_that_was_delivered_breaks_the_stream() {
+    let mut splitter = EventSplitter::after(Some(4));
+    assert_eq!(splitter.feed(&event(5)), event(5));
+    assert!(splitter.feed(&event(5)).is_empty());
+    assert!(splitter.is_broken());
+}
+
+#[test]
+fn carriage_returns_end_lines_too() {
+    let mut splitter = EventSplitter::default();
+    let bytes = b"id: 3\r\ndata: x\r\n\r\n";
+    assert_eq!(splitter.feed(bytes), &bytes[..]);
+    assert_eq!(splitter.last(), Some(3));
+}
+
+#[test]
+fn events_without_ids_pass() {
+    let mut splitter = EventSplitter::after(Some(9));
+    let bytes = b": comment\n\ndata: x\n\n";
+    assert_eq!(splitter.feed(bytes), &bytes[..]);
+    assert_eq!(splitter.last(), Some(9));
+}
+
+#[test]
+fn an_endless_event_breaks_the_stream() {
+    let mut splitter = EventSplitter::default();
+    splitter.feed(&vec![b'x'; 300 * 1024]);
+    assert!(splitter.is_broken());
+}
+
+#[test]
+fn any_split_gives_the_same_bytes() {
+    for_seeds(200, 1024, |u| {
+        let count = u.int_in_range(0..=12u64)?;
+        let whole: Vec<u8> = (1..=count).flat_map(event).collect();
+        let mut splitter = EventSplitter::default();
+        let mut passed = Vec::new();
+        let mut rest = &whole[..];
+        while !rest.is_empty() {
+            let length = u.int_in_range(1..=rest.len())?;
+            let (chunk, later) = rest.split_at(length);
+            let events = splitter.feed(chunk);
+            assert!(events.is_empty() || events.ends_with(b"\n\n"));
+            passed.extend_from_slice(&events);
+            rest = later;
+        }
+        assert_eq!(passed, whole);
+        assert_eq!(splitter.last(), (count > 0).then_some(count));
+        Ok(())
+    });
+}
--- /dev/null
+++ b/lib/tests/test_fleet_choice.rs
@@ -0,0 +1,205 @@
+//! Which endpoint takes a request.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use {
+    hazelyoke_lib::{
+        gateway::{
+            catalogue::EndpointEntry,
+            dialect::{Prompt, PromptPart},
+            fleet::{Choice, Demand, Ending, Fleet, PeerLoad, short_hash},
+        },
+        ids::{DataCentreId, EndpointId, ServiceId},
+        units::{ByteSize, Millis, Time},
+    },
+    std::sync::Arc,
+};
+
+const NOW: Time = Time(1_000_000);
+
+fn entry(number: u8, data_centre: &str, draining: bool) -> Arc<EndpointEntry> {
+    Arc::new(EndpointEntry {
+        id: format!("e{number}").parse().unwrap(),
+        service: "s".parse().unwrap(),
+        address: format!("10.0.0.{number}:80").parse().unwrap(),
+        data_centre: data_centre.parse().unwrap(),
+        slots: 4,
+        draining,
+        revision: u64::from(number),
+    })
+}
+
+fn fleet(count: u8) -> Fleet {
+    let mut fleet = Fleet::default();
+    for number in 1..=count {
+        fleet.put(entry(number, "near", false));
+    }
+    fleet
+}
+
+fn service() -> ServiceId {
+    "s".parse().unwrap()
+}
+
+fn near() -> DataCentreId {
+    "near".parse().unwrap()
+}
+
+fn id(number: u8) -> EndpointId {
+    format!("e{number}").parse().unwrap()
+}
+
+fn plain(prompt: &Prompt) -> Demand<'_> {
+    Demand {
+        prompt,
+        affinity: false,
+        tried: &[],
+        inputs: &[],
+    }
+}
+
+fn choose(fleet: &Fleet, demand: &Demand<'_>) -> Option<Choice> {
+    fleet.choose(NOW, &near(), &service(), demand)
+}
+
+fn prompt(parts: &[(u64, u32)]) -> Prompt {
+    Prompt {
+        parts: parts
+            .iter()
+            .map(|(id, tokens)| PromptPart {
+                id: *id,
+                tokens: *tokens,
+            })
+            .collect(),
+        tokens_in: parts.iter().map(|(_, tokens)| tokens).sum(),
+        tokens_out: 10,
+    }
+}
+
+#[test]
+fn leaving_and_tried_endpoints_get_nothing() {
+    let mut fleet = fleet(2);
+    fleet.put(entry(1, "near", true));
+    let prompt = Prompt::default();
+    let choice = choose(&fleet, &plain(&prompt)).unwrap();
+    assert_eq!(choice.entry.id, id(2));
+    let demand = Demand {
+        tried: &[id(2)],
+        ..plain(&prompt)
+    };
+    assert!(choose(&fleet, &demand).is_none());
+}
+
+#[test]
+fn load_of_all_daemons_counts() {
+    let mut fleet = fleet(2);
+    let prompt = Prompt::default();
+    let loads = [(
+        short_hash(&id(1)),
+        PeerLoad {
+            running: 4,
+            prefill: 0.0,
+        },
+    )];
+    fleet.set_peer_loads(&loads.into_iter().collect());
+    assert_eq!(choose(&fleet, &plain(&prompt)).unwrap().entry.id, id(2));
+}
+
+#[test]
+fn an_endpoint_that_says_it_is_another_gets_nothing_more() {
+    let mut fleet = fleet(2);
+    let prompt = Prompt::default();
+    fleet.sent(NOW, &id(1), &prompt, 0);
+    fleet.ended(NOW, &id(1), Ending::Replaced);
+    for _ in 0..4 {
+        assert_eq!(choose(&fleet, &plain(&prompt)).unwrap().entry.id, id(2));
+    }
+}
+
+#[test]
+fn an_endpoint_out_of_reach_is_tried_only_where_no_other_is() {
+    let mut fleet = fleet(2);
+    let prompt = Prompt::default();
+    fleet.sent(NOW, &id(1), &prompt, 0);
+    fleet.ended(NOW, &id(1), Ending::Unreachable);
+    assert_eq!(choose(&fleet, &plain(&prompt)).unwrap().entry.id, id(2));
+    let demand = Demand {
+        tried: &[id(2)],
+        ..plain(&prompt)
+    };
+    assert_eq!(choose(&fleet, &demand).unwrap().entry.id, id(1));
+}
+
+#[test]
+fn failing_endpoints_are_set_aside_but_never_more_than_half() {
+    let mut fleet = fleet(4);
+    let prompt = Prompt::default();
+    for number in 1..=4 {
+        for _ in 0..3 {
+            fleet.sent(NOW, &id(number), &prompt, 0);
+            fleet.ended(NOW, &id(number), Ending::Failed);
+        }
+    }
+    let choice = choose(&fleet, &plain(&prompt)).unwrap();
+    assert_eq!(choice.candidates, 2);
+}
+
+#[test]
+fn daemons_agree_where_a_shared_part_goes() {
+    let (one, other) = (fleet(9), fleet(9));
+    for part in 1..50 {
+        let prompt = prompt(&[(part, 4_000), (1_000 + part, 500)]);
+        let demand = Demand {
+            affinity: true,
+            ..plain(&prompt)
+        };
+        let a = choose(&one, &demand).unwrap();
+        let b = choose(&other, &demand).unwrap();
+        assert_eq!(a.entry.id, b.entry.id);
+        assert_eq!(a.uncached, 500);
+    }
+}
+
+#[test]
+fn a_crowded_endpoint_loses_its_shared_part_to_another() {
+    let mut fleet = fleet(3);
+    let prompt = prompt(&[(7, 2_000), (8, 500)]);
+    let demand = Demand {
+        affinity: true,
+        ..plain(&prompt)
+    };
+    let first = choose(&fleet, &demand).unwrap();
+    for _ in 0..30 {
+        fleet.sent(NOW, &first.entry.id, &prompt, 2_000);
+    }
+    assert_ne!(choose(&fleet, &demand).unwrap().entry.id, first.entry.id);
+}
+
+#[test]
+fn inputs_draw_a_request_to_their_data_centre() {
+    let mut fleet = fleet(1);
+    fleet.put(entry(2, "far", false));
+    let prompt = Prompt::default();
+    let inputs = [("far".parse().unwrap(), ByteSize(1_000_000))];
+    let demand = Demand {
+        inputs: &inputs,
+        ..plain(&prompt)
+    };
+    assert_eq!(choose(&fleet, &demand).unwrap().entry.id, id(2));
+    assert_eq!(choose(&fleet, &plain(&prompt)).unwrap().entry.id, id(1));
+}
+
+#[test]
+fn a_slow_endpoint_is_tried_again_later() {
+    let mut fleet = fleet(2);
+    let prompt = prompt(&[(1, 500)]);
+    let demand = plain(&prompt);
+    let first = choose(&fleet, &demand).unwrap();
+    for _ in 0..20 {
+        fleet.first_event(NOW, &first, 2_000.0);
+    }
+    assert_ne!(choose(&fleet, &demand).unwrap().entry.id, first.entry.id);
+    let later = NOW + Millis(5_000);
+    let choice = fleet.choose(later, &near(), &service(), &demand).unwrap();
+    assert_eq!(choice.entry.id, first.entry.id);
+}
--- /dev/null
+++ b/lib/tests/test_peers.rs
@@ -0,0 +1,228 @@
+//! Who is believed alive, and who plans for a service.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use {
+    hazelyoke_lib::{
+        gateway::{
+            peer_message::{
+                Frame, Heartbeat, JobOrder, LoadNote, PROTOCOL, Phase, QueueNote, Reply, WorkNote,
+                decode, encode,
+            },
+            peers::{Beliefs, Identity, PeerChange, Peers, Planner},
+            stage_job::{Handle, JobEnd, PieceInput},
+        },
+        ids::ServiceId,
+        units::{Millis, Time},
+    },
+    hazelyoke_testutils::seeds::for_seeds,
+    std::net::SocketAddr,
+};
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+fn peers(number: u8, run: u64, seeds: &[SocketAddr]) -> Peers {
+    let me = Identity {
+        host: format!("h{number}").parse().unwrap(),
+        data_centre: "z".parse().unwrap(),
+        address: address(number),
+        run,
+    };
+    Peers::new(me, seeds)
+}
+
+fn beliefs(table: u64) -> Beliefs {
+    Beliefs {
+        phase: Phase::Ready,
+        table,
+        fingerprint: 0,
+        catalogue: 0,
+        loads: vec![LoadNote(1, 2, 300)],
+        queues: vec![QueueNote(9, 3, true)],
+        work: vec![WorkNote(9, 40)],
+    }
+}
+
+fn beat(peers: &mut Peers, now: Time) -> Heartbeat {
+    peers.heartbeat(now, beliefs(1)).0
+}
+
+#[test]
+fn daemons_meet_through_one_living_seed() {
+    let seeds = [address(99), address(1)];
+    let mut all: Vec<Peers> = (1..=6).map(|n| peers(n, u64::from(n), &seeds)).collect();
+    let mut now = Time(0);
+    for _ in 0..10 {
+        now = now + Millis(200);
+        for sender in 0..all.len() {
+            let (heartbeat, targets) = all[sender].heartbeat(now, beliefs(1));
+            for target in targets {
+                let receiver = (1..=6).position(|n| address(n) == target);
+                if let Some(receiver) = receiver {
+                    all[receiver].heard(now, heartbeat.clone());
+                }
+            }
+        }
+    }
+    for peers in &all {
+        assert_eq!(peers.daemons(), 6);
+    }
+}
+
+#[test]
+fn a_silent_daemon_is_lost_and_met_again() {
+    let mut me = peers(1, 1, &[]);
+    let mut other = peers(2, 2, &[]);
+    let met = me.heard(Time(0), beat(&mut other, Time(0)));
+    assert!(matches!(met, Some(PeerChange::Met(..))));
+    assert!(me.tick(Time(0) + Millis(900)).is_empty());
+    let lost = me.tick(Time(0) + Millis(1_100));
+    assert!(matches!(lost[..], [PeerChange::Lost(..)]));
+    assert_eq!(me.daemons(), 1);
+    let again = me.heard(Time(0) + Millis(1_200), beat(&mut other, Time(0)));
+    assert!(matches!(again, Some(PeerChange::Met(..))));
+}
+
+#[test]
+fn a_new_life_is_noticed_and_an_old_heartbeat_isnt_believed() {
+    let mut me = peers(1, 1, &[]);
+    let mut other = peers(2, 2, &[]);
+    let first = beat(&mut other, Time(0));
+    let second = beat(&mut other, Time(0));
+    me.heard(Time(0), second);
+    assert_eq!(me.heard(Time(1), first), None);
+    let mut reborn = peers(2, 3, &[]);
+    let change = me.heard(Time(2), beat(&mut reborn, Time(2)));
+    assert!(matches!(change, Some(PeerChange::Restarted(..))));
+}
+
+#[test]
+fn all_agree_on_the_planner_of_a_service() {
+    let mut all: Vec<Peers> = (1..=5).map(|n| peers(n, u64::from(n), &[])).collect();
+    let beats: Vec<Heartbeat> = all.iter_mut().map(|p| beat(p, Time(0))).collect();
+    for peers in &mut all {
+        for heartbeat in &beats {
+            peers.heard(Time(0), heartbeat.clone());
+        }
+    }
+    for name in ["enc", "retrieve", "rerank"] {
+        let service: ServiceId = name.parse().unwrap();
+        let planner = |n: usize| match all[n].planner(&service, true, &[]) {
+            Planner::Me => address(n as u8 + 1),
+            Planner::Peer(peer) => peer,
+        };
+        let first = planner(0);
+        assert!((1..5).all(|n| planner(n) == first));
+        // The next one takes over where it is lost.
+        let other = usize::from(first == address(1));
+        let next = all[other].planner(&service, true, &[first]);
+        assert_ne!(next, Planner::Peer(first));
+    }
+}
+
+#[test]
+fn a_daemon_that_stops_plans_for_nobody() {
+    let mut me = peers(1, 1, &[]);
+    let mut other = peers(2, 2, &[]);
+    let stopping = Beliefs {
+        phase: Phase::Stopping,
+        ..beliefs(1)
+    };
+    me.heard(Time(0), other.heartbeat(Time(0), stopping).0);
+    let service: ServiceId = "enc".parse().unwrap();
+    assert_eq!(me.planner(&service, true, &[]), Planner::Me);
+}
+
+#[test]
+fn loads_and_work_of_the_living_are_summed() {
+    let mut me = peers(1, 1, &[]);
+    for n in 2..=4 {
+        let mut other = peers(n, u64::from(n), &[]);
+        me.heard(Time(0), beat(&mut other, Time(0)));
+    }
+    assert_eq!(me.loads()[&1].running, 6);
+    assert_eq!(me.outstanding(9), 120);
+    assert_eq!(me.sound_endpoints(9), Some(3));
+    assert!(me.is_short_of_room(9));
+    me.tick(Time(0) + Millis(2_000));
+    assert!(me.loads().is_empty());
+    assert_eq!(me.outstanding(9), 0);
+}
+
+#[test]
+fn a_heartbeat_of_a_large_fleet_fits_into_a_datagram() {
+    let mut me = peers(1, 1, &[]);
+    for n in 2..=250 {
+        let mut other = peers(n, u64::from(n), &[]);
+        me.heard(Time(0), beat(&mut other, Time(0)));
+    }
+    let full = Beliefs {
+        loads: (0..600)
+            .map(|n| LoadNote(n * 7_019_777, 60, 90_000))
+            .collect(),
+        queues: (0..6).map(|n| QueueNote(n * 7_019_777, 9, true)).collect(),
+        work: (0..6).map(|n| WorkNote(n * 7_019_777, 9_000)).collect(),
+        ..beliefs(1)
+    };
+    let (heartbeat, targets) = me.heartbeat(Time(0), full);
+    assert!(targets.len() <= 12);
+    let bytes = encode(&heartbeat);
+    assert!(bytes.len() <= 1_400, "{} bytes", bytes.len());
+    assert_eq!(decode::<Heartbeat>(&bytes).unwrap(), heartbeat);
+}
+
+#[test]
+fn frames_survive_their_encoding() {
+    let order = JobOrder {
+        service: "enc".parse().unwrap(),
+        request: "r".into(),
+        stage: 1,
+        pieces: 3,
+        input: PieceInput::Results(vec![Handle("10.0.0.1:80/x".into())]),
+        remaining_ms: 900,
+        objective_ms: -20,
+        rank: 2,
+        result: 800,
+    };
+    let frame = Frame {
+        number: 7,
+        content: order,
+    };
+    assert_eq!(decode::<Frame<JobOrder>>(&encode(&frame)).unwrap(), frame);
+    for content in [
+        Reply::Table {
+            bytes: vec![0, 255, 7],
+        },
+        Reply::Job(JobEnd::Made(vec![Handle("a/b".into())])),
+        Reply::Unable,
+    ] {
+        let frame = Frame { number: 1, content };
+        assert_eq!(decode::<Frame<Reply>>(&encode(&frame)).unwrap(), frame);
+    }
+}
+
+/// Damaged messages are refused or read as something else, and never end the process.
+#[test]
+fn damaged_messages_are_refused() {
+    let mut other = peers(2, 2, &[]);
+    let bytes = encode(&beat(&mut other, Time(0)));
+    for_seeds(500, 64, |u| {
+        let mut damaged = bytes.clone();
+        for _ in 0..u.int_in_range(1..=6)? {
+            let at = u.choose_index(damaged.len())?;
+            damaged[at] = u.arbitrary()?;
+        }
+        damaged.truncate(u.int_in_range(0..=damaged.len())?);
+        let mut me = peers(1, 1, &[]);
+        if let Ok(heartbeat) = decode::<Heartbeat>(&damaged)
+            && heartbeat.protocol == PROTOCOL
+        {
+            me.heard(Time(0), heartbeat);
+            me.tick(Time(0) + Millis(5_000));
+            me.heartbeat(Time(0) + Millis(5_000), beliefs(1));
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/lib/tests/test_stage_admission.rs
@@ -0,0 +1,89 @@
+//! Requests whose stages can't be made in time are refused at once.
+
+use hazelyoke_lib::{
+    gateway::admission::{
+        AdmissionRequest, PlannedStage, StageService, Verdict, decide, expected_ms,
+    },
+    units::Millis,
+};
+
+fn service(outstanding: f64) -> StageService {
+    StageService {
+        endpoints: 4,
+        batch: 10,
+        call_ms: 240.0,
+        piece_ms: 10.0,
+        room: 1_000.0,
+        outstanding,
+    }
+}
+
+fn stage(outstanding: f64, pieces: u32, after: &[usize]) -> PlannedStage {
+    PlannedStage {
+        service: service(outstanding),
+        pieces,
+        after: after.to_vec(),
+    }
+}
+
+fn request(stages: Vec<PlannedStage>) -> AdmissionRequest {
+    AdmissionRequest {
+        stages,
+        objective: Millis(1_000),
+        rank: 0,
+        tokens: 1_000,
+    }
+}
+
+#[test]
+fn an_idle_chain_takes_its_calls() {
+    let stages = [stage(0.0, 1, &[]), stage(0.0, 2, &[0])];
+    assert_eq!(expected_ms(&stages), 250.0 + 260.0);
+}
+
+#[test]
+fn stages_side_by_side_take_as_long_as_the_longer() {
+    let stages = [stage(0.0, 1, &[]), stage(0.0, 5, &[])];
+    assert_eq!(expected_ms(&stages), 290.0);
+}
+
+#[test]
+fn a_stage_left_out_takes_no_time() {
+    let stages = [stage(900.0, 0, &[]), stage(0.0, 1, &[0])];
+    assert_eq!(expected_ms(&stages), 250.0);
+}
+
+#[test]
+fn an_idle_fleet_takes_a_request() {
+    let verdict = decide(&request(vec![stage(0.0, 1, &[])]));
+    assert!(matches!(verdict, Verdict::Take(_)), "{verdict:?}");
+}
+
+#[test]
+fn a_crowded_fleet_refuses_and_says_when_to_come_back() {
+    let verdict = decide(&request(vec![stage(500.0, 1, &[])]));
+    let Verdict::Refuse { retry_after, .. } = verdict else {
+        panic!("it was taken: {verdict:?}");
+    };
+    assert!(retry_after >= Millis(300));
+    assert!(retry_after <= Millis(3_500));
+}
+
+#[test]
+fn more_work_never_shortens_the_expectation() {
+    let mut last = 0.0;
+    for outstanding in 0..200 {
+        let expected = expected_ms(&[stage(f64::from(outstanding) * 5.0, 2, &[])]);
+        assert!(expected >= last);
+        last = expected;
+    }
+}
+
+#[test]
+fn a_long_prompt_counts_shortly() {
+    let long = AdmissionRequest {
+        tokens: 50_000,
+        ..request(vec![stage(0.0, 1, &[])])
+    };
+    assert!(matches!(decide(&long), Verdict::Take(_)));
+}
