--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -44,6 +44,9 @@
 /// Messages that may wait on one link before it counts as stuck.
 const QUEUE: usize = 1_024;
 
+/// Ports that are tried where the system chooses one.
+const PORT_TRIES: u32 = 16;
+
 /// Largest datagram accepted.
 const DATAGRAM: usize = 16 * 1024;
 
@@ -479,7 +482,14 @@
 ///
 /// Returns an error when the address can't be had.
 pub async fn bind(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
-    let listener = TcpListener::bind(address).await?;
-    let socket = UdpSocket::bind(listener.local_addr()?).await?;
-    Ok((listener, socket))
+    let mut tries = 0;
+    loop {
+        let listener = TcpListener::bind(address).await?;
+        match UdpSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            // A port that the system chose for one protocol may be taken in the other.
+            Err(_) if address.port() == 0 && tries < PORT_TRIES => tries += 1,
+            Err(error) => return Err(error),
+        }
+    }
 }
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -49,6 +49,7 @@
     admission: watch::Sender<Admission>,
     tasks: Vec<AbortHandle>,
     listen: SocketAddr,
+    ready: SocketAddr,
 }
 
 impl<D: Dialect> Drop for Server<D> {
@@ -79,6 +80,7 @@
         let callers = bind("callers", settings.listen).await?;
         let listen = callers.local_addr().unwrap_or(settings.listen);
         let ready = bind("readiness", settings.ready).await?;
+        let ready_address = ready.local_addr().unwrap_or(settings.ready);
         let operators = match settings.operator {
             Some(address) => Some(bind("operators", address).await?),
             None => None,
@@ -92,6 +94,7 @@
             admission,
             tasks: Vec::new(),
             listen,
+            ready: ready_address,
         };
         server.spawn(follow(gateway.clone(), directory.clone(), Topic::Table));
         server.spawn(follow(gateway.clone(), directory, Topic::Endpoints));
@@ -132,6 +135,11 @@
         self.listen
     }
 
+    /// Returns the address on which readiness is asked.
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
     /// Stops without cutting a request: not ready at once, callers still taken until the balancer
     /// has noticed, then what is in flight ends.
     pub async fn stop(self) {
