why, logs, metrics: a request's story from its id; the real program under test

hazelyoke why ID LOG...; state of a forwarding daemon in the form that hazelyoke status reads; metrics at a port known beforehand as well. Tests: a log that nobody reads holds up no request, a hang-up reloads, a term ends cleanly.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod diff;
 mod explain;
 mod status;
+mod why;
 
 use {crate::output::Exit, anyhow::Result, argh::FromArgs};
 
@@ -19,6 +20,8 @@
     Diff(diff::Diff),
     /// Ask a daemon.
     Status(status::Status),
+    /// Tell what happened to a request.
+    Why(why::Why),
 }
 
 /// Runs a command.
@@ -32,5 +35,6 @@
         Command::Explain(command) => command.run(),
         Command::Diff(command) => command.run(),
         Command::Status(command) => command.run(),
+        Command::Why(command) => command.run(),
     }
 }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -14,6 +14,7 @@
     log_lines::LogGuard,
     std::{
         fs,
+        net::SocketAddr,
         path::{Path, PathBuf},
     },
     tokio::{
@@ -30,6 +31,10 @@
     #[argh(switch)]
     platform: bool,
 
+    /// port of this host for metrics, beside the settings' own address
+    #[argh(option)]
+    metrics_port: Option<u16>,
+
     /// file with the daemon's settings: JSON with comments, or the platform's own form
     #[argh(positional)]
     settings: Option<PathBuf>,
@@ -39,7 +44,10 @@
     let args: Args = argh::from_env();
     let logs = log_lines::start();
     let result = if args.platform {
-        run_on_platform(args.settings.unwrap_or_else(settings_path))
+        run_on_platform(
+            args.settings.unwrap_or_else(settings_path),
+            args.metrics_port,
+        )
     } else {
         let path = args.settings.context("no settings file is named")?;
         run_own(path)
@@ -68,10 +76,12 @@
     })
 }
 
-fn run_on_platform(path: PathBuf) -> Result<()> {
+fn run_on_platform(path: PathBuf, metrics_port: Option<u16>) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
-        let settings = read_settings(&path)?;
+        let mut settings = read_settings(&path)?;
+        let host = settings.gateway.peer.ip();
+        settings.gateway.metrics = metrics_port.map(|port| SocketAddr::new(host, port));
         let store = Store::new(settings.store);
         let server: Server<PlatformDialect> = Server::start(settings.gateway, store).await?;
         wait_for_stop(|| reload(&path)).await?;
--- /dev/null
+++ b/daemon/tests/test_process.rs
@@ -0,0 +1,141 @@
+//! The real program: logs that nobody reads, signals, and a clean end.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+use {
+    serde_json::{Value, json},
+    stand_in::{client, replica::Replica, run, store::StandInStore, until},
+    std::{
+        net::{SocketAddr, TcpListener},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+    },
+};
+
+fn config() -> Value {
+    json!({"version": 1,
+        "routes": [{"name": "r", "host": "a.example", "pathPrefix": "/x/",
+            "kind": "idempotent", "timeoutMs": 8000, "targetLatencyMs": 100, "service": "s",
+            "maxAttempts": 1, "public": true}],
+        "services": [{"name": "s", "healthPath": "/h", "maxConnections": 50}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000}})
+}
+
+/// A running daemon; killed when the test ends, whichever way.
+struct Process {
+    child: Child,
+    settings: PathBuf,
+    listen: SocketAddr,
+    ready: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Ports that were free a moment ago; the program binds them itself.
+fn free_ports<const N: usize>() -> [u16; N] {
+    let listeners: Vec<TcpListener> = (0..N)
+        .map(|_| TcpListener::bind(stand_in::loopback()).unwrap())
+        .collect();
+    std::array::from_fn(|i| listeners[i].local_addr().unwrap().port())
+}
+
+async fn start(name: &str, store: &StandInStore, log: Stdio) -> Process {
+    let [front, ready, peer] = free_ports();
+    let file = format!("hazelyoked-{}-{name}.toml", std::process::id());
+    let settings = std::env::temp_dir().join(file);
+    let text = format!(
+        "nodeName = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"here\"\ninternalPorts = [{peer}]\n\
+         [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
+         [bounds]\ngraceS = 3.5\n[platform]\naddress = \"{}\"\n",
+        store.address
+    );
+    std::fs::write(&settings, text).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_hazelyoked"))
+        .arg("--platform")
+        .arg(&settings)
+        .stdout(log)
+        .spawn()
+        .unwrap();
+    let process = Process {
+        child,
+        settings,
+        listen: SocketAddr::from(([127, 0, 0, 1], front)),
+        ready: SocketAddr::from(([127, 0, 0, 1], ready)),
+    };
+    until(|| is_ready(process.ready), true).await;
+    process
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    match tokio::net::TcpStream::connect(address).await {
+        Ok(_) => client::status(address, "/api/ready").await == 200,
+        Err(_) => false,
+    }
+}
+
+fn signal(process: &Process, name: &str) {
+    let sent = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(process.child.id().to_string())
+        .status();
+    assert!(sent.unwrap().success());
+}
+
+async fn get(listen: SocketAddr, id: &str) -> u16 {
+    let text = client::request("GET", "/x/1", id, &[], "");
+    client::send(listen, &text).await.status
+}
+
+#[test]
+fn a_log_that_nobody_reads_holds_up_no_request() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.put("op/config", &config());
+        let _replica = Replica::start(&store, "i-1", "s").await;
+        let process = start("blocked", &store, Stdio::piped()).await;
+        // Far more than a pipe and the queue of lines hold together.
+        for round in 0..250 {
+            let asks = (0..20).map(|n| format!("r{round}-{n}"));
+            let asks = asks.map(|id| async move { get(process.listen, &id).await });
+            let tasks: Vec<_> = asks.collect();
+            for status in futures_util::future::join_all(tasks).await {
+                assert_eq!(status, 200);
+            }
+        }
+    });
+}
+
+#[test]
+fn a_hang_up_reloads_and_a_term_ends_cleanly() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.put("op/config", &config());
+        let _replica = Replica::start(&store, "i-1", "s").await;
+        let mut process = start("signals", &store, Stdio::null()).await;
+        signal(&process, "HUP");
+        std::fs::write(&process.settings, "not = [settings").unwrap();
+        signal(&process, "HUP");
+        assert_eq!(get(process.listen, "r1").await, 200);
+        signal(&process, "TERM");
+        until(|| is_ready(process.ready), false).await;
+        assert_eq!(get(process.listen, "r2").await, 200);
+        let status = loop {
+            if let Some(status) = process.child.try_wait().unwrap() {
+                break status;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        };
+        assert!(status.success(), "{status}");
+    });
+}
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -114,6 +114,7 @@
         }
     };
     progress.sending();
+    gateway.metrics.attempt();
     let endpoint = ticket.choice.entry.id.clone();
     let exchange = async {
         let (response, guard) = connection.send(request).await?;
--- a/lib/src/gateway/forward.rs
+++ b/lib/src/gateway/forward.rs
@@ -71,7 +71,7 @@
         detail = problem.detail.as_str();
         "request.problem"
     );
-    gateway.metrics.problem(problem.code);
+    gateway.metrics.problem(problem.code, problem.outcome);
     problem_reply::<D>(&problem)
 }
 
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters and latency histograms of a forwarding daemon.
 
 use {
-    crate::problem::Code,
+    crate::{
+        problem::{Code, Outcome},
+        status::ProblemCount,
+    },
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{
@@ -11,7 +14,7 @@
         },
         registry::Registry,
     },
-    std::{fmt, time::Duration},
+    std::{cell::RefCell, collections::BTreeMap, fmt, time::Duration},
 };
 
 /// Labels of a request's end.
@@ -46,6 +49,8 @@
     directory_failures: Counter,
     pieces: Family<KindLabels, Counter>,
     calls: Counter,
+    attempts: Counter,
+    problems: RefCell<BTreeMap<(Code, Outcome), u64>>,
     duration: Histogram,
     first_event: Histogram,
     stage: Histogram,
@@ -71,6 +76,8 @@
             directory_failures: Counter::default(),
             pieces: Family::default(),
             calls: Counter::default(),
+            attempts: Counter::default(),
+            problems: RefCell::default(),
             duration: latency(),
             first_event: latency(),
             stage: latency(),
@@ -96,6 +103,11 @@
         );
         registry.register("pieces", "Pieces sent to endpoints", self.pieces.clone());
         registry.register("calls", "Calls of pieces", self.calls.clone());
+        registry.register(
+            "attempts",
+            "Requests sent to endpoints",
+            self.attempts.clone(),
+        );
         registry.register(
             "request_seconds",
             "Time to the end of an answer",
@@ -131,8 +143,47 @@
     }
 
     /// Counts a problem told to a caller.
-    pub fn problem(&self, code: Code) {
+    pub fn problem(&self, code: Code, outcome: Outcome) {
         self.count_end(code.as_str());
+        *self
+            .problems
+            .borrow_mut()
+            .entry((code, outcome))
+            .or_default() += 1;
+    }
+
+    /// Counts an attempt that is sent.
+    pub fn attempt(&self) {
+        self.attempts.inc();
+    }
+
+    /// Returns the number of answers that came from endpoints.
+    pub fn answers(&self) -> u64 {
+        let end = "answered";
+        self.ends.get_or_create(&EndLabels { end }).get()
+    }
+
+    /// Returns the number of attempts.
+    pub fn attempts(&self) -> u64 {
+        self.attempts.get()
+    }
+
+    /// Returns the number of repeated sends.
+    pub fn repeats(&self) -> u64 {
+        let kinds = ["not_run", "failed", "resume"];
+        let count = |kind| self.repeats.get_or_create(&KindLabels { kind }).get();
+        kinds.into_iter().map(count).sum()
+    }
+
+    /// Returns the problems told to callers.
+    pub fn problems(&self) -> Vec<ProblemCount> {
+        let problems = self.problems.borrow();
+        let count = |((code, outcome), count): (&(Code, Outcome), &u64)| ProblemCount {
+            code: code.to_string(),
+            outcome: outcome.to_string(),
+            count: *count,
+        };
+        problems.iter().map(count).collect()
     }
 
     fn count_end(&self, end: &'static str) {
--- a/lib/src/gateway/operator.rs
+++ b/lib/src/gateway/operator.rs
@@ -1,7 +1,10 @@
 //! Small interfaces beside the callers': readiness, metrics, and what the daemon believes.
 
 use {
-    crate::gateway::{dialect::Dialect, peer_message::Phase, reply::ReplyBody, state::Gateway},
+    crate::{
+        gateway::{dialect::Dialect, peer_message::Phase, reply::ReplyBody, state::Gateway},
+        status::{EndpointStatus, StatusBody},
+    },
     http::{HeaderValue, Method, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -88,18 +91,17 @@
     response
 }
 
-/// What a daemon believes, for people.
+/// What a daemon believes, for people: the state that every daemon tells, and what only a forwarding
+/// one knows.
 #[derive(Debug, Serialize)]
 struct GatewayStatus {
-    host: String,
+    #[serde(flatten)]
+    common: StatusBody,
     phase: Phase,
-    table: u64,
     catalogue: u64,
-    in_flight: usize,
     jobs: usize,
     directory_lost: bool,
     peers: Vec<PeerStatus>,
-    endpoints: Vec<EndpointStatus>,
 }
 
 #[derive(Debug, Serialize)]
@@ -111,17 +113,6 @@
     catalogue: u64,
 }
 
-#[derive(Debug, Serialize)]
-struct EndpointStatus {
-    id: String,
-    service: String,
-    address: String,
-    open: bool,
-    running: u32,
-    peers_running: u32,
-    revision: u64,
-}
-
 fn status<D: Dialect>(gateway: &Gateway<D>) -> GatewayStatus {
     let phase = gateway.phase();
     let state = gateway.state.borrow();
@@ -133,23 +124,29 @@
         catalogue: peer.catalogue,
     });
     let endpoints = state.fleet.members().map(|member| EndpointStatus {
-        id: member.entry.id.to_string(),
         service: member.entry.service.to_string(),
-        address: member.entry.address.to_string(),
+        endpoint: member.entry.id.to_string(),
         open: member.is_open(),
-        running: member.running,
-        peers_running: member.peers.running,
-        revision: member.entry.revision,
+        in_flight: member.running,
     });
-    GatewayStatus {
+    let common = StatusBody {
         host: gateway.settings.host.to_string(),
+        ready: phase == Phase::Ready,
+        version: state.published.as_ref().map_or(0, |p| p.table.version),
+        in_flight: gateway.in_flight.get() as u64,
+        answered: gateway.metrics.answers(),
+        late: 0,
+        problems: gateway.metrics.problems(),
+        attempts: gateway.metrics.attempts(),
+        extra: gateway.metrics.repeats(),
+        endpoints: endpoints.collect(),
+    };
+    GatewayStatus {
+        common,
         phase,
-        table: state.published.as_ref().map_or(0, |p| p.table.version),
         catalogue: state.catalogue.revision(),
-        in_flight: gateway.in_flight.get(),
         jobs: state.planning.jobs(),
         directory_lost: state.contact.is_lost(),
         peers: peers.collect(),
-        endpoints: endpoints.collect(),
     }
 }
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -85,6 +85,7 @@
             Some(address) => Some(bind("operators", address).await?),
             None => None,
         };
+        let metrics = bind_metrics(settings.metrics).await;
         let gateway: Rc<Gateway<D>> = Gateway::new(settings);
         let directory = Rc::new(directory);
         let datagrams = Rc::new(datagrams);
@@ -106,8 +107,8 @@
         server.spawn(run_releases(gateway.clone()));
         server.spawn(watch_pauses(gateway.clone()));
         server.spawn(operator::serve(gateway.clone(), ready));
-        if let Some(operators) = operators {
-            server.spawn(operator::serve(gateway.clone(), operators));
+        for listener in operators.into_iter().chain(metrics) {
+            server.spawn(operator::serve(gateway.clone(), listener));
         }
         server.spawn(ingress::serve(gateway.clone(), callers, watched));
         log::info!(
@@ -175,6 +176,17 @@
         })
 }
 
+/// Opens the second address for metrics; a daemon that can't have it serves all the same.
+async fn bind_metrics(address: Option<SocketAddr>) -> Option<TcpListener> {
+    match bind("metrics", address?).await {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            log::warn!(error:%; "metrics.unavailable");
+            None
+        }
+    }
+}
+
 /// Tells when the process stood still.
 async fn watch_pauses<D: Dialect>(gateway: Rc<Gateway<D>>) {
     let mut detector = PauseDetector::default();
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -22,6 +22,8 @@
     pub ready: SocketAddr,
     /// Address for operators: metrics and state.
     pub operator: Option<SocketAddr>,
+    /// Second address for metrics, where they are fetched at a port known beforehand.
+    pub metrics: Option<SocketAddr>,
     /// Address for other daemons.
     pub peer: SocketAddr,
     /// Addresses of daemons to meet first.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod settings;
 pub mod sse;
 pub mod status;
+pub mod story;
 pub mod trace;
 pub mod tree;
 mod tree_check;
--- a/lib/tests/test_catalogue.rs
+++ b/lib/tests/test_catalogue.rs
@@ -1,5 +1,7 @@
 //! Which endpoints are believed to be there while the directory comes and goes.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use hazelyoke_lib::{
     gateway::catalogue::{Catalogue, EndpointEntry, Learnt},
     ids::EndpointId,
--- a/lib/tests/test_route_table.rs
+++ b/lib/tests/test_route_table.rs
@@ -1,5 +1,7 @@
 //! Which route takes a request, and whose key it carries.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 use {
     hazelyoke_lib::{
         gateway::table::{
