logs: calls of pieces are named apart over services and lives; beliefs that matter

Cause: numbers of calls repeat over services and restarts, so that the story of a request told calls that weren't its own, and every endpoint ever set aside.

--- a/lib/src/gateway/forward.rs
+++ b/lib/src/gateway/forward.rs
@@ -208,7 +208,9 @@
             expected_ms,
             retry_after,
         } => {
-            let detail = format!("the stages would take about {expected_ms:.0} ms");
+            let objective = call.route.objective;
+            let detail =
+                format!("it would take about {expected_ms:.0} ms, its objective is {objective}");
             Err(Problem::not_run(Code::NoTime, detail).retry_after(retry_after))
         }
     }
--- a/lib/src/gateway/stage_owner.rs
+++ b/lib/src/gateway/stage_owner.rs
@@ -258,6 +258,11 @@
         }
     }
 
+    /// Names a call in logs, apart from those of other services and other lives of the process.
+    fn call_name(&self, service: &ServiceId, call: &BatchCall) -> String {
+        format!("{:04x}-{service}-{}", self.run as u16, call.id)
+    }
+
     /// Returns the addresses of the endpoints of services that are short of room for results.
     fn short_of_room(&self, now: Time) -> HashSet<SocketAddr> {
         let state = self.state.borrow();
@@ -278,16 +283,16 @@
         for (service, call) in calls {
             self.metrics
                 .call(call.pieces.len() - call.repeated, call.repeated);
-            log_call(&service, &call);
+            log_call(&self.call_name(&service, &call), &service, &call);
             tokio::task::spawn_local(run_call(self.clone(), service, call));
         }
     }
 }
 
-fn log_call(service: &ServiceId, call: &BatchCall) {
+fn log_call(name: &str, service: &ServiceId, call: &BatchCall) {
     let requests: Vec<&str> = call.pieces.iter().map(|piece| &*piece.request).collect();
     log::info!(
-        call = call.id,
+        call = name,
         service:% = service,
         endpoint:% = call.entry.id,
         pieces = call.pieces.len(),
@@ -391,7 +396,7 @@
         CallEnd::Refused | CallEnd::Replaced | CallEnd::Broken => 0,
     };
     log::info!(
-        call = call.id,
+        call = gateway.call_name(&service, &call).as_str(),
         service:% = service,
         endpoint:% = call.entry.id,
         outcome,
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -106,6 +106,8 @@
     pub in_flight: Cell<usize>,
     /// Wakes the planner of stages.
     pub work: Notify,
+    /// Tells this life of the process from others.
+    pub run: u64,
     start: Instant,
     dialect: PhantomData<D>,
 }
@@ -150,6 +152,7 @@
             stopping: Cell::new(false),
             in_flight: Cell::new(0),
             work: Notify::new(),
+            run,
             start: Instant::now(),
             dialect: PhantomData,
         })
--- a/lib/src/story.rs
+++ b/lib/src/story.rs
@@ -26,6 +26,9 @@
     "table.",
 ];
 
+/// Field that names an endpoint.
+const ENDPOINT: &str = "endpoint";
+
 /// Logs of one host.
 #[derive(Debug, Clone)]
 pub struct HostLog {
@@ -91,9 +94,10 @@
         }
     }
     if let Some(span) = span(&lines) {
+        let endpoints = endpoints_of(&lines);
         for (host, entries) in &parsed {
             let told = entries.iter().filter(|entry| span.contains(&entry.at_ms));
-            let beliefs = told.filter(|entry| hosts.contains(host) && is_belief(entry));
+            let beliefs = told.filter(|entry| hosts.contains(host) && is_belief(entry, &endpoints));
             lines.extend(beliefs.map(|entry| line(host, entry, true)));
         }
     }
@@ -117,12 +121,12 @@
     })
 }
 
-/// Returns the numbers of the calls that carried a request's pieces.
-fn calls_of(request: &str, entries: &[Entry]) -> BTreeSet<u64> {
+/// Returns the names of the calls that carried a request's pieces.
+fn calls_of(request: &str, entries: &[Entry]) -> BTreeSet<String> {
     entries
         .iter()
         .filter(|entry| names(entry, request))
-        .filter_map(|entry| entry.fields.get("call")?.as_u64())
+        .filter_map(|entry| Some(entry.fields.get("call")?.as_str()?.to_owned()))
         .collect()
 }
 
@@ -132,13 +136,25 @@
     is_it("request") == Some(request) || listed
 }
 
-fn concerns(request: &str, calls: &BTreeSet<u64>, entry: &Entry) -> bool {
-    let call = entry.fields.get("call").and_then(Value::as_u64);
-    names(entry, request) || call.is_some_and(|call| calls.contains(&call))
+fn concerns(request: &str, calls: &BTreeSet<String>, entry: &Entry) -> bool {
+    let call = entry.fields.get("call").and_then(Value::as_str);
+    names(entry, request) || call.is_some_and(|call| calls.contains(call))
 }
 
-fn is_belief(entry: &Entry) -> bool {
+/// Returns whether a line tells a belief that may matter: of endpoints, only those of the story.
+fn is_belief(entry: &Entry, endpoints: &BTreeSet<String>) -> bool {
+    let endpoint = entry.fields.get(ENDPOINT).and_then(Value::as_str);
     BELIEFS.iter().any(|begin| entry.event.starts_with(begin))
+        && endpoint.is_none_or(|endpoint| endpoints.contains(endpoint))
+}
+
+fn endpoints_of(lines: &[StoryLine]) -> BTreeSet<String> {
+    lines
+        .iter()
+        .flat_map(|line| &line.fields)
+        .filter(|(name, _)| name == ENDPOINT)
+        .map(|(_, endpoint)| endpoint.clone())
+        .collect()
 }
 
 fn span(lines: &[StoryLine]) -> Option<RangeInclusive<u64>> {
--- a/lib/tests/test_story.rs
+++ b/lib/tests/test_story.rs
@@ -30,10 +30,10 @@
     let planner = log(
         "planner",
         &[
-            r#"{"at_ms":5010,"event":"pieces.sent","call":7,"requests":"[\"r1\", \"r2\"]"}"#,
-            r#"{"at_ms":5020,"event":"pieces.sent","call":8,"requests":"[\"r2\"]"}"#,
-            r#"{"at_ms":5300,"event":"pieces.ended","call":7,"outcome":"broken"}"#,
-            r#"{"at_ms":5310,"event":"pieces.ended","call":8,"outcome":"answered"}"#,
+            r#"{"at_ms":5010,"event":"pieces.sent","call":"a-7","requests":"[\"r1\", \"r2\"]"}"#,
+            r#"{"at_ms":5020,"event":"pieces.sent","call":"a-8","requests":"[\"r2\"]"}"#,
+            r#"{"at_ms":5300,"event":"pieces.ended","call":"a-7","outcome":"broken"}"#,
+            r#"{"at_ms":5310,"event":"pieces.ended","call":"a-8","outcome":"answered"}"#,
         ],
     );
     assert_eq!(
