--- a/lib/src/api.rs
+++ b/lib/src/api.rs
@@ -5,7 +5,7 @@
         api_headers::{CallHeaders, CallOptions, parse_header},
         api_problem::{ApiProblem, ProblemBody, bad_request, json_response, respond},
         api_stream::stream_response,
-        http_transport::HttpTransport,
+        http_call::HttpTransport,
         ids::RequestId,
         json,
         metrics::Metrics,
--- a/lib/src/api_stream.rs
+++ b/lib/src/api_stream.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         api_problem::ApiProblem,
-        http_transport::HttpTransport,
+        http_call::HttpTransport,
         ids::RequestId,
         node::{Delivery, Ticket},
         sse::write_event,
--- a/lib/src/config_service.rs
+++ b/lib/src/config_service.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         findings::Findings,
-        http_transport::get,
+        http_call::get,
         raw_tree::{RawTree, ValueSource},
         tree::Tree,
         units::{ByteSize, Millis},
--- a/lib/src/core_admit.rs
+++ b/lib/src/core_admit.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         core::Core,
-        policy::{AnyPolicy, Needs, Policy},
+        policy::{Needs, Policy},
+        policy_choice::AnyPolicy,
         problem::{Code, Problem},
         request::{Arrival, Request, Target},
         settings::{Guard, Settings},
--- a/lib/src/core_state.rs
+++ b/lib/src/core_state.rs
@@ -3,8 +3,11 @@
 use {
     crate::{
         endpoint::{AttemptEnd, LoadReport, NotRunCause},
-        ids::{AttemptId, DataCentreId, EndpointId, PipelineId, RequestId, ServiceId, StageId},
-        pool::{MemberSerial, Pool},
+        ids::{
+            AttemptId, DataCentreId, EndpointId, MemberSerial, PipelineId, RequestId, ServiceId,
+            StageId,
+        },
+        pool::Pool,
         prefix::CacheEvent,
         problem::{Code, Problem},
         request::{Attempt, Request},
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -7,7 +7,7 @@
         config_service::{ConfigClient, ConfigError, FetchedTree},
         core::CoreConfig,
         daemon_settings::{ConfigSettings, DaemonSettings},
-        http_transport::HttpTransport,
+        http_call::HttpTransport,
         node::{Node, TaskGuard, spawn_guarded},
         trace::{TraceError, Tracing},
     },
--- a/lib/src/engine_client.rs
+++ b/lib/src/engine_client.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         endpoint::{AttemptEnd, Call, FailCause, TokenSink},
-        http_transport::{Body, HttpTransport, call_request, check_head},
+        http_call::{Body, HttpTransport, call_request, check_head},
         sse::EventReader,
         tree::ServiceKind,
         units::WorkMillis,
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -379,6 +379,11 @@
     xxh3_64(id.as_str().as_bytes()) as u32
 }
 
+/// Returns a short name of a service for messages between daemons.
+pub fn short_hash_of(service: &ServiceId) -> u32 {
+    xxh3_64(service.as_str().as_bytes()) as u32
+}
+
 /// Returns the endpoint that all daemons prefer for a prompt's deepest shared part, by rendezvous
 /// hashing.
 fn agreed_endpoint<'a>(among: &[&'a Member], prompt: &Prompt) -> Option<&'a EndpointId> {
--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -5,16 +5,12 @@
     crate::gateway::{
         catalogue::EndpointEntry,
         dialect::Dialect,
-        directory::{Directory, DirectoryError, Item, Items, Topic},
+        directory::{Directory, DirectoryError, Item, Items, Topic, WAIT},
         state::Gateway,
     },
     std::{rc::Rc, time::Duration},
 };
 
-/// Time for which one call waits for changes. A connection that has gone silent is noticed within
-/// it and a little, which has to be less than the time a change may take to be in force.
-pub const WAIT: Duration = Duration::from_millis(1_000);
-
 /// First and longest pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
--- a/lib/src/gateway/forward.rs
+++ b/lib/src/gateway/forward.rs
@@ -4,7 +4,6 @@
     crate::{
         gateway::{
             accept::accept,
-            admission::Verdict,
             attempt::{AttemptEnd, Coming, NotRunCause, attempt, outbound_request},
             call::{Call, InFlight, LeftEarly},
             dialect::Dialect,
@@ -14,13 +13,13 @@
             progress::Progress,
             reply::{ReplyBody, problem_reply},
             reply_stream::{self, StreamSource},
-            stage_chain::{self, ChainError, ChainRequest, Results},
+            stage_admit::{check_admission, run_stages},
+            stage_chain::Results,
             state::Gateway,
             table::RouteKind,
-            workload,
         },
         ids::ServiceId,
-        problem::{Code, Problem},
+        problem::Problem,
         units::Millis,
     },
     bytes::Bytes,
@@ -194,56 +193,6 @@
     }
 }
 
-/// Refuses a request at once whose stages can't be made in time.
-fn check_admission<D: Dialect>(gateway: &Gateway<D>, call: &Call) -> Result<(), Problem> {
-    if call.route.stages.is_empty() || call.inbound.pieces.iter().all(|count| *count == 0) {
-        return Ok(());
-    }
-    match workload::admit(gateway, &call.route, &call.inbound) {
-        Verdict::Take(expected_ms) => {
-            log::info!(request = call.id(), expected_ms, objective_ms = call.route.objective.0; "request.admitted");
-            Ok(())
-        }
-        Verdict::Refuse {
-            expected_ms,
-            retry_after,
-        } => {
-            let objective = call.route.objective;
-            let detail =
-                format!("it would take about {expected_ms:.0} ms, its objective is {objective}");
-            Err(Problem::not_run(Code::NoTime, detail).retry_after(retry_after))
-        }
-    }
-}
-
-/// Runs the stages before the request, if there are any.
-pub(crate) async fn run_stages<D: Dialect>(
-    gateway: &Rc<Gateway<D>>,
-    call: &Call,
-) -> Result<Option<Results<D>>, Problem> {
-    if call.route.stages.is_empty() || call.inbound.pieces.iter().all(|count| *count == 0) {
-        return Ok(None);
-    }
-    let objective = call.arrived + call.route.objective;
-    let request = ChainRequest::new(
-        &call.inbound,
-        &call.route,
-        call.deadline.min(call.give_up()),
-        objective,
-        call.urgency,
-    );
-    match stage_chain::run(gateway, &request).await {
-        Ok(results) => Ok(Some(results)),
-        Err(ChainError::Late) => {
-            Err(Problem::not_run(Code::NoTime, "the stages take too long")
-                .retry_after(SHORTEST_RETRY))
-        }
-        Err(ChainError::Failed) => {
-            Err(Problem::not_run(Code::NoEndpoint, "a stage failed").retry_after(SHORTEST_RETRY))
-        }
-    }
-}
-
 fn choose<D: Dialect>(
     gateway: &Gateway<D>,
     call: &Call,
--- /dev/null
+++ b/lib/src/gateway/planning.rs
@@ -0,0 +1,185 @@
+//! The queues of all services that this daemon plans for, and who waits for their jobs.
+
+use {
+    crate::{
+        gateway::{
+            budget::{BudgetLimits, WindowBudget},
+            fleet::{Fleet, short_hash_of},
+            peer_message::QueueNote,
+            stage_batch::BatchQueue,
+            stage_calls::{BatchCall, CallEnd},
+            stage_job::{Handle, Job, JobEnd, JobId},
+            table::{BatchLimits, Table},
+        },
+        ids::ServiceId,
+        units::Time,
+    },
+    foldhash::{HashMap, HashSet},
+    std::{collections::BTreeMap, net::SocketAddr},
+    tokio::sync::oneshot,
+};
+
+/// The queues of the services whose endpoints run pieces.
+#[derive(Debug, Default)]
+pub struct Planning {
+    queues: BTreeMap<ServiceId, BatchQueue>,
+    pub(crate) limits: BTreeMap<ServiceId, BatchLimits>,
+    waiters: HashMap<JobId, oneshot::Sender<JobEnd>>,
+    services: HashMap<JobId, ServiceId>,
+    releases: HashMap<ServiceId, Vec<Handle>>,
+    last_job: u64,
+}
+
+impl Planning {
+    /// Takes in which services run pieces.
+    pub fn set_services(&mut self, table: &Table) {
+        self.limits = table
+            .services()
+            .filter_map(|service| Some((service.id.clone(), service.batch?)))
+            .collect();
+        let limits = &self.limits;
+        self.queues
+            .retain(|id, queue| limits.contains_key(id) || queue.jobs() > 0);
+    }
+
+    /// Takes in which endpoints may be called.
+    pub fn sync(&mut self, fleet: &Fleet, budget: BudgetLimits, daemons: usize) {
+        for (service, limits) in &self.limits {
+            let queue = self.queues.entry(service.clone()).or_insert_with(|| {
+                BatchQueue::new(*limits, WindowBudget::new(budget, Time::default()))
+            });
+            queue.set_limits(*limits, daemons);
+            let open: Vec<_> = fleet
+                .service(service)
+                .filter(|member| member.is_open())
+                .map(|member| member.entry.clone())
+                .collect();
+            queue.set_endpoints(&open);
+        }
+    }
+
+    /// Returns what others should know of the services with jobs in hand.
+    pub fn busy(&self, now: Time) -> impl Iterator<Item = QueueNote> {
+        self.queues
+            .iter()
+            .filter(|(_, queue)| queue.jobs() > 0)
+            .map(move |(id, queue)| {
+                let endpoints = queue.sound_workers(now) as u32;
+                QueueNote(short_hash_of(id), endpoints, queue.is_short_of_room(now))
+            })
+    }
+
+    pub(crate) fn is_short_of_room(&self, now: Time, service: &ServiceId) -> bool {
+        let queue = self.queues.get(service);
+        queue.is_some_and(|queue| queue.is_short_of_room(now))
+    }
+
+    /// Returns the endpoints of a service that take calls, if this daemon has jobs for it in hand.
+    pub fn sound_endpoints(&self, now: Time, service: &ServiceId) -> Option<usize> {
+        let queue = self.queues.get(service)?;
+        (queue.jobs() > 0).then(|| queue.sound_workers(now))
+    }
+
+    /// Returns the number of jobs in hand.
+    pub fn jobs(&self) -> usize {
+        self.services.len()
+    }
+
+    pub(crate) fn add(&mut self, now: Time, service: &ServiceId, job: Job) -> Option<JobTicket> {
+        let queue = self.queues.get_mut(service)?;
+        self.last_job += 1;
+        let id = JobId(self.last_job);
+        queue.add(now, id, job);
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.insert(id, sender);
+        self.services.insert(id, service.clone());
+        Some(JobTicket { id, receiver })
+    }
+
+    pub(crate) fn cancel(&mut self, id: JobId) {
+        self.waiters.remove(&id);
+        if let Some(service) = self.services.remove(&id)
+            && let Some(queue) = self.queues.get_mut(&service)
+        {
+            queue.cancel(id);
+        }
+    }
+
+    /// Notes results that are no longer needed.
+    pub fn release(&mut self, service: &ServiceId, handles: Vec<Handle>) {
+        let gathered = self.releases.entry(service.clone()).or_default();
+        gathered.extend(handles);
+    }
+
+    /// Notes that an endpoint dropped results, so that it has room again.
+    pub(crate) fn released(&mut self, service: &ServiceId, handles: &[Handle]) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.released(handles);
+        }
+    }
+
+    pub(crate) fn plan(&mut self, now: Time) -> Vec<(ServiceId, BatchCall)> {
+        let mut calls = Vec::new();
+        for (service, queue) in &mut self.queues {
+            let planned = queue.plan(now);
+            calls.extend(planned.into_iter().map(|call| (service.clone(), call)));
+        }
+        self.settle();
+        calls
+    }
+
+    /// Tells the ends of jobs to those who wait for them.
+    fn settle(&mut self) {
+        for (service, queue) in &mut self.queues {
+            for (id, end) in queue.take_ended() {
+                self.services.remove(&id);
+                let unheard = match self.waiters.remove(&id) {
+                    Some(waiter) => waiter.send(end).err(),
+                    None => Some(end),
+                };
+                if let Some(JobEnd::Made(handles)) = unheard {
+                    self.releases
+                        .entry(service.clone())
+                        .or_default()
+                        .extend(handles);
+                }
+            }
+            let surplus = queue.take_surplus();
+            if !surplus.is_empty() {
+                self.releases
+                    .entry(service.clone())
+                    .or_default()
+                    .extend(surplus);
+            }
+        }
+    }
+
+    /// Returns inputs that endpoints have fetched and whose makers are short of room.
+    pub(crate) fn take_fetched(&mut self, now: Time, short: &HashSet<SocketAddr>) -> Vec<Handle> {
+        let is_short = |handle: &Handle| handle.address().is_some_and(|at| short.contains(&at));
+        self.queues
+            .values_mut()
+            .flat_map(|queue| queue.take_fetched(now, is_short))
+            .collect()
+    }
+
+    pub(crate) fn call_ended(&mut self, now: Time, service: &ServiceId, id: u64, end: CallEnd) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.call_ended(now, id, end);
+        }
+        self.settle();
+    }
+
+    pub(crate) fn take_releases(&mut self) -> HashMap<ServiceId, Vec<Handle>> {
+        std::mem::take(&mut self.releases)
+    }
+}
+
+/// A job in the hands of this daemon's planner.
+#[derive(Debug)]
+pub struct JobTicket {
+    /// Its id.
+    pub id: JobId,
+    /// Its end.
+    pub receiver: oneshot::Receiver<JobEnd>,
+}
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -1,20 +1,16 @@
-//! Talks to other daemons: heartbeats in datagrams, and links for what is larger or answered.
-//!
-//! A link is a WebSocket connection with one CBOR frame a message. The daemon that opened it asks,
-//! the other one answers. A link to a daemon that falls silent is closed, which ends what waits on
-//! it at once.
+//! Talks to other daemons: heartbeats in datagrams, and answers to what they ask on links.
 
 use {
     crate::{
         gateway::{
             dialect::Dialect,
-            egress,
+            directory::WAIT,
+            links::{FETCH_LIMIT, LINK_LIMIT, QUEUE, config, read, send},
             peer_message::{
-                Ask, Frame, Heartbeat, JobOrder, MAX_MESSAGE, PROTOCOL, Phase, Reply, decode,
-                encode,
+                Ask, Frame, Heartbeat, JobOrder, PROTOCOL, Phase, Reply, decode, encode,
             },
             peers::{HEARTBEAT, PeerChange},
-            stage_job::{Handle, Job, JobEnd},
+            stage_job::{Job, JobEnd},
             state::Gateway,
         },
         ids::ServiceId,
@@ -22,28 +18,16 @@
     },
     bytes::Bytes,
     foldhash::HashMap,
-    futures_util::{SinkExt, StreamExt},
-    std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
+    futures_util::StreamExt,
+    std::{io, net::SocketAddr, rc::Rc},
     tokio::{
         net::{TcpListener, TcpStream, UdpSocket},
-        sync::{mpsc, oneshot},
+        sync::mpsc,
         task::AbortHandle,
     },
-    tokio_tungstenite::{
-        WebSocketStream, accept_async_with_config, client_async_with_config,
-        tungstenite::{Message, protocol::WebSocketConfig},
-    },
+    tokio_tungstenite::accept_async_with_config,
 };
 
-/// Longest time to set up a link.
-const LINK_LIMIT: Duration = Duration::from_millis(300);
-
-/// Longest time for a table or a list.
-const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
-
-/// Messages that may wait on one link before it counts as stuck.
-const QUEUE: usize = 1_024;
-
 /// Ports that are tried where the system chooses one.
 const PORT_TRIES: u32 = 16;
 
@@ -53,142 +37,6 @@
 /// Heartbeats heard without a directory before a list is asked of a peer.
 const LIST_LAG: Millis = Millis(500);
 
-/// Links that this daemon opened, by the other daemon's address.
-#[derive(Debug, Default)]
-pub struct Links {
-    open: RefCell<HashMap<SocketAddr, Link>>,
-}
-
-#[derive(Debug, Clone)]
-struct Link {
-    asks: mpsc::Sender<(Ask, oneshot::Sender<Reply>)>,
-    task: AbortHandle,
-}
-
-impl Links {
-    /// Asks another daemon; nothing if there is no answer. Dropping it stops waiting.
-    pub async fn ask(&self, peer: SocketAddr, ask: Ask) -> Option<Reply> {
-        let asks = self.link(peer).asks;
-        let (sender, receiver) = oneshot::channel();
-        asks.try_send((ask, sender)).ok()?;
-        receiver.await.ok()
-    }
-
-    /// Tells another daemon something that needs no answer.
-    pub fn tell(&self, peer: SocketAddr, ask: Ask) {
-        let (sender, _) = oneshot::channel();
-        // A full or closed link loses it; whoever tells has to bear that.
-        let _ = self.link(peer).asks.try_send((ask, sender));
-    }
-
-    /// Closes the link to a daemon that is lost.
-    pub fn close(&self, peer: SocketAddr) {
-        if let Some(link) = self.open.borrow_mut().remove(&peer) {
-            link.task.abort();
-        }
-    }
-
-    fn link(&self, peer: SocketAddr) -> Link {
-        let mut open = self.open.borrow_mut();
-        if let Some(link) = open.get(&peer)
-            && !link.asks.is_closed()
-        {
-            return link.clone();
-        }
-        let (asks, queue) = mpsc::channel(QUEUE);
-        let task = tokio::task::spawn_local(async move {
-            if let Err(error) = run_link(peer, queue).await {
-                log::info!(peer:% = peer, error; "link.closed");
-            }
-        });
-        let link = Link {
-            asks,
-            task: task.abort_handle(),
-        };
-        open.insert(peer, link.clone());
-        link
-    }
-}
-
-fn config() -> WebSocketConfig {
-    WebSocketConfig::default()
-        .max_message_size(Some(MAX_MESSAGE))
-        .max_frame_size(Some(MAX_MESSAGE))
-}
-
-type Asks = mpsc::Receiver<(Ask, oneshot::Sender<Reply>)>;
-
-/// Carries asks to one daemon until the link breaks; all that wait are dropped with it.
-async fn run_link(peer: SocketAddr, mut asks: Asks) -> Result<(), String> {
-    let stream = egress::open_stream(peer, LINK_LIMIT)
-        .await
-        .map_err(|error| error.to_string())?;
-    let url = format!("ws://{peer}/link");
-    let upgrade = client_async_with_config(url, stream, Some(config()));
-    let (mut socket, _) = tokio::time::timeout(LINK_LIMIT, upgrade)
-        .await
-        .map_err(|_| "no upgrade in time".to_owned())?
-        .map_err(|error| error.to_string())?;
-    let mut waiting: HashMap<u64, oneshot::Sender<Reply>> = HashMap::default();
-    let mut number = 0;
-    let mut sweep = tokio::time::interval(HEARTBEAT.to_duration());
-    loop {
-        tokio::select! {
-            ask = asks.recv() => {
-                let Some((content, sender)) = ask else {
-                    return Ok(());
-                };
-                number += 1;
-                waiting.insert(number, sender);
-                let frame = encode(&Frame { number, content });
-                send(&mut socket, frame).await?;
-            }
-            message = socket.next() => {
-                let bytes = read(message)?;
-                let Some(bytes) = bytes else { continue };
-                let frame: Frame<Reply> = decode(&bytes).map_err(|error| error.to_string())?;
-                if let Some(sender) = waiting.remove(&frame.number) {
-                    // Whoever asked may have left.
-                    let _ = sender.send(frame.content);
-                }
-            }
-            _ = sweep.tick() => {
-                let left: Vec<u64> = waiting
-                    .iter()
-                    .filter(|(_, sender)| sender.is_closed())
-                    .map(|(number, _)| *number)
-                    .collect();
-                for job in left {
-                    waiting.remove(&job);
-                    number += 1;
-                    let content = Ask::Cancel(job);
-                    send(&mut socket, encode(&Frame { number, content })).await?;
-                }
-            }
-        }
-    }
-}
-
-async fn send(socket: &mut WebSocketStream<TcpStream>, bytes: Vec<u8>) -> Result<(), String> {
-    let sent = socket.send(Message::Binary(bytes.into()));
-    tokio::time::timeout(FETCH_LIMIT, sent)
-        .await
-        .map_err(|_| "the other end doesn't read".to_owned())?
-        .map_err(|error| error.to_string())
-}
-
-/// Takes the bytes out of a message; nothing for one that carries none.
-fn read(
-    message: Option<Result<Message, tokio_tungstenite::tungstenite::Error>>,
-) -> Result<Option<Bytes>, String> {
-    match message {
-        None | Some(Ok(Message::Close(_))) => Err("closed by the other end".into()),
-        Some(Err(error)) => Err(error.to_string()),
-        Some(Ok(Message::Binary(bytes))) => Ok(Some(bytes)),
-        Some(Ok(_)) => Ok(None),
-    }
-}
-
 /// Accepts links from other daemons for good.
 pub async fn serve_links<D: Dialect>(gateway: Rc<Gateway<D>>, listener: TcpListener) {
     loop {
@@ -340,26 +188,6 @@
     }
 }
 
-/// Tells the planner of a service that results are no longer needed.
-pub fn release<D: Dialect>(gateway: &Gateway<D>, service: &ServiceId, handles: Vec<Handle>) {
-    use crate::gateway::peers::Planner;
-    if handles.is_empty() {
-        return;
-    }
-    let ready = gateway.phase() == Phase::Ready;
-    let planner = gateway.state.borrow().peers.planner(service, ready, &[]);
-    match planner {
-        Planner::Me => gateway
-            .state
-            .borrow_mut()
-            .planning
-            .release(service, handles),
-        Planner::Peer(peer) => gateway
-            .links
-            .tell(peer, Ask::Release(service.clone(), handles)),
-    }
-}
-
 /// Sends heartbeats, and asks peers for what is newer there.
 pub async fn run_heartbeats<D: Dialect>(gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
     let mut ticks = tokio::time::interval(HEARTBEAT.to_duration());
@@ -457,8 +285,7 @@
     let newer = {
         let state = gateway.state.borrow();
         let heard = state.contact.heard.unwrap_or_default();
-        if now.since(heard) < crate::gateway::follow::WAIT + LIST_LAG.to_duration() && state.listed
-        {
+        if now.since(heard) < WAIT + LIST_LAG.to_duration() && state.listed {
             return;
         }
         let least = if state.listed {
--- a/lib/src/gateway/stage_chain.rs
+++ b/lib/src/gateway/stage_chain.rs
@@ -8,10 +8,11 @@
             peer_message::{Ask, Phase},
             peers::Planner,
             relay,
+            release::release,
             stage_job::{Handle, Job, JobEnd, PieceInput},
             state::Gateway,
             table::{Route, RouteStage},
-            workload::WorkClaim,
+            work_claim::WorkClaim,
         },
         ids::{DataCentreId, ServiceId},
         units::{ByteSize, Millis, Time},
@@ -156,7 +157,7 @@
     fn release_all(&mut self) {
         for (service, handles) in &mut self.stages {
             if let Some(handles) = handles.take() {
-                relay::release(&self.gateway, service, handles);
+                release(&self.gateway, service, handles);
             }
         }
     }
@@ -250,7 +251,7 @@
             // The stage counts as done; only its handles are given up.
             let (service, handles) = &mut results.stages[stage];
             if let Some(handles) = handles.as_mut() {
-                relay::release(&results.gateway, service, std::mem::take(handles));
+                release(&results.gateway, service, std::mem::take(handles));
             }
         }
     }
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -7,12 +7,12 @@
             catalogue::{Catalogue, EndpointEntry, Learnt},
             dialect::Dialect,
             fleet::{Fleet, short_hash},
+            links::Links,
             metrics::GatewayMetrics,
             peer_message::{LoadNote, Phase},
             peers::{Beliefs, Identity, Peers},
-            relay::Links,
+            planning::Planning,
             settings::GatewaySettings,
-            stage_owner::Planning,
             table::{Table, Version},
             workload::Workload,
         },
@@ -402,8 +402,3 @@
         }
     }
 }
-
-/// Returns a short name of a service for messages between daemons.
-pub fn short_hash_of(service: &ServiceId) -> u32 {
-    xxh3_64(service.as_str().as_bytes()) as u32
-}
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -214,3 +214,7 @@
     /// The attempt itself.
     pub attempt: AttemptId,
 }
+
+/// Tells one stay of an endpoint in a pool from another one under the same name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MemberSerial(pub u64);
--- a/lib/src/plain_client.rs
+++ b/lib/src/plain_client.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     endpoint::{AttemptEnd, Call, FailCause, Reply},
-    http_transport::{Body, HttpTransport, call_request, check_head, read_body},
+    http_call::{Body, HttpTransport, call_request, check_head, read_body},
     json, wire,
 };
 
--- a/lib/src/policy.rs
+++ b/lib/src/policy.rs
@@ -2,10 +2,9 @@
 
 use {
     crate::{
-        policy_estimated::Estimated,
-        policy_naive::Naive,
-        pool::{Job, MemberSerial, Pool},
-        settings::{PolicyKind, Priority},
+        ids::MemberSerial,
+        pool::{Job, Pool},
+        settings::Priority,
         units::{Millis, Share, Time, WorkMillis},
     },
     rand::rngs::SmallRng,
@@ -51,64 +50,3 @@
     /// Tells whether endpoints that fail are ejected.
     fn ejects(&self) -> bool;
 }
-
-/// Any of the implementations, chosen by the `policy` setting.
-#[derive(Debug, Clone, Copy)]
-pub enum AnyPolicy {
-    /// Chooses by estimated finish.
-    Estimated(Estimated),
-    /// Round robin.
-    Naive(Naive),
-}
-
-impl AnyPolicy {
-    /// Returns the implementation that a setting names.
-    pub fn new(kind: PolicyKind, hop: Millis) -> Self {
-        match kind {
-            PolicyKind::Estimated => AnyPolicy::Estimated(Estimated { hop }),
-            PolicyKind::Naive => AnyPolicy::Naive(Naive),
-        }
-    }
-}
-
-macro_rules! delegate {
-    ($self:ident, $policy:ident => $call:expr) => {
-        match $self {
-            AnyPolicy::Estimated($policy) => $call,
-            AnyPolicy::Naive($policy) => $call,
-        }
-    };
-}
-
-impl Policy for AnyPolicy {
-    fn choose(
-        &self,
-        now: Time,
-        pool: &mut Pool,
-        job: &Job,
-        tried: &[MemberSerial],
-        rng: &mut SmallRng,
-    ) -> Option<usize> {
-        delegate!(self, policy => policy.choose(now, pool, job, tried, rng))
-    }
-
-    fn admits(&self, remaining: Millis, needs: Needs, priority: Priority, room: f64) -> bool {
-        delegate!(self, policy => policy.admits(remaining, needs, priority, room))
-    }
-
-    fn continues(&self, remaining: Millis, needs: Needs) -> bool {
-        delegate!(self, policy => policy.continues(remaining, needs))
-    }
-
-    fn grants_retry(&self, pool: &mut Pool) -> bool {
-        delegate!(self, policy => policy.grants_retry(pool))
-    }
-
-    fn first_attempt(&self, pool: &mut Pool, share: Share) {
-        delegate!(self, policy => policy.first_attempt(pool, share));
-    }
-
-    fn ejects(&self) -> bool {
-        delegate!(self, policy => policy.ejects())
-    }
-}
--- a/lib/src/policy_naive.rs
+++ b/lib/src/policy_naive.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
+        ids::MemberSerial,
         policy::{Needs, Policy},
-        pool::{Job, MemberSerial, Pool},
+        pool::{Job, Pool},
         settings::Priority,
         units::{Millis, Share, Time},
     },
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -5,7 +5,7 @@
         endpoint::Prefill,
         estimate::{Average, LoadEstimate},
         health::{Health, State},
-        ids::{DataCentreId, EndpointId},
+        ids::{DataCentreId, EndpointId, MemberSerial},
         prefix::{BLOCK, CacheEvent, Holder, Prefix, PrefixIndex},
         retry::RetryBudget,
         tree::{EndpointSpec, Service, ServiceKind},
@@ -54,10 +54,6 @@
     }
 }
 
-/// Tells one stay of an endpoint in a pool from another one under the same name.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct MemberSerial(pub u64);
-
 /// One endpoint of a pool.
 #[derive(Debug, Clone)]
 pub struct Member {
--- a/lib/src/prefix.rs
+++ b/lib/src/prefix.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        pool::MemberSerial,
+        ids::MemberSerial,
         units::{Millis, Time},
     },
     foldhash::HashMap,
--- a/lib/src/request.rs
+++ b/lib/src/request.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         endpoint::Resume,
-        ids::{AttemptId, CustomerId, EndpointId, IdempotencyKey, RequestId},
-        pool::{CallSize, MemberSerial},
+        ids::{AttemptId, CustomerId, EndpointId, IdempotencyKey, MemberSerial, RequestId},
+        pool::CallSize,
         problem::{Code, Outcome, Problem},
         settings::{Priority, Settings},
         tree::{Pipeline, Stage},
--- a/lib/src/status.rs
+++ b/lib/src/status.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        http_transport::get,
+        http_call::get,
         node::Snapshot,
         units::{ByteSize, Millis},
     },
--- a/lib/tests/test_prefix.rs
+++ b/lib/tests/test_prefix.rs
@@ -4,7 +4,7 @@
 
 use {
     hazelyoke_lib::{
-        pool::MemberSerial,
+        ids::MemberSerial,
         prefix::{BLOCK, CacheEvent, Prefix, PrefixIndex},
         units::{Millis, Time},
     },
