--- a/bench/src/commands/mod.rs
+++ b/bench/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod decide;
 mod demo;
+mod forwarding;
 mod overhead;
 mod plot;
 mod run;
@@ -26,6 +27,8 @@
     Overhead(overhead::Overhead),
     /// Processor time of a token.
     Tokens(tokens::Tokens),
+    /// Decisions of a forwarding daemon.
+    Forwarding(forwarding::Forwarding),
     /// Memory and time at larger sizes.
     Scale(scale::Scale),
 }
@@ -43,6 +46,7 @@
         Command::Decide(command) => command.run().await,
         Command::Overhead(command) => command.run().await,
         Command::Tokens(command) => command.run().await,
+        Command::Forwarding(command) => command.run(),
         Command::Scale(command) => command.run().await,
     }
 }
--- a/lib/src/gateway/stage_batch.rs
+++ b/lib/src/gateway/stage_batch.rs
@@ -164,21 +164,35 @@
         self.drop_hopeless(now);
         self.requeue_overdue(now);
         let mut calls = Vec::new();
-        loop {
-            let free = self.free_workers(now);
-            if free.is_empty() || self.waiting() == 0 {
-                return calls;
-            }
-            let share = self.waiting().div_ceil(free.len());
+        let mut free = self.free_workers(now);
+        if free.is_empty() {
+            return calls;
+        }
+        let order = self.waiting_order(now);
+        let mut waiting = self.waiting();
+        while !free.is_empty() && waiting > 0 {
+            let share = waiting.div_ceil(free.len());
             let target = share.min(self.limits.pieces);
             let planned = free
                 .iter()
-                .find_map(|endpoint| self.plan_call(now, endpoint, target));
-            match planned {
-                Some(call) => calls.push(call),
-                None => return calls,
-            }
+                .find_map(|endpoint| self.plan_call(now, endpoint, target, &order, waiting));
+            let Some(call) = planned else {
+                return calls;
+            };
+            waiting -= call.pieces.len();
+            calls.push(call);
+            free = self.free_workers(now);
         }
+        calls
+    }
+
+    /// Returns the jobs with waiting pieces, the most urgent first.
+    fn waiting_order(&self, now: Time) -> Vec<JobId> {
+        let waiting = self.jobs.iter().filter(|(_, state)| state.waiting > 0);
+        let mut order: Vec<(Time, JobId)> =
+            waiting.map(|(id, state)| (state.order(now), *id)).collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Takes in how a call ended.
@@ -266,24 +280,23 @@
         free.iter().map(|worker| worker.entry.id.clone()).collect()
     }
 
-    fn plan_call(&mut self, now: Time, endpoint: &EndpointId, target: usize) -> Option<BatchCall> {
+    fn plan_call(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointId,
+        target: usize,
+        order: &[JobId],
+        waiting: usize,
+    ) -> Option<BatchCall> {
         let limits = self.limits;
         let worker = self.workers.get_mut(endpoint)?;
         let mut room = worker.room(now, &limits);
         let entry = worker.entry.clone();
-        let waiting = self.waiting();
-        let mut order: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, state)| state.waiting > 0)
-            .map(|(id, _)| *id)
-            .collect();
-        order.sort_by_key(|id| (self.jobs[id].order(now), *id));
         let mut chosen = Vec::new();
         let mut tasks = Vec::new();
         let mut reserved = 0;
         let mut repeated = 0;
-        for id in order {
+        for id in order.iter().copied() {
             if chosen.len() >= target {
                 break;
             }
