directory: doubt a vanished entry only where no other daemon reaches the store

Cause: a daemon whose own connections were reset took the failure for one of the store, doubted an entry that had gone for good, and used the leaving replica for 2,070 ms (bound 2,000). Ruled out: a late watch (it heard of it 4 ms after). Daemons now tell whether they have read the store without a failure for 3 s; where one has, an entry that vanishes is gone.

--- a/bench/src/commands/forwarding.rs
+++ b/bench/src/commands/forwarding.rs
@@ -191,6 +191,7 @@
         table: 7,
         fingerprint: u64::MAX,
         catalogue: 100_000,
+        calm: true,
         loads: (0..40).map(|n| LoadNote(n * 7_019_777, 9, 9_000)).collect(),
         queues: (0..2).map(|n| QueueNote(n * 7_019_777, 5, false)).collect(),
         work: (0..3).map(|n| WorkNote(n * 7_019_777, 90)).collect(),
--- a/lib/src/gateway/catalogue.rs
+++ b/lib/src/gateway/catalogue.rs
@@ -12,7 +12,7 @@
 
 /// Time for which endpoints that vanished while the directory was out of reach stay in use, to
 /// let the living ones write themselves down again.
-const DOUBT: Millis = Millis(2_000);
+const DOUBT: Millis = Millis(1_400);
 
 /// One endpoint as the directory has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -71,6 +71,11 @@
         self.entries.get(id)
     }
 
+    /// Returns the number of endpoints without an entry that are still used.
+    pub fn doubted(&self) -> usize {
+        self.doubted.len()
+    }
+
     /// Takes in one changed entry.
     pub fn put(&mut self, entry: EndpointEntry) -> Option<Learnt> {
         let old = self.entries.get(&entry.id);
--- a/lib/src/gateway/peer_message.rs
+++ b/lib/src/gateway/peer_message.rs
@@ -117,6 +117,9 @@
     /// Revision of its list of endpoints.
     #[serde(rename = "c")]
     pub catalogue: u64,
+    /// Whether it has reached the directory without a failure for a while.
+    #[serde(rename = "k")]
+    pub calm: bool,
     /// Some daemons that it knows of.
     #[serde(rename = "n")]
     pub peers: Vec<PeerNote>,
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -47,6 +47,8 @@
     pub fingerprint: u64,
     /// Revision of its list of endpoints.
     pub catalogue: u64,
+    /// Whether it has reached the directory without a failure for a while.
+    pub calm: bool,
     /// What it has in flight.
     pub loads: Vec<LoadNote>,
     /// What it plans.
@@ -162,6 +164,7 @@
             table: beliefs.table,
             fingerprint: beliefs.fingerprint,
             catalogue: beliefs.catalogue,
+            calm: beliefs.calm,
             peers,
             loads,
             queues: beliefs.queues,
@@ -245,6 +248,12 @@
             .map(|(_, heartbeat)| heartbeat)
     }
 
+    /// Returns whether any daemon has reached the directory without a failure for a while, so that
+    /// a failure here is this daemon's own.
+    pub fn is_any_calm(&self) -> bool {
+        self.alive().any(|heartbeat| heartbeat.calm)
+    }
+
     /// Returns a daemon whose table is newer than `version`, the newest first.
     pub fn newer_table(&self, version: Version) -> Option<(SocketAddr, Version)> {
         self.alive()
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -34,6 +34,9 @@
 /// Time after a failed read of the directory during which vanished entries are doubted.
 const OUTAGE: Millis = Millis(1_500);
 
+/// Time without a failed read after which the directory counts as steady for this daemon.
+const CALM: Millis = Millis(3_000);
+
 /// A table together with the bytes it was read from.
 #[derive(Debug)]
 pub struct Published {
@@ -55,12 +58,18 @@
 }
 
 impl DirectoryContact {
-    /// Returns whether entries that vanish now may have lapsed although their endpoints live.
+    /// Returns whether the directory failed lately.
     fn is_doubtful(&self, now: Time) -> bool {
         self.failed
             .is_some_and(|failed| now.since(failed) < OUTAGE.to_duration())
     }
 
+    /// Returns whether the directory has been read without a failure for a while.
+    fn is_calm(&self, now: Time) -> bool {
+        let since = self.failed.unwrap_or_default();
+        self.heard.is_some() && !self.is_lost() && now.since(since) > CALM.to_duration()
+    }
+
     /// Returns whether the directory can't be read just now.
     pub fn is_lost(&self) -> bool {
         self.failed > self.heard
@@ -89,6 +98,14 @@
     budgets: HashMap<ServiceId, WindowBudget>,
 }
 
+impl State {
+    /// Returns whether entries that vanish now may have lapsed although their endpoints live: the
+    /// directory failed lately, and not for this daemon alone.
+    fn is_doubtful(&self, now: Time) -> bool {
+        self.contact.is_doubtful(now) && !self.peers.is_any_calm()
+    }
+}
+
 /// One forwarding daemon.
 #[derive(Debug)]
 pub struct Gateway<D> {
@@ -247,7 +264,7 @@
     pub fn remove_endpoint(&self, id: &EndpointId) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let doubt = state.contact.is_doubtful(now);
+        let doubt = state.is_doubtful(now);
         let learnt = state.catalogue.remove(now, id, doubt);
         drop(state);
         self.note_learnt(learnt, "directory");
@@ -257,7 +274,7 @@
     pub fn replace_endpoints(&self, revision: u64, list: Vec<EndpointEntry>, source: &str) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let doubt = state.contact.is_doubtful(now);
+        let doubt = state.is_doubtful(now);
         for entry in &list {
             let newer = state
                 .catalogue
@@ -396,6 +413,7 @@
             table: published.map_or(0, |published| published.table.version),
             fingerprint: published.map_or(0, |published| published.fingerprint),
             catalogue: state.catalogue.revision(),
+            calm: state.contact.is_calm(now),
             loads,
             queues,
             work: state.workload.notes(),
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -39,6 +39,7 @@
         table,
         fingerprint: 0,
         catalogue: 0,
+        calm: true,
         loads: vec![LoadNote(1, 2, 300)],
         queues: vec![QueueNote(9, 3, true)],
         work: vec![WorkNote(9, 40)],
@@ -151,6 +152,22 @@
     assert_eq!(me.outstanding(9), 0);
 }
 
+#[test]
+fn only_a_living_daemon_that_reaches_the_directory_counts_as_calm() {
+    let mut me = peers(1, 1, &[]);
+    let mut other = peers(2, 2, &[]);
+    let troubled = Beliefs {
+        calm: false,
+        ..beliefs(1)
+    };
+    me.heard(Time(0), other.heartbeat(Time(0), troubled).0);
+    assert!(!me.is_any_calm());
+    me.heard(Time(1), beat(&mut other, Time(1)));
+    assert!(me.is_any_calm());
+    me.tick(Time(0) + Millis(2_000));
+    assert!(!me.is_any_calm());
+}
+
 #[test]
 fn a_heartbeat_of_a_large_fleet_fits_into_a_datagram() {
     let mut me = peers(1, 1, &[]);
