--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, a file each.
 
 mod check;
+mod check_platform;
 mod diff;
 mod explain;
 mod status;
@@ -14,6 +15,8 @@
 pub enum Command {
     /// Check trees.
     Check(check::Check),
+    /// Check documents of the users' platform.
+    CheckPlatform(check_platform::CheckPlatform),
     /// Explain one node.
     Explain(explain::Explain),
     /// Compare two trees.
@@ -32,6 +35,7 @@
 pub fn run(command: Command) -> Result<Exit> {
     match command {
         Command::Check(command) => command.run(),
+        Command::CheckPlatform(command) => command.run(),
         Command::Explain(command) => command.run(),
         Command::Diff(command) => command.run(),
         Command::Status(command) => command.run(),
--- a/cli/tests/test_cli.rs
+++ b/cli/tests/test_cli.rs
@@ -103,3 +103,29 @@
     assert!(output.starts_with("exit 1\n"), "{output}");
     assert!(output.contains("is the daemon running there?"), "{output}");
 }
+
+#[test]
+fn why_tells_a_request() {
+    insta::assert_snapshot!(run(&[
+        "why",
+        "190be356ef9e3ad4",
+        "cli/tests/data/front-1.log",
+        "cli/tests/data/front-2.log"
+    ]));
+}
+
+#[test]
+fn why_knows_no_request() {
+    insta::assert_snapshot!(run(&["why", "none", "cli/tests/data/front-1.log"]));
+}
+
+#[test]
+fn check_platform_findings() {
+    let file = "cli/tests/data/platform-config.json";
+    insta::assert_snapshot!(run(&["check-platform", "--config", file]));
+}
+
+#[test]
+fn check_platform_without_files() {
+    insta::assert_snapshot!(run(&["check-platform"]));
+}
