forward: cap by connections, explicit ends of streams, time bound on readers, pauses

Requests of one daemon at one endpoint stay within its part of the connections that the endpoint accepts, since what is reset may have run. After a pause nobody counts as lost before he could be heard.

--- a/bench/src/commands/forwarding.rs
+++ b/bench/src/commands/forwarding.rs
@@ -106,6 +106,7 @@
             affinity: true,
             tried: &[],
             inputs: &[],
+            most: u32::MAX,
         };
         let now = Time(turn * 1_000);
         if let Some(choice) = fleet.choose(now, &here, &service, &demand) {
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -161,6 +161,9 @@
     pub tried: &'a [EndpointId],
     /// Where its inputs lie.
     pub inputs: &'a [(DataCentreId, ByteSize)],
+    /// Most requests of this daemon that one endpoint may have in hand: its part of the connections
+    /// that the endpoint accepts. What is sent beyond may be reset, and then may have run.
+    pub most: u32,
 }
 
 /// An endpoint chosen, with what decided.
@@ -259,7 +262,8 @@
     ) -> Option<Choice> {
         let open: Vec<&Member> = self
             .service(service)
-            .filter(|member| member.is_open() && !demand.tried.contains(&member.entry.id))
+            .filter(|member| member.is_open() && member.running < demand.most)
+            .filter(|member| !demand.tried.contains(&member.entry.id))
             .collect();
         let sound: Vec<&Member> = open
             .iter()
--- a/lib/src/gateway/forward.rs
+++ b/lib/src/gateway/forward.rs
@@ -205,6 +205,7 @@
         affinity: call.route.affinity,
         tried: &progress.tried,
         inputs: &sites,
+        most: gateway.connections_each(&call.service),
     };
     let here = &gateway.settings.data_centre;
     let state = gateway.state.borrow();
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -30,7 +30,7 @@
 pub mod progress;
 pub mod relay;
 mod release;
-mod reply;
+pub mod reply;
 mod reply_stream;
 pub mod server;
 pub mod settings;
--- a/lib/src/gateway/pause.rs
+++ b/lib/src/gateway/pause.rs
@@ -5,9 +5,6 @@
     std::time::Duration,
 };
 
-/// Time between two looks at the clock.
-pub const LOOK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Time without a look that counts as a pause.
 const PAUSE: Millis = Millis(600);
 
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -212,6 +212,15 @@
         }
     }
 
+    /// Notes that this process stood still: it couldn't hear anybody, so nobody is lost yet.
+    pub fn resumed(&mut self, now: Time) {
+        for peer in self.known.values_mut().filter(|peer| peer.alive) {
+            if let Some((heard, _)) = &mut peer.heard {
+                *heard = now;
+            }
+        }
+    }
+
     /// Notes who has been silent for too long.
     pub fn tick(&mut self, now: Time) -> Vec<PeerChange> {
         let mut lost = Vec::new();
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -6,6 +6,7 @@
             dialect::Dialect,
             directory::WAIT,
             links::{FETCH_LIMIT, LINK_LIMIT, QUEUE, config, read, send},
+            pause::PauseDetector,
             peer_message::{
                 Ask, Frame, Heartbeat, JobOrder, PROTOCOL, Phase, Reply, decode, encode,
             },
@@ -192,9 +193,14 @@
 pub async fn run_heartbeats<D: Dialect>(gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
     let mut ticks = tokio::time::interval(HEARTBEAT.to_duration());
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut pauses = PauseDetector::default();
     loop {
         ticks.tick().await;
         let now = gateway.now();
+        if let Some(gap) = pauses.look(now) {
+            log::warn!(gap_ms = gap.as_millis() as u64; "pause.noticed");
+            gateway.state.borrow_mut().peers.resumed(now);
+        }
         let beliefs = gateway.beliefs();
         let lost = gateway.state.borrow_mut().peers.tick(now);
         for change in &lost {
--- a/lib/src/gateway/reply.rs
+++ b/lib/src/gateway/reply.rs
@@ -24,8 +24,18 @@
 pub enum ReplyBody {
     /// Whole.
     Whole(Option<Bytes>),
-    /// Coming piece by piece.
-    Stream(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+    /// Coming part by part.
+    Stream(mpsc::Receiver<StreamPart>),
+}
+
+/// Part of a body that comes bit by bit. A body without [`StreamPart::End`] is broken off, whyever
+/// its sender went.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamPart {
+    /// Bytes of the body.
+    Bytes(Bytes),
+    /// The body is whole.
+    End,
 }
 
 impl ReplyBody {
@@ -46,9 +56,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(receiver) => receiver
-                .poll_recv(context)
-                .map(|next| next.map(|next| next.map(Frame::data))),
+            Self::Stream(receiver) => receiver.poll_recv(context).map(|next| match next {
+                Some(StreamPart::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(StreamPart::End) => None,
+                None => Some(Err(BrokenOff)),
+            }),
         }
     }
 
--- a/lib/src/gateway/reply_stream.rs
+++ b/lib/src/gateway/reply_stream.rs
@@ -10,7 +10,7 @@
             event_stream::EventSplitter,
             fleet::{Demand, Ending},
             metrics::Repeat,
-            reply::BrokenOff,
+            reply::StreamPart,
             stage_admit::run_stages,
             stage_chain::Results,
             state::Gateway,
@@ -18,7 +18,6 @@
         },
         ids::EndpointId,
     },
-    bytes::Bytes,
     http::StatusCode,
     http_body_util::BodyExt,
     hyper::body::Incoming,
@@ -49,7 +48,7 @@
     results: Option<Results<D>>,
     splitter: EventSplitter,
     events_begun: bool,
-    sink: mpsc::Sender<Result<Bytes, BrokenOff>>,
+    sink: mpsc::Sender<StreamPart>,
     _in_flight: InFlight<D>,
 }
 
@@ -70,7 +69,7 @@
     sent: u32,
     results: Option<Results<D>>,
     in_flight: InFlight<D>,
-) -> mpsc::Receiver<Result<Bytes, BrokenOff>> {
+) -> mpsc::Receiver<StreamPart> {
     let (sink, receiver) = mpsc::channel(QUEUE);
     let splitter = EventSplitter::after(call.inbound.last_event);
     let pump = Pump {
@@ -120,18 +119,18 @@
             match end {
                 SourceEnd::Whole => {
                     ticket.end(Ending::Served(None));
-                    return self.finish("answered");
+                    return self.finish("answered").await;
                 }
                 SourceEnd::CallerLeft => {
                     self.gateway.metrics.caller_left();
                     return;
                 }
-                SourceEnd::TimeOver => return self.break_off("the request's time is over").await,
+                SourceEnd::TimeOver => return self.break_off("the request's time is over"),
                 SourceEnd::Broken(why) => {
                     ticket.end(Ending::Failed);
                     match self.resume(&why).await {
                         Some(next) => source = next,
-                        None => return self.break_off(&why).await,
+                        None => return self.break_off(&why),
                     }
                 }
             }
@@ -175,8 +174,13 @@
                     self.results = None;
                 }
                 ticket.first_event();
-                if self.sink.send(Ok(events)).await.is_err() {
-                    return SourceEnd::CallerLeft;
+                // A caller that doesn't read holds its stream up, though not past its time.
+                match tokio::time::timeout_at(deadline, self.sink.send(StreamPart::Bytes(events)))
+                    .await
+                {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return SourceEnd::CallerLeft,
+                    Err(_) => return SourceEnd::TimeOver,
                 }
             }
             if self.splitter.is_broken() {
@@ -218,6 +222,7 @@
             affinity: self.call.route.affinity,
             tried: &self.tried,
             inputs: &sites,
+            most: self.gateway.connections_each(&self.call.service),
         };
         let now = self.gateway.now();
         let here = &self.gateway.settings.data_centre;
@@ -283,7 +288,12 @@
         })
     }
 
-    fn finish(self, outcome: &str) {
+    async fn finish(self, outcome: &str) {
+        let deadline = self.gateway.instant(self.call.deadline);
+        let end = self.sink.send(StreamPart::End);
+        if !matches!(tokio::time::timeout_at(deadline, end).await, Ok(Ok(()))) {
+            return self.gateway.metrics.caller_left();
+        }
         let took = self.gateway.now().since(self.call.arrived);
         self.gateway.metrics.answered(took);
         log::info!(
@@ -295,7 +305,7 @@
         );
     }
 
-    async fn break_off(self, why: &str) {
+    fn break_off(self, why: &str) {
         let took = self.gateway.now().since(self.call.arrived);
         self.gateway.metrics.broken_off();
         log::info!(
@@ -305,7 +315,6 @@
             took_ms = took.as_millis() as u64;
             "request.broken_off"
         );
-        // A caller that left needs no sign of it.
-        let _ = self.sink.send(Err(BrokenOff)).await;
+        // Without its end, the body is broken off.
     }
 }
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -7,9 +7,7 @@
             directory::{Directory, Topic},
             follow::follow,
             ingress::{self, Admission},
-            operator,
-            pause::{LOOK_INTERVAL, PauseDetector},
-            relay,
+            operator, relay,
             settings::GatewaySettings,
             stage_owner::{run_planner, run_releases},
             state::Gateway,
@@ -105,7 +103,6 @@
         server.spawn(relay::run_catch_up(gateway.clone()));
         server.spawn(run_planner(gateway.clone()));
         server.spawn(run_releases(gateway.clone()));
-        server.spawn(watch_pauses(gateway.clone()));
         server.spawn(operator::serve(gateway.clone(), ready));
         for listener in operators.into_iter().chain(metrics) {
             server.spawn(operator::serve(gateway.clone(), listener));
@@ -186,14 +183,3 @@
         }
     }
 }
-
-/// Tells when the process stood still.
-async fn watch_pauses<D: Dialect>(gateway: Rc<Gateway<D>>) {
-    let mut detector = PauseDetector::default();
-    loop {
-        if let Some(gap) = detector.look(gateway.now()) {
-            log::warn!(gap_ms = gap.as_millis() as u64; "pause.noticed");
-        }
-        tokio::time::sleep(LOOK_INTERVAL).await;
-    }
-}
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -382,6 +382,17 @@
         act(budget)
     }
 
+    /// Returns this daemon's part of the connections that an endpoint of a service accepts.
+    pub fn connections_each(&self, service: &ServiceId) -> u32 {
+        let published = self.published();
+        let accepted = published
+            .as_ref()
+            .and_then(|published| published.table.service(service))
+            .map_or(usize::MAX, |entry| entry.connections);
+        let daemons = self.state.borrow().peers.daemons();
+        u32::try_from((accepted / daemons).max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Tells the planner which endpoints may be called.
     fn sync_planning(&self) {
         let limits = self.settings.budget;
--- a/lib/tests/test_fleet_choice.rs
+++ b/lib/tests/test_fleet_choice.rs
@@ -55,6 +55,7 @@
         affinity: false,
         tried: &[],
         inputs: &[],
+        most: u32::MAX,
     }
 }
 
@@ -203,3 +204,19 @@
     let choice = fleet.choose(later, &near(), &service(), &demand).unwrap();
     assert_eq!(choice.entry.id, first.entry.id);
 }
+
+#[test]
+fn an_endpoint_gets_no_more_than_its_connections_allow() {
+    let mut fleet = fleet(1);
+    let prompt = Prompt::default();
+    let demand = Demand {
+        most: 2,
+        ..plain(&prompt)
+    };
+    fleet.sent(NOW, &id(1), &prompt, 0);
+    assert!(choose(&fleet, &demand).is_some());
+    fleet.sent(NOW, &id(1), &prompt, 0);
+    assert!(choose(&fleet, &demand).is_none());
+    fleet.ended(NOW, &id(1), Ending::Served(Some(5.0)));
+    assert!(choose(&fleet, &demand).is_some());
+}
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -86,6 +86,18 @@
     assert!(matches!(again, Some(PeerChange::Met(..))));
 }
 
+#[test]
+fn after_a_pause_nobody_is_lost_before_he_could_be_heard() {
+    let mut me = peers(1, 1, &[]);
+    let mut other = peers(2, 2, &[]);
+    me.heard(Time(0), beat(&mut other, Time(0)));
+    let woken = Time(0) + Millis(5_000);
+    me.resumed(woken);
+    assert!(me.tick(woken).is_empty());
+    assert_eq!(me.daemons(), 2);
+    assert_eq!(me.tick(woken + Millis(1_100)).len(), 1);
+}
+
 #[test]
 fn a_new_life_is_noticed_and_an_old_heartbeat_isnt_believed() {
     let mut me = peers(1, 1, &[]);
