--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         caller::Repeat,
-        faults::parse_damage,
+        fault_plan::{Fault, FaultKind, parse_damage},
         trees::{User, Values},
     },
     hazelyoke_lib::{
@@ -13,7 +13,6 @@
         tree::Tree,
         units::{Count, Millis, Rate},
     },
-    hazelyoke_testutils::faults::Damage,
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -94,40 +93,6 @@
     }
 }
 
-/// One fault.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Fault {
-    /// What goes wrong.
-    pub kind: FaultKind,
-    /// Service whose endpoints are hit.
-    pub service: Option<String>,
-    /// Number of endpoints that are hit.
-    pub count: usize,
-    /// When it begins.
-    pub from: Duration,
-    /// When it ends; never, if absent.
-    pub until: Option<Duration>,
-}
-
-/// What goes wrong.
-#[derive(Debug, Clone, PartialEq)]
-pub enum FaultKind {
-    /// Everything takes so many times as long.
-    Slow(f64),
-    /// This share of replies is damaged.
-    Damage(Damage, f64),
-    /// Load reports stay what they are.
-    FrozenReports,
-    /// The endpoint leaves.
-    Leaving,
-    /// The endpoint's process ends.
-    Death,
-    /// All endpoints of a data centre end.
-    DataCentre(String),
-    /// The configuration service is silent.
-    ConfigSilent,
-}
-
 impl Experiment {
     /// Reads and checks the experiments of a file: one, or one for each of its cases.
     ///
--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        experiment::{Fault, FaultKind},
+        fault_plan::{Fault, FaultKind},
         installation::Slot,
     },
-    hazelyoke_testutils::{config_service::ConfigService, faults::Damage},
+    hazelyoke_testutils::config_service::ConfigService,
     std::{sync::Arc, time::Duration},
     tokio::time::{Instant, sleep_until},
 };
@@ -64,17 +64,3 @@
         FaultKind::ConfigSilent => {}
     }
 }
-
-/// Returns the damage that an experiment names.
-pub fn parse_damage(text: &str) -> Option<Damage> {
-    Some(match text {
-        "garbage" => Damage::Garbage,
-        "wrong_ids" => Damage::WrongIds,
-        "too_much" => Damage::TooMuch,
-        "truncated" => Damage::Truncated,
-        "nothing" => Damage::Nothing,
-        "server_error" => Damage::ServerError,
-        "not_run" => Damage::NotRun,
-        _ => return None,
-    })
-}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod core_load;
 mod experiment;
+mod fault_plan;
 mod faults;
 mod installation;
 mod load;
