--- a/daemon/tests/test_process.rs
+++ b/daemon/tests/test_process.rs
@@ -101,7 +101,7 @@
 fn a_log_that_nobody_reads_holds_up_no_request() {
     run(async {
         let store = StandInStore::start().await;
-        store.put("op/config", &config());
+        store.publish(&config());
         let _replica = Replica::start(&store, "i-1", "s").await;
         let process = start("blocked", &store, Stdio::piped()).await;
         // Far more than a pipe and the queue of lines hold together.
@@ -120,7 +120,7 @@
 fn a_hang_up_reloads_and_a_term_ends_cleanly() {
     run(async {
         let store = StandInStore::start().await;
-        store.put("op/config", &config());
+        store.publish(&config());
         let _replica = Replica::start(&store, "i-1", "s").await;
         let mut process = start("signals", &store, Stdio::null()).await;
         signal(&process, "HUP");
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -1,7 +1,9 @@
 //! Takes callers' connections and hands their requests on.
 
 use {
-    crate::gateway::{dialect::Dialect, forward, reply::ReplyBody, state::Gateway},
+    crate::gateway::{
+        dialect::Dialect, forward, listen::accept_each, reply::ReplyBody, state::Gateway,
+    },
     http::{HeaderValue, Request, Response, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -19,9 +21,6 @@
 /// Least size of the buffer that a connection needs.
 const LEAST_BUFFER: usize = 8 * 1024;
 
-/// Pause after a connection couldn't be accepted, for lack of descriptors for example.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// How far a stop of this daemon is, for its connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -37,21 +36,14 @@
     listener: TcpListener,
     mut admission: watch::Receiver<Admission>,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = admission.changed() => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let connection = serve_connection(gateway.clone(), stream, admission.clone());
-                tokio::task::spawn_local(connection);
-            }
-            Err(error) => {
-                log::warn!(error:%; "ingress.accept_failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+    let connections = admission.clone();
+    let accepting = accept_each(listener, "ingress.accept_failed", |stream, _| {
+        let connection = serve_connection(gateway.clone(), stream, connections.clone());
+        tokio::task::spawn_local(connection);
+    });
+    tokio::select! {
+        () = accepting => {}
+        _ = admission.changed() => {}
     }
 }
 
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod headers;
 pub mod ingress;
 pub mod links;
+mod listen;
 pub mod metrics;
 pub mod operator;
 pub mod pause;
--- a/lib/src/gateway/operator.rs
+++ b/lib/src/gateway/operator.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        gateway::{dialect::Dialect, peer_message::Phase, reply::ReplyBody, state::Gateway},
+        gateway::{
+            dialect::Dialect, listen::accept_each, peer_message::Phase, reply::ReplyBody,
+            state::Gateway,
+        },
         status::{EndpointStatus, StatusBody},
     },
     http::{HeaderValue, Method, Request, Response, StatusCode, header},
@@ -16,9 +19,6 @@
 /// Longest time for a head to arrive.
 const HEAD_TIME: Duration = Duration::from_secs(10);
 
-/// Pause after a connection couldn't be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -27,15 +27,7 @@
 
 /// Serves readiness, metrics and state on one address for good.
 pub async fn serve<D: Dialect>(gateway: Rc<Gateway<D>>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(error:%; "operator.accept_failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    accept_each(listener, "operator.accept_failed", |stream, _| {
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
@@ -49,7 +41,8 @@
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
-    }
+    })
+    .await;
 }
 
 fn answer<D: Dialect>(gateway: &Gateway<D>, request: &Request<Incoming>) -> Response<ReplyBody> {
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -6,6 +6,7 @@
             dialect::Dialect,
             directory::WAIT,
             links::{FETCH_LIMIT, LINK_LIMIT, QUEUE, config, read, send},
+            listen::accept_each,
             pause::PauseDetector,
             peer_message::{
                 Ask, Frame, Heartbeat, JobOrder, PROTOCOL, Phase, Reply, decode, encode,
@@ -40,22 +41,15 @@
 
 /// Accepts links from other daemons for good.
 pub async fn serve_links<D: Dialect>(gateway: Rc<Gateway<D>>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let gateway = gateway.clone();
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = serve_link(gateway, stream).await {
-                        log::info!(from:% = from, error; "link.ended");
-                    }
-                });
+    accept_each(listener, "link.accept_failed", |stream, from| {
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(error) = serve_link(gateway, stream).await {
+                log::info!(from:% = from, error; "link.ended");
             }
-            Err(error) => {
-                log::warn!(error:%; "link.accept_failed");
-                tokio::time::sleep(LINK_LIMIT).await;
-            }
-        }
-    }
+        });
+    })
+    .await;
 }
 
 async fn serve_link<D: Dialect>(gateway: Rc<Gateway<D>>, stream: TcpStream) -> Result<(), String> {
