gateway: waits and doubts follow from what the installation allows

The time of one wait for changes and the time of a doubt were constants that fit bounds of 2 s; a deployment with others would have broken them.

--- a/lib/src/gateway/catalogue.rs
+++ b/lib/src/gateway/catalogue.rs
@@ -10,10 +10,6 @@
     std::{net::SocketAddr, sync::Arc},
 };
 
-/// Time for which endpoints that vanished while the directory was out of reach stay in use, to
-/// let the living ones write themselves down again.
-const DOUBT: Millis = Millis(1_400);
-
 /// One endpoint as the directory has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
@@ -47,8 +43,10 @@
 }
 
 /// The endpoints as of one revision of the directory.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Catalogue {
+    /// Time for which vanished entries are doubted.
+    doubt: Millis,
     revision: u64,
     entries: HashMap<EndpointId, Arc<EndpointEntry>>,
     /// Endpoints without an entry that may yet be alive, with the time until which they are used.
@@ -56,6 +54,17 @@
 }
 
 impl Catalogue {
+    /// Starts without entries; `doubt` is the time for which entries stay in use that vanished while
+    /// the directory was out of reach.
+    pub fn new(doubt: Millis) -> Self {
+        Self {
+            doubt,
+            revision: 0,
+            entries: HashMap::default(),
+            doubted: HashMap::default(),
+        }
+    }
+
     /// Returns the revision up to which changes were taken in.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -102,7 +111,7 @@
             if self.doubted.contains_key(id) {
                 return None;
             }
-            self.doubted.insert(id.clone(), now + DOUBT);
+            self.doubted.insert(id.clone(), now + self.doubt);
             return Some(Learnt::Doubted(entry));
         }
         self.doubted.remove(id);
@@ -154,8 +163,9 @@
 
     /// Postpones the end of all doubts while the directory can't be read at all.
     pub fn extend_doubts(&mut self, now: Time) {
+        let until_next = now + self.doubt;
         for until in self.doubted.values_mut() {
-            *until = now + DOUBT;
+            *until = until_next;
         }
     }
 }
--- a/lib/src/gateway/directory.rs
+++ b/lib/src/gateway/directory.rs
@@ -2,10 +2,6 @@
 
 use {bytes::Bytes, std::future::Future, std::time::Duration, thiserror::Error};
 
-/// Time for which one call waits for changes. A connection that has gone silent is noticed within
-/// it and a little, which has to be less than the time a change may take to be in force.
-pub const WAIT: Duration = Duration::from_millis(1_000);
-
 /// Which part of the directory is meant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Topic {
--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -5,7 +5,7 @@
     crate::gateway::{
         catalogue::EndpointEntry,
         dialect::Dialect,
-        directory::{Directory, DirectoryError, Item, Items, Topic, WAIT},
+        directory::{Directory, DirectoryError, Item, Items, Topic},
         state::Gateway,
     },
     std::{rc::Rc, time::Duration},
@@ -21,12 +21,13 @@
     directory: Rc<impl Directory>,
     topic: Topic,
 ) {
+    let wait = gateway.settings.bounds.directory_wait();
     let mut since = None;
     let mut pause = FIRST_PAUSE;
     loop {
         let read = match since {
             None => directory.list(topic).await,
-            Some(since) => directory.changes(topic, since, WAIT).await,
+            Some(since) => directory.changes(topic, since, wait).await,
         };
         match read {
             Ok(items) => {
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -4,7 +4,6 @@
     crate::{
         gateway::{
             dialect::Dialect,
-            directory::WAIT,
             links::{FETCH_LIMIT, LINK_LIMIT, QUEUE, config, read, send},
             listen::accept_each,
             pause::PauseDetector,
@@ -282,10 +281,11 @@
 
 async fn catch_up_endpoints<D: Dialect>(gateway: &Gateway<D>) {
     let now = gateway.now();
+    let wait = gateway.settings.bounds.directory_wait();
     let newer = {
         let state = gateway.state.borrow();
         let heard = state.contact.heard.unwrap_or_default();
-        if now.since(heard) < WAIT + LIST_LAG.to_duration() && state.listed {
+        if now.since(heard) < wait + LIST_LAG.to_duration() && state.listed {
             return;
         }
         let least = if state.listed {
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -6,9 +6,48 @@
         ids::{DataCentreId, HostId},
         units::Millis,
     },
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
+/// Times that the installation allows or keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Within this after its publication, a table is in force everywhere.
+    pub apply: Millis,
+    /// Within this after an endpoint said that it leaves, it gets nothing new.
+    pub drain: Millis,
+    /// Time between two writes of an endpoint's entry.
+    pub endpoint_heartbeat: Millis,
+}
+
+/// Bounds of the time for which one call waits for changes of the directory, in milliseconds.
+const LEAST_WAIT: u64 = 200;
+const LONGEST_WAIT: u64 = 1_000;
+
+/// Time kept back of the time to a drain, for hearing of it and for the next look at doubts.
+const DRAIN_KEPT: u64 = 600;
+
+/// Shortest time for which a vanished entry is doubted, in milliseconds.
+const LEAST_DOUBT: u64 = 200;
+
+impl Bounds {
+    /// Returns the time for which one call waits for changes of the directory. A connection that has
+    /// gone silent is noticed within it and a little, which has to be less than a change may take.
+    pub fn directory_wait(&self) -> Duration {
+        let half = self.apply.0.min(self.drain.0) / 2;
+        Duration::from_millis(half.clamp(LEAST_WAIT, LONGEST_WAIT))
+    }
+
+    /// Returns the time for which endpoints that vanished while the directory was out of reach stay
+    /// in use: long enough for the living ones to write themselves down again, and short enough for
+    /// one that has really left.
+    pub fn doubt(&self) -> Millis {
+        let rewritten = self.endpoint_heartbeat.0 * 7 / 6;
+        let allowed = self.drain.0.saturating_sub(DRAIN_KEPT);
+        Millis(rewritten.min(allowed).max(LEAST_DOUBT))
+    }
+}
+
 /// Checked settings of a forwarding daemon.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -32,4 +71,6 @@
     pub grace: Millis,
     /// Budget of repeats over all daemons.
     pub budget: BudgetLimits,
+    /// Times that the installation allows or keeps.
+    pub bounds: Bounds,
 }
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -151,11 +151,12 @@
             run,
         };
         let peers = Peers::new(me, &settings.seeds);
+        let catalogue = Catalogue::new(settings.bounds.doubt());
         Rc::new(Self {
             settings,
             state: RefCell::new(State {
                 published: None,
-                catalogue: Catalogue::default(),
+                catalogue,
                 fleet: Fleet::default(),
                 peers,
                 planning: Planning::default(),
--- a/lib/tests/test_catalogue.rs
+++ b/lib/tests/test_catalogue.rs
@@ -20,6 +20,10 @@
     }
 }
 
+fn catalogue() -> Catalogue {
+    Catalogue::new(Millis(1_400))
+}
+
 fn id(text: &str) -> EndpointId {
     text.parse().unwrap()
 }
@@ -35,7 +39,7 @@
 
 #[test]
 fn an_entry_that_goes_is_gone_at_once() {
-    let mut catalogue = Catalogue::default();
+    let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
     let learnt = catalogue.remove(Time(0), &id("a"), false);
     assert!(matches!(learnt, Some(Learnt::Gone(_))));
@@ -44,7 +48,7 @@
 
 #[test]
 fn an_entry_that_lapses_in_an_outage_stays_for_a_while() {
-    let mut catalogue = Catalogue::default();
+    let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
     let learnt = catalogue.remove(Time(0), &id("a"), true);
     assert!(matches!(learnt, Some(Learnt::Doubted(_))));
@@ -57,7 +61,7 @@
 
 #[test]
 fn a_living_endpoint_that_writes_again_is_no_longer_doubted() {
-    let mut catalogue = Catalogue::default();
+    let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
     catalogue.remove(Time(0), &id("a"), true);
     catalogue.put(entry("a", 5, false));
@@ -67,7 +71,7 @@
 
 #[test]
 fn doubts_last_as_long_as_the_directory_is_out_of_reach() {
-    let mut catalogue = Catalogue::default();
+    let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
     catalogue.remove(Time(0), &id("a"), true);
     catalogue.extend_doubts(Time(0) + Millis(1_300));
@@ -77,7 +81,7 @@
 
 #[test]
 fn an_endpoint_that_said_it_leaves_is_never_doubted() {
-    let mut catalogue = Catalogue::default();
+    let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
     let learnt = catalogue.put(entry("a", 2, true));
     assert!(matches!(learnt, Some(Learnt::Draining(_))));
@@ -87,7 +91,7 @@
 
 #[test]
 fn an_older_entry_changes_nothing() {
-    let mut catalogue = Catalogue::default();
+    let mut catalogue = catalogue();
     catalogue.put(entry("a", 5, true));
     assert!(catalogue.put(entry("a", 4, false)).is_none());
     assert!(catalogue.get(&id("a")).unwrap().draining);
@@ -95,7 +99,7 @@
 
 #[test]
 fn a_list_replaces_what_it_should_have_known() {
-    let mut catalogue = Catalogue::default();
+    let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
     catalogue.put(entry("b", 2, false));
     catalogue.put(entry("c", 9, false));
@@ -109,7 +113,7 @@
 
 #[test]
 fn revisions_never_fall() {
-    let mut catalogue = Catalogue::default();
+    let mut catalogue = catalogue();
     catalogue.reached(9);
     catalogue.replace(Time(0), 5, Vec::new(), false);
     assert_eq!(catalogue.revision(), 9);
