--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -48,6 +48,7 @@
     tasks: Vec<AbortHandle>,
     listen: SocketAddr,
     ready: SocketAddr,
+    operator: Option<SocketAddr>,
 }
 
 impl<D: Dialect> Drop for Server<D> {
@@ -94,6 +95,9 @@
             tasks: Vec::new(),
             listen,
             ready: ready_address,
+            operator: operators
+                .as_ref()
+                .and_then(|operators| operators.local_addr().ok()),
         };
         server.spawn(follow(gateway.clone(), directory.clone(), Topic::Table));
         server.spawn(follow(gateway.clone(), directory, Topic::Endpoints));
@@ -138,6 +142,11 @@
         self.ready
     }
 
+    /// Returns the address for operators.
+    pub fn operator(&self) -> Option<SocketAddr> {
+        self.operator
+    }
+
     /// Stops without cutting a request: not ready at once, callers still taken until the balancer
     /// has noticed, then what is in flight ends.
     pub async fn stop(self) {
