--- a/lib/src/story.rs
+++ b/lib/src/story.rs
@@ -67,6 +67,8 @@
 #[derive(Debug)]
 struct Entry {
     at_ms: u64,
+    /// Latest time that the host told up to here, so that a clock that steps back changes no order.
+    order: u64,
     event: String,
     fields: Map<String, Value>,
 }
@@ -89,21 +91,31 @@
         for entry in entries {
             if concerns(request, &calls, entry) {
                 hosts.insert(*host);
-                lines.push(line(host, entry, false));
+                lines.push((entry.order, line(host, entry, false)));
             }
         }
     }
     if let Some(span) = span(&lines) {
         let endpoints = endpoints_of(&lines);
         for (host, entries) in &parsed {
-            let told = entries.iter().filter(|entry| span.contains(&entry.at_ms));
+            let told = entries.iter().filter(|entry| span.contains(&entry.order));
             let beliefs = told.filter(|entry| hosts.contains(host) && is_belief(entry, &endpoints));
-            lines.extend(beliefs.map(|entry| line(host, entry, true)));
+            lines.extend(beliefs.map(|entry| (entry.order, line(host, entry, true))));
         }
     }
     // The sort is stable, so that lines of one host and moment keep their order.
-    lines.sort_by_key(|line| line.at_ms);
-    lines
+    lines.sort_by_key(|(order, _)| *order);
+    lines.into_iter().map(|(_, line)| line).collect()
+}
+
+fn parse_all(text: &str) -> Vec<Entry> {
+    let mut latest = 0;
+    let mut entries: Vec<Entry> = text.lines().filter_map(parse).collect();
+    for entry in &mut entries {
+        latest = entry.at_ms.max(latest);
+        entry.order = latest;
+    }
+    entries
 }
 
 fn parse(line: &str) -> Option<Entry> {
@@ -116,6 +128,7 @@
     fields.remove("level");
     Some(Entry {
         at_ms,
+        order: at_ms,
         event,
         fields,
     })
@@ -148,18 +161,18 @@
         && endpoint.is_none_or(|endpoint| endpoints.contains(endpoint))
 }
 
-fn endpoints_of(lines: &[StoryLine]) -> BTreeSet<String> {
+fn endpoints_of(lines: &[(u64, StoryLine)]) -> BTreeSet<String> {
     lines
         .iter()
-        .flat_map(|line| &line.fields)
+        .flat_map(|(_, line)| &line.fields)
         .filter(|(name, _)| name == ENDPOINT)
         .map(|(_, endpoint)| endpoint.clone())
         .collect()
 }
 
-fn span(lines: &[StoryLine]) -> Option<RangeInclusive<u64>> {
-    let first = lines.iter().map(|line| line.at_ms).min()?;
-    let last = lines.iter().map(|line| line.at_ms).max()?;
+fn span(lines: &[(u64, StoryLine)]) -> Option<RangeInclusive<u64>> {
+    let first = lines.iter().map(|(order, _)| *order).min()?;
+    let last = lines.iter().map(|(order, _)| *order).max()?;
     Some(first.saturating_sub(BEFORE_MS)..=last)
 }
 
--- a/lib/tests/test_story.rs
+++ b/lib/tests/test_story.rs
@@ -73,6 +73,26 @@
     );
 }
 
+#[test]
+fn a_clock_that_steps_back_changes_no_order() {
+    let entry = log(
+        "entry",
+        &[
+            r#"{"at_ms":9000,"event":"request.accepted","request":"r1"}"#,
+            r#"{"at_ms":7001,"event":"attempt.sent","request":"r1"}"#,
+            r#"{"at_ms":7050,"event":"request.answered","request":"r1"}"#,
+        ],
+    );
+    assert_eq!(
+        told("r1", &[entry]),
+        [
+            "entry request.accepted",
+            "entry attempt.sent",
+            "entry request.answered"
+        ]
+    );
+}
+
 #[test]
 fn an_unknown_request_has_no_story() {
     let entry = log("entry", &[r#"{"at_ms":1,"event":"peer.lost"}"#]);
