--- a/lib/src/story.rs
+++ b/lib/src/story.rs
@@ -77,12 +77,7 @@
 pub fn story(request: &str, logs: &[HostLog]) -> Vec<StoryLine> {
     let parsed: Vec<(&str, Vec<Entry>)> = logs
         .iter()
-        .map(|log| {
-            (
-                log.host.as_str(),
-                log.text.lines().filter_map(parse).collect(),
-            )
-        })
+        .map(|log| (log.host.as_str(), parse_all(&log.text)))
         .collect();
     let mut lines = Vec::new();
     let mut hosts = BTreeSet::new();
