forward: one choice of an endpoint for first sends and resumed streams

Whether a request has stages is asked in one place. Two functions that nobody called are gone (WindowBudget::charge, Progress::is_exposed).

--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -6,10 +6,10 @@
             call::{Call, Ticket},
             dialect::{Dialect, Outbound},
             egress::{self, ConnectionGuard, SendError},
-            fleet::{Choice, Ending},
+            fleet::{Choice, Demand, Ending},
             headers::strip_connection_headers,
             progress::Progress,
-            stage_job::Handle,
+            stage_chain::Results,
             state::Gateway,
         },
         ids::EndpointId,
@@ -54,24 +54,47 @@
     InputsGone,
 }
 
+/// Chooses an endpoint for a request, beside those that it was sent to before.
+pub(crate) fn choose_endpoint<D: Dialect>(
+    gateway: &Gateway<D>,
+    call: &Call,
+    tried: &[EndpointId],
+    results: Option<&Results<D>>,
+) -> Option<Choice> {
+    let sites = results.map(Results::sites).unwrap_or_default();
+    let demand = Demand {
+        prompt: &call.inbound.prompt,
+        affinity: call.route.affinity,
+        tried,
+        inputs: &sites,
+        most: gateway.connections_each(&call.service),
+    };
+    let here = &gateway.settings.data_centre;
+    let state = gateway.state.borrow();
+    state
+        .fleet
+        .choose(gateway.now(), here, &call.service, &demand)
+}
+
 /// Builds a request as it goes to an endpoint.
 pub(crate) fn outbound_request<D: Dialect>(
     gateway: &Gateway<D>,
     call: &Call,
     choice: &Choice,
-    inputs: &[Handle],
+    results: Option<&Results<D>>,
     resume_after: Option<u64>,
 ) -> Request<Full<Bytes>> {
     let mut headers: HeaderMap = call.head.headers.clone();
     strip_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
+    let inputs = results.map(Results::inputs).unwrap_or_default();
     let outbound = Outbound {
         endpoint: &choice.entry.id,
         customer: call.customer.as_ref().map(|customer| &customer.id),
         remaining: call.remaining(gateway.now()),
         urgency: call.urgency,
-        inputs,
+        inputs: &inputs,
         resume_after,
     };
     D::write_request(&mut headers, &outbound);
--- a/lib/src/gateway/budget.rs
+++ b/lib/src/gateway/budget.rs
@@ -60,12 +60,6 @@
         true
     }
 
-    /// Counts a repeat that happened without being asked for.
-    pub fn charge(&mut self, now: Time) {
-        self.expire(now);
-        self.repeats.push_back(now);
-    }
-
     fn allowed(&self, now: Time, daemons: usize) -> f64 {
         let earned = self.firsts.len() as f64 * self.limits.ratio.0 * SAFETY;
         let fresh = now.since(self.started) < self.limits.window.to_duration();
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -39,6 +39,11 @@
         &self.inbound.id
     }
 
+    /// Returns whether any piece of a stage has to be made before the request can run.
+    pub(crate) fn has_stages(&self) -> bool {
+        !self.route.stages.is_empty() && self.inbound.pieces.iter().any(|count| *count > 0)
+    }
+
     /// Returns when a caller of a stream gives up before its first event.
     pub(crate) fn give_up(&self) -> Time {
         let RouteKind::Stream { gap, .. } = self.route.kind else {
--- a/lib/src/gateway/forward.rs
+++ b/lib/src/gateway/forward.rs
@@ -4,10 +4,12 @@
     crate::{
         gateway::{
             accept::accept,
-            attempt::{AttemptEnd, Coming, NotRunCause, attempt, outbound_request},
+            attempt::{
+                AttemptEnd, Coming, NotRunCause, attempt, choose_endpoint, outbound_request,
+            },
             call::{Call, InFlight, LeftEarly},
             dialect::Dialect,
-            fleet::{Choice, Demand},
+            fleet::Choice,
             headers::strip_connection_headers,
             metrics::Repeat,
             progress::Progress,
@@ -49,7 +51,7 @@
 ) -> Response<ReplyBody> {
     let arrived = gateway.now();
     let guard = InFlight::new(&gateway);
-    let id = match accept(&gateway, request, arrived).await {
+    let (id, problem) = match accept(&gateway, request, arrived).await {
         Ok(call) => {
             let id = call.inbound.id.clone();
             match forward(&gateway, Rc::new(call), guard).await {
@@ -59,7 +61,6 @@
         }
         Err(refusal) => refusal,
     };
-    let (id, problem) = id;
     let took = gateway.now().since(arrived);
     log::info!(
         request = &*id,
@@ -131,7 +132,7 @@
     check_admission(gateway, call)?;
     let mut results = run_stages(gateway, call).await?;
     loop {
-        let Some(choice) = choose(gateway, call, progress, results.as_ref()) else {
+        let Some(choice) = choose_endpoint(gateway, call, &progress.tried, results.as_ref()) else {
             return finish_failed(gateway, call, progress, "no endpoint is left");
         };
         log::info!(
@@ -145,11 +146,10 @@
             left_ms = call.remaining(gateway.now()).0;
             "attempt.sent"
         );
-        let inputs = results.as_ref().map(Results::inputs).unwrap_or_default();
         let patience = patience(gateway, call, progress, &choice);
         progress.tried.push(choice.entry.id.clone());
-        let outbound =
-            outbound_request::<D>(gateway, call, &choice, &inputs, call.inbound.last_event);
+        let resume_after = call.inbound.last_event;
+        let outbound = outbound_request(gateway, call, &choice, results.as_ref(), resume_after);
         let end = attempt(gateway, call, choice, outbound, patience, progress).await;
         match end {
             AttemptEnd::Reply(head, body) => {
@@ -193,27 +193,6 @@
     }
 }
 
-fn choose<D: Dialect>(
-    gateway: &Gateway<D>,
-    call: &Call,
-    progress: &Progress,
-    results: Option<&Results<D>>,
-) -> Option<Choice> {
-    let sites = results.map(Results::sites).unwrap_or_default();
-    let demand = Demand {
-        prompt: &call.inbound.prompt,
-        affinity: call.route.affinity,
-        tried: &progress.tried,
-        inputs: &sites,
-        most: gateway.connections_each(&call.service),
-    };
-    let here = &gateway.settings.data_centre;
-    let state = gateway.state.borrow();
-    state
-        .fleet
-        .choose(gateway.now(), here, &call.service, &demand)
-}
-
 /// Returns how long the attempt may take before another one is worth it.
 fn patience<D: Dialect>(
     gateway: &Gateway<D>,
--- a/lib/src/gateway/progress.rs
+++ b/lib/src/gateway/progress.rs
@@ -57,11 +57,6 @@
         self.unreachable
     }
 
-    /// Returns whether any attempt may have run.
-    pub fn is_exposed(&self) -> bool {
-        self.exposed > 0
-    }
-
     /// Returns whether another attempt may be sent, apart from what the budget has.
     pub fn may_send(&self, kind: RouteKind, attempts: u32) -> bool {
         self.sent < attempts && (kind.is_repeatable() || self.exposed == 0)
--- a/lib/src/gateway/reply_stream.rs
+++ b/lib/src/gateway/reply_stream.rs
@@ -3,12 +3,12 @@
 use {
     crate::{
         gateway::{
-            attempt::{CONNECT_LIMIT, outbound_request},
+            attempt::{CONNECT_LIMIT, choose_endpoint, outbound_request},
             call::{Call, InFlight, Ticket},
             dialect::Dialect,
             egress::{self, ConnectionGuard},
             event_stream::EventSplitter,
-            fleet::{Demand, Ending},
+            fleet::Ending,
             metrics::Repeat,
             reply::StreamPart,
             stage_admit::run_stages,
@@ -119,7 +119,7 @@
             match end {
                 SourceEnd::Whole => {
                     ticket.end(Ending::Served(None));
-                    return self.finish("answered").await;
+                    return self.finish().await;
                 }
                 SourceEnd::CallerLeft => {
                     self.gateway.metrics.caller_left();
@@ -212,24 +212,8 @@
     }
 
     async fn connect_next(&mut self, why: &str) -> Option<StreamSource<D>> {
-        let sites = self
-            .results
-            .as_ref()
-            .map(Results::sites)
-            .unwrap_or_default();
-        let demand = Demand {
-            prompt: &self.call.inbound.prompt,
-            affinity: self.call.route.affinity,
-            tried: &self.tried,
-            inputs: &sites,
-            most: self.gateway.connections_each(&self.call.service),
-        };
-        let now = self.gateway.now();
-        let here = &self.gateway.settings.data_centre;
-        let choice = {
-            let state = self.gateway.state.borrow();
-            state.fleet.choose(now, here, &self.call.service, &demand)
-        };
+        let results = self.results.as_ref();
+        let choice = choose_endpoint(&self.gateway, &self.call, &self.tried, results);
         let Some(choice) = choice else {
             self.sent = self.call.route.attempts;
             return None;
@@ -243,12 +227,8 @@
             last_event = last.unwrap_or(0);
             "attempt.resumed"
         );
-        let inputs = self
-            .results
-            .as_ref()
-            .map(Results::inputs)
-            .unwrap_or_default();
-        let request = outbound_request::<D>(&self.gateway, &self.call, &choice, &inputs, last);
+        let results = self.results.as_ref();
+        let request = outbound_request(&self.gateway, &self.call, &choice, results, last);
         let mut ticket = Ticket::new(&self.gateway, &self.call, choice);
         let Ok(connection) = egress::connect(ticket.choice.entry.address, CONNECT_LIMIT).await
         else {
@@ -288,7 +268,7 @@
         })
     }
 
-    async fn finish(self, outcome: &str) {
+    async fn finish(self) {
         let deadline = self.gateway.instant(self.call.deadline);
         let end = self.sink.send(StreamPart::End);
         if !matches!(tokio::time::timeout_at(deadline, end).await, Ok(Ok(()))) {
@@ -298,7 +278,7 @@
         self.gateway.metrics.answered(took);
         log::info!(
             request = self.call.id(),
-            outcome,
+            outcome = "answered",
             last_event = self.splitter.last().unwrap_or(0),
             took_ms = took.as_millis() as u64;
             "request.answered"
--- a/lib/src/gateway/stage_admit.rs
+++ b/lib/src/gateway/stage_admit.rs
@@ -26,7 +26,7 @@
     gateway: &Gateway<D>,
     call: &Call,
 ) -> Result<(), Problem> {
-    if call.route.stages.is_empty() || call.inbound.pieces.iter().all(|count| *count == 0) {
+    if !call.has_stages() {
         return Ok(());
     }
     match admit(gateway, &call.route, &call.inbound) {
@@ -51,7 +51,7 @@
     gateway: &Rc<Gateway<D>>,
     call: &Call,
 ) -> Result<Option<Results<D>>, Problem> {
-    if call.route.stages.is_empty() || call.inbound.pieces.iter().all(|count| *count == 0) {
+    if !call.has_stages() {
         return Ok(None);
     }
     let objective = call.arrived + call.route.objective;
