--- a/bench/src/commands/forwarding.rs
+++ b/bench/src/commands/forwarding.rs
@@ -16,7 +16,7 @@
             stage_job::{Handle, Job, JobId, PieceEnd, PieceInput},
             table::BatchLimits,
         },
-        units::{ByteSize, Millis, Share, Time},
+        units::{ByteSize, Capacity, Millis, Share, Time},
     },
     std::{
         net::SocketAddr,
@@ -185,6 +185,7 @@
             data_centre: format!("centre-{}", number % 7).parse()?,
             address: SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7740)),
             run: u64::from(number),
+            capacity: Capacity(250),
         })
     };
     let beliefs = Beliefs {
@@ -193,9 +194,13 @@
         fingerprint: u64::MAX,
         catalogue: 100_000,
         calm: true,
+        read_ms: Some(40),
         loads: (0..40).map(|n| LoadNote(n * 7_019_777, 9, 9_000)).collect(),
-        queues: (0..2).map(|n| QueueNote(n * 7_019_777, 5, false)).collect(),
+        queues: (0..2)
+            .map(|n| QueueNote(n * 7_019_777, 5, false, 90))
+            .collect(),
         work: (0..3).map(|n| WorkNote(n * 7_019_777, 90)).collect(),
+        services: Vec::new(),
     };
     let mut me = Peers::new(identity(0)?, &[]);
     let mut others = (1..daemons)
--- a/lib/src/gateway/catalogue.rs
+++ b/lib/src/gateway/catalogue.rs
@@ -7,9 +7,12 @@
     },
     foldhash::{HashMap, HashSet},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc},
+    std::{collections::VecDeque, net::SocketAddr, sync::Arc},
 };
 
+/// Changes that are remembered for daemons that ask for them.
+const CHANGES_KEPT: usize = 512;
+
 /// One endpoint as the directory has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
@@ -29,6 +32,28 @@
     pub revision: u64,
 }
 
+/// What changed in a list of endpoints after a revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointChanges {
+    /// Revision of the last change.
+    pub revision: u64,
+    /// Entries that are new or changed.
+    pub entries: Vec<EndpointEntry>,
+    /// Entries that vanished.
+    pub gone: Vec<GoneEndpoint>,
+}
+
+/// An entry that vanished from the directory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GoneEndpoint {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Revision at which it vanished.
+    pub revision: u64,
+    /// Whether it may have lapsed although the endpoint lives.
+    pub doubted: bool,
+}
+
 /// Why a catalogue changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Learnt {
@@ -48,6 +73,11 @@
     /// Time for which vanished entries are doubted.
     doubt: Millis,
     revision: u64,
+    /// Revision of the last change that was taken in.
+    changed: u64,
+    /// The last changes, and the revision after which none is missing.
+    changes: VecDeque<(u64, EndpointId)>,
+    complete_from: u64,
     entries: HashMap<EndpointId, Arc<EndpointEntry>>,
     /// Endpoints without an entry that may yet be alive, with the time until which they are used.
     doubted: HashMap<EndpointId, Time>,
@@ -60,6 +90,9 @@
         Self {
             doubt,
             revision: 0,
+            changed: 0,
+            changes: VecDeque::new(),
+            complete_from: u64::MAX,
             entries: HashMap::default(),
             doubted: HashMap::default(),
         }
@@ -70,6 +103,48 @@
         self.revision
     }
 
+    /// Returns the revision of the last change of an endpoint.
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// Returns what changed after a revision; nothing if too much has been forgotten since.
+    pub fn changes_since(&self, revision: u64) -> Option<EndpointChanges> {
+        if revision < self.complete_from {
+            return None;
+        }
+        let later = self.changes.iter().filter(|(at, _)| *at > revision);
+        let last: HashMap<&EndpointId, u64> = later.map(|(at, id)| (id, *at)).collect();
+        let mut entries = Vec::new();
+        let mut gone = Vec::new();
+        for (id, revision) in last {
+            let doubted = self.doubted.contains_key(id);
+            match self.entries.get(id) {
+                Some(entry) if !doubted => entries.push((**entry).clone()),
+                Some(_) | None => gone.push(GoneEndpoint {
+                    id: id.clone(),
+                    revision,
+                    doubted,
+                }),
+            }
+        }
+        Some(EndpointChanges {
+            revision: self.changed,
+            entries,
+            gone,
+        })
+    }
+
+    fn note_change(&mut self, revision: u64, id: &EndpointId) {
+        self.changed = self.changed.max(revision);
+        self.changes.push_back((revision, id.clone()));
+        if self.changes.len() > CHANGES_KEPT
+            && let Some((forgotten, _)) = self.changes.pop_front()
+        {
+            self.complete_from = self.complete_from.max(forgotten);
+        }
+    }
+
     /// Returns all entries, those of leaving endpoints included.
     pub fn entries(&self) -> impl Iterator<Item = &Arc<EndpointEntry>> {
         self.entries.values()
@@ -91,6 +166,10 @@
         if old.is_some_and(|old| old.revision > entry.revision) {
             return None;
         }
+        if old.is_none_or(|old| old.revision < entry.revision) {
+            self.note_change(entry.revision, &entry.id);
+        }
+        let old = self.entries.get(&entry.id);
         let was_open = old.is_some_and(|old| !old.draining);
         let known = old.is_some();
         let entry = Arc::new(entry);
@@ -103,9 +182,24 @@
         }
     }
 
-    /// Takes in that an entry is gone; `doubt` tells that the directory was out of reach, so that
-    /// it may have lapsed although its endpoint lives.
-    pub fn remove(&mut self, now: Time, id: &EndpointId, doubt: bool) -> Option<Learnt> {
+    /// Takes in that an entry is gone as of `revision`; `doubt` tells that the directory was out of
+    /// reach, so that it may have lapsed although its endpoint lives.
+    pub fn remove(
+        &mut self,
+        now: Time,
+        id: &EndpointId,
+        revision: u64,
+        doubt: bool,
+    ) -> Option<Learnt> {
+        let known = self.entries.get(id);
+        if known.is_some_and(|entry| entry.revision > revision) {
+            return None;
+        }
+        self.note_change(revision, id);
+        self.take_out(now, id, doubt)
+    }
+
+    fn take_out(&mut self, now: Time, id: &EndpointId, doubt: bool) -> Option<Learnt> {
         let entry = self.entries.get(id)?.clone();
         if doubt && !entry.draining {
             if self.doubted.contains_key(id) {
@@ -143,8 +237,16 @@
             .into_iter()
             .filter_map(|entry| self.put(entry))
             .collect();
-        learnt.extend(missing.iter().filter_map(|id| self.remove(now, id, doubt)));
+        learnt.extend(
+            missing
+                .iter()
+                .filter_map(|id| self.take_out(now, id, doubt)),
+        );
         self.reached(revision);
+        // What a list lacks tells no revision, so that only later changes are known one by one.
+        self.changed = self.changed.max(revision);
+        self.changes.clear();
+        self.complete_from = self.changed;
         learnt
     }
 
@@ -157,7 +259,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         due.iter()
-            .filter_map(|id| self.remove(now, id, false))
+            .filter_map(|id| self.take_out(now, id, false))
             .collect()
     }
 
--- a/lib/src/gateway/directory.rs
+++ b/lib/src/gateway/directory.rs
@@ -31,6 +31,9 @@
     pub revision: u64,
 }
 
+/// Number of topics.
+pub const TOPICS: usize = 2;
+
 /// Why the directory wasn't read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum DirectoryError {
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -368,6 +368,18 @@
         }
     }
 
+    /// Takes in the sums of what all daemons, this one included, have in flight.
+    pub fn set_total_loads(&mut self, loads: &HashMap<u32, PeerLoad>) {
+        for member in self.members.values_mut() {
+            let key = short_hash(&member.entry.id);
+            let total = loads.get(&key).copied().unwrap_or_default();
+            member.peers = PeerLoad {
+                running: total.running.saturating_sub(member.running),
+                prefill: (total.prefill - member.prefill).max(0.0),
+            };
+        }
+    }
+
     fn may_eject(&self, now: Time, id: &EndpointId) -> bool {
         let Some(member) = self.members.get(id) else {
             return false;
--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -15,6 +15,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time between two looks at whether peers still read the directory for this daemon.
+const COVER_LOOK: Duration = Duration::from_millis(100);
+
 /// Follows one topic for good.
 pub async fn follow<D: Dialect>(
     gateway: Rc<Gateway<D>>,
@@ -24,14 +27,26 @@
     let wait = gateway.settings.bounds.directory_wait();
     let mut since = None;
     let mut pause = FIRST_PAUSE;
+    let mut first = false;
     loop {
+        if gateway.is_covered() {
+            wait_uncovered(&gateway, topic).await;
+            since = since.map(|known| gateway.known_revision(topic).max(known));
+            first = true;
+        }
+        // The first call only looks, so that peers soon hear how fresh this daemon's knowledge is.
+        let wait = if std::mem::take(&mut first) {
+            Duration::ZERO
+        } else {
+            wait
+        };
         let read = match since {
             None => directory.list(topic).await,
             Some(since) => directory.changes(topic, since, wait).await,
         };
         match read {
             Ok(items) => {
-                gateway.directory_answered();
+                gateway.directory_answered(topic);
                 let whole = since.is_none();
                 since = Some(items.revision);
                 take(&gateway, topic, items, whole);
@@ -50,6 +65,15 @@
     }
 }
 
+/// Waits until peers don't tell this daemon any more what the directory holds.
+async fn wait_uncovered<D: Dialect>(gateway: &Gateway<D>, topic: Topic) {
+    log::info!(topic:? = topic; "directory.covered");
+    while gateway.is_covered() {
+        tokio::time::sleep(COVER_LOOK).await;
+    }
+    log::info!(topic:? = topic; "directory.uncovered");
+}
+
 /// Spreads daemons that failed together.
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::random_range(0.5..1.0))
@@ -81,7 +105,7 @@
             gateway.put_endpoint(entry, "directory");
         }
     } else if let Ok(id) = item.name.parse() {
-        gateway.remove_endpoint(&id);
+        gateway.remove_endpoint(&id, item.revision, false, "directory");
     }
 }
 
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod ingress;
 pub mod links;
 mod listen;
+pub mod load_sums;
 pub mod metrics;
 pub mod operator;
 pub mod pause;
--- a/lib/src/gateway/peer_message.rs
+++ b/lib/src/gateway/peer_message.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         gateway::{
-            catalogue::EndpointEntry,
+            catalogue::{EndpointChanges, EndpointEntry},
             stage_job::{Handle, JobEnd, PieceInput},
             table::Version,
         },
         ids::{DataCentreId, HostId, ServiceId},
+        units::Capacity,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{net::SocketAddr, sync::Arc},
@@ -15,7 +16,7 @@
 };
 
 /// Version of these messages; a daemon ignores all others.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
 
 /// Largest message accepted.
 pub const MAX_MESSAGE: usize = 8 << 20;
@@ -48,18 +49,24 @@
     /// Its address for other daemons.
     #[serde(rename = "a")]
     pub address: SocketAddr,
-    /// Milliseconds since the sender heard of it.
+    /// Milliseconds since its last sign of life, as the sender knows.
     #[serde(rename = "g")]
     pub age_ms: u32,
+    /// How far it was then.
+    #[serde(rename = "p")]
+    pub phase: Phase,
+    /// Processor that it may use.
+    #[serde(rename = "c")]
+    pub capacity: Capacity,
 }
 
-/// What a daemon has in flight at one endpoint.
+/// What is in flight at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadNote(
     /// Short name of the endpoint.
     pub u32,
     /// Requests in flight.
-    pub u16,
+    pub u32,
     /// Prompt tokens not read yet.
     pub u32,
 );
@@ -73,6 +80,8 @@
     pub u32,
     /// Whether they are short of room for results.
     pub bool,
+    /// Pieces that any daemon has taken on and that aren't made yet, as far as the planner knows.
+    pub u32,
 );
 
 /// Pieces that a daemon has taken on and that aren't made yet.
@@ -120,6 +129,16 @@
     /// Whether it has reached the directory without a failure for a while.
     #[serde(rename = "k")]
     pub calm: bool,
+    /// Milliseconds since the directory last answered it for every topic; nothing if it doesn't read
+    /// the directory itself.
+    #[serde(rename = "e")]
+    pub read_ms: Option<u32>,
+    /// Whether it sends each heartbeat to every daemon it knows.
+    #[serde(rename = "b")]
+    pub broadcasts: bool,
+    /// Processor that it may use.
+    #[serde(rename = "m")]
+    pub capacity: Capacity,
     /// Some daemons that it knows of.
     #[serde(rename = "n")]
     pub peers: Vec<PeerNote>,
@@ -134,6 +153,29 @@
     pub work: Vec<WorkNote>,
 }
 
+/// What all daemons together have in flight at endpoints, as a coordinator sums it up; one datagram
+/// holds a part of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadDigest {
+    /// Version of the messages.
+    #[serde(rename = "v")]
+    pub protocol: u16,
+    /// The sums; an endpoint that isn't named tells nothing.
+    #[serde(rename = "l")]
+    pub loads: Vec<LoadNote>,
+}
+
+/// A datagram between daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// A sign of life.
+    #[serde(rename = "h")]
+    Heartbeat(Heartbeat),
+    /// Sums of loads.
+    #[serde(rename = "d")]
+    Loads(LoadDigest),
+}
+
 /// A job handed to the daemon that plans for its service; times are relative.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobOrder {
@@ -164,6 +206,8 @@
     Table,
     /// Send the list of endpoints.
     Endpoints,
+    /// Send what changed in the list of endpoints after a revision.
+    Changes(u64),
     /// Make the pieces of a stage.
     Job(JobOrder),
     /// Forget a job: the number of its frame.
@@ -188,6 +232,8 @@
         /// The list.
         entries: Vec<EndpointEntry>,
     },
+    /// What changed in the list of endpoints.
+    Changes(EndpointChanges),
     /// How a job ended.
     Job(JobEnd),
     /// It is done, and nothing is to be told of it.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -1,8 +1,13 @@
-//! The other daemons as this one sees them: who is alive, what they know, who plans for whom.
+//! The other daemons as this one sees them: who is alive, what they know, who coordinates what.
 //!
 //! A daemon starts from a few addresses, any of which may be dead, and learns of others from
-//! heartbeats. Whether a daemon is alive is each observer's own judgement: a partition makes no
-//! daemon dead for those that still hear it.
+//! heartbeats. In a small fleet every heartbeat goes to everybody. In a larger one the daemons that
+//! coordinate a service send to everybody, and all others send to the coordinators and to a few
+//! daemons drawn anew each time; heartbeats name daemons with the age of their last sign of life, so
+//! that everybody learns of everybody else at a cost that doesn't grow with the fleet.
+//!
+//! Whether a daemon is alive is each observer's own judgement: a partition makes no daemon dead for
+//! those that still hear it.
 
 use {
     crate::{
@@ -12,29 +17,40 @@
             table::Version,
         },
         ids::{DataCentreId, HostId, ServiceId},
-        units::{Millis, Time},
+        units::{Capacity, Millis, Time},
     },
     foldhash::HashMap,
     rand::{SeedableRng, rngs::SmallRng, seq::IndexedRandom},
     std::net::SocketAddr,
-    xxhash_rust::xxh3::xxh3_64,
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Time between two heartbeats.
 pub const HEARTBEAT: Millis = Millis(200);
 
-/// Time without a heartbeat after which a daemon counts as lost.
+/// Time without a heartbeat after which a daemon counts as lost that sends each one to everybody.
 const SILENCE: Millis = Millis(1_000);
 
+/// Time without any sign of life after which another daemon counts as lost.
+const HEARSAY_SILENCE: Millis = Millis(2_500);
+
 /// Time after which an address that was never heard from, or no longer, is forgotten.
 const FORGET: Millis = Millis(60_000);
 
-/// Daemons that one heartbeat goes to, and daemons that it names.
-const FANOUT: usize = 12;
-const NAMED: usize = 8;
+/// Time for which a daemon that failed to take something on is passed over as a coordinator.
+const PASSED_OVER: Millis = Millis(1_500);
+
+/// Largest number of other daemons to which every heartbeat goes.
+const SMALL_FLEET: usize = 12;
+
+/// In a larger fleet: daemons drawn for one heartbeat.
+const DRAWN: usize = 6;
+
+/// Daemons that one heartbeat names.
+const NAMED: usize = 10;
 
 /// Loads that one heartbeat carries, the largest first, so that it fits into a datagram.
-const LOADS: usize = 32;
+const LOADS: usize = 24;
 
 /// What this daemon tells of itself.
 #[derive(Debug, Clone, PartialEq)]
@@ -45,16 +61,20 @@
     pub table: Version,
     /// Fingerprint of its table.
     pub fingerprint: u64,
-    /// Revision of its list of endpoints.
+    /// Revision of the last change in its list of endpoints.
     pub catalogue: u64,
     /// Whether it has reached the directory without a failure for a while.
     pub calm: bool,
+    /// Milliseconds since the directory last answered it for every topic.
+    pub read_ms: Option<u32>,
     /// What it has in flight.
     pub loads: Vec<LoadNote>,
     /// What it plans.
     pub queues: Vec<QueueNote>,
     /// What it has taken on.
     pub work: Vec<WorkNote>,
+    /// The services that have a coordinator.
+    pub services: Vec<ServiceId>,
 }
 
 /// Who this daemon is.
@@ -68,30 +88,68 @@
     pub address: SocketAddr,
     /// Tells this life of the process from others.
     pub run: u64,
+    /// Processor that it may use.
+    pub capacity: Capacity,
 }
 
 #[derive(Debug, Clone)]
 struct Peer {
     /// When its address was last told or heard.
     known: Time,
+    /// Last sign of life, here or elsewhere.
+    seen: Option<Time>,
+    phase: Phase,
+    capacity: Capacity,
     heard: Option<(Time, Heartbeat)>,
+    passed_over_until: Time,
     alive: bool,
 }
 
-/// A change in who is alive.
+impl Peer {
+    fn new(now: Time) -> Self {
+        Self {
+            known: now,
+            seen: None,
+            phase: Phase::Starting,
+            capacity: Capacity::default(),
+            heard: None,
+            passed_over_until: Time::default(),
+            alive: false,
+        }
+    }
+
+    fn host(&self) -> Option<HostId> {
+        let (_, heartbeat) = self.heard.as_ref()?;
+        Some(heartbeat.host.clone())
+    }
+
+    /// Returns whether there has been a sign of life lately. `direct` tells that the daemon should
+    /// be heard here itself; nothing counts as silence that fell before `awake`.
+    fn has_sign(&self, now: Time, awake: Time, direct: bool) -> bool {
+        let broadcasts = self.heard.as_ref().is_some_and(|(_, last)| last.broadcasts);
+        let (last, silence) = if direct || broadcasts {
+            (self.heard.as_ref().map(|(heard, _)| *heard), SILENCE)
+        } else {
+            (self.seen, HEARSAY_SILENCE)
+        };
+        last.is_some_and(|last| now.since(last.max(awake)) <= silence.to_duration())
+    }
+}
+
+/// A change in who is alive; the host is known once it was heard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PeerChange {
-    /// A daemon was heard for the first time, or again.
-    Met(SocketAddr, HostId),
+    /// A daemon was heard or heard of for the first time, or again.
+    Met(SocketAddr, Option<HostId>),
     /// A daemon started anew since it was last heard.
-    Restarted(SocketAddr, HostId),
+    Restarted(SocketAddr, Option<HostId>),
     /// A daemon has been silent for too long.
-    Lost(SocketAddr, HostId),
+    Lost(SocketAddr, Option<HostId>),
 }
 
-/// Who plans for a service.
+/// Who coordinates a service: sums up its load, and plans its calls if it is a stage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Planner {
+pub enum Coordinator {
     /// This daemon.
     Me,
     /// Another daemon.
@@ -106,8 +164,17 @@
     known: HashMap<SocketAddr, Peer>,
     sequence: u64,
     rng: SmallRng,
+    /// When the process last woke from a pause.
+    awake: Time,
+    /// Heartbeats still to be sent to everybody.
+    broadcasts_left: u32,
+    /// What the last heartbeat told of work taken on.
+    told_work: Vec<WorkNote>,
 }
 
+/// Heartbeats that go to everybody after a daemon stopped to coordinate, so that all learn of it.
+const LAST_BROADCASTS: u32 = 3;
+
 impl Peers {
     /// Starts with the addresses to meet first.
     pub fn new(me: Identity, seeds: &[SocketAddr]) -> Self {
@@ -123,36 +190,48 @@
             known: HashMap::default(),
             sequence: 0,
             rng,
+            awake: Time::default(),
+            broadcasts_left: 0,
+            told_work: Vec::new(),
         }
     }
 
+    /// Returns whether this daemon coordinated a service when it last told of itself.
+    pub fn coordinates(&self) -> bool {
+        self.broadcasts_left == LAST_BROADCASTS
+    }
+
+    /// Returns all other daemons that are known.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.known.keys().copied()
+    }
+
+    /// Returns whether every heartbeat goes to everybody.
+    pub fn is_small(&self) -> bool {
+        self.known.len() <= SMALL_FLEET
+    }
+
     /// Builds the next heartbeat and returns where it goes.
     pub fn heartbeat(&mut self, now: Time, beliefs: Beliefs) -> (Heartbeat, Vec<SocketAddr>) {
         self.sequence += 1;
-        let mut targets: Vec<SocketAddr> = self.known.keys().copied().collect();
-        targets.sort_unstable();
-        let mut targets: Vec<SocketAddr> = targets.sample(&mut self.rng, FANOUT).copied().collect();
-        for seed in &self.seeds {
-            if !self.is_alive(seed) && !targets.contains(seed) {
-                targets.push(*seed);
-            }
-        }
-        let mut notes: Vec<PeerNote> = self
-            .known
+        let ready = beliefs.phase == Phase::Ready;
+        let coordinators: Vec<Coordinator> = beliefs
+            .services
             .iter()
-            .filter_map(|(address, peer)| {
-                let (heard, _) = peer.heard.as_ref()?;
-                Some(PeerNote {
-                    address: *address,
-                    age_ms: now.since(*heard).as_millis() as u32,
-                })
-            })
+            .map(|service| self.coordinator(now, service, ready, &[]))
             .collect();
-        notes.sort_unstable_by_key(|note| note.address);
-        let peers = notes.sample(&mut self.rng, NAMED).cloned().collect();
+        let coordinates = ready && coordinators.contains(&Coordinator::Me);
+        self.broadcasts_left = if coordinates {
+            LAST_BROADCASTS
+        } else {
+            self.broadcasts_left.saturating_sub(1)
+        };
+        let targets = self.targets(&coordinators);
+        let peers = self.notes(now);
         let mut loads = beliefs.loads;
         loads.sort_unstable_by_key(|note| std::cmp::Reverse((note.2, note.1)));
         loads.truncate(LOADS);
+        self.told_work.clone_from(&beliefs.work);
         let heartbeat = Heartbeat {
             protocol: PROTOCOL,
             host: self.me.host.clone(),
@@ -165,6 +244,9 @@
             fingerprint: beliefs.fingerprint,
             catalogue: beliefs.catalogue,
             calm: beliefs.calm,
+            read_ms: beliefs.read_ms,
+            broadcasts: coordinates,
+            capacity: self.me.capacity,
             peers,
             loads,
             queues: beliefs.queues,
@@ -173,64 +255,117 @@
         (heartbeat, targets)
     }
 
+    /// Draws where a heartbeat goes.
+    fn targets(&mut self, coordinators: &[Coordinator]) -> Vec<SocketAddr> {
+        let mut all: Vec<SocketAddr> = self.known.keys().copied().collect();
+        all.sort_unstable();
+        let mut targets = if self.is_small() || self.broadcasts_left > 0 {
+            all
+        } else {
+            all.sample(&mut self.rng, DRAWN).copied().collect()
+        };
+        let coordinators = coordinators.iter().filter_map(|one| match one {
+            Coordinator::Peer(address) => Some(*address),
+            Coordinator::Me => None,
+        });
+        let unheard = self.seeds.iter().filter(|seed| !self.is_alive(seed));
+        for address in coordinators.chain(unheard.copied()) {
+            if !targets.contains(&address) {
+                targets.push(address);
+            }
+        }
+        targets
+    }
+
+    /// Draws the daemons that a heartbeat names.
+    fn notes(&mut self, now: Time) -> Vec<PeerNote> {
+        let mut notes: Vec<PeerNote> = self
+            .known
+            .iter()
+            .filter(|(_, peer)| peer.alive)
+            .filter_map(|(address, peer)| {
+                Some(PeerNote {
+                    address: *address,
+                    age_ms: now.since(peer.seen?).as_millis() as u32,
+                    phase: peer.phase,
+                    capacity: peer.capacity,
+                })
+            })
+            .collect();
+        notes.sort_unstable_by_key(|note| note.address);
+        notes.sample(&mut self.rng, NAMED).cloned().collect()
+    }
+
     /// Takes in a heartbeat.
-    pub fn heard(&mut self, now: Time, heartbeat: Heartbeat) -> Option<PeerChange> {
+    pub fn heard(&mut self, now: Time, heartbeat: Heartbeat) -> Vec<PeerChange> {
         if heartbeat.address == self.me.address {
-            return None;
-        }
-        for note in &heartbeat.peers {
-            let fresh = u64::from(note.age_ms) < FORGET.0 / 2;
-            if fresh && note.address != self.me.address {
-                self.known.entry(note.address).or_insert(Peer {
-                    known: now,
-                    heard: None,
-                    alive: false,
-                });
-            }
+            return Vec::new();
         }
+        let mut changes = Vec::new();
         let (address, host) = (heartbeat.address, heartbeat.host.clone());
-        let peer = self.known.entry(address).or_insert(Peer {
-            known: now,
-            heard: None,
-            alive: false,
-        });
+        let peer = self.known.entry(address).or_insert(Peer::new(now));
         let mut restarted = false;
         if let Some((_, last)) = &peer.heard {
             if last.run == heartbeat.run && last.sequence >= heartbeat.sequence {
-                return None;
+                return Vec::new();
             }
             restarted = last.run != heartbeat.run;
         }
         let met = !peer.alive;
         peer.known = now;
+        peer.seen = Some(now);
+        peer.phase = heartbeat.phase;
+        peer.capacity = heartbeat.capacity;
+        let notes = heartbeat.peers.clone();
         peer.heard = Some((now, heartbeat));
         peer.alive = true;
         match (met, restarted) {
-            (true, _) => Some(PeerChange::Met(address, host)),
-            (false, true) => Some(PeerChange::Restarted(address, host)),
-            (false, false) => None,
+            (true, _) => changes.push(PeerChange::Met(address, Some(host))),
+            (false, true) => changes.push(PeerChange::Restarted(address, Some(host))),
+            (false, false) => {}
+        }
+        let small = self.is_small();
+        for note in notes {
+            changes.extend(self.heard_of(now, &note, small));
+        }
+        changes
+    }
+
+    /// Takes in what another daemon knows of a third one.
+    fn heard_of(&mut self, now: Time, note: &PeerNote, small: bool) -> Option<PeerChange> {
+        let age = Millis(u64::from(note.age_ms));
+        if note.address == self.me.address || age.0 >= FORGET.0 / 2 {
+            return None;
+        }
+        let peer = self.known.entry(note.address).or_insert(Peer::new(now));
+        let seen = Time(now.0.saturating_sub(age.0 * 1000));
+        if peer.seen.is_some_and(|known| known >= seen) {
+            return None;
+        }
+        peer.known = peer.known.max(seen);
+        peer.seen = Some(seen);
+        peer.phase = note.phase;
+        peer.capacity = note.capacity;
+        if !peer.alive && peer.has_sign(now, Time::default(), small) {
+            peer.alive = true;
+            return Some(PeerChange::Met(note.address, peer.host()));
         }
+        None
     }
 
     /// Notes that this process stood still: it couldn't hear anybody, so nobody is lost yet.
     pub fn resumed(&mut self, now: Time) {
-        for peer in self.known.values_mut().filter(|peer| peer.alive) {
-            if let Some((heard, _)) = &mut peer.heard {
-                *heard = now;
-            }
-        }
+        self.awake = now;
     }
 
     /// Notes who has been silent for too long.
     pub fn tick(&mut self, now: Time) -> Vec<PeerChange> {
         let mut lost = Vec::new();
+        let (small, awake) = (self.is_small(), self.awake);
         for (address, peer) in &mut self.known {
-            let Some((heard, heartbeat)) = &peer.heard else {
-                continue;
-            };
-            if peer.alive && now.since(*heard) > SILENCE.to_duration() {
+            if peer.alive && !peer.has_sign(now, awake, small) {
                 peer.alive = false;
-                lost.push(PeerChange::Lost(*address, heartbeat.host.clone()));
+                lost.push(PeerChange::Lost(*address, peer.host()));
             }
         }
         self.known
@@ -238,6 +373,13 @@
         lost
     }
 
+    /// Passes a daemon over as a coordinator for a while: it didn't take on what it was given.
+    pub fn pass_over(&mut self, now: Time, address: &SocketAddr) {
+        if let Some(peer) = self.known.get_mut(address) {
+            peer.passed_over_until = now + PASSED_OVER;
+        }
+    }
+
     /// Returns whether a daemon is believed alive.
     pub fn is_alive(&self, address: &SocketAddr) -> bool {
         self.known.get(address).is_some_and(|peer| peer.alive)
@@ -245,16 +387,19 @@
 
     /// Returns the number of daemons believed alive, this one included.
     pub fn daemons(&self) -> usize {
-        1 + self.alive().count()
+        1 + self.known.values().filter(|peer| peer.alive).count()
     }
 
-    /// Returns the last heartbeats of the daemons believed alive.
+    /// Returns the last heartbeats of the daemons believed alive that were heard here.
     pub fn alive(&self) -> impl Iterator<Item = &Heartbeat> {
+        self.fresh().map(|(_, heartbeat)| heartbeat)
+    }
+
+    fn fresh(&self) -> impl Iterator<Item = &(Time, Heartbeat)> {
         self.known
             .values()
             .filter(|peer| peer.alive)
             .filter_map(|peer| peer.heard.as_ref())
-            .map(|(_, heartbeat)| heartbeat)
     }
 
     /// Returns whether any daemon has reached the directory without a failure for a while, so that
@@ -263,6 +408,18 @@
         self.alive().any(|heartbeat| heartbeat.calm)
     }
 
+    /// Returns the time since the directory last answered the daemon that read it last, among those
+    /// that tell everybody what they read.
+    pub fn read_age(&self, now: Time) -> Option<Millis> {
+        self.fresh()
+            .filter(|(_, heartbeat)| heartbeat.broadcasts)
+            .filter_map(|(heard, heartbeat)| {
+                let read = u64::from(heartbeat.read_ms?);
+                Some(Millis(now.since(*heard).as_millis() as u64 + read))
+            })
+            .min()
+    }
+
     /// Returns a daemon whose table is newer than `version`, the newest first.
     pub fn newer_table(&self, version: Version) -> Option<(SocketAddr, Version)> {
         self.alive()
@@ -279,32 +436,46 @@
             .map(|heartbeat| (heartbeat.address, heartbeat.catalogue))
     }
 
-    /// Returns who plans for a service: by rendezvous hashing over the daemons that serve.
-    pub fn planner(&self, service: &ServiceId, ready: bool, except: &[SocketAddr]) -> Planner {
-        let weight = |address: &SocketAddr| {
-            let text = format!("{address}/{service}");
-            xxh3_64(text.as_bytes())
+    /// Returns who coordinates a service: one of the daemons with the most processor that serve,
+    /// by rendezvous hashing.
+    pub fn coordinator(
+        &self,
+        now: Time,
+        service: &ServiceId,
+        ready: bool,
+        except: &[SocketAddr],
+    ) -> Coordinator {
+        let seed = xxh3_64_with_seed(service.as_str().as_bytes(), 0);
+        let rank = |address: &SocketAddr, capacity: Capacity| {
+            let text = match address.ip() {
+                std::net::IpAddr::V4(ip) => u128::from(ip.to_bits()),
+                std::net::IpAddr::V6(ip) => ip.to_bits(),
+            };
+            let mut bytes = text.to_be_bytes().to_vec();
+            bytes.extend_from_slice(&address.port().to_be_bytes());
+            (capacity, xxh3_64_with_seed(&bytes, seed))
         };
         let best = self
-            .alive()
-            .filter(|heartbeat| heartbeat.phase == Phase::Ready)
-            .map(|heartbeat| heartbeat.address)
-            .filter(|address| !except.contains(address))
-            .max_by_key(weight);
+            .known
+            .iter()
+            .filter(|(_, peer)| peer.alive && peer.phase == Phase::Ready)
+            .filter(|(address, peer)| peer.passed_over_until <= now && !except.contains(address))
+            .map(|(address, peer)| (rank(address, peer.capacity), *address))
+            .max();
         match best {
-            Some(address) if !ready || weight(&address) > weight(&self.me.address) => {
-                Planner::Peer(address)
+            Some((best, address)) if !ready || best > rank(&self.me.address, self.me.capacity) => {
+                Coordinator::Peer(address)
             }
-            _ => Planner::Me,
+            _ => Coordinator::Me,
         }
     }
 
-    /// Sums up what other daemons have in flight, by endpoint.
+    /// Sums up what other daemons have in flight, by endpoint, as they told it here.
     pub fn loads(&self) -> HashMap<u32, PeerLoad> {
         let mut sums: HashMap<u32, PeerLoad> = HashMap::default();
         for LoadNote(endpoint, running, prefill) in self.alive().flat_map(|h| &h.loads) {
             let sum = sums.entry(*endpoint).or_default();
-            sum.running += u32::from(*running);
+            sum.running += *running;
             sum.prefill += f64::from(*prefill);
         }
         sums
@@ -325,12 +496,34 @@
         notes.any(|note| note.0 == service && note.2)
     }
 
-    /// Returns the pieces of a service that other daemons have taken on.
-    pub fn outstanding(&self, service: u32) -> u32 {
+    /// Returns the pieces of a service that other daemons have taken on, as they told it here.
+    pub fn told_outstanding(&self, service: u32) -> u32 {
         let notes = self.alive().flat_map(|heartbeat| &heartbeat.work);
         notes
             .filter(|note| note.0 == service)
             .map(|note| note.1)
             .fold(0, u32::saturating_add)
     }
+
+    /// Returns the pieces of a service that other daemons have taken on: as they told it where all
+    /// of them tell, else as the service's coordinator sums it up.
+    pub fn outstanding(&self, service: u32, coordinator: Coordinator) -> u32 {
+        let told = self.told_outstanding(service);
+        let Coordinator::Peer(address) = coordinator else {
+            return told;
+        };
+        let total = self
+            .known
+            .get(&address)
+            .and_then(|peer| peer.heard.as_ref())
+            .and_then(|(_, heartbeat)| heartbeat.queues.iter().find(|note| note.0 == service))
+            .map(|note| note.3);
+        match total {
+            Some(total) if !self.is_small() => {
+                let notes = self.told_work.iter().filter(|note| note.0 == service);
+                total.saturating_sub(notes.map(|note| note.1).sum())
+            }
+            _ => told,
+        }
+    }
 }
--- a/lib/src/gateway/planning.rs
+++ b/lib/src/gateway/planning.rs
@@ -58,15 +58,23 @@
         }
     }
 
-    /// Returns what others should know of the services with jobs in hand.
-    pub fn busy(&self, now: Time) -> impl Iterator<Item = QueueNote> {
+    /// Returns what others should know of the services that are `mine` to plan for, or that have
+    /// jobs in hand; `total` tells the pieces that all daemons have taken on.
+    pub fn notes(
+        &self,
+        now: Time,
+        mine: impl Fn(&ServiceId) -> bool,
+        total: impl Fn(&ServiceId) -> u32,
+    ) -> Vec<QueueNote> {
         self.queues
             .iter()
-            .filter(|(_, queue)| queue.jobs() > 0)
-            .map(move |(id, queue)| {
+            .filter(|(id, queue)| queue.jobs() > 0 || mine(id))
+            .map(|(id, queue)| {
                 let endpoints = queue.sound_workers(now) as u32;
-                QueueNote(short_hash_of(id), endpoints, queue.is_short_of_room(now))
+                let short = queue.is_short_of_room(now);
+                QueueNote(short_hash_of(id), endpoints, short, total(id))
             })
+            .collect()
     }
 
     pub(crate) fn is_short_of_room(&self, now: Time, service: &ServiceId) -> bool {
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -8,7 +8,7 @@
             listen::accept_each,
             pause::PauseDetector,
             peer_message::{
-                Ask, Frame, Heartbeat, JobOrder, PROTOCOL, Phase, Reply, decode, encode,
+                Ask, Datagram, Frame, JobOrder, LoadDigest, PROTOCOL, Phase, Reply, decode, encode,
             },
             peers::{HEARTBEAT, PeerChange},
             stage_job::{Job, JobEnd},
@@ -35,6 +35,9 @@
 /// Largest datagram accepted.
 const DATAGRAM: usize = 16 * 1024;
 
+/// Loads in one datagram.
+const DIGEST_LOADS: usize = 80;
+
 /// Heartbeats heard without a directory before a list is asked of a peer.
 const LIST_LAG: Millis = Millis(500);
 
@@ -100,18 +103,12 @@
             },
             None => Reply::Unable,
         },
-        Ask::Endpoints => {
-            let state = gateway.state.borrow();
-            if !state.listed {
-                return Reply::Unable;
-            }
-            Reply::Endpoints {
-                revision: state.catalogue.revision(),
-                entries: state
-                    .catalogue
-                    .entries()
-                    .map(|entry| (**entry).clone())
-                    .collect(),
+        Ask::Endpoints => endpoints(gateway),
+        Ask::Changes(revision) => {
+            let changes = gateway.state.borrow().catalogue.changes_since(revision);
+            match changes {
+                Some(changes) => Reply::Changes(changes),
+                None => endpoints(gateway),
             }
         }
         Ask::Job(order) => {
@@ -135,6 +132,19 @@
     }
 }
 
+/// Tells the whole list of endpoints.
+fn endpoints<D: Dialect>(gateway: &Gateway<D>) -> Reply {
+    let state = gateway.state.borrow();
+    if !state.listed {
+        return Reply::Unable;
+    }
+    let entries = state.catalogue.entries();
+    Reply::Endpoints {
+        revision: state.catalogue.revision(),
+        entries: entries.map(|entry| (**entry).clone()).collect(),
+    }
+}
+
 fn job_of<D: Dialect>(gateway: &Gateway<D>, order: JobOrder) -> Job {
     let now = gateway.now();
     let objective = if order.objective_ms >= 0 {
@@ -200,23 +210,53 @@
             note_change(&gateway, change);
         }
         let (heartbeat, targets) = gateway.state.borrow_mut().peers.heartbeat(now, beliefs);
-        let bytes = encode(&heartbeat);
-        for target in targets {
-            // A datagram may be lost in any case.
-            let _ = socket.try_send_to(&bytes, target);
-        }
-        let loads = gateway.state.borrow().peers.loads();
-        gateway.state.borrow_mut().fleet.set_peer_loads(&loads);
+        send_to(
+            &socket,
+            &Datagram::Heartbeat(heartbeat),
+            targets.into_iter(),
+        );
+        tell_loads(&gateway, &socket);
+        gateway.state.borrow_mut().update_peer_loads(now);
         gateway.settle_doubts();
     }
 }
 
+fn send_to(socket: &UdpSocket, datagram: &Datagram, targets: impl Iterator<Item = SocketAddr>) {
+    let bytes = encode(datagram);
+    for target in targets {
+        // A datagram may be lost in any case.
+        let _ = socket.try_send_to(&bytes, target);
+    }
+}
+
+/// Tells everybody what is in flight at the endpoints that this daemon coordinates, where not every
+/// daemon hears every other one.
+fn tell_loads<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket) {
+    let now = gateway.now();
+    let ready = gateway.phase() == Phase::Ready;
+    let state = gateway.state.borrow();
+    if state.peers.is_small() || !ready {
+        return;
+    }
+    let sums = state.coordinated_loads(now, ready);
+    let everybody: Vec<SocketAddr> = state.peers.addresses().collect();
+    drop(state);
+    for loads in sums.chunks(DIGEST_LOADS) {
+        gateway.state.borrow_mut().sums.take(now, loads);
+        let digest = LoadDigest {
+            protocol: PROTOCOL,
+            loads: loads.to_vec(),
+        };
+        send_to(socket, &Datagram::Loads(digest), everybody.iter().copied());
+    }
+}
+
 /// Takes in heartbeats for good.
 pub async fn hear_heartbeats<D: Dialect>(gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => take_heartbeat(&gateway, &buffer[..length], from),
+            Ok((length, from)) => take_datagram(&gateway, &buffer[..length], from),
             Err(error) => {
                 log::warn!(error:%; "heartbeat.receive_failed");
                 tokio::time::sleep(HEARTBEAT.to_duration()).await;
@@ -225,9 +265,13 @@
     }
 }
 
-fn take_heartbeat<D: Dialect>(gateway: &Gateway<D>, bytes: &[u8], from: SocketAddr) {
-    let heartbeat: Heartbeat = match decode(bytes) {
-        Ok(heartbeat) => heartbeat,
+fn take_datagram<D: Dialect>(gateway: &Gateway<D>, bytes: &[u8], from: SocketAddr) {
+    let heartbeat = match decode(bytes) {
+        Ok(Datagram::Heartbeat(heartbeat)) => heartbeat,
+        Ok(Datagram::Loads(digest)) => {
+            take_digest(gateway, &digest, from);
+            return;
+        }
         Err(error) => {
             log::debug!(from:% = from, error:%; "heartbeat.refused");
             return;
@@ -239,10 +283,19 @@
         return;
     }
     let now = gateway.now();
-    let change = gateway.state.borrow_mut().peers.heard(now, heartbeat);
-    if let Some(change) = change {
-        note_change(gateway, &change);
+    let changes = gateway.state.borrow_mut().peers.heard(now, heartbeat);
+    for change in &changes {
+        note_change(gateway, change);
+    }
+}
+
+fn take_digest<D: Dialect>(gateway: &Gateway<D>, digest: &LoadDigest, from: SocketAddr) {
+    if digest.protocol != PROTOCOL {
+        log::warn!(from:% = from, protocol = digest.protocol; "heartbeat.refused");
+        return;
     }
+    let now = gateway.now();
+    gateway.state.borrow_mut().sums.take(now, &digest.loads);
 }
 
 fn note_change<D: Dialect>(gateway: &Gateway<D>, change: &PeerChange) {
@@ -251,7 +304,8 @@
         PeerChange::Restarted(address, host) => ("peer.restarted", address, host),
         PeerChange::Lost(address, host) => ("peer.lost", address, host),
     };
-    log::info!(peer:% = address, host:% = host; "{event}");
+    let host = host.as_ref().map_or("", |host| host.as_str());
+    log::info!(peer:% = address, host; "{event}");
     if !matches!(change, PeerChange::Met(..)) {
         gateway.links.close(*address);
     }
@@ -263,11 +317,24 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        note_behind(&gateway);
         catch_up_table(&gateway).await;
         catch_up_endpoints(&gateway).await;
+        note_behind(&gateway);
     }
 }
 
+/// Notes since when a peer has something newer than this daemon.
+fn note_behind<D: Dialect>(gateway: &Gateway<D>) {
+    let now = gateway.now();
+    let version = gateway.published().map_or(0, |p| p.table.version);
+    let mut state = gateway.state.borrow_mut();
+    let changed = state.catalogue.changed();
+    let is_behind = state.peers.newer_table(version).is_some()
+        || state.peers.newer_catalogue(changed).is_some();
+    state.behind = is_behind.then_some(state.behind.unwrap_or(now));
+}
+
 async fn catch_up_table<D: Dialect>(gateway: &Gateway<D>) {
     let version = gateway.published().map_or(0, |p| p.table.version);
     let newer = gateway.state.borrow().peers.newer_table(version);
@@ -288,18 +355,24 @@
         if now.since(heard) < wait + LIST_LAG.to_duration() && state.listed {
             return;
         }
-        let least = if state.listed {
-            state.catalogue.revision()
+        let known = if state.listed {
+            state.catalogue.changed()
         } else {
             0
         };
-        state.peers.newer_catalogue(least)
+        let newer = state.peers.newer_catalogue(known);
+        newer.map(|(peer, _)| (peer, state.listed.then_some(known)))
     };
-    let Some((peer, _)) = newer else { return };
-    let asked = tokio::time::timeout(FETCH_LIMIT, gateway.links.ask(peer, Ask::Endpoints)).await;
-    if let Ok(Some(Reply::Endpoints { revision, entries })) = asked {
-        let source = format!("peer {peer}");
-        gateway.replace_endpoints(revision, entries, &source);
+    let Some((peer, known)) = newer else { return };
+    let ask = known.map_or(Ask::Endpoints, Ask::Changes);
+    let asked = tokio::time::timeout(FETCH_LIMIT, gateway.links.ask(peer, ask)).await;
+    let source = format!("peer {peer}");
+    match asked {
+        Ok(Some(Reply::Endpoints { revision, entries })) => {
+            gateway.replace_endpoints(revision, entries, &source);
+        }
+        Ok(Some(Reply::Changes(changes))) => gateway.take_changes(changes, &source),
+        _ => {}
     }
 }
 
--- a/lib/src/gateway/release.rs
+++ b/lib/src/gateway/release.rs
@@ -4,7 +4,7 @@
     gateway::{
         dialect::Dialect,
         peer_message::{Ask, Phase},
-        peers::Planner,
+        peers::Coordinator,
         stage_job::Handle,
         state::Gateway,
     },
@@ -17,14 +17,19 @@
         return;
     }
     let ready = gateway.phase() == Phase::Ready;
-    let planner = gateway.state.borrow().peers.planner(service, ready, &[]);
+    let now = gateway.now();
+    let planner = gateway
+        .state
+        .borrow()
+        .peers
+        .coordinator(now, service, ready, &[]);
     match planner {
-        Planner::Me => gateway
+        Coordinator::Me => gateway
             .state
             .borrow_mut()
             .planning
             .release(service, handles),
-        Planner::Peer(peer) => gateway
+        Coordinator::Peer(peer) => gateway
             .links
             .tell(peer, Ask::Release(service.clone(), handles)),
     }
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -4,7 +4,7 @@
     crate::{
         gateway::budget::BudgetLimits,
         ids::{DataCentreId, HostId},
-        units::Millis,
+        units::{Capacity, Millis},
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -73,4 +73,6 @@
     pub budget: BudgetLimits,
     /// Times that the installation allows or keeps.
     pub bounds: Bounds,
+    /// Processor that this daemon may use.
+    pub capacity: Capacity,
 }
--- a/lib/src/gateway/stage_admit.rs
+++ b/lib/src/gateway/stage_admit.rs
@@ -110,7 +110,8 @@
         .filter(|member| member.is_open())
         .count();
     let hash = short_hash_of(service);
-    let elsewhere = state.peers.outstanding(hash);
+    let coordinator = state.peers.coordinator(now, service, true, &[]);
+    let elsewhere = state.peers.outstanding(hash, coordinator);
     let ready = state.planning.sound_endpoints(now, service);
     let reported = state.peers.sound_endpoints(hash);
     let outstanding = f64::from(state.workload.outstanding(service)) + f64::from(elsewhere);
--- a/lib/src/gateway/stage_chain.rs
+++ b/lib/src/gateway/stage_chain.rs
@@ -6,7 +6,7 @@
             admission,
             dialect::{Dialect, Inbound},
             peer_message::{Ask, Phase},
-            peers::Planner,
+            peers::Coordinator,
             relay,
             release::release,
             stage_job::{Handle, Job, JobEnd, PieceInput},
@@ -324,12 +324,13 @@
     let mut failed: Vec<SocketAddr> = Vec::new();
     while failed.len() + 1 < PLANNERS {
         let ready = gateway.phase() == Phase::Ready;
+        let now = gateway.now();
         let planner = gateway
             .state
             .borrow()
             .peers
-            .planner(service, ready, &failed);
-        let Planner::Peer(peer) = planner else {
+            .coordinator(now, service, ready, &failed);
+        let Coordinator::Peer(peer) = planner else {
             break;
         };
         let order = relay::order_of(gateway, service, &job);
@@ -338,6 +339,8 @@
             return end;
         }
         log::warn!(request = &*job.request, service:% = service, peer:% = peer; "planner.lost");
+        let now = gateway.now();
+        gateway.state.borrow_mut().peers.pass_over(now, &peer);
         failed.push(peer);
     }
     gateway.make_here(service, job).await
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -4,13 +4,15 @@
     crate::{
         gateway::{
             budget::WindowBudget,
-            catalogue::{Catalogue, EndpointEntry, Learnt},
+            catalogue::{Catalogue, EndpointChanges, EndpointEntry, Learnt},
             dialect::Dialect,
-            fleet::{Fleet, short_hash},
+            directory::{TOPICS, Topic},
+            fleet::{Fleet, PeerLoad, short_hash, short_hash_of},
             links::Links,
+            load_sums::LoadSums,
             metrics::GatewayMetrics,
-            peer_message::{LoadNote, Phase},
-            peers::{Beliefs, Identity, Peers},
+            peer_message::{LoadNote, Phase, QueueNote},
+            peers::{Beliefs, Coordinator, Identity, Peers},
             planning::Planning,
             settings::GatewaySettings,
             table::{Table, Version},
@@ -26,6 +28,7 @@
         marker::PhantomData,
         rc::Rc,
         sync::Arc,
+        time::Duration,
     },
     tokio::{sync::Notify, time::Instant},
     xxhash_rust::xxh3::xxh3_64,
@@ -37,6 +40,12 @@
 /// Time without a failed read after which the directory counts as steady for this daemon.
 const CALM: Millis = Millis(3_000);
 
+/// Time beyond the wait of a call for changes after which a peer's reading counts as out of date.
+const READ_SLACK: Millis = Millis(400);
+
+/// Time for which a peer may be known to have something newer before the directory is asked.
+const BEHIND: Millis = Millis(600);
+
 /// A table together with the bytes it was read from.
 #[derive(Debug)]
 pub struct Published {
@@ -55,6 +64,8 @@
     pub heard: Option<Time>,
     /// Last failure.
     pub failed: Option<Time>,
+    /// Last answer for each topic.
+    topics: [Option<Time>; TOPICS],
 }
 
 impl DirectoryContact {
@@ -67,7 +78,15 @@
     /// Returns whether the directory has been read without a failure for a while.
     fn is_calm(&self, now: Time) -> bool {
         let since = self.failed.unwrap_or_default();
-        self.heard.is_some() && !self.is_lost() && now.since(since) > CALM.to_duration()
+        let heard = self.heard.unwrap_or_default();
+        let reads = now.since(heard) < CALM.to_duration();
+        self.heard.is_some() && reads && !self.is_lost() && now.since(since) > CALM.to_duration()
+    }
+
+    /// Returns the time since the directory last answered for every topic.
+    fn read_age(&self, now: Time) -> Option<Millis> {
+        let oldest = self.topics.iter().copied().min().flatten()?;
+        Some(Millis(now.since(oldest).as_millis() as u64))
     }
 
     /// Returns whether the directory can't be read just now.
@@ -95,6 +114,10 @@
     pub listed: bool,
     /// What this daemon has taken on.
     pub workload: Workload,
+    /// What all daemons have in flight, as coordinators sum it up.
+    pub sums: LoadSums,
+    /// Since when a peer is known to have a newer table or list.
+    pub behind: Option<Time>,
     budgets: HashMap<ServiceId, WindowBudget>,
 }
 
@@ -104,6 +127,70 @@
     fn is_doubtful(&self, now: Time) -> bool {
         self.contact.is_doubtful(now) && !self.peers.is_any_calm()
     }
+
+    /// Returns what others should know of the stage services that this daemon coordinates.
+    fn queue_notes(&self, now: Time, ready: bool) -> Vec<QueueNote> {
+        let mine = |service: &ServiceId| {
+            self.peers.coordinator(now, service, ready, &[]) == Coordinator::Me
+        };
+        let total = |service: &ServiceId| {
+            let told = self.peers.told_outstanding(short_hash_of(service));
+            self.workload.outstanding(service).saturating_add(told)
+        };
+        self.planning.notes(now, mine, total)
+    }
+
+    /// Returns what all daemons have in flight at the endpoints of the services that this daemon
+    /// coordinates.
+    pub fn coordinated_loads(&self, now: Time, ready: bool) -> Vec<LoadNote> {
+        let Some(published) = &self.published else {
+            return Vec::new();
+        };
+        let told = self.peers.loads();
+        published
+            .table
+            .services()
+            .filter(|service| {
+                self.peers.coordinator(now, &service.id, ready, &[]) == Coordinator::Me
+            })
+            .flat_map(|service| self.fleet.service(&service.id))
+            .map(|member| {
+                let id = short_hash(&member.entry.id);
+                let others = told.get(&id).copied().unwrap_or_default();
+                let prefill = member.prefill + others.prefill;
+                LoadNote(id, member.running + others.running, prefill as u32)
+            })
+            .collect()
+    }
+
+    /// Takes in what other daemons have in flight: as each of them told it, or as coordinators
+    /// summed it up, this daemon's part left out.
+    pub fn update_peer_loads(&mut self, now: Time) {
+        if self.peers.is_small() {
+            let loads = self.peers.loads();
+            self.fleet.set_peer_loads(&loads);
+            return;
+        }
+        self.sums.expire(now);
+        let loads: HashMap<u32, PeerLoad> = self.sums.all().collect();
+        self.fleet.set_total_loads(&loads);
+    }
+
+    /// Returns whether peers tell this daemon in time what the directory holds, so that it needn't
+    /// read it itself.
+    fn is_covered(&self, now: Time, wait: Duration) -> bool {
+        let is_behind = self
+            .behind
+            .is_some_and(|since| now.since(since) > BEHIND.to_duration());
+        let bound = wait + READ_SLACK.to_duration();
+        !self.peers.is_small()
+            && !self.peers.coordinates()
+            && !is_behind
+            && self
+                .peers
+                .read_age(now)
+                .is_some_and(|age| age.to_duration() <= bound)
+    }
 }
 
 /// One forwarding daemon.
@@ -149,6 +236,7 @@
             data_centre: settings.data_centre.clone(),
             address: settings.peer,
             run,
+            capacity: settings.capacity,
         };
         let peers = Peers::new(me, &settings.seeds);
         let catalogue = Catalogue::new(settings.bounds.doubt());
@@ -163,6 +251,8 @@
                 contact: DirectoryContact::default(),
                 listed: false,
                 workload: Workload::default(),
+                sums: LoadSums::default(),
+                behind: None,
                 budgets: HashMap::default(),
             }),
             links: Links::default(),
@@ -261,14 +351,26 @@
         self.note_learnt(learnt, source);
     }
 
-    /// Takes in that an entry is gone from the directory.
-    pub fn remove_endpoint(&self, id: &EndpointId) {
+    /// Takes in that an entry vanished from the directory at a revision; `doubted` tells that who
+    /// noticed it doubts that the endpoint is gone.
+    pub fn remove_endpoint(&self, id: &EndpointId, revision: u64, doubted: bool, source: &str) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let doubt = state.is_doubtful(now);
-        let learnt = state.catalogue.remove(now, id, doubt);
+        let doubt = doubted || state.is_doubtful(now);
+        let learnt = state.catalogue.remove(now, id, revision, doubt);
         drop(state);
-        self.note_learnt(learnt, "directory");
+        self.note_learnt(learnt, source);
+    }
+
+    /// Takes in what a peer knows to have changed in the list of endpoints.
+    pub fn take_changes(&self, changes: EndpointChanges, source: &str) {
+        for entry in changes.entries {
+            self.put_endpoint(entry, source);
+        }
+        for gone in changes.gone {
+            self.remove_endpoint(&gone.id, gone.revision, gone.doubted, source);
+        }
+        self.reached(changes.revision);
     }
 
     /// Takes in a whole list of endpoints.
@@ -294,6 +396,21 @@
         self.sync_planning();
     }
 
+    /// Returns the revision up to which this daemon knows a topic.
+    pub fn known_revision(&self, topic: Topic) -> u64 {
+        match topic {
+            // What is read again of a table is known by its version.
+            Topic::Table => 0,
+            Topic::Endpoints => self.state.borrow().catalogue.changed(),
+        }
+    }
+
+    /// Returns whether the directory needn't be read by this daemon just now.
+    pub fn is_covered(&self) -> bool {
+        let wait = self.settings.bounds.directory_wait();
+        self.phase() == Phase::Ready && self.state.borrow().is_covered(self.now(), wait)
+    }
+
     /// Notes that all changes up to a revision were taken in.
     pub fn reached(&self, revision: u64) {
         self.state.borrow_mut().catalogue.reached(revision);
@@ -332,13 +449,14 @@
         self.sync_planning();
     }
 
-    /// Notes that the directory answered.
-    pub fn directory_answered(&self) {
+    /// Notes that the directory answered for a topic.
+    pub fn directory_answered(&self, topic: Topic) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let lost = state.contact.is_lost();
         let failed = state.contact.failed;
         state.contact.heard = Some(now);
+        state.contact.topics[topic as usize] = Some(now);
         drop(state);
         if lost {
             let for_ms = failed.map_or(0.0, |failed| now.millis_since(failed));
@@ -415,20 +533,30 @@
             .members()
             .filter(|member| member.running > 0)
             .map(|member| {
-                let running = member.running.min(u32::from(u16::MAX)) as u16;
-                LoadNote(short_hash(&member.entry.id), running, member.prefill as u32)
+                let id = short_hash(&member.entry.id);
+                LoadNote(id, member.running, member.prefill as u32)
             })
             .collect();
-        let queues = state.planning.busy(now).collect();
+        let ready = phase == Phase::Ready;
+        let services: Vec<ServiceId> = published
+            .iter()
+            .flat_map(|published| published.table.services())
+            .map(|service| service.id.clone())
+            .collect();
+        let queues = state.queue_notes(now, ready);
+        let reads = state.peers.coordinates() || state.peers.is_small();
+        let read_age = state.contact.read_age(now).filter(|_| reads);
         Beliefs {
             phase,
             table: published.map_or(0, |published| published.table.version),
             fingerprint: published.map_or(0, |published| published.fingerprint),
-            catalogue: state.catalogue.revision(),
+            catalogue: state.catalogue.changed(),
             calm: state.contact.is_calm(now),
+            read_ms: read_age.map(|age| u32::try_from(age.0).unwrap_or(u32::MAX)),
             loads,
             queues,
             work: state.workload.notes(),
+            services,
         }
     }
 }
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -104,6 +104,39 @@
     }
 }
 
+/// Measures processing capacity, in thousandths of a core.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Capacity(pub u32);
+
+impl Capacity {
+    const EXPECTED: &'static str = "a number of cores such as \"0.25\" or \"2\"";
+
+    /// Returns the capacity of a number of cores; what isn't a positive number counts as none.
+    pub fn from_cores(cores: f64) -> Self {
+        Self((cores * 1000.0).round() as u32)
+    }
+}
+
+impl FromStr for Capacity {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        match text.parse::<f64>() {
+            Ok(cores) if cores.is_finite() && cores >= 0.0 => Ok(Self::from_cores(cores)),
+            _ => unit_error(text, Self::EXPECTED),
+        }
+    }
+}
+
+impl fmt::Display for Capacity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", f64::from(self.0) / 1000.0)
+    }
+}
+
 /// Measures a size in bytes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ByteSize(pub u64);
--- a/lib/tests/test_catalogue.rs
+++ b/lib/tests/test_catalogue.rs
@@ -2,10 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
-use hazelyoke_lib::{
-    gateway::catalogue::{Catalogue, EndpointEntry, Learnt},
-    ids::EndpointId,
-    units::{Millis, Time},
+use {
+    hazelyoke_lib::{
+        gateway::catalogue::{Catalogue, EndpointEntry, Learnt},
+        ids::EndpointId,
+        units::{Millis, Time},
+    },
+    hazelyoke_testutils::seeds::for_seeds,
 };
 
 fn entry(id: &str, revision: u64, draining: bool) -> EndpointEntry {
@@ -41,7 +44,7 @@
 fn an_entry_that_goes_is_gone_at_once() {
     let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
-    let learnt = catalogue.remove(Time(0), &id("a"), false);
+    let learnt = catalogue.remove(Time(0), &id("a"), 9, false);
     assert!(matches!(learnt, Some(Learnt::Gone(_))));
     assert!(names(&catalogue).is_empty());
 }
@@ -50,7 +53,7 @@
 fn an_entry_that_lapses_in_an_outage_stays_for_a_while() {
     let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
-    let learnt = catalogue.remove(Time(0), &id("a"), true);
+    let learnt = catalogue.remove(Time(0), &id("a"), 9, true);
     assert!(matches!(learnt, Some(Learnt::Doubted(_))));
     assert_eq!(names(&catalogue), ["a"]);
     assert!(catalogue.settle(Time(0) + Millis(1_000)).is_empty());
@@ -63,7 +66,7 @@
 fn a_living_endpoint_that_writes_again_is_no_longer_doubted() {
     let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
-    catalogue.remove(Time(0), &id("a"), true);
+    catalogue.remove(Time(0), &id("a"), 4, true);
     catalogue.put(entry("a", 5, false));
     assert!(catalogue.settle(Time(0) + Millis(60_000)).is_empty());
     assert_eq!(names(&catalogue), ["a"]);
@@ -73,7 +76,7 @@
 fn doubts_last_as_long_as_the_directory_is_out_of_reach() {
     let mut catalogue = catalogue();
     catalogue.put(entry("a", 1, false));
-    catalogue.remove(Time(0), &id("a"), true);
+    catalogue.remove(Time(0), &id("a"), 9, true);
     catalogue.extend_doubts(Time(0) + Millis(1_300));
     assert!(catalogue.settle(Time(0) + Millis(2_500)).is_empty());
     assert_eq!(catalogue.settle(Time(0) + Millis(4_000)).len(), 1);
@@ -85,7 +88,7 @@
     catalogue.put(entry("a", 1, false));
     let learnt = catalogue.put(entry("a", 2, true));
     assert!(matches!(learnt, Some(Learnt::Draining(_))));
-    let learnt = catalogue.remove(Time(0), &id("a"), true);
+    let learnt = catalogue.remove(Time(0), &id("a"), 9, true);
     assert!(matches!(learnt, Some(Learnt::Gone(_))));
 }
 
@@ -118,3 +121,90 @@
     catalogue.replace(Time(0), 5, Vec::new(), false);
     assert_eq!(catalogue.revision(), 9);
 }
+
+#[test]
+fn an_old_end_of_an_entry_that_is_back_changes_nothing() {
+    let mut catalogue = catalogue();
+    catalogue.put(entry("a", 5, false));
+    assert!(catalogue.remove(Time(0), &id("a"), 4, false).is_none());
+    assert_eq!(names(&catalogue), ["a"]);
+}
+
+#[test]
+fn changes_are_told_from_where_the_asker_stands() {
+    let mut catalogue = catalogue();
+    let list = vec![entry("a", 1, false), entry("b", 2, false)];
+    catalogue.replace(Time(0), 3, list, false);
+    assert!(
+        catalogue.changes_since(2).is_none(),
+        "what came before the list isn't known"
+    );
+    catalogue.put(entry("c", 4, false));
+    catalogue.put(entry("a", 5, true));
+    catalogue.remove(Time(0), &id("b"), 6, true);
+    catalogue.remove(Time(0), &id("a"), 7, false);
+    let changes = catalogue.changes_since(3).unwrap();
+    assert_eq!(changes.revision, 7);
+    assert_eq!(changes.entries, [entry("c", 4, false)]);
+    let mut gone: Vec<(String, u64, bool)> = changes
+        .gone
+        .iter()
+        .map(|gone| (gone.id.to_string(), gone.revision, gone.doubted))
+        .collect();
+    gone.sort();
+    assert_eq!(gone, [("a".into(), 7, false), ("b".into(), 6, true)]);
+    let later = catalogue.changes_since(5).unwrap();
+    assert!(later.entries.is_empty());
+    assert_eq!(later.gone.len(), 2);
+    assert_eq!(catalogue.changes_since(7).unwrap().gone, []);
+}
+
+/// Whoever takes in changes again and again knows what the one knows who told them.
+#[test]
+fn changes_make_two_catalogues_alike() {
+    for_seeds(300, 512, |u| {
+        let (mut told, mut asker) = (catalogue(), catalogue());
+        let mut revision = 1;
+        told.replace(Time(0), revision, vec![entry("n0", 1, false)], false);
+        asker.replace(Time(0), revision, vec![entry("n0", 1, false)], false);
+        for _ in 0..u.int_in_range(1..=120)? {
+            revision += u.int_in_range(1..=3)?;
+            let name = format!("n{}", u.int_in_range(0..=5)?);
+            match u.int_in_range(0..=3)? {
+                0 => {
+                    told.remove(Time(0), &id(&name), revision, false);
+                }
+                1 => {
+                    told.put(entry(&name, revision, true));
+                }
+                _ => {
+                    told.put(entry(&name, revision, false));
+                }
+            }
+            if u.ratio(1, 4)? {
+                let changes = told.changes_since(asker.changed()).unwrap();
+                for entry in changes.entries {
+                    asker.put(entry);
+                }
+                for gone in changes.gone {
+                    asker.remove(Time(0), &gone.id, gone.revision, gone.doubted);
+                }
+                asker.reached(changes.revision);
+                assert_eq!(names(&asker), names(&told));
+                assert_eq!(asker.changed(), told.changed());
+            }
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn forgotten_changes_are_not_told() {
+    let mut catalogue = catalogue();
+    catalogue.replace(Time(0), 1, Vec::new(), false);
+    for revision in 2..2_000 {
+        catalogue.put(entry("a", revision, false));
+    }
+    assert!(catalogue.changes_since(1).is_none());
+    assert_eq!(catalogue.changes_since(1_990).unwrap().entries.len(), 1);
+}
--- /dev/null
+++ b/lib/tests/test_large_fleet.rs
@@ -0,0 +1,302 @@
+//! Membership and coordination where not every daemon hears every other one.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use {
+    hazelyoke_lib::{
+        gateway::{
+            peer_message::{Heartbeat, LoadNote, Phase, QueueNote, WorkNote},
+            peers::{Beliefs, Coordinator, HEARTBEAT, Identity, Peers},
+        },
+        ids::ServiceId,
+        units::{Capacity, Millis, Time},
+    },
+    hazelyoke_testutils::seeds::for_seeds,
+    std::net::SocketAddr,
+};
+
+const DAEMONS: usize = 80;
+const SERVICES: [&str; 5] = ["assist", "pay", "encode", "retrieve", "rerank"];
+const STRONG: Capacity = Capacity(500);
+const WEAK: Capacity = Capacity(120);
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8], 7_000))
+}
+
+fn services() -> Vec<ServiceId> {
+    SERVICES.iter().map(|name| name.parse().unwrap()).collect()
+}
+
+fn beliefs(read_ms: Option<u32>) -> Beliefs {
+    Beliefs {
+        phase: Phase::Ready,
+        table: 1,
+        fingerprint: 0,
+        catalogue: 0,
+        calm: true,
+        read_ms,
+        loads: vec![LoadNote(1, 2, 300)],
+        queues: Vec::new(),
+        work: vec![WorkNote(9, 3)],
+        services: services(),
+    }
+}
+
+/// A fleet of which some hosts are down, and whose datagrams go where they should or nowhere.
+struct Fleet {
+    daemons: Vec<Peers>,
+    down: Vec<bool>,
+    now: Time,
+    /// Heartbeats received by each daemon.
+    received: Vec<usize>,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        let seeds = [address(99), address(3), address(70)];
+        let daemons = (0..DAEMONS)
+            .map(|number| {
+                let me = Identity {
+                    host: format!("h{number}").parse().unwrap(),
+                    data_centre: "z".parse().unwrap(),
+                    address: address(number),
+                    run: seed * 1_000 + number as u64,
+                    capacity: if number % 10 == 0 { STRONG } else { WEAK },
+                };
+                Peers::new(me, &seeds)
+            })
+            .collect();
+        Self {
+            daemons,
+            down: vec![false; DAEMONS],
+            now: Time(0),
+            received: vec![0; DAEMONS],
+        }
+    }
+
+    /// One heartbeat of each living daemon; `lost` tells which datagrams don't arrive.
+    fn round(&mut self, mut lost: impl FnMut(usize, usize) -> bool) {
+        self.now = self.now + HEARTBEAT;
+        for sender in 0..DAEMONS {
+            if self.down[sender] {
+                continue;
+            }
+            self.daemons[sender].tick(self.now);
+            let (heartbeat, targets) = self.daemons[sender].heartbeat(self.now, beliefs(Some(40)));
+            self.deliver(sender, &heartbeat, &targets, &mut lost);
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        sender: usize,
+        heartbeat: &Heartbeat,
+        targets: &[SocketAddr],
+        lost: &mut impl FnMut(usize, usize) -> bool,
+    ) {
+        for target in targets {
+            let receiver = (0..DAEMONS).find(|number| address(*number) == *target);
+            let Some(receiver) = receiver.filter(|receiver| !self.down[*receiver]) else {
+                continue;
+            };
+            if !lost(sender, receiver) {
+                self.received[receiver] += 1;
+                self.daemons[receiver].heard(self.now, heartbeat.clone());
+            }
+        }
+    }
+
+    fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.round(|_, _| false);
+        }
+    }
+
+    fn coordinator(&self, daemon: usize, service: &ServiceId) -> usize {
+        match self.daemons[daemon].coordinator(self.now, service, true, &[]) {
+            Coordinator::Me => daemon,
+            Coordinator::Peer(peer) => (0..DAEMONS).find(|n| address(*n) == peer).unwrap(),
+        }
+    }
+
+    fn living(&self) -> Vec<usize> {
+        (0..DAEMONS).filter(|daemon| !self.down[*daemon]).collect()
+    }
+
+    fn assert_agreed(&self) {
+        for service in services() {
+            let first = self.coordinator(self.living()[0], &service);
+            assert!(
+                !self.down[first],
+                "{service} is coordinated by a daemon that is down"
+            );
+            for daemon in self.living() {
+                assert_eq!(
+                    self.coordinator(daemon, &service),
+                    first,
+                    "{service} at {daemon}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn all_learn_of_all_and_agree_on_coordinators() {
+    for seed in 1..=5 {
+        let mut fleet = Fleet::new(seed);
+        fleet.rounds(25);
+        for daemon in 0..DAEMONS {
+            assert!(
+                fleet.daemons[daemon].daemons() >= DAEMONS - 2,
+                "at {daemon}"
+            );
+        }
+        fleet.assert_agreed();
+    }
+}
+
+#[test]
+fn coordinators_are_strong() {
+    let mut fleet = Fleet::new(1);
+    fleet.rounds(25);
+    for service in services() {
+        assert_eq!(fleet.coordinator(7, &service) % 10, 0);
+    }
+}
+
+#[test]
+fn heartbeats_received_stay_few() {
+    let mut fleet = Fleet::new(1);
+    fleet.rounds(25);
+    fleet.received.fill(0);
+    fleet.rounds(10);
+    let coordinators: Vec<usize> = services()
+        .iter()
+        .map(|service| fleet.coordinator(0, service))
+        .collect();
+    for daemon in (0..DAEMONS).filter(|daemon| !coordinators.contains(daemon)) {
+        let each = fleet.received[daemon] / 10;
+        assert!(each <= 20, "{each} a round at {daemon}");
+    }
+}
+
+#[test]
+fn a_lost_coordinator_is_replaced_within_seconds() {
+    for seed in 1..=5 {
+        let mut fleet = Fleet::new(seed);
+        fleet.rounds(25);
+        for service in services() {
+            let coordinator = fleet.coordinator(0, &service);
+            fleet.down[coordinator] = true;
+        }
+        fleet.rounds(10);
+        fleet.assert_agreed();
+    }
+}
+
+#[test]
+fn half_of_the_fleet_may_go_at_once() {
+    for_seeds(4, 256, |u| {
+        let mut fleet = Fleet::new(u.int_in_range(1..=1_000)?);
+        fleet.rounds(25);
+        for daemon in 0..DAEMONS {
+            fleet.down[daemon] = u.ratio(1, 2)?;
+        }
+        if fleet.living().is_empty() {
+            return Ok(());
+        }
+        // Two generations of coordinators may be gone, each noticed after the time for hearsay.
+        fleet.rounds(30);
+        fleet.assert_agreed();
+        let living = fleet.living().len();
+        for daemon in fleet.living() {
+            assert!(
+                fleet.daemons[daemon].daemons() <= living,
+                "the dead are forgotten"
+            );
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_daemon_that_hears_no_coordinator_does_without() {
+    let mut fleet = Fleet::new(2);
+    fleet.rounds(25);
+    let service = &services()[2];
+    let coordinator = fleet.coordinator(7, service);
+    assert!(fleet.daemons[7].read_age(fleet.now).is_some());
+    for _ in 0..10 {
+        fleet.round(|sender, receiver| receiver == 7 && sender == coordinator);
+    }
+    assert_ne!(
+        fleet.coordinator(7, service),
+        coordinator,
+        "others hear it, this one doesn't"
+    );
+    for _ in 0..10 {
+        fleet.round(|_, receiver| receiver == 7);
+    }
+    assert_eq!(
+        fleet.daemons[7].read_age(fleet.now),
+        None,
+        "nobody tells what he reads"
+    );
+}
+
+#[test]
+fn whoever_fails_to_take_a_job_is_passed_over() {
+    let mut fleet = Fleet::new(2);
+    fleet.rounds(25);
+    let service = &services()[2];
+    let coordinator = fleet.coordinator(7, service);
+    let now = fleet.now;
+    fleet.daemons[7].pass_over(now, &address(coordinator));
+    assert_ne!(fleet.coordinator(7, service), coordinator);
+    fleet.rounds(10);
+    assert_eq!(fleet.coordinator(7, service), coordinator);
+}
+
+#[test]
+fn a_pause_makes_nobody_older_than_he_is() {
+    let mut fleet = Fleet::new(2);
+    fleet.rounds(25);
+    fleet.now = fleet.now + Millis(5_000);
+    let now = fleet.now;
+    let woken = &mut fleet.daemons[7];
+    woken.resumed(now);
+    assert!(
+        woken.tick(now).is_empty(),
+        "nobody is lost before he could be heard"
+    );
+    let (heartbeat, _) = woken.heartbeat(now, beliefs(None));
+    assert!(!heartbeat.peers.is_empty());
+    for note in &heartbeat.peers {
+        assert!(
+            note.age_ms >= 5_000,
+            "an old sign of life is passed on as old"
+        );
+    }
+    assert!(woken.read_age(now).is_none_or(|age| age >= Millis(5_000)));
+}
+
+#[test]
+fn what_others_took_on_is_told_by_the_coordinator() {
+    let mut fleet = Fleet::new(3);
+    fleet.rounds(25);
+    let service = &services()[3];
+    let coordinator = fleet.coordinator(7, service);
+    assert_ne!(coordinator, 7);
+    let now = fleet.now + HEARTBEAT;
+    let summed = Beliefs {
+        queues: vec![QueueNote(9, 5, false, 240)],
+        ..beliefs(Some(40))
+    };
+    let (heartbeat, _) = fleet.daemons[coordinator].heartbeat(now, summed);
+    fleet.daemons[7].heard(now, heartbeat);
+    let at = Coordinator::Peer(address(coordinator));
+    // This daemon's own three pieces are known better here.
+    assert_eq!(fleet.daemons[7].outstanding(9, at), 237);
+}
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -9,11 +9,11 @@
                 Frame, Heartbeat, JobOrder, LoadNote, PROTOCOL, Phase, QueueNote, Reply, WorkNote,
                 decode, encode,
             },
-            peers::{Beliefs, Identity, PeerChange, Peers, Planner},
+            peers::{Beliefs, Coordinator, Identity, PeerChange, Peers},
             stage_job::{Handle, JobEnd, PieceInput},
         },
         ids::ServiceId,
-        units::{Millis, Time},
+        units::{Capacity, Millis, Time},
     },
     hazelyoke_testutils::seeds::for_seeds,
     std::net::SocketAddr,
@@ -29,6 +29,7 @@
         data_centre: "z".parse().unwrap(),
         address: address(number),
         run,
+        capacity: Capacity(250),
     };
     Peers::new(me, seeds)
 }
@@ -40,9 +41,11 @@
         fingerprint: 0,
         catalogue: 0,
         calm: true,
+        read_ms: None,
         loads: vec![LoadNote(1, 2, 300)],
-        queues: vec![QueueNote(9, 3, true)],
+        queues: vec![QueueNote(9, 3, true, 70)],
         work: vec![WorkNote(9, 40)],
+        services: Vec::new(),
     }
 }
 
@@ -77,13 +80,13 @@
     let mut me = peers(1, 1, &[]);
     let mut other = peers(2, 2, &[]);
     let met = me.heard(Time(0), beat(&mut other, Time(0)));
-    assert!(matches!(met, Some(PeerChange::Met(..))));
+    assert!(matches!(met[..], [PeerChange::Met(..)]));
     assert!(me.tick(Time(0) + Millis(900)).is_empty());
     let lost = me.tick(Time(0) + Millis(1_100));
     assert!(matches!(lost[..], [PeerChange::Lost(..)]));
     assert_eq!(me.daemons(), 1);
     let again = me.heard(Time(0) + Millis(1_200), beat(&mut other, Time(0)));
-    assert!(matches!(again, Some(PeerChange::Met(..))));
+    assert!(matches!(again[..], [PeerChange::Met(..)]));
 }
 
 #[test]
@@ -105,14 +108,14 @@
     let first = beat(&mut other, Time(0));
     let second = beat(&mut other, Time(0));
     me.heard(Time(0), second);
-    assert_eq!(me.heard(Time(1), first), None);
+    assert_eq!(me.heard(Time(1), first), []);
     let mut reborn = peers(2, 3, &[]);
     let change = me.heard(Time(2), beat(&mut reborn, Time(2)));
-    assert!(matches!(change, Some(PeerChange::Restarted(..))));
+    assert!(matches!(change[..], [PeerChange::Restarted(..)]));
 }
 
 #[test]
-fn all_agree_on_the_planner_of_a_service() {
+fn all_agree_on_the_coordinator_of_a_service() {
     let mut all: Vec<Peers> = (1..=5).map(|n| peers(n, u64::from(n), &[])).collect();
     let beats: Vec<Heartbeat> = all.iter_mut().map(|p| beat(p, Time(0))).collect();
     for peers in &mut all {
@@ -122,21 +125,21 @@
     }
     for name in ["enc", "retrieve", "rerank"] {
         let service: ServiceId = name.parse().unwrap();
-        let planner = |n: usize| match all[n].planner(&service, true, &[]) {
-            Planner::Me => address(n as u8 + 1),
-            Planner::Peer(peer) => peer,
+        let planner = |n: usize| match all[n].coordinator(Time(0), &service, true, &[]) {
+            Coordinator::Me => address(n as u8 + 1),
+            Coordinator::Peer(peer) => peer,
         };
         let first = planner(0);
         assert!((1..5).all(|n| planner(n) == first));
         // The next one takes over where it is lost.
         let other = usize::from(first == address(1));
-        let next = all[other].planner(&service, true, &[first]);
-        assert_ne!(next, Planner::Peer(first));
+        let next = all[other].coordinator(Time(0), &service, true, &[first]);
+        assert_ne!(next, Coordinator::Peer(first));
     }
 }
 
 #[test]
-fn a_daemon_that_stops_plans_for_nobody() {
+fn a_daemon_that_stops_coordinates_nothing() {
     let mut me = peers(1, 1, &[]);
     let mut other = peers(2, 2, &[]);
     let stopping = Beliefs {
@@ -145,7 +148,10 @@
     };
     me.heard(Time(0), other.heartbeat(Time(0), stopping).0);
     let service: ServiceId = "enc".parse().unwrap();
-    assert_eq!(me.planner(&service, true, &[]), Planner::Me);
+    assert_eq!(
+        me.coordinator(Time(0), &service, true, &[]),
+        Coordinator::Me
+    );
 }
 
 #[test]
@@ -156,12 +162,12 @@
         me.heard(Time(0), beat(&mut other, Time(0)));
     }
     assert_eq!(me.loads()[&1].running, 6);
-    assert_eq!(me.outstanding(9), 120);
+    assert_eq!(me.outstanding(9, Coordinator::Me), 120);
     assert_eq!(me.sound_endpoints(9), Some(3));
     assert!(me.is_short_of_room(9));
     me.tick(Time(0) + Millis(2_000));
     assert!(me.loads().is_empty());
-    assert_eq!(me.outstanding(9), 0);
+    assert_eq!(me.outstanding(9, Coordinator::Me), 0);
 }
 
 #[test]
@@ -191,7 +197,9 @@
         loads: (0..600)
             .map(|n| LoadNote(n * 7_019_777, 60, 90_000))
             .collect(),
-        queues: (0..6).map(|n| QueueNote(n * 7_019_777, 9, true)).collect(),
+        queues: (0..6)
+            .map(|n| QueueNote(n * 7_019_777, 9, true, 9_000))
+            .collect(),
         work: (0..6).map(|n| WorkNote(n * 7_019_777, 9_000)).collect(),
         ..beliefs(1)
     };
