stages: pieces are made in the data centre of the request's probable endpoint

Change: a job tells the data centre of the endpoint that would be chosen now, and what would cross if one piece were made elsewhere; an endpoint elsewhere takes it only after a wait that grows with that. Also: a daemon that relies on peers asks them for changes from the first moment (before, it found itself behind for its first seconds and read the store itself: 2,966 calls before any traffic), and calls for changes of endpoints are 0.3 s apart while the store answers well.

--- a/bench/src/commands/forwarding.rs
+++ b/bench/src/commands/forwarding.rs
@@ -175,6 +175,8 @@
         objective: now + Millis(2_000),
         rank: (number % 3) as u32,
         result: ByteSize(60_000),
+        home: None,
+        moved: ByteSize(60_000),
     }
 }
 
--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -18,13 +18,21 @@
 /// Time between two looks at whether peers still read the directory for this daemon.
 const COVER_LOOK: Duration = Duration::from_millis(100);
 
+/// Pause between two calls for changes of endpoints while the directory answers well: entries that
+/// their endpoints write again and again would answer every call at once.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(300);
+
 /// Follows one topic for good.
 pub async fn follow<D: Dialect>(
     gateway: Rc<Gateway<D>>,
     directory: Rc<impl Directory>,
     topic: Topic,
 ) {
-    let wait = gateway.settings.bounds.directory_wait();
+    let wait = match topic {
+        Topic::Table => gateway.settings.bounds.directory_wait(),
+        // The pause and the wait together stay below the time after which silence is noticed.
+        Topic::Endpoints => gateway.settings.bounds.directory_wait() / 2,
+    };
     let mut since = None;
     let mut pause = FIRST_PAUSE;
     let mut first = false;
@@ -51,6 +59,9 @@
                 since = Some(items.revision);
                 take(&gateway, topic, items, whole);
                 pause = FIRST_PAUSE;
+                if topic == Topic::Endpoints && gateway.is_directory_calm() {
+                    tokio::time::sleep(ENDPOINTS_PAUSE).await;
+                }
             }
             Err(DirectoryError::Compacted) => {
                 log::info!(topic:? = topic; "directory.compacted");
@@ -67,11 +78,26 @@
 
 /// Waits until peers don't tell this daemon any more what the directory holds.
 async fn wait_uncovered<D: Dialect>(gateway: &Gateway<D>, topic: Topic) {
-    log::info!(topic:? = topic; "directory.covered");
+    log::info!(topic:? = topic, read_ms = read_ms(gateway); "directory.covered");
     while gateway.is_covered() {
         tokio::time::sleep(COVER_LOOK).await;
     }
-    log::info!(topic:? = topic; "directory.uncovered");
+    let state = gateway.state.borrow();
+    log::info!(
+        topic:? = topic,
+        read_ms = read_ms(gateway),
+        coordinates = state.peers.coordinates(),
+        behind = state.behind.is_some(),
+        peers = state.peers.daemons() - 1;
+        "directory.uncovered"
+    );
+}
+
+/// Returns the milliseconds since the directory answered a peer that tells what it read; the largest
+/// number if there is no such peer.
+fn read_ms<D: Dialect>(gateway: &Gateway<D>) -> u64 {
+    let age = gateway.state.borrow().peers.read_age(gateway.now());
+    age.map_or(u64::MAX, |age| age.0)
 }
 
 /// Spreads daemons that failed together.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod stage_calls;
 pub mod stage_chain;
 pub mod stage_job;
+mod stage_order;
 pub mod stage_owner;
 mod stage_worker;
 pub mod state;
--- a/lib/src/gateway/peer_message.rs
+++ b/lib/src/gateway/peer_message.rs
@@ -197,6 +197,10 @@
     pub rank: u32,
     /// Usual size of one result.
     pub result: u64,
+    /// Data centre where the results will probably be taken.
+    pub home: Option<DataCentreId>,
+    /// Bytes that cross between data centres if one piece is made elsewhere.
+    pub moved: u64,
 }
 
 /// What is asked on a link.
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -164,6 +164,8 @@
         objective,
         rank: order.rank,
         result: ByteSize(order.result),
+        home: order.home,
+        moved: ByteSize(order.moved),
     }
 }
 
@@ -181,6 +183,8 @@
         objective_ms: objective_us / 1000,
         rank: job.rank,
         result: job.result.0,
+        home: job.home.clone(),
+        moved: job.moved.0,
     }
 }
 
@@ -349,10 +353,12 @@
 async fn catch_up_endpoints<D: Dialect>(gateway: &Gateway<D>) {
     let now = gateway.now();
     let wait = gateway.settings.bounds.directory_wait();
+    let covered = gateway.is_covered();
     let newer = {
         let state = gateway.state.borrow();
         let heard = state.contact.heard.unwrap_or_default();
-        if now.since(heard) < wait + LIST_LAG.to_duration() && state.listed {
+        let reads = !covered && now.since(heard) < wait + LIST_LAG.to_duration();
+        if reads && state.listed {
             return;
         }
         let known = if state.listed {
--- a/lib/src/gateway/stage_admit.rs
+++ b/lib/src/gateway/stage_admit.rs
@@ -4,6 +4,7 @@
     crate::{
         gateway::{
             admission::{self, AdmissionRequest, PlannedStage, StageService, Verdict},
+            attempt::choose_endpoint,
             call::Call,
             dialect::{Dialect, Inbound},
             fleet::short_hash_of,
@@ -62,6 +63,8 @@
         objective,
         call.urgency,
     );
+    let probable = choose_endpoint(gateway, call, &[], None);
+    let request = request.near(probable.map(|choice| choice.entry.data_centre.clone()));
     match stage_chain::run(gateway, &request).await {
         Ok(results) => Ok(Some(results)),
         Err(ChainError::Late) => {
--- a/lib/src/gateway/stage_batch.rs
+++ b/lib/src/gateway/stage_batch.rs
@@ -10,15 +10,16 @@
         gateway::{
             budget::WindowBudget,
             catalogue::EndpointEntry,
-            stage_calls::{BatchCall, CallEnd, JobState, PieceState, made, task},
+            stage_calls::{BatchCall, CallEnd, JobState, PieceState, RunningCall, made, task},
             stage_job::{Handle, Job, JobEnd, JobId, PieceEnd, PieceInput},
+            stage_order::{WaitingOrder, served},
             stage_worker::Worker,
             table::BatchLimits,
         },
-        ids::EndpointId,
+        ids::{DataCentreId, EndpointId},
         units::{ByteSize, Millis, Time},
     },
-    foldhash::HashMap,
+    foldhash::{HashMap, HashSet},
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -41,17 +42,6 @@
 /// Time for which an endpoint without room for a result is passed over.
 const FULL_PASSED_OVER: Millis = Millis(60);
 
-#[derive(Debug)]
-struct RunningCall {
-    endpoint: EndpointId,
-    sent: Time,
-    expected_ms: f64,
-    /// Job, place within it, and usual size of its result.
-    pieces: Vec<(JobId, usize, ByteSize)>,
-    reserved: u64,
-    overdue: bool,
-}
-
 /// The queue of one service.
 #[derive(Debug)]
 pub struct BatchQueue {
@@ -116,6 +106,7 @@
         let pieces = job.pieces as usize;
         let state = JobState {
             job,
+            added: now,
             last_sent: now,
             fetched: false,
             pieces: vec![PieceState::Waiting; pieces],
@@ -168,14 +159,13 @@
         if free.is_empty() {
             return calls;
         }
-        let order = self.waiting_order(now);
+        let served = served(self.workers.values());
         let mut waiting = self.waiting();
         while !free.is_empty() && waiting > 0 {
-            let share = waiting.div_ceil(free.len());
-            let target = share.min(self.limits.pieces);
-            let planned = free
-                .iter()
-                .find_map(|endpoint| self.plan_call(now, endpoint, target, &order, waiting));
+            let planned = free.iter().find_map(|endpoint| {
+                let (order, target) = self.order_for(now, endpoint, &free, &served)?;
+                self.plan_call(now, endpoint, target, &order.jobs, waiting)
+            });
             let Some(call) = planned else {
                 return calls;
             };
@@ -186,13 +176,23 @@
         calls
     }
 
-    /// Returns the jobs with waiting pieces, the most urgent first.
-    fn waiting_order(&self, now: Time) -> Vec<JobId> {
-        let waiting = self.jobs.iter().filter(|(_, state)| state.waiting > 0);
-        let mut order: Vec<(Time, JobId)> =
-            waiting.map(|(id, state)| (state.order(now), *id)).collect();
-        order.sort_unstable();
-        order.into_iter().map(|(_, id)| id).collect()
+    /// Returns what waits for an endpoint, and how many pieces its call should take.
+    fn order_for(
+        &self,
+        now: Time,
+        endpoint: &EndpointId,
+        free: &[EndpointId],
+        served: &HashSet<DataCentreId>,
+    ) -> Option<(WaitingOrder, usize)> {
+        let here = &self.workers.get(endpoint)?.entry.data_centre;
+        let is_here = |other: &&EndpointId| {
+            let worker = self.workers.get(*other);
+            worker.is_some_and(|worker| worker.entry.data_centre == *here)
+        };
+        let free_here = free.iter().filter(is_here).count();
+        let order = WaitingOrder::new(now, &self.jobs, here, served);
+        let target = order.share(free_here, free.len());
+        (target > 0).then_some((order, target.min(self.limits.pieces)))
     }
 
     /// Takes in how a call ended.
--- a/lib/src/gateway/stage_calls.rs
+++ b/lib/src/gateway/stage_calls.rs
@@ -4,9 +4,10 @@
     crate::{
         gateway::{
             catalogue::EndpointEntry,
-            stage_job::{Handle, Job, PieceEnd, PieceTask},
+            stage_job::{Handle, Job, JobId, PieceEnd, PieceTask},
         },
-        units::{Millis, Time},
+        ids::EndpointId,
+        units::{ByteSize, Millis, Time},
     },
     std::sync::Arc,
 };
@@ -50,6 +51,18 @@
     Broken,
 }
 
+/// A call under way.
+#[derive(Debug)]
+pub(crate) struct RunningCall {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) sent: Time,
+    pub(crate) expected_ms: f64,
+    /// Job, place within it, and usual size of its result.
+    pub(crate) pieces: Vec<(JobId, usize, ByteSize)>,
+    pub(crate) reserved: u64,
+    pub(crate) overdue: bool,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum PieceState {
     Waiting,
@@ -60,6 +73,8 @@
 #[derive(Debug)]
 pub(crate) struct JobState {
     pub(crate) job: Job,
+    /// When it was taken in.
+    pub(crate) added: Time,
     /// When its last piece was sent.
     pub(crate) last_sent: Time,
     /// Whether its inputs were given up.
--- a/lib/src/gateway/stage_chain.rs
+++ b/lib/src/gateway/stage_chain.rs
@@ -49,6 +49,8 @@
     pub rank: u32,
     /// Time that the request itself needs.
     pub own_time: Millis,
+    /// Data centre of the endpoint that will probably serve it.
+    pub home: Option<DataCentreId>,
 }
 
 impl ChainRequest {
@@ -69,9 +71,32 @@
             objective,
             rank,
             own_time: Millis(admission::own_ms(inbound.prompt.tokens_in) as u64),
+            home: None,
         }
     }
 
+    /// Tells where the request will probably be served.
+    #[must_use]
+    pub fn near(mut self, home: Option<DataCentreId>) -> Self {
+        self.home = home;
+        self
+    }
+
+    /// Returns what crosses between data centres if one piece of a stage is made elsewhere.
+    fn moved(&self, stage: usize) -> ByteSize {
+        let stages = &self.route.stages;
+        let taken: u64 = stages[stage]
+            .after
+            .iter()
+            .map(|before| u64::from(self.count(*before)) * stages[*before].result.0)
+            .sum();
+        let takers: u64 = (0..stages.len())
+            .filter(|later| stages[*later].after.contains(&stage))
+            .map(|later| u64::from(self.count(later)))
+            .sum();
+        ByteSize(taken + stages[stage].result.0 * takers.max(1))
+    }
+
     fn count(&self, stage: usize) -> u32 {
         self.pieces.get(stage).copied().unwrap_or(0)
     }
@@ -292,6 +317,8 @@
         objective: Time(request.objective.0.saturating_sub(reserve * 1000)),
         rank: request.rank,
         result: request.route.stages[stage].result,
+        home: request.home.clone(),
+        moved: request.moved(stage),
     };
     let begun = gateway.now();
     let end = make_somewhere(gateway, &service, job).await;
--- a/lib/src/gateway/stage_job.rs
+++ b/lib/src/gateway/stage_job.rs
@@ -1,7 +1,10 @@
 //! The work before a request: pieces, jobs of pieces, and the names of results.
 
 use {
-    crate::units::{ByteSize, Millis, Time},
+    crate::{
+        ids::DataCentreId,
+        units::{ByteSize, Millis, Time},
+    },
     serde::{Deserialize, Serialize},
     std::{fmt, net::SocketAddr, sync::Arc},
 };
@@ -86,6 +89,11 @@
     pub rank: u32,
     /// Usual size of one result.
     pub result: ByteSize,
+    /// Data centre where the results will probably be taken.
+    pub home: Option<DataCentreId>,
+    /// What crosses between data centres if one piece is made elsewhere: its inputs, and its result
+    /// once for each that takes it.
+    pub moved: ByteSize,
 }
 
 /// How a job ended.
--- /dev/null
+++ b/lib/src/gateway/stage_order.rs
@@ -0,0 +1,94 @@
+//! Which waiting pieces an endpoint of a stage should get, and in which order.
+//!
+//! A result that is taken in another data centre costs its way. Each request has a data centre where
+//! its endpoint probably stands; its pieces go to endpoints there, and to others only after a wait
+//! that grows with what would have to cross.
+
+use {
+    crate::{
+        gateway::{
+            stage_calls::JobState,
+            stage_job::{Job, JobId},
+            stage_worker::Worker,
+        },
+        ids::DataCentreId,
+        units::{Millis, Time},
+    },
+    foldhash::HashSet,
+    std::collections::BTreeMap,
+};
+
+/// Wait for an endpoint in the request's own data centre, for each megabyte that would
+/// cross, and the longest such wait.
+const WAIT_MS_PER_MB: f64 = 400.0;
+const LONGEST_WAIT: Millis = Millis(350);
+
+/// Handicap of a piece at an endpoint outside its request's data centre.
+const AWAY_STEP: Millis = Millis(200);
+
+/// The pieces that one endpoint may take.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingOrder {
+    /// Jobs with waiting pieces, the most urgent first.
+    pub(crate) jobs: Vec<JobId>,
+    /// Pieces that only endpoints of its data centre may take yet.
+    pub(crate) own: usize,
+    /// Pieces that endpoints anywhere may take.
+    pub(crate) shared: usize,
+}
+
+impl WaitingOrder {
+    /// Orders what waits for an endpoint in `data_centre`; `served` are the data centres that have
+    /// endpoints.
+    pub(crate) fn new(
+        now: Time,
+        jobs: &BTreeMap<JobId, JobState>,
+        data_centre: &DataCentreId,
+        served: &HashSet<DataCentreId>,
+    ) -> Self {
+        let mut order = Self::default();
+        let mut keys: Vec<(Time, JobId)> = Vec::new();
+        for (id, state) in jobs.iter().filter(|(_, state)| state.waiting > 0) {
+            let home = state.job.home.as_ref();
+            let home = home.filter(|home| served.contains(*home));
+            let is_shared = home.is_none() || may_leave(now, state);
+            let is_own = home == Some(data_centre);
+            if !is_own && !is_shared {
+                continue;
+            }
+            if is_shared {
+                order.shared += state.waiting;
+            } else {
+                order.own += state.waiting;
+            }
+            let is_away = home.is_some() && !is_own;
+            let handicap = if is_away { AWAY_STEP } else { Millis(0) };
+            keys.push((state.order(now) + handicap, *id));
+        }
+        keys.sort_unstable();
+        order.jobs = keys.into_iter().map(|(_, id)| id).collect();
+        order
+    }
+
+    /// Returns the pieces for one call, where so many endpoints are free here and anywhere.
+    pub(crate) fn share(&self, free_here: usize, free: usize) -> usize {
+        self.own.div_ceil(free_here.max(1)) + self.shared.div_ceil(free.max(1))
+    }
+}
+
+/// Returns the data centres that have endpoints which take calls.
+pub(crate) fn served<'a>(workers: impl Iterator<Item = &'a Worker>) -> HashSet<DataCentreId> {
+    let open = workers.filter(|worker| worker.open);
+    open.map(|worker| worker.entry.data_centre.clone())
+        .collect()
+}
+
+/// Returns whether a job's pieces may be made outside its request's data centre.
+fn may_leave(now: Time, state: &JobState) -> bool {
+    now.since(state.added) >= wait_of(&state.job).to_duration() || now > state.job.objective
+}
+
+fn wait_of(job: &Job) -> Millis {
+    let wait = job.moved.0 as f64 / 1e6 * WAIT_MS_PER_MB;
+    Millis(wait as u64).min(LONGEST_WAIT)
+}
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -396,6 +396,13 @@
         self.sync_planning();
     }
 
+    /// Returns whether the directory has answered this daemon without a failure for a while.
+    pub fn is_directory_calm(&self) -> bool {
+        let now = self.now();
+        let state = self.state.borrow();
+        state.contact.is_calm(now) && state.catalogue.doubted() == 0
+    }
+
     /// Returns the revision up to which this daemon knows a topic.
     pub fn known_revision(&self, topic: Topic) -> u64 {
         match topic {
--- a/lib/tests/test_batch_queue.rs
+++ b/lib/tests/test_batch_queue.rs
@@ -69,6 +69,8 @@
         objective: now + Millis(2_000),
         rank: 0,
         result: ByteSize(1_000),
+        home: None,
+        moved: ByteSize(1_000),
     }
 }
 
@@ -363,3 +365,93 @@
         Ok(())
     });
 }
+
+/// Endpoints in two data centres, one each.
+fn two_centres() -> BatchQueue {
+    let limits = BatchLimits {
+        room: ByteSize(10_000_000),
+        ..LIMITS
+    };
+    let mut queue = BatchQueue::new(limits, budget());
+    let mut all = entries(2);
+    Arc::make_mut(&mut all[1]).data_centre = "far".parse().unwrap();
+    queue.set_endpoints(&all);
+    queue
+}
+
+fn job_at(request: &str, home: &str, moved: u64, now: Time) -> Job {
+    Job {
+        home: Some(home.parse().unwrap()),
+        moved: ByteSize(moved),
+        ..job(request, 1, now)
+    }
+}
+
+#[test]
+fn large_results_are_made_where_they_are_taken() {
+    let now = start();
+    let mut queue = two_centres();
+    queue.add(now, JobId(1), job_at("a", "far", 20_000, now));
+    queue.add(now, JobId(2), job_at("b", "z", 20_000, now));
+    let calls = queue.plan(now);
+    assert_eq!(calls.len(), 2);
+    for call in &calls {
+        let home = if &*call.pieces[0].request == "a" {
+            "far"
+        } else {
+            "z"
+        };
+        assert_eq!(call.pieces.len(), 1);
+        assert_eq!(call.entry.data_centre.to_string(), home);
+    }
+}
+
+#[test]
+fn a_piece_waits_for_its_data_centre_as_its_result_is_large() {
+    let now = start();
+    let mut queue = two_centres();
+    queue.add(now, JobId(1), job_at("a", "z", 500_000, now));
+    assert_eq!(queue.plan(now).len(), 1);
+    queue.add(now, JobId(2), job_at("b", "z", 500_000, now));
+    assert!(
+        queue.plan(now + Millis(150)).is_empty(),
+        "the one at home is busy"
+    );
+    let calls = queue.plan(now + Millis(210));
+    assert_eq!(calls.len(), 1, "it has waited long enough");
+    assert_eq!(calls[0].entry.data_centre.to_string(), "far");
+}
+
+#[test]
+fn a_small_result_goes_anywhere_at_once() {
+    let now = start();
+    let mut queue = two_centres();
+    queue.add(now, JobId(1), job_at("a", "z", 500_000, now));
+    queue.plan(now);
+    queue.add(now, JobId(2), job_at("b", "z", 100, now));
+    assert_eq!(queue.plan(now).len(), 1);
+}
+
+#[test]
+fn nobody_waits_for_a_data_centre_without_endpoints() {
+    let now = start();
+    let mut queue = two_centres();
+    queue.set_endpoints(&entries(1));
+    queue.add(now, JobId(1), job_at("a", "far", 500_000, now));
+    assert_eq!(queue.plan(now).len(), 1);
+}
+
+#[test]
+fn a_late_piece_waits_for_no_data_centre() {
+    let now = start();
+    let mut queue = two_centres();
+    queue.add(now, JobId(1), job_at("a", "z", 500_000, now));
+    queue.plan(now);
+    let late = Job {
+        objective: now + Millis(10),
+        ..job_at("b", "z", 500_000, now)
+    };
+    queue.add(now, JobId(2), late);
+    assert!(queue.plan(now + Millis(5)).is_empty());
+    assert_eq!(queue.plan(now + Millis(11)).len(), 1);
+}
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -222,6 +222,8 @@
         objective_ms: -20,
         rank: 2,
         result: 800,
+        home: Some("z".parse().unwrap()),
+        moved: 2_400,
     };
     let frame = Frame {
         number: 7,
