peers: rosters for daemons that have just started; stages wait until others are known

Cause: after all machines lost power each of 80 daemons took itself for the planner of every stage for a second or two, until hearsay had told it of the others: 4,531 calls found their endpoint full. Change: a daemon asks for 1.5 s after its start to be told of everybody; it coordinates nothing for its first 0.6 s, and stages wait that long for a planner. A daemon that others tell of the store's return looks for it less often.

--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -15,6 +15,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Longest pause of a daemon that others tell of the directory's return.
+const LONGEST_PAUSE_TOLD: Duration = Duration::from_millis(1_200);
+
 /// Time between two looks at whether peers still read the directory for this daemon.
 const COVER_LOOK: Duration = Duration::from_millis(100);
 
@@ -70,7 +73,7 @@
             Err(error) => {
                 gateway.directory_failed(&error.to_string());
                 tokio::time::sleep(jittered(pause)).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                pause = (pause * 2).min(longest_pause(&gateway));
             }
         }
     }
@@ -93,6 +96,18 @@
     );
 }
 
+/// Returns the longest pause after failures: a daemon that others soon tell of the directory's return
+/// needn't look as often.
+fn longest_pause<D: Dialect>(gateway: &Gateway<D>) -> Duration {
+    let state = gateway.state.borrow();
+    let told = !state.peers.is_small() && !state.peers.coordinates() && state.listed;
+    if told {
+        LONGEST_PAUSE_TOLD
+    } else {
+        LONGEST_PAUSE
+    }
+}
+
 /// Returns the milliseconds since the directory answered a peer that tells what it read; the largest
 /// number if there is no such peer.
 fn read_ms<D: Dialect>(gateway: &Gateway<D>) -> u64 {
--- a/lib/src/gateway/peer_message.rs
+++ b/lib/src/gateway/peer_message.rs
@@ -139,6 +139,9 @@
     /// Processor that it may use.
     #[serde(rename = "m")]
     pub capacity: Capacity,
+    /// Whether it has just started, and asks to be told of everybody.
+    #[serde(rename = "j")]
+    pub joining: bool,
     /// Some daemons that it knows of.
     #[serde(rename = "n")]
     pub peers: Vec<PeerNote>,
@@ -165,6 +168,17 @@
     pub loads: Vec<LoadNote>,
 }
 
+/// Living daemons, in parts that fit into a datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Version of the messages.
+    #[serde(rename = "v")]
+    pub protocol: u16,
+    /// The daemons.
+    #[serde(rename = "n")]
+    pub peers: Vec<PeerNote>,
+}
+
 /// A datagram between daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -174,6 +188,9 @@
     /// Sums of loads.
     #[serde(rename = "d")]
     Loads(LoadDigest),
+    /// Daemons that are alive, told to one that has just started.
+    #[serde(rename = "r")]
+    Roster(Roster),
 }
 
 /// A job handed to the daemon that plans for its service; times are relative.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -40,6 +40,9 @@
 /// Time for which a daemon that failed to take something on is passed over as a coordinator.
 const PASSED_OVER: Millis = Millis(1_500);
 
+/// Time after its start during which a daemon asks to be told of everybody.
+const JOINING: Millis = Millis(1_500);
+
 /// Largest number of other daemons to which every heartbeat goes.
 const SMALL_FLEET: usize = 12;
 
@@ -247,6 +250,7 @@
             read_ms: beliefs.read_ms,
             broadcasts: coordinates,
             capacity: self.me.capacity,
+            joining: self.is_joining(now),
             peers,
             loads,
             queues: beliefs.queues,
@@ -277,10 +281,38 @@
         targets
     }
 
+    /// Returns whether this daemon has just started; times count from the start of the process.
+    pub fn is_joining(&self, now: Time) -> bool {
+        now < Time::default() + JOINING
+    }
+
+    /// Returns the living daemons, for one that asks to be told of everybody; nothing in a small
+    /// fleet, where everybody is heard soon.
+    pub fn roster(&self, now: Time) -> Vec<PeerNote> {
+        if self.is_small() {
+            return Vec::new();
+        }
+        self.living(now)
+    }
+
+    /// Takes in a roster.
+    pub fn take_roster(&mut self, now: Time, notes: &[PeerNote]) -> Vec<PeerChange> {
+        let small = self.is_small();
+        notes
+            .iter()
+            .filter_map(|note| self.heard_of(now, note, small))
+            .collect()
+    }
+
     /// Draws the daemons that a heartbeat names.
     fn notes(&mut self, now: Time) -> Vec<PeerNote> {
-        let mut notes: Vec<PeerNote> = self
-            .known
+        let mut notes = self.living(now);
+        notes.sort_unstable_by_key(|note| note.address);
+        notes.sample(&mut self.rng, NAMED).cloned().collect()
+    }
+
+    fn living(&self, now: Time) -> Vec<PeerNote> {
+        self.known
             .iter()
             .filter(|(_, peer)| peer.alive)
             .filter_map(|(address, peer)| {
@@ -291,9 +323,7 @@
                     capacity: peer.capacity,
                 })
             })
-            .collect();
-        notes.sort_unstable_by_key(|note| note.address);
-        notes.sample(&mut self.rng, NAMED).cloned().collect()
+            .collect()
     }
 
     /// Takes in a heartbeat.
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -8,7 +8,8 @@
             listen::accept_each,
             pause::PauseDetector,
             peer_message::{
-                Ask, Datagram, Frame, JobOrder, LoadDigest, PROTOCOL, Phase, Reply, decode, encode,
+                Ask, Datagram, Frame, JobOrder, LoadDigest, PROTOCOL, Phase, Reply, Roster, decode,
+                encode,
             },
             peers::{HEARTBEAT, PeerChange},
             stage_job::{Job, JobEnd},
@@ -38,6 +39,9 @@
 /// Loads in one datagram.
 const DIGEST_LOADS: usize = 80;
 
+/// Daemons in one part of a roster.
+const ROSTER_PEERS: usize = 40;
+
 /// Heartbeats heard without a directory before a list is asked of a peer.
 const LIST_LAG: Millis = Millis(500);
 
@@ -237,7 +241,7 @@
 /// daemon hears every other one.
 fn tell_loads<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket) {
     let now = gateway.now();
-    let ready = gateway.phase() == Phase::Ready;
+    let ready = gateway.may_coordinate();
     let state = gateway.state.borrow();
     if state.peers.is_small() || !ready {
         return;
@@ -260,7 +264,7 @@
     let mut buffer = vec![0; DATAGRAM];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => take_datagram(&gateway, &buffer[..length], from),
+            Ok((length, from)) => take_datagram(&gateway, &socket, &buffer[..length], from),
             Err(error) => {
                 log::warn!(error:%; "heartbeat.receive_failed");
                 tokio::time::sleep(HEARTBEAT.to_duration()).await;
@@ -269,13 +273,22 @@
     }
 }
 
-fn take_datagram<D: Dialect>(gateway: &Gateway<D>, bytes: &[u8], from: SocketAddr) {
+fn take_datagram<D: Dialect>(
+    gateway: &Gateway<D>,
+    socket: &UdpSocket,
+    bytes: &[u8],
+    from: SocketAddr,
+) {
     let heartbeat = match decode(bytes) {
         Ok(Datagram::Heartbeat(heartbeat)) => heartbeat,
         Ok(Datagram::Loads(digest)) => {
             take_digest(gateway, &digest, from);
             return;
         }
+        Ok(Datagram::Roster(roster)) => {
+            take_roster(gateway, &roster, from);
+            return;
+        }
         Err(error) => {
             log::debug!(from:% = from, error:%; "heartbeat.refused");
             return;
@@ -287,10 +300,42 @@
         return;
     }
     let now = gateway.now();
+    let (joining, newcomer) = (heartbeat.joining, heartbeat.address);
     let changes = gateway.state.borrow_mut().peers.heard(now, heartbeat);
     for change in &changes {
         note_change(gateway, change);
     }
+    if joining {
+        tell_roster(gateway, socket, newcomer);
+    }
+}
+
+/// Tells a daemon that has just started who is alive.
+fn tell_roster<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket, newcomer: SocketAddr) {
+    let living = gateway.state.borrow().peers.roster(gateway.now());
+    for part in living.chunks(ROSTER_PEERS) {
+        let roster = Roster {
+            protocol: PROTOCOL,
+            peers: part.to_vec(),
+        };
+        send_to(socket, &Datagram::Roster(roster), std::iter::once(newcomer));
+    }
+}
+
+fn take_roster<D: Dialect>(gateway: &Gateway<D>, roster: &Roster, from: SocketAddr) {
+    if roster.protocol != PROTOCOL {
+        log::warn!(from:% = from, protocol = roster.protocol; "heartbeat.refused");
+        return;
+    }
+    let now = gateway.now();
+    let changes = gateway
+        .state
+        .borrow_mut()
+        .peers
+        .take_roster(now, &roster.peers);
+    for change in &changes {
+        note_change(gateway, change);
+    }
 }
 
 fn take_digest<D: Dialect>(gateway: &Gateway<D>, digest: &LoadDigest, from: SocketAddr) {
--- a/lib/src/gateway/release.rs
+++ b/lib/src/gateway/release.rs
@@ -2,11 +2,7 @@
 
 use crate::{
     gateway::{
-        dialect::Dialect,
-        peer_message::{Ask, Phase},
-        peers::Coordinator,
-        stage_job::Handle,
-        state::Gateway,
+        dialect::Dialect, peer_message::Ask, peers::Coordinator, stage_job::Handle, state::Gateway,
     },
     ids::ServiceId,
 };
@@ -16,7 +12,7 @@
     if handles.is_empty() {
         return;
     }
-    let ready = gateway.phase() == Phase::Ready;
+    let ready = gateway.may_coordinate();
     let now = gateway.now();
     let planner = gateway
         .state
--- a/lib/src/gateway/stage_chain.rs
+++ b/lib/src/gateway/stage_chain.rs
@@ -5,7 +5,7 @@
         gateway::{
             admission,
             dialect::{Dialect, Inbound},
-            peer_message::{Ask, Phase},
+            peer_message::Ask,
             peers::Coordinator,
             relay,
             release::release,
@@ -18,7 +18,7 @@
         units::{ByteSize, Millis, Time},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
-    std::{net::SocketAddr, rc::Rc, sync::Arc},
+    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
 };
 
 /// Time kept of a request's objective for each stage that comes later.
@@ -27,6 +27,9 @@
 /// Times that a stage is made again because its results were gone.
 const REMAKES: u32 = 2;
 
+/// Time between two looks for a planner by a daemon that has just started.
+const SETTLE_LOOK: Duration = Duration::from_millis(50);
+
 /// Planners that are tried for one job, the last one being this daemon.
 const PLANNERS: usize = 3;
 
@@ -350,7 +353,7 @@
 ) -> JobEnd {
     let mut failed: Vec<SocketAddr> = Vec::new();
     while failed.len() + 1 < PLANNERS {
-        let ready = gateway.phase() == Phase::Ready;
+        let ready = gateway.may_coordinate();
         let now = gateway.now();
         let planner = gateway
             .state
@@ -358,7 +361,12 @@
             .peers
             .coordinator(now, service, ready, &failed);
         let Coordinator::Peer(peer) = planner else {
-            break;
+            if gateway.is_settled() {
+                break;
+            }
+            // Others that started at the same time are not known yet.
+            tokio::time::sleep(SETTLE_LOOK).await;
+            continue;
         };
         let order = relay::order_of(gateway, service, &job);
         let reply = gateway.links.ask(peer, Ask::Job(order)).await;
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -43,6 +43,9 @@
 /// Time beyond the wait of a call for changes after which a peer's reading counts as out of date.
 const READ_SLACK: Millis = Millis(400);
 
+/// Time after its start within which a daemon hears of the others.
+const SETTLED: Millis = Millis(600);
+
 /// Time for which a peer may be known to have something newer before the directory is asked.
 const BEHIND: Millis = Millis(600);
 
@@ -288,6 +291,16 @@
         }
     }
 
+    /// Returns whether this daemon has run long enough to know the others.
+    pub fn is_settled(&self) -> bool {
+        self.now() >= Time::default() + SETTLED
+    }
+
+    /// Returns whether this daemon may coordinate services.
+    pub fn may_coordinate(&self) -> bool {
+        self.phase() == Phase::Ready && self.is_settled()
+    }
+
     /// Returns the table in force.
     pub fn published(&self) -> Option<Rc<Published>> {
         self.state.borrow().published.clone()
@@ -544,7 +557,7 @@
                 LoadNote(id, member.running, member.prefill as u32)
             })
             .collect();
-        let ready = phase == Phase::Ready;
+        let ready = self.may_coordinate();
         let services: Vec<ServiceId> = published
             .iter()
             .flat_map(|published| published.table.services())
@@ -553,6 +566,12 @@
         let queues = state.queue_notes(now, ready);
         let reads = state.peers.coordinates() || state.peers.is_small();
         let read_age = state.contact.read_age(now).filter(|_| reads);
+        // Others leave a daemon alone as a coordinator that doesn't know them yet.
+        let phase = if ready || phase == Phase::Stopping {
+            phase
+        } else {
+            Phase::Starting
+        };
         Beliefs {
             phase,
             table: published.map_or(0, |published| published.table.version),
--- a/lib/tests/test_large_fleet.rs
+++ b/lib/tests/test_large_fleet.rs
@@ -300,3 +300,44 @@
     // This daemon's own three pieces are known better here.
     assert_eq!(fleet.daemons[7].outstanding(9, at), 237);
 }
+
+#[test]
+fn a_newcomer_is_told_of_everybody_at_once() {
+    let mut fleet = Fleet::new(4);
+    fleet.rounds(25);
+    let now = fleet.now;
+    assert!(fleet.daemons[3].roster(now).len() >= DAEMONS - 3);
+    let me = Identity {
+        host: "new".parse().unwrap(),
+        data_centre: "z".parse().unwrap(),
+        address: address(200),
+        run: 1,
+        capacity: WEAK,
+    };
+    let mut newcomer = Peers::new(me, &[address(3)]);
+    assert!(newcomer.is_joining(Time(0)));
+    assert!(!newcomer.is_joining(Time(0) + Millis(5_000)));
+    let (heartbeat, targets) = newcomer.heartbeat(Time(0), beliefs(None));
+    assert!(heartbeat.joining);
+    assert_eq!(targets, [address(3)]);
+    // The seed's heartbeat makes it known that there are more, its roster who they are.
+    let (seed, _) = fleet.daemons[3].heartbeat(now, beliefs(Some(40)));
+    let roster = fleet.daemons[3].roster(now);
+    newcomer.heard(Time(0), seed);
+    newcomer.take_roster(Time(0), &roster);
+    newcomer.take_roster(Time(0), &roster);
+    assert!(newcomer.daemons() >= DAEMONS - 3);
+    let service = &services()[1];
+    let chosen = newcomer.coordinator(Time(0), service, false, &[]);
+    let agreed = fleet.coordinator(7, service);
+    assert_eq!(chosen, Coordinator::Peer(address(agreed)));
+}
+
+#[test]
+fn a_roster_is_for_large_fleets() {
+    let mut small = Fleet::new(4);
+    small.down = (0..DAEMONS).map(|number| number % 10 != 3).collect();
+    small.rounds(10);
+    assert!(small.daemons[3].is_small());
+    assert_eq!(small.daemons[3].roster(small.now), []);
+}
