--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -33,7 +33,7 @@
 
 /// Cost of each shared token of a prompt that has to be read again, beside the time it takes.
 /// Reading it is a price of its own, and it displaces what others may still want.
-const SHARED_TOKEN_MS: f64 = 0.06;
+const SHARED_TOKEN_MS: f64 = 0.15;
 
 /// Cost of a call into another data centre, and of each megabyte of inputs from one.
 const HOP_MS: f64 = 1.0;
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -27,6 +27,8 @@
 pub mod operator;
 pub mod pause;
 pub mod peer_message;
+mod peer_record;
+mod peer_sums;
 pub mod peers;
 pub mod planning;
 pub mod progress;
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -12,8 +12,8 @@
 use {
     crate::{
         gateway::{
-            fleet::PeerLoad,
             peer_message::{Heartbeat, LoadNote, PROTOCOL, PeerNote, Phase, QueueNote, WorkNote},
+            peer_record::{FORGET, Peer},
             table::Version,
         },
         ids::{DataCentreId, HostId, ServiceId},
@@ -28,15 +28,6 @@
 /// Time between two heartbeats.
 pub const HEARTBEAT: Millis = Millis(200);
 
-/// Time without a heartbeat after which a daemon counts as lost that sends each one to everybody.
-const SILENCE: Millis = Millis(1_000);
-
-/// Time without any sign of life after which another daemon counts as lost.
-const HEARSAY_SILENCE: Millis = Millis(2_500);
-
-/// Time after which an address that was never heard from, or no longer, is forgotten.
-const FORGET: Millis = Millis(60_000);
-
 /// Time for which a daemon that failed to take something on is passed over as a coordinator.
 const PASSED_OVER: Millis = Millis(1_500);
 
@@ -95,61 +86,6 @@
     pub capacity: Capacity,
 }
 
-#[derive(Debug, Clone)]
-struct Peer {
-    /// When its address was last told or heard.
-    known: Time,
-    /// Last sign of life, here or elsewhere.
-    seen: Option<Time>,
-    phase: Phase,
-    capacity: Capacity,
-    heard: Option<(Time, Heartbeat)>,
-    passed_over_until: Time,
-    alive: bool,
-}
-
-impl Peer {
-    fn new(now: Time) -> Self {
-        Self {
-            known: now,
-            seen: None,
-            phase: Phase::Starting,
-            capacity: Capacity::default(),
-            heard: None,
-            passed_over_until: Time::default(),
-            alive: false,
-        }
-    }
-
-    fn host(&self) -> Option<HostId> {
-        let (_, heartbeat) = self.heard.as_ref()?;
-        Some(heartbeat.host.clone())
-    }
-
-    /// Returns whether there has been a sign of life lately. `direct` tells that the daemon should
-    /// be heard here itself; nothing counts as silence that fell before `awake`.
-    fn has_sign(&self, now: Time, awake: Time, direct: bool) -> bool {
-        let broadcasts = self.heard.as_ref().is_some_and(|(_, last)| last.broadcasts);
-        let (last, silence) = if direct || broadcasts {
-            (self.heard.as_ref().map(|(heard, _)| *heard), SILENCE)
-        } else {
-            (self.seen, HEARSAY_SILENCE)
-        };
-        last.is_some_and(|last| now.since(last.max(awake)) <= silence.to_duration())
-    }
-}
-
-/// A change in who is alive; the host is known once it was heard.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PeerChange {
-    /// A daemon was heard or heard of for the first time, or again.
-    Met(SocketAddr, Option<HostId>),
-    /// A daemon started anew since it was last heard.
-    Restarted(SocketAddr, Option<HostId>),
-    /// A daemon has been silent for too long.
-    Lost(SocketAddr, Option<HostId>),
-}
-
 /// Who coordinates a service: sums up its load, and plans its calls if it is a stage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Coordinator {
@@ -159,12 +95,14 @@
     Peer(SocketAddr),
 }
 
+pub use crate::gateway::peer_record::PeerChange;
+
 /// The other daemons.
 #[derive(Debug)]
 pub struct Peers {
     me: Identity,
     seeds: Vec<SocketAddr>,
-    known: HashMap<SocketAddr, Peer>,
+    pub(crate) known: HashMap<SocketAddr, Peer>,
     sequence: u64,
     rng: SmallRng,
     /// When the process last woke from a pause.
@@ -172,7 +110,7 @@
     /// Heartbeats still to be sent to everybody.
     broadcasts_left: u32,
     /// What the last heartbeat told of work taken on.
-    told_work: Vec<WorkNote>,
+    pub(crate) told_work: Vec<WorkNote>,
 }
 
 /// Heartbeats that go to everybody after a daemon stopped to coordinate, so that all learn of it.
@@ -297,6 +235,16 @@
 
     /// Takes in a roster.
     pub fn take_roster(&mut self, now: Time, notes: &[PeerNote]) -> Vec<PeerChange> {
+        self.take_notes(now, notes)
+    }
+
+    fn take_notes(&mut self, now: Time, notes: &[PeerNote]) -> Vec<PeerChange> {
+        // Whether hearsay counts depends on the size of the fleet, these daemons included.
+        for note in notes.iter().filter(|note| note.is_recent()) {
+            if note.address != self.me.address {
+                self.known.entry(note.address).or_insert(Peer::new(now));
+            }
+        }
         let small = self.is_small();
         notes
             .iter()
@@ -354,19 +302,16 @@
             (false, true) => changes.push(PeerChange::Restarted(address, Some(host))),
             (false, false) => {}
         }
-        let small = self.is_small();
-        for note in notes {
-            changes.extend(self.heard_of(now, &note, small));
-        }
+        changes.extend(self.take_notes(now, &notes));
         changes
     }
 
     /// Takes in what another daemon knows of a third one.
     fn heard_of(&mut self, now: Time, note: &PeerNote, small: bool) -> Option<PeerChange> {
-        let age = Millis(u64::from(note.age_ms));
-        if note.address == self.me.address || age.0 >= FORGET.0 / 2 {
+        if note.address == self.me.address || !note.is_recent() {
             return None;
         }
+        let age = Millis(u64::from(note.age_ms));
         let peer = self.known.entry(note.address).or_insert(Peer::new(now));
         let seen = Time(now.0.saturating_sub(age.0 * 1000));
         if peer.seen.is_some_and(|known| known >= seen) {
@@ -388,19 +333,25 @@
         self.awake = now;
     }
 
-    /// Notes who has been silent for too long.
+    /// Notes who has been silent for too long, and who counts as alive now that the fleet is large
+    /// enough for hearsay.
     pub fn tick(&mut self, now: Time) -> Vec<PeerChange> {
-        let mut lost = Vec::new();
+        let mut changes = Vec::new();
         let (small, awake) = (self.is_small(), self.awake);
         for (address, peer) in &mut self.known {
-            if peer.alive && !peer.has_sign(now, awake, small) {
-                peer.alive = false;
-                lost.push(PeerChange::Lost(*address, peer.host()));
+            let was_alive = peer.alive;
+            // Only a living daemon is excused for what was missed in a pause.
+            let awake = if was_alive { awake } else { Time::default() };
+            peer.alive = peer.has_sign(now, awake, small);
+            match (was_alive, peer.alive) {
+                (true, false) => changes.push(PeerChange::Lost(*address, peer.host())),
+                (false, true) => changes.push(PeerChange::Met(*address, peer.host())),
+                _ => {}
             }
         }
         self.known
             .retain(|_, peer| peer.alive || now.since(peer.known) < FORGET.to_duration());
-        lost
+        changes
     }
 
     /// Passes a daemon over as a coordinator for a while: it didn't take on what it was given.
@@ -499,61 +450,4 @@
             _ => Coordinator::Me,
         }
     }
-
-    /// Sums up what other daemons have in flight, by endpoint, as they told it here.
-    pub fn loads(&self) -> HashMap<u32, PeerLoad> {
-        let mut sums: HashMap<u32, PeerLoad> = HashMap::default();
-        for LoadNote(endpoint, running, prefill) in self.alive().flat_map(|h| &h.loads) {
-            let sum = sums.entry(*endpoint).or_default();
-            sum.running += *running;
-            sum.prefill += f64::from(*prefill);
-        }
-        sums
-    }
-
-    /// Returns the endpoints of a service that take calls, as the daemon says that plans for it.
-    pub fn sound_endpoints(&self, service: u32) -> Option<usize> {
-        let notes = self.alive().flat_map(|heartbeat| &heartbeat.queues);
-        notes
-            .filter(|note| note.0 == service)
-            .map(|note| note.1 as usize)
-            .max()
-    }
-
-    /// Returns whether the endpoints of a service are short of room for results, as others say.
-    pub fn is_short_of_room(&self, service: u32) -> bool {
-        let mut notes = self.alive().flat_map(|heartbeat| &heartbeat.queues);
-        notes.any(|note| note.0 == service && note.2)
-    }
-
-    /// Returns the pieces of a service that other daemons have taken on, as they told it here.
-    pub fn told_outstanding(&self, service: u32) -> u32 {
-        let notes = self.alive().flat_map(|heartbeat| &heartbeat.work);
-        notes
-            .filter(|note| note.0 == service)
-            .map(|note| note.1)
-            .fold(0, u32::saturating_add)
-    }
-
-    /// Returns the pieces of a service that other daemons have taken on: as they told it where all
-    /// of them tell, else as the service's coordinator sums it up.
-    pub fn outstanding(&self, service: u32, coordinator: Coordinator) -> u32 {
-        let told = self.told_outstanding(service);
-        let Coordinator::Peer(address) = coordinator else {
-            return told;
-        };
-        let total = self
-            .known
-            .get(&address)
-            .and_then(|peer| peer.heard.as_ref())
-            .and_then(|(_, heartbeat)| heartbeat.queues.iter().find(|note| note.0 == service))
-            .map(|note| note.3);
-        match total {
-            Some(total) if !self.is_small() => {
-                let notes = self.told_work.iter().filter(|note| note.0 == service);
-                total.saturating_sub(notes.map(|note| note.1).sum())
-            }
-            _ => told,
-        }
-    }
 }
--- a/lib/src/gateway/stage_order.rs
+++ b/lib/src/gateway/stage_order.rs
@@ -20,8 +20,8 @@
 
 /// Wait for an endpoint in the request's own data centre, for each megabyte that would
 /// cross, and the longest such wait.
-const WAIT_MS_PER_MB: f64 = 400.0;
-const LONGEST_WAIT: Millis = Millis(350);
+const WAIT_MS_PER_MB: f64 = 700.0;
+const LONGEST_WAIT: Millis = Millis(500);
 
 /// Handicap of a piece at an endpoint outside its request's data centre.
 const AWAY_STEP: Millis = Millis(200);
--- a/lib/tests/test_large_fleet.rs
+++ b/lib/tests/test_large_fleet.rs
@@ -325,8 +325,10 @@
     let roster = fleet.daemons[3].roster(now);
     newcomer.heard(Time(0), seed);
     newcomer.take_roster(Time(0), &roster);
-    newcomer.take_roster(Time(0), &roster);
-    assert!(newcomer.daemons() >= DAEMONS - 3);
+    // Those heard of before the fleet was known to be large count from the next look on.
+    newcomer.tick(Time(0));
+    let known = newcomer.daemons();
+    assert!(known >= DAEMONS - 3, "{known} of {} told", roster.len());
     let service = &services()[1];
     let chosen = newcomer.coordinator(Time(0), service, false, &[]);
     let agreed = fleet.coordinator(7, service);
