--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -5,6 +5,7 @@
         gateway::{
             catalogue::EndpointEntry,
             dialect::{Prompt, ReplyLoad},
+            fleet_score::{agreed_endpoint, distance_ms, expected_ms},
         },
         health::{Health, State},
         ids::{DataCentreId, EndpointId, ServiceId},
@@ -19,26 +20,12 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Prompt tokens that an engine reads in a millisecond, until its own pace is known.
-const TOKENS_PER_MS: f64 = 50.0;
-
-/// Time to the first event that each running generation adds.
-const RUNNING_MS: f64 = 1.0;
-
 /// Time for which a part of a prompt is believed to stay where it was sent.
 const PART_KEPT: Millis = Millis(20_000);
 
 /// Most parts remembered for one endpoint.
 const PARTS_KNOWN: usize = 4_096;
 
-/// Cost of each shared token of a prompt that has to be read again, beside the time it takes.
-/// Reading it is a price of its own, and it displaces what others may still want.
-const SHARED_TOKEN_MS: f64 = 0.15;
-
-/// Cost of a call into another data centre, and of each megabyte of inputs from one.
-const HOP_MS: f64 = 1.0;
-const INPUT_MB_MS: f64 = 100.0;
-
 /// First guess of a plain call's time, and the weight of a new time in what is known.
 const CALL_MS: f64 = 15.0;
 const GAIN: f64 = 0.15;
@@ -86,7 +73,7 @@
     /// When it answered that it is another endpoint, or leaving.
     replaced: Option<Time>,
     /// Usual time of a plain call, in milliseconds.
-    call_ms: f64,
+    pub(crate) call_ms: f64,
     /// Observed over expected time to a first event.
     pace: f64,
     pace_at: Time,
@@ -131,7 +118,7 @@
         reachable && healthy
     }
 
-    fn pace(&self, now: Time) -> f64 {
+    pub(crate) fn pace(&self, now: Time) -> f64 {
         if now.since(self.pace_at) > PACE_KEPT.to_duration() {
             1.0
         } else {
@@ -139,7 +126,7 @@
         }
     }
 
-    fn cached_tokens(&self, now: Time, prompt: &Prompt) -> u32 {
+    pub(crate) fn cached_tokens(&self, now: Time, prompt: &Prompt) -> u32 {
         let held = |id: &u64| {
             self.parts
                 .get(id)
@@ -418,73 +405,6 @@
     xxh3_64(service.as_str().as_bytes()) as u32
 }
 
-/// Returns the endpoint that all daemons prefer for a prompt's deepest shared part, by rendezvous
-/// hashing.
-fn agreed_endpoint<'a>(among: &[&'a Member], prompt: &Prompt) -> Option<&'a EndpointId> {
-    let shared = prompt.parts.len().checked_sub(2)?;
-    let part = prompt.parts[shared].id;
-    let weight = |member: &&&Member| {
-        let mut bytes = part.to_le_bytes().to_vec();
-        bytes.extend_from_slice(member.entry.id.as_str().as_bytes());
-        xxh3_64(&bytes)
-    };
-    among.iter().max_by_key(weight).map(|m| &m.entry.id)
-}
-
-fn expected_ms(
-    now: Time,
-    member: &Member,
-    demand: &Demand<'_>,
-    agreed: Option<&EndpointId>,
-) -> (f64, u32) {
-    let outstanding = f64::from(member.outstanding());
-    let slots = f64::from(member.entry.slots.max(1));
-    if demand.prompt.tokens_in == 0 && demand.prompt.parts.is_empty() {
-        let queued = (outstanding + 1.0 - slots).max(0.0) / slots;
-        let crowding = 0.5 * outstanding / slots;
-        return (member.call_ms * (1.0 + queued + crowding), 0);
-    }
-    let total = demand.prompt.tokens_in;
-    let cached = if demand.affinity {
-        member.cached_tokens(now, demand.prompt)
-    } else {
-        0
-    };
-    // All daemons send a part to the same endpoint where they can, so that it is probably there
-    // although this daemon didn't send it.
-    let agreed = demand.affinity && agreed == Some(&member.entry.id);
-    let shared = shared_tokens(demand.prompt).min(total);
-    let held = if agreed { cached.max(shared) } else { cached };
-    let uncached = total.saturating_sub(held);
-    let missing = if demand.affinity {
-        f64::from(shared.saturating_sub(held)) * SHARED_TOKEN_MS
-    } else {
-        0.0
-    };
-    let waiting = member.prefill + member.peers.prefill + f64::from(uncached);
-    let overfull = (outstanding + 1.0 - slots).max(0.0) * 100.0;
-    let ms = waiting / TOKENS_PER_MS + outstanding * RUNNING_MS + overfull;
-    (ms * member.pace(now) + missing, uncached)
-}
-
-/// Returns the tokens of a prompt that other requests may share: all but its last part.
-fn shared_tokens(prompt: &Prompt) -> u32 {
-    let parts = prompt.parts.len().saturating_sub(1);
-    prompt.parts[..parts].iter().map(|part| part.tokens).sum()
-}
-
-fn distance_ms(member: &Member, here: &DataCentreId, demand: &Demand<'_>) -> f64 {
-    let there = &member.entry.data_centre;
-    let far: u64 = demand
-        .inputs
-        .iter()
-        .filter(|(data_centre, _)| data_centre != there)
-        .map(|(_, size)| size.0)
-        .sum();
-    let hop = if there == here { 0.0 } else { HOP_MS };
-    hop + far as f64 / 1e6 * INPUT_MB_MS
-}
-
 /// Picks one of several weighted things by a hash, the same way on every daemon.
 pub fn weighted<T>(seed: impl Hash, choices: &[T], weight: impl Fn(&T) -> f64) -> Option<&T> {
     let total: f64 = choices.iter().map(&weight).sum();
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -5,14 +5,15 @@
         gateway::{
             budget::WindowBudget,
             catalogue::{Catalogue, EndpointChanges, EndpointEntry, Learnt},
+            contact::DirectoryContact,
             dialect::Dialect,
-            directory::{TOPICS, Topic},
-            fleet::{Fleet, PeerLoad, short_hash, short_hash_of},
+            directory::Topic,
+            fleet::Fleet,
             links::Links,
             load_sums::LoadSums,
             metrics::GatewayMetrics,
-            peer_message::{LoadNote, Phase, QueueNote},
-            peers::{Beliefs, Coordinator, Identity, Peers},
+            peer_message::Phase,
+            peers::{Identity, Peers},
             planning::Planning,
             settings::GatewaySettings,
             table::{Table, Version},
@@ -34,12 +35,6 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Time after a failed read of the directory during which vanished entries are doubted.
-const OUTAGE: Millis = Millis(1_500);
-
-/// Time without a failed read after which the directory counts as steady for this daemon.
-const CALM: Millis = Millis(3_000);
-
 /// Time beyond the wait of a call for changes after which a peer's reading counts as out of date.
 const READ_SLACK: Millis = Millis(400);
 
@@ -60,44 +55,6 @@
     pub fingerprint: u64,
 }
 
-/// How far the directory can be read.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct DirectoryContact {
-    /// Last answer.
-    pub heard: Option<Time>,
-    /// Last failure.
-    pub failed: Option<Time>,
-    /// Last answer for each topic.
-    topics: [Option<Time>; TOPICS],
-}
-
-impl DirectoryContact {
-    /// Returns whether the directory failed lately.
-    fn is_doubtful(&self, now: Time) -> bool {
-        self.failed
-            .is_some_and(|failed| now.since(failed) < OUTAGE.to_duration())
-    }
-
-    /// Returns whether the directory has been read without a failure for a while.
-    fn is_calm(&self, now: Time) -> bool {
-        let since = self.failed.unwrap_or_default();
-        let heard = self.heard.unwrap_or_default();
-        let reads = now.since(heard) < CALM.to_duration();
-        self.heard.is_some() && reads && !self.is_lost() && now.since(since) > CALM.to_duration()
-    }
-
-    /// Returns the time since the directory last answered for every topic.
-    fn read_age(&self, now: Time) -> Option<Millis> {
-        let oldest = self.topics.iter().copied().min().flatten()?;
-        Some(Millis(now.since(oldest).as_millis() as u64))
-    }
-
-    /// Returns whether the directory can't be read just now.
-    pub fn is_lost(&self) -> bool {
-        self.failed > self.heard
-    }
-}
-
 /// What a daemon believes.
 #[derive(Debug)]
 pub struct State {
@@ -131,54 +88,6 @@
         self.contact.is_doubtful(now) && !self.peers.is_any_calm()
     }
 
-    /// Returns what others should know of the stage services that this daemon coordinates.
-    fn queue_notes(&self, now: Time, ready: bool) -> Vec<QueueNote> {
-        let mine = |service: &ServiceId| {
-            self.peers.coordinator(now, service, ready, &[]) == Coordinator::Me
-        };
-        let total = |service: &ServiceId| {
-            let told = self.peers.told_outstanding(short_hash_of(service));
-            self.workload.outstanding(service).saturating_add(told)
-        };
-        self.planning.notes(now, mine, total)
-    }
-
-    /// Returns what all daemons have in flight at the endpoints of the services that this daemon
-    /// coordinates.
-    pub fn coordinated_loads(&self, now: Time, ready: bool) -> Vec<LoadNote> {
-        let Some(published) = &self.published else {
-            return Vec::new();
-        };
-        let told = self.peers.loads();
-        published
-            .table
-            .services()
-            .filter(|service| {
-                self.peers.coordinator(now, &service.id, ready, &[]) == Coordinator::Me
-            })
-            .flat_map(|service| self.fleet.service(&service.id))
-            .map(|member| {
-                let id = short_hash(&member.entry.id);
-                let others = told.get(&id).copied().unwrap_or_default();
-                let prefill = member.prefill + others.prefill;
-                LoadNote(id, member.running + others.running, prefill as u32)
-            })
-            .collect()
-    }
-
-    /// Takes in what other daemons have in flight: as each of them told it, or as coordinators
-    /// summed it up, this daemon's part left out.
-    pub fn update_peer_loads(&mut self, now: Time) {
-        if self.peers.is_small() {
-            let loads = self.peers.loads();
-            self.fleet.set_peer_loads(&loads);
-            return;
-        }
-        self.sums.expire(now);
-        let loads: HashMap<u32, PeerLoad> = self.sums.all().collect();
-        self.fleet.set_total_loads(&loads);
-    }
-
     /// Returns whether peers tell this daemon in time what the directory holds, so that it needn't
     /// read it itself.
     fn is_covered(&self, now: Time, wait: Duration) -> bool {
@@ -544,48 +453,4 @@
         state.planning.sync(&state.fleet, limits, daemons);
         self.work.notify_one();
     }
-
-    /// Returns what this daemon tells others of itself.
-    pub fn beliefs(&self) -> Beliefs {
-        let now = self.now();
-        let phase = self.phase();
-        let state = self.state.borrow();
-        let published = state.published.as_ref();
-        let loads = state
-            .fleet
-            .members()
-            .filter(|member| member.running > 0)
-            .map(|member| {
-                let id = short_hash(&member.entry.id);
-                LoadNote(id, member.running, member.prefill as u32)
-            })
-            .collect();
-        let ready = self.may_coordinate();
-        let services: Vec<ServiceId> = published
-            .iter()
-            .flat_map(|published| published.table.services())
-            .map(|service| service.id.clone())
-            .collect();
-        let queues = state.queue_notes(now, ready);
-        let reads = state.peers.coordinates() || state.peers.is_small();
-        let read_age = state.contact.read_age(now).filter(|_| reads);
-        // Others leave a daemon alone as a coordinator that doesn't know them yet.
-        let phase = if ready || phase == Phase::Stopping {
-            phase
-        } else {
-            Phase::Starting
-        };
-        Beliefs {
-            phase,
-            table: published.map_or(0, |published| published.table.version),
-            fingerprint: published.map_or(0, |published| published.fingerprint),
-            catalogue: state.catalogue.changed(),
-            calm: state.contact.is_calm(now),
-            read_ms: read_age.map(|age| u32::try_from(age.0).unwrap_or(u32::MAX)),
-            loads,
-            queues,
-            work: state.workload.notes(),
-            services,
-        }
-    }
 }
