--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -19,7 +19,7 @@
     },
     tokio::{
         runtime::Builder,
-        signal::unix::{SignalKind, signal},
+        signal::unix::{Signal, SignalKind, signal},
         task::LocalSet,
     },
 };
@@ -69,8 +69,9 @@
 fn run_own(path: PathBuf) -> Result<()> {
     let runtime = Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
+        let mut signals = Signals::take_over()?;
         let daemon = Daemon::start(read_own_settings(&path)?)?;
-        wait_for_stop(|| Ok(())).await?;
+        signals.wait_for_stop(|| Ok(())).await?;
         daemon.stop().await;
         Ok(())
     })
@@ -79,12 +80,13 @@
 fn run_on_platform(path: PathBuf, metrics_port: Option<u16>) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
+        let mut signals = Signals::take_over()?;
         let mut settings = read_settings(&path)?;
         let host = settings.gateway.peer.ip();
         settings.gateway.metrics = metrics_port.map(|port| SocketAddr::new(host, port));
         let store = Store::new(settings.store);
         let server: Server<PlatformDialect> = Server::start(settings.gateway, store).await?;
-        wait_for_stop(|| reload(&path)).await?;
+        signals.wait_for_stop(|| reload(&path)).await?;
         server.stop().await;
         Ok(())
     })
@@ -106,16 +108,31 @@
     Ok(DaemonSettings::try_from(raw)?)
 }
 
-/// Waits for SIGTERM or SIGINT; SIGHUP reloads and never ends the process.
-async fn wait_for_stop(mut reload: impl FnMut() -> Result<()>) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hang_up.recv() => reload()?,
+/// The signals that a daemon heeds. They are taken over before anything else is done, since one that
+/// comes while the daemon starts would end the process otherwise; it is heeded once the daemon runs.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn take_over() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT; SIGHUP reloads and never ends the process.
+    async fn wait_for_stop(&mut self, mut reload: impl FnMut() -> Result<()>) -> Result<()> {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return Ok(()),
+                _ = self.interrupt.recv() => return Ok(()),
+                _ = self.hang_up.recv() => reload()?,
+            }
         }
     }
 }
