peers: one check of a datagram's version, one way to hear of others, no allocation to rank a coordinator

Found by reading the change again: each kind of datagram checked its version for itself, hearsay was filtered twice and had two names, and the rank of each candidate for coordinator was put together on the heap, on the path of each job. Behaviour and bytes on the wire are as before.

--- a/lib/src/gateway/catalogue.rs
+++ b/lib/src/gateway/catalogue.rs
@@ -166,12 +166,12 @@
         if old.is_some_and(|old| old.revision > entry.revision) {
             return None;
         }
-        if old.is_none_or(|old| old.revision < entry.revision) {
-            self.note_change(entry.revision, &entry.id);
-        }
-        let old = self.entries.get(&entry.id);
+        let is_newer = old.is_none_or(|old| old.revision < entry.revision);
         let was_open = old.is_some_and(|old| !old.draining);
         let known = old.is_some();
+        if is_newer {
+            self.note_change(entry.revision, &entry.id);
+        }
         let entry = Arc::new(entry);
         self.doubted.remove(&entry.id);
         self.entries.insert(entry.id.clone(), entry.clone());
--- a/lib/src/gateway/peer_message.rs
+++ b/lib/src/gateway/peer_message.rs
@@ -193,6 +193,17 @@
     Roster(Roster),
 }
 
+impl Datagram {
+    /// Returns the version of the messages that its sender speaks.
+    pub fn protocol(&self) -> u16 {
+        match self {
+            Self::Heartbeat(heartbeat) => heartbeat.protocol,
+            Self::Loads(digest) => digest.protocol,
+            Self::Roster(roster) => roster.protocol,
+        }
+    }
+}
+
 /// A job handed to the daemon that plans for its service; times are relative.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobOrder {
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -21,10 +21,12 @@
     },
     foldhash::HashMap,
     rand::{SeedableRng, rngs::SmallRng, seq::IndexedRandom},
-    std::net::SocketAddr,
+    std::net::{IpAddr, SocketAddr},
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
+pub use crate::gateway::peer_record::PeerChange;
+
 /// Time between two heartbeats.
 pub const HEARTBEAT: Millis = Millis(200);
 
@@ -40,9 +42,16 @@
 /// In a larger fleet: daemons drawn for one heartbeat.
 const DRAWN: usize = 6;
 
+/// Heartbeats that go to everybody after a daemon stopped to coordinate, so that all learn of it.
+const LAST_BROADCASTS: u32 = 3;
+
 /// Daemons that one heartbeat names.
 const NAMED: usize = 10;
 
+/// Bytes of an address as it is hashed: an IP number of either kind, and a port.
+const IP_SIZE: usize = size_of::<u128>();
+const ADDRESS_SIZE: usize = IP_SIZE + size_of::<u16>();
+
 /// Loads that one heartbeat carries, the largest first, so that it fits into a datagram.
 const LOADS: usize = 24;
 
@@ -95,8 +104,6 @@
     Peer(SocketAddr),
 }
 
-pub use crate::gateway::peer_record::PeerChange;
-
 /// The other daemons.
 #[derive(Debug)]
 pub struct Peers {
@@ -113,9 +120,6 @@
     pub(crate) told_work: Vec<WorkNote>,
 }
 
-/// Heartbeats that go to everybody after a daemon stopped to coordinate, so that all learn of it.
-const LAST_BROADCASTS: u32 = 3;
-
 impl Peers {
     /// Starts with the addresses to meet first.
     pub fn new(me: Identity, seeds: &[SocketAddr]) -> Self {
@@ -233,21 +237,19 @@
         self.living(now)
     }
 
-    /// Takes in a roster.
+    /// Takes in what another daemon knows of others.
     pub fn take_roster(&mut self, now: Time, notes: &[PeerNote]) -> Vec<PeerChange> {
-        self.take_notes(now, notes)
-    }
-
-    fn take_notes(&mut self, now: Time, notes: &[PeerNote]) -> Vec<PeerChange> {
+        let me = self.me.address;
+        let others = || {
+            let recent = notes.iter().filter(|note| note.is_recent());
+            recent.filter(move |note| note.address != me)
+        };
         // Whether hearsay counts depends on the size of the fleet, these daemons included.
-        for note in notes.iter().filter(|note| note.is_recent()) {
-            if note.address != self.me.address {
-                self.known.entry(note.address).or_insert(Peer::new(now));
-            }
+        for note in others() {
+            self.known.entry(note.address).or_insert(Peer::new(now));
         }
         let small = self.is_small();
-        notes
-            .iter()
+        others()
             .filter_map(|note| self.heard_of(now, note, small))
             .collect()
     }
@@ -302,15 +304,12 @@
             (false, true) => changes.push(PeerChange::Restarted(address, Some(host))),
             (false, false) => {}
         }
-        changes.extend(self.take_notes(now, &notes));
+        changes.extend(self.take_roster(now, &notes));
         changes
     }
 
     /// Takes in what another daemon knows of a third one.
     fn heard_of(&mut self, now: Time, note: &PeerNote, small: bool) -> Option<PeerChange> {
-        if note.address == self.me.address || !note.is_recent() {
-            return None;
-        }
         let age = Millis(u64::from(note.age_ms));
         let peer = self.known.entry(note.address).or_insert(Peer::new(now));
         let seen = Time(now.0.saturating_sub(age.0 * 1000));
@@ -428,12 +427,13 @@
     ) -> Coordinator {
         let seed = xxh3_64_with_seed(service.as_str().as_bytes(), 0);
         let rank = |address: &SocketAddr, capacity: Capacity| {
-            let text = match address.ip() {
-                std::net::IpAddr::V4(ip) => u128::from(ip.to_bits()),
-                std::net::IpAddr::V6(ip) => ip.to_bits(),
+            let ip = match address.ip() {
+                IpAddr::V4(ip) => u128::from(ip.to_bits()),
+                IpAddr::V6(ip) => ip.to_bits(),
             };
-            let mut bytes = text.to_be_bytes().to_vec();
-            bytes.extend_from_slice(&address.port().to_be_bytes());
+            let mut bytes = [0; ADDRESS_SIZE];
+            bytes[..IP_SIZE].copy_from_slice(&ip.to_be_bytes());
+            bytes[IP_SIZE..].copy_from_slice(&address.port().to_be_bytes());
             (capacity, xxh3_64_with_seed(&bytes, seed))
         };
         let best = self
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -8,8 +8,8 @@
             listen::accept_each,
             pause::PauseDetector,
             peer_message::{
-                Ask, Datagram, Frame, JobOrder, LoadDigest, PROTOCOL, Phase, Reply, Roster, decode,
-                encode,
+                Ask, Datagram, Frame, Heartbeat, JobOrder, LoadDigest, PROTOCOL, Phase, Reply,
+                Roster, decode, encode,
             },
             peers::{HEARTBEAT, PeerChange},
             stage_job::{Job, JobEnd},
@@ -213,10 +213,8 @@
             gateway.state.borrow_mut().peers.resumed(now);
         }
         let beliefs = gateway.beliefs();
-        let lost = gateway.state.borrow_mut().peers.tick(now);
-        for change in &lost {
-            note_change(&gateway, change);
-        }
+        let changes = gateway.state.borrow_mut().peers.tick(now);
+        note_changes(&gateway, &changes);
         let (heartbeat, targets) = gateway.state.borrow_mut().peers.heartbeat(now, beliefs);
         send_to(
             &socket,
@@ -279,32 +277,49 @@
     bytes: &[u8],
     from: SocketAddr,
 ) {
-    let heartbeat = match decode(bytes) {
-        Ok(Datagram::Heartbeat(heartbeat)) => heartbeat,
-        Ok(Datagram::Loads(digest)) => {
-            take_digest(gateway, &digest, from);
-            return;
-        }
-        Ok(Datagram::Roster(roster)) => {
-            take_roster(gateway, &roster, from);
-            return;
-        }
+    let datagram: Datagram = match decode(bytes) {
+        Ok(datagram) => datagram,
         Err(error) => {
             log::debug!(from:% = from, error:%; "heartbeat.refused");
             return;
         }
     };
+    let protocol = datagram.protocol();
+    if protocol != PROTOCOL {
+        log::warn!(from:% = from, protocol; "heartbeat.refused");
+        return;
+    }
+    match datagram {
+        Datagram::Heartbeat(heartbeat) => take_heartbeat(gateway, socket, heartbeat, from),
+        Datagram::Loads(digest) => {
+            let now = gateway.now();
+            gateway.state.borrow_mut().sums.take(now, &digest.loads);
+        }
+        Datagram::Roster(roster) => {
+            let now = gateway.now();
+            let mut state = gateway.state.borrow_mut();
+            let changes = state.peers.take_roster(now, &roster.peers);
+            drop(state);
+            note_changes(gateway, &changes);
+        }
+    }
+}
+
+fn take_heartbeat<D: Dialect>(
+    gateway: &Gateway<D>,
+    socket: &UdpSocket,
+    heartbeat: Heartbeat,
+    from: SocketAddr,
+) {
     // A daemon speaks for itself alone.
-    if heartbeat.protocol != PROTOCOL || heartbeat.address.ip() != from.ip() {
+    if heartbeat.address.ip() != from.ip() {
         log::warn!(from:% = from, protocol = heartbeat.protocol; "heartbeat.refused");
         return;
     }
     let now = gateway.now();
     let (joining, newcomer) = (heartbeat.joining, heartbeat.address);
     let changes = gateway.state.borrow_mut().peers.heard(now, heartbeat);
-    for change in &changes {
-        note_change(gateway, change);
-    }
+    note_changes(gateway, &changes);
     if joining {
         tell_roster(gateway, socket, newcomer);
     }
@@ -322,31 +337,12 @@
     }
 }
 
-fn take_roster<D: Dialect>(gateway: &Gateway<D>, roster: &Roster, from: SocketAddr) {
-    if roster.protocol != PROTOCOL {
-        log::warn!(from:% = from, protocol = roster.protocol; "heartbeat.refused");
-        return;
-    }
-    let now = gateway.now();
-    let changes = gateway
-        .state
-        .borrow_mut()
-        .peers
-        .take_roster(now, &roster.peers);
-    for change in &changes {
+fn note_changes<D: Dialect>(gateway: &Gateway<D>, changes: &[PeerChange]) {
+    for change in changes {
         note_change(gateway, change);
     }
 }
 
-fn take_digest<D: Dialect>(gateway: &Gateway<D>, digest: &LoadDigest, from: SocketAddr) {
-    if digest.protocol != PROTOCOL {
-        log::warn!(from:% = from, protocol = digest.protocol; "heartbeat.refused");
-        return;
-    }
-    let now = gateway.now();
-    gateway.state.borrow_mut().sums.take(now, &digest.loads);
-}
-
 fn note_change<D: Dialect>(gateway: &Gateway<D>, change: &PeerChange) {
     let (event, address, host) = match change {
         PeerChange::Met(address, host) => ("peer.met", address, host),
