tests: the platform's spelling stays in its stand-ins; one writer of settings, tables and ports

Now platform/tests/stand_in/site.rs writes them, and client.rs spells the soak's requests. Assertions are unchanged.

--- a/daemon/tests/soak/caller.rs
+++ b/daemon/tests/soak/caller.rs
@@ -1,7 +1,7 @@
 //! Callers that keep connections open until the other end is gone, and remember what they saw.
 
 use {
-    super::fleet::Daemon,
+    super::{fleet::Daemon, stand_in::client},
     rand::{RngExt, rngs::SmallRng},
     std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -131,10 +131,10 @@
             };
             let value = value.trim();
             match name.to_ascii_lowercase().as_str() {
+                client::STAMP => answer.stamp = Some(value.into()),
                 "content-length" => length = value.parse().ok(),
                 "transfer-encoding" => chunked = value == "chunked",
                 "connection" => close = value == "close",
-                "hazelyoke-response-stamp" => answer.stamp = Some(value.into()),
                 _ => {}
             }
         }
@@ -172,16 +172,7 @@
     kind: Kind,
     patience: Duration,
 ) -> (Answer, bool) {
-    let text = format!(
-        "POST {}{id} HTTP/1.1\r\nHost: a.example\r\nHazelyoke-Request-Id: {id}\r\n\
-         Hazelyoke-Deadline-Ms: {}\r\nHazelyoke-Model: m\r\nHazelyoke-Token-Count: 30,10\r\n\
-         Hazelyoke-Prompt-Prefix: aa:20,{}:10\r\nHazelyoke-Pieces: 2\r\n\
-         Hazelyoke-Piece-Key: k{id}\r\nContent-Length: {}\r\n\r\n{id}",
-        kind.path(),
-        PATIENCE.as_millis(),
-        hex_of(id),
-        id.len(),
-    );
+    let text = client::kept_request(&format!("{}{id}", kind.path()), id, PATIENCE);
     let mut answer = Answer {
         status: None,
         stamp: None,
@@ -196,14 +187,6 @@
     (answer, read.is_err())
 }
 
-/// A part of a prompt that belongs to one request alone.
-fn hex_of(id: &str) -> String {
-    id.bytes()
-        .map(|byte| format!("{byte:02x}"))
-        .collect::<String>()[..8.min(2 * id.len())]
-        .into()
-}
-
 /// Connects to a daemon and asks once.
 pub async fn ask_once(listen: SocketAddr, id: &str, kind: Kind) -> Option<u16> {
     let stream = TcpStream::connect(listen).await.ok()?;
--- a/daemon/tests/soak/checks.rs
+++ b/daemon/tests/soak/checks.rs
@@ -5,7 +5,7 @@
         caller::{Kind, Outcome},
         fleet::{EVENTS, Member},
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::BTreeMap,
 };
 
 /// Statuses that promise that a request has not run and never will.
@@ -86,25 +86,17 @@
 
 /// Replicas get what callers sent, unchanged, and nothing else.
 fn check_asked(outcomes: &[Outcome], members: &[Member]) -> Findings {
-    let asked: BTreeSet<(String, String)> = outcomes
+    let asked: BTreeMap<&str, Kind> = outcomes
         .iter()
-        .map(|outcome| {
-            (
-                outcome.id.clone(),
-                format!("POST {}{} ", outcome.kind.path(), outcome.id),
-            )
-        })
+        .map(|outcome| (outcome.id.as_str(), outcome.kind))
         .collect();
     let seen = members.iter().flat_map(|member| member.replica.seen());
     seen.filter_map(|seen| {
-        let id = seen
-            .header("hazelyoke-request-id")
-            .unwrap_or_default()
-            .to_owned();
-        let known = asked
-            .iter()
-            .any(|(asked, head)| *asked == id && seen.head.starts_with(head));
+        let id = seen.id();
         let is_probe = id.starts_with("end-");
+        let known = asked
+            .get(id)
+            .is_some_and(|kind| seen.head.starts_with(&format!("POST {}{id} ", kind.path())));
         (!is_probe && (!known || seen.body != id))
             .then(|| format!("{id}: not what was sent: {seen:?}"))
     })
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -5,13 +5,13 @@
         proxy::{Harm, Proxy},
         stand_in::{
             replica::{Act, Replica},
+            site::{DaemonFile, free_ports},
             store::StandInStore,
         },
     },
-    serde_json::{Value, json},
     std::{
         fs::File,
-        net::{Ipv4Addr, SocketAddr, TcpListener},
+        net::{IpAddr, SocketAddr},
         path::PathBuf,
         process::{Child, Command, ExitStatus, Stdio},
         time::Duration,
@@ -95,31 +95,23 @@
         Self { seed }
     }
 
-    fn ip(self, number: usize) -> Ipv4Addr {
+    fn ip(self, number: usize) -> IpAddr {
         let process = std::process::id();
-        Ipv4Addr::new(
+        IpAddr::from([
             127,
             20 + (self.seed % 200) as u8,
             1 + (process % 250) as u8,
             1 + number as u8,
-        )
-    }
-
-    /// Ports that are free on the first address; the programs bind them themselves.
-    fn ports<const N: usize>(self) -> [u16; N] {
-        let listeners: Vec<TcpListener> = (0..N)
-            .map(|_| TcpListener::bind((self.ip(0), 0)).unwrap())
-            .collect();
-        std::array::from_fn(|i| listeners[i].local_addr().unwrap().port())
+        ])
     }
 }
 
 /// Starts daemons before a store.
 pub async fn start_daemons(count: usize, seed: u64, store: SocketAddr) -> Vec<Daemon> {
     let subnet = Subnet::new(seed);
-    let [front, ready, control, peer] = subnet.ports();
-    let seeds: Vec<String> = (0..count.min(3))
-        .map(|number| format!("\"{}:{control}\"", subnet.ip(number)))
+    let [front, ready, control, peer] = free_ports(subnet.ip(0));
+    let seeds: Vec<SocketAddr> = (0..count.min(3))
+        .map(|number| SocketAddr::new(subnet.ip(number), control))
         .collect();
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let mut daemons = Vec::new();
@@ -130,20 +122,23 @@
         let settings = folder.join(format!("{name}.toml"));
         let log = folder.join(format!("{name}.log"));
         let _ = std::fs::remove_file(&log);
-        let text = format!(
-            "nodeName = \"{name}\"\nip = \"{ip}\"\nzone = \"here\"\ninternalPorts = [{peer}]\n\
-             seedNodes = [{}]\n[listen]\nfront = \"{ip}:{front}\"\nready = \"{ip}:{ready}\"\n\
-             control = \"{ip}:{control}\"\n[bounds]\ngraceS = {GRACE_S}\nretryBudgetRatio = 0.2\n\
-             retrySlack = 50\nbudgetWindowS = 10\n[platform]\naddress = \"{}\"\n",
-            seeds.join(","),
-            proxy.address
-        );
-        std::fs::write(&settings, text).unwrap();
+        let file = DaemonFile {
+            name: &name,
+            ip,
+            front,
+            ready,
+            control: Some(control),
+            peer,
+            seeds: &seeds,
+            grace_s: GRACE_S,
+            store: proxy.address,
+        };
+        std::fs::write(&settings, file.text()).unwrap();
         let child = spawn(&settings, &log);
         daemons.push(Daemon {
             name,
-            listen: SocketAddr::from((ip, front)),
-            ready: SocketAddr::from((ip, ready)),
+            listen: SocketAddr::new(ip, front),
+            ready: SocketAddr::new(ip, ready),
             life: 0,
             child,
             store: proxy,
@@ -231,32 +226,6 @@
     }
 }
 
-/// A table of the soak; each version has the same routes.
-pub fn table(version: u64) -> Value {
-    let route = |name: &str, path: &str, kind: &str, service: &str| {
-        json!({"name": name, "host": "a.example", "pathPrefix": path, "kind": kind,
-            "timeoutMs": 3000, "targetLatencyMs": 1500, "service": service, "maxAttempts": 2,
-            "public": true, "priority": 0, "affinity": service == "llm"})
-    };
-    let mut stream = route("stream", "/s/", "streaming", "llm");
-    stream["resumable"] = json!(true);
-    let mut staged = route("staged", "/p/", "streaming", "llm");
-    staged["stages"] = json!([{"service": "enc", "sinceRev": [], "bytes": 1000}]);
-    let segments = json!({"slots": 1, "queue": 2, "batch": 8, "callMs": 5.0, "itemMs": 1.0,
-        "headroomMb": 1.0, "handleS": 4.0, "linkMbps": 10000});
-    json!({"version": version,
-        "routes": [
-            route("repeatable", "/r/", "idempotent", "plain"),
-            route("guarded", "/g/", "non_idempotent", "plain"),
-            stream, staged],
-        "services": [
-            {"name": "plain", "healthPath": "/h", "maxConnections": 400},
-            {"name": "llm", "healthPath": "/h", "maxConnections": 400, "engine": {}},
-            {"name": "enc", "healthPath": "/h", "maxConnections": 400, "segments": segments}],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000}})
-}
-
 /// Harms that a proxy may do, by a number.
 pub fn harm(choice: u32) -> Harm {
     match choice % 5 {
--- a/daemon/tests/soak/trouble.rs
+++ b/daemon/tests/soak/trouble.rs
@@ -2,9 +2,12 @@
 
 use {
     super::{
-        fleet::{Daemon, Member, harm, start_member, table, wrong},
+        fleet::{Daemon, Member, harm, start_member, wrong},
         proxy::Harm,
-        stand_in::store::{StandInStore, Trouble},
+        stand_in::{
+            site::table_of_kinds,
+            store::{StandInStore, Trouble},
+        },
     },
     rand::{RngExt, rngs::SmallRng},
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -38,7 +41,7 @@
                 tokio::task::spawn_local(async move { world.stop(daemon).await });
             }
             3 => self.replace(choice).await,
-            4 => self.store_moves(),
+            4 => self.store.compact(),
             5 | 6 => {
                 tokio::task::spawn_local(async move { world.kill(daemon, time).await });
             }
@@ -63,7 +66,7 @@
     /// The operator publishes a new table.
     pub fn publish(&self) {
         self.version.set(self.version.get() + 1);
-        self.store.publish(&table(self.version.get()));
+        self.store.publish(&table_of_kinds(self.version.get()));
     }
 
     /// The settings are said to have changed; a process that hasn't begun yet is left alone.
@@ -149,11 +152,6 @@
         old.replica.write_down(&self.store, service, "draining");
     }
 
-    /// The store drops its history.
-    fn store_moves(&self) {
-        self.store.compact();
-    }
-
     async fn store_fails(&self, choice: u32, time: Duration) {
         let trouble = [Trouble::Silent, Trouble::Refusing, Trouble::Nonsense];
         self.store
--- a/daemon/tests/test_process.rs
+++ b/daemon/tests/test_process.rs
@@ -7,22 +7,28 @@
 
 use {
     serde_json::{Value, json},
-    stand_in::{client, replica::Replica, run, store::StandInStore, until},
+    stand_in::{
+        client, loopback,
+        replica::Replica,
+        run,
+        site::{DaemonFile, free_ports, plain_table},
+        store::StandInStore,
+        until,
+    },
     std::{
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::PathBuf,
         process::{Child, Command, Stdio},
     },
 };
 
+/// A table whose requests may take long.
 fn config() -> Value {
-    json!({"version": 1,
-        "routes": [{"name": "r", "host": "a.example", "pathPrefix": "/x/",
-            "kind": "idempotent", "timeoutMs": 8000, "targetLatencyMs": 100, "service": "s",
-            "maxAttempts": 1, "public": true}],
-        "services": [{"name": "s", "healthPath": "/h", "maxConnections": 50}],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000}})
+    let mut table = plain_table(1, "/x/");
+    let route = &mut table["routes"][0];
+    route["timeoutMs"] = json!(8_000);
+    route["maxAttempts"] = json!(1);
+    table
 }
 
 /// A running daemon; killed when the test ends, whichever way.
@@ -42,24 +48,23 @@
     }
 }
 
-/// Ports that were free a moment ago; the program binds them itself.
-fn free_ports<const N: usize>() -> [u16; N] {
-    let listeners: Vec<TcpListener> = (0..N)
-        .map(|_| TcpListener::bind(stand_in::loopback()).unwrap())
-        .collect();
-    std::array::from_fn(|i| listeners[i].local_addr().unwrap().port())
-}
-
 fn settings_text(name: &str, [front, ready, peer]: [u16; 3], store: SocketAddr) -> String {
-    format!(
-        "nodeName = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"here\"\ninternalPorts = [{peer}]\n\
-         [listen]\nfront = \"127.0.0.1:{front}\"\nready = \"127.0.0.1:{ready}\"\n\
-         [bounds]\ngraceS = 3.5\n[platform]\naddress = \"{store}\"\n"
-    )
+    let file = DaemonFile {
+        name,
+        ip: loopback().ip(),
+        front,
+        ready,
+        control: None,
+        peer,
+        seeds: &[],
+        grace_s: 3.5,
+        store,
+    };
+    file.text()
 }
 
 async fn start(name: &str, store: &StandInStore, log: Stdio) -> Process {
-    let [front, ready, peer] = free_ports();
+    let [front, ready, peer] = free_ports(loopback().ip());
     let file = format!("hazelyoked-{}-{name}.toml", std::process::id());
     let settings = std::env::temp_dir().join(file);
     let text = settings_text(name, [front, ready, peer], store.address);
@@ -126,7 +131,7 @@
         let store = StandInStore::start().await;
         store.publish(&config());
         let _replica = Replica::start(&store, "i-1", "s").await;
-        let [front, ready, peer] = free_ports();
+        let [front, ready, peer] = free_ports(loopback().ip());
         // Settings that come through a pipe hold the daemon in its start until they are written.
         let pipe = std::env::temp_dir().join(format!("hazelyoked-{}-pipe", std::process::id()));
         let _ = std::fs::remove_file(&pipe);
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -26,8 +26,8 @@
     soak::{
         caller::{Kind, Outcomes, ask_once, run_caller},
         checks::check,
-        fleet::{Daemon, start_daemons, start_members, table},
-        stand_in::store::StandInStore,
+        fleet::{Daemon, start_daemons, start_members},
+        stand_in::{site::table_of_kinds, store::StandInStore},
         trouble::World,
     },
     stand_in::client,
@@ -120,7 +120,7 @@
         rng.random_range(2..=6)
     };
     let store = StandInStore::start().await;
-    store.publish(&table(1));
+    store.publish(&table_of_kinds(1));
     let members = start_members(&store).await;
     let daemons = start_daemons(count, seed, store.address).await;
     let world = World {
