serving/reload: SIGHUP puts grace, retry budget, bounds and seeds in force

Cause: the settings were one value of Gateway that nothing replaced; the reload read and checked the file and dropped it. Now Gateway::settings returns the value in force, serving/reload compares it with what was read, and the fields that a running daemon can't change (names, addresses, capacity) are reported by name and hold until a restart.

--- a/daemon/src/forwarding.rs
+++ b/daemon/src/forwarding.rs
@@ -3,8 +3,8 @@
 use {
     crate::signals::Signals,
     anyhow::Result,
-    hazelyoke_lib::gateway::serving::server::Server,
-    hazelyoke_platform::{PlatformDialect, Store, read_settings},
+    hazelyoke_lib::gateway::{dialect::Dialect, serving::server::Server, state::Gateway},
+    hazelyoke_platform::{PlatformDialect, PlatformSettings, SettingsError, Store, read_settings},
     std::{net::SocketAddr, path::Path},
     tokio::{runtime::Builder, task::LocalSet},
 };
@@ -19,22 +19,51 @@
     let runtime = Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let mut signals = Signals::install()?;
-        let mut settings = read_settings(path)?;
-        let host = settings.gateway.peer.ip();
-        settings.gateway.metrics = metrics_port.map(|port| SocketAddr::new(host, port));
-        let store = Store::new(settings.store);
-        let server: Server<PlatformDialect> = Server::start(settings.gateway, store).await?;
-        signals.wait_for_stop(|| check_settings(path)).await;
+        let file = SettingsFile { path, metrics_port };
+        let settings = file.read()?;
+        let address = settings.store;
+        let server: Server<PlatformDialect> =
+            Server::start(settings.gateway, Store::new(address)).await?;
+        signals
+            .wait_for_stop(|| file.reload(server.gateway(), address))
+            .await;
         server.stop().await;
         Ok(())
     })
 }
 
-/// Checks the changed settings file and logs what is wrong. Nothing of it takes effect before a
-/// restart (`docs/FINDINGS.md`, the row about reloads).
-fn check_settings(path: &Path) {
-    match read_settings(path) {
-        Ok(_) => log::info!("settings.reloaded"),
-        Err(error) => log::error!(error:%; "settings.refused"),
+/// The settings file, and what the command line adds to it.
+struct SettingsFile<'a> {
+    path: &'a Path,
+    /// Port of this host for metrics, beside the settings' own address.
+    metrics_port: Option<u16>,
+}
+
+impl SettingsFile<'_> {
+    fn read(&self) -> Result<PlatformSettings, SettingsError> {
+        let mut settings = read_settings(self.path)?;
+        let host = settings.gateway.peer.ip();
+        settings.gateway.metrics = self.metrics_port.map(|port| SocketAddr::new(host, port));
+        Ok(settings)
+    }
+
+    /// Reads the file again, puts what can change in force, and logs what did. A damaged file
+    /// changes nothing.
+    fn reload<D: Dialect>(&self, gateway: &Gateway<D>, store: SocketAddr) {
+        let settings = match self.read() {
+            Ok(settings) => settings,
+            Err(error) => {
+                log::error!(error:%; "settings.refused");
+                return;
+            }
+        };
+        let reload = gateway.reload(&settings.gateway);
+        if settings.store != store {
+            log::warn!(field = "store"; "settings.needs_restart");
+        }
+        for field in &reload.refused.0 {
+            log::warn!(field:%; "settings.needs_restart");
+        }
+        log::info!(applied:% = reload.applied; "settings.reloaded");
     }
 }
--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Sets the time for which endpoints are used whose entries vanish from now on.
+    pub fn set_suspect_time(&mut self, time: Millis) {
+        self.suspect_time = time;
+    }
+
     /// Returns the revision up to which all changes were applied.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/lib/src/gateway/directory/coverage.rs
+++ b/lib/src/gateway/directory/coverage.rs
@@ -24,7 +24,7 @@
 impl<D: Dialect> Gateway<D> {
     /// Returns whether peers read the directory for this daemon just now.
     pub fn is_covered(&self) -> bool {
-        let wait = self.settings.bounds.directory_wait();
+        let wait = self.settings().bounds.directory_wait();
         let now = self.now();
         if self.phase() != Phase::Ready {
             return false;
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -29,7 +29,6 @@
     topic: Topic,
 ) {
     let mut follower = Follower {
-        wait: topic_wait(topic, gateway.settings.bounds.directory_wait()),
         gateway,
         directory,
         topic,
@@ -48,8 +47,6 @@
     gateway: Rc<Gateway<D>>,
     directory: Rc<S>,
     topic: Topic,
-    /// Time for which a call waits for changes.
-    wait: Duration,
     /// Revision up to which all changes are known; nothing before the first list.
     since: Option<u64>,
     backoff: Backoff,
@@ -60,7 +57,7 @@
     /// wait for changes.
     async fn wait_for_turn(&mut self) -> Duration {
         if !self.gateway.is_covered() {
-            return self.wait;
+            return self.usual_wait();
         }
         wait_uncovered(&self.gateway, self.topic).await;
         let known = self.gateway.known_revision(self.topic);
@@ -69,6 +66,12 @@
         Duration::ZERO
     }
 
+    /// Returns the time for which a call waits for changes, by the settings in force.
+    fn usual_wait(&self) -> Duration {
+        let bounds = self.gateway.settings().bounds;
+        topic_wait(self.topic, bounds.directory_wait())
+    }
+
     async fn read(&self, wait: Duration) -> Result<Items, DirectoryError> {
         match self.since {
             None => self.directory.list(self.topic).await,
--- a/lib/src/gateway/peers/catch_up.rs
+++ b/lib/src/gateway/peers/catch_up.rs
@@ -87,7 +87,7 @@
     let reading = DirectoryReading {
         covered,
         answered: state.contact.reads.answered.unwrap_or_default(),
-        wait: gateway.settings.bounds.directory_wait(),
+        wait: gateway.settings().bounds.directory_wait(),
     };
     let known = state.has_list.then(|| state.catalogue.changed());
     let fetch = catch_up::list_fetch(now, known, reading)?;
--- a/lib/src/gateway/peers/membership.rs
+++ b/lib/src/gateway/peers/membership.rs
@@ -69,21 +69,24 @@
     /// Starts with the addresses to meet first.
     pub fn new(me: Identity, seeds: &[SocketAddr]) -> Self {
         let rng = SmallRng::seed_from_u64(me.run);
-        let seeds = seeds
-            .iter()
-            .copied()
-            .filter(|seed| *seed != me.address)
-            .collect();
-        Self {
+        let mut peers = Self {
             me,
-            seeds,
+            seeds: Vec::new(),
             known: HashMap::default(),
             sequence: 0,
             rng,
             awake: Time::default(),
             broadcasts_left: 0,
             reported_work: Vec::new(),
-        }
+        };
+        peers.set_seeds(seeds);
+        peers
+    }
+
+    /// Sets the addresses to meet first; this daemon's own is left out.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        let others = seeds.iter().filter(|seed| **seed != self.me.address);
+        self.seeds = others.copied().collect();
     }
 
     /// Returns whether the fleet is so small that every heartbeat goes to everybody.
--- a/lib/src/gateway/routing/outbound.rs
+++ b/lib/src/gateway/routing/outbound.rs
@@ -33,7 +33,8 @@
         inputs: &inputs,
         connection_limit: gateway.connections_each(&call.service),
     };
-    let here = &gateway.settings.data_centre;
+    let settings = gateway.settings();
+    let here = &settings.data_centre;
     let state = gateway.state.borrow();
     state
         .endpoints
--- a/lib/src/gateway/routing/service_limits.rs
+++ b/lib/src/gateway/routing/service_limits.rs
@@ -28,12 +28,13 @@
     }
 
     fn with_budget<R>(&self, service: &ServiceId, act: impl FnOnce(&mut WindowBudget) -> R) -> R {
-        let limits = self.settings.budget;
+        let limits = self.settings().budget;
         let mut state = self.state.borrow_mut();
         let budget = state
             .budgets
             .entry(service.clone())
             .or_insert_with(|| WindowBudget::new(limits, Time::default()));
+        budget.set_limits(limits);
         act(budget)
     }
 
--- a/lib/src/gateway/rules/retry_budget.rs
+++ b/lib/src/gateway/rules/retry_budget.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Sets what the installation allows from now on; what was spent stays spent.
+    pub fn set_limits(&mut self, limits: BudgetLimits) {
+        self.limits = limits;
+    }
+
     /// Counts a request for the service.
     pub fn deposit(&mut self, now: Time) {
         self.expire(now);
--- a/lib/src/gateway/serving/mod.rs
+++ b/lib/src/gateway/serving/mod.rs
@@ -3,6 +3,7 @@
 pub mod ingress;
 pub mod metrics;
 pub mod operator;
+pub mod reload;
 pub mod server;
 pub mod settings;
 pub mod sockets;
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -86,11 +86,12 @@
             sockets.callers.listener,
             watched,
         ));
+        let settings = gateway.settings();
         log::info!(
-            host:% = gateway.settings.host,
+            host:% = settings.host,
             listen:% = server.listen,
-            peer:% = gateway.settings.peer,
-            data_centre:% = gateway.settings.data_centre;
+            peer:% = settings.peer,
+            data_centre:% = settings.data_centre;
             "daemon.started"
         );
         Ok(server)
@@ -156,7 +157,7 @@
     /// [`shutdown`](crate::gateway::rules::shutdown).
     pub async fn stop(self) {
         let begun = Instant::now();
-        let schedule = StopSchedule::new(self.gateway.settings.grace);
+        let schedule = StopSchedule::new(self.gateway.settings().grace);
         let end = begun + schedule.end;
         self.gateway.stopping.set(true);
         log::info!(in_flight = self.gateway.in_flight.get(); "daemon.stopping");
--- a/lib/src/gateway/serving/settings.rs
+++ b/lib/src/gateway/serving/settings.rs
@@ -1,4 +1,5 @@
-//! Checked settings of a forwarding daemon, fixed from its start on.
+//! Checked settings of a forwarding daemon. [`reload`](super::reload) says which of them change while it
+//! runs.
 //!
 //! The installation's own file is read elsewhere; times that follow from the settings are computed by
 //! the rules.
--- a/lib/src/gateway/serving/status.rs
+++ b/lib/src/gateway/serving/status.rs
@@ -67,7 +67,7 @@
         in_flight: member.running,
     });
     StatusBody {
-        host: gateway.settings.host.to_string(),
+        host: gateway.settings().host.to_string(),
         ready: phase == Phase::Ready,
         version: state.published.as_ref().map_or(0, |p| p.table.version),
         in_flight: gateway.in_flight.get() as u64,
--- a/lib/src/gateway/stages/batch_queue.rs
+++ b/lib/src/gateway/stages/batch_queue.rs
@@ -12,7 +12,10 @@
     crate::{
         gateway::{
             directory::catalogue::EndpointEntry,
-            rules::{result_room, retry_budget::WindowBudget},
+            rules::{
+                result_room,
+                retry_budget::{BudgetLimits, WindowBudget},
+            },
             stages::{
                 batch_call::{CallId, RunningCall},
                 job::{JobEnd, JobId, ResultHandle, StageJob},
@@ -72,9 +75,10 @@
         }
     }
 
-    /// Sets the limits of calls, and how many daemons share the budget of retries.
-    pub fn set_limits(&mut self, limits: BatchLimits, daemons: usize) {
+    /// Sets the limits of calls and of retries, and how many daemons share the budget of retries.
+    pub fn set_limits(&mut self, limits: BatchLimits, budget: BudgetLimits, daemons: usize) {
         self.limits = limits;
+        self.budget.set_limits(budget);
         self.daemons = daemons;
     }
 
--- a/lib/src/gateway/stages/queues.rs
+++ b/lib/src/gateway/stages/queues.rs
@@ -87,7 +87,7 @@
             let queue = self.queues.entry(service.clone()).or_insert_with(|| {
                 BatchQueue::new(*limits, WindowBudget::new(budget, Time::default()))
             });
-            queue.set_limits(*limits, daemons);
+            queue.set_limits(*limits, budget, daemons);
             let open: Vec<_> = endpoints
                 .service(service)
                 .filter(|member| member.is_open())
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -17,7 +17,7 @@
             },
             routing::endpoint_states::EndpointStates,
             rules::{catch_up, coordinator, retry_budget::WindowBudget},
-            serving::{metrics::GatewayMetrics, settings::GatewaySettings},
+            serving::{metrics::GatewayMetrics, reload::Reload, settings::GatewaySettings},
             stages::{queues::Planning, workload::Workload},
             table::Table,
         },
@@ -81,8 +81,8 @@
 /// One forwarding daemon.
 #[derive(Debug)]
 pub struct Gateway<D> {
-    /// Settings that it was started with.
-    pub settings: GatewaySettings,
+    /// Settings in force.
+    settings: RefCell<Rc<GatewaySettings>>,
     /// State that changes while it runs. No borrow is held across an await.
     pub state: RefCell<GatewayState>,
     /// Links to other daemons.
@@ -115,7 +115,7 @@
         let peers = Peers::new(me, &settings.seeds);
         let catalogue = Catalogue::new(settings.bounds.suspect_time());
         Rc::new(Self {
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             state: RefCell::new(GatewayState {
                 published: None,
                 catalogue,
@@ -140,6 +140,28 @@
         })
     }
 
+    /// Returns the settings in force; a reload replaces them.
+    pub fn settings(&self) -> Rc<GatewaySettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts settings that were read again in force, as far as a running daemon can change them.
+    pub fn reload(&self, read: &GatewaySettings) -> Reload {
+        let reload = Reload::new(&self.settings(), read);
+        let settings = Rc::new(reload.settings.clone());
+        {
+            let mut state = self.state.borrow_mut();
+            state.peers.set_seeds(&settings.seeds);
+            state
+                .catalogue
+                .set_suspect_time(settings.bounds.suspect_time());
+        }
+        *self.settings.borrow_mut() = settings;
+        // The queues of stages take their part of a new retry budget.
+        self.sync_planning();
+        reload
+    }
+
     /// Returns the time on the daemon's own clock.
     pub fn now(&self) -> Time {
         Time(self.start.elapsed().as_micros() as u64)
@@ -179,7 +201,7 @@
 
     /// Updates the endpoints that the queues of stages may call, and wakes the loop that plans calls.
     pub(crate) fn sync_planning(&self) {
-        let limits = self.settings.budget;
+        let limits = self.settings().budget;
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let daemons = state.peers.daemons();
--- a/lib/tests/test_stage_pins.rs
+++ b/lib/tests/test_stage_pins.rs
@@ -57,14 +57,12 @@
     (0..count).map(|i| Arc::new(entry(i))).collect()
 }
 
-fn budget() -> WindowBudget {
-    let limits = BudgetLimits {
-        ratio: Share(0.2),
-        slack: 20.0,
-        window: Millis(10_000),
-    };
-    WindowBudget::new(limits, Time(0))
-}
+/// Retries that the queue may send.
+const BUDGET: BudgetLimits = BudgetLimits {
+    ratio: Share(0.2),
+    slack: 20.0,
+    window: Millis(10_000),
+};
 
 fn joined<T: Display>(values: impl IntoIterator<Item = T>) -> String {
     let texts: Vec<String> = values.into_iter().map(|value| value.to_string()).collect();
@@ -88,7 +86,7 @@
 impl Run {
     fn new(slots: usize) -> Self {
         let limits = BatchLimits { slots, ..LIMITS };
-        let mut queue = BatchQueue::new(limits, budget());
+        let mut queue = BatchQueue::new(limits, WindowBudget::new(BUDGET, Time(0)));
         queue.set_endpoints(&entries(4));
         Self {
             queue,
@@ -116,7 +114,7 @@
             }
             14 => {
                 let daemons = u.int_in_range(1..=4)?;
-                self.queue.set_limits(LIMITS, daemons);
+                self.queue.set_limits(LIMITS, BUDGET, daemons);
                 self.note(&format!("{daemons} daemons"));
             }
             _ => self.release(),
