admission: a request waits for the pieces that go ahead of its own

Cause: admission compared a request's objective with all outstanding pieces of a service, whatever their order, while endpoints get pieces by objective and rank.

Change: outstanding pieces are counted by bands of the time until they are due (rules/backlog), heartbeats carry the bands (optional field; the earlier release reads and sends heartbeats without it), and a request is expected to wait for what is ahead of its own pieces, and for the first call that ends (busy_wait).

--- a/lib/src/gateway/peers/heartbeats.rs
+++ b/lib/src/gateway/peers/heartbeats.rs
@@ -51,7 +51,7 @@
     let changes = gateway.state.borrow_mut().peers.update_liveness(now);
     apply_changes(gateway, &changes);
     let outgoing = gateway.state.borrow_mut().peers.heartbeat(now, report);
-    let datagram = Datagram::Heartbeat(outgoing.heartbeat);
+    let datagram = Datagram::Heartbeat(Box::new(outgoing.heartbeat));
     send_datagram(socket, &datagram, outgoing.targets.into_iter());
 }
 
--- a/lib/src/gateway/peers/membership.rs
+++ b/lib/src/gateway/peers/membership.rs
@@ -13,7 +13,7 @@
     crate::{
         gateway::{
             peers::{
-                message::{Heartbeat, PeerNote, WorkNote},
+                message::{BacklogNote, Heartbeat, PeerNote},
                 peer_change::PeerChange,
                 record::{Peer, ReceivedHeartbeat},
             },
@@ -62,7 +62,7 @@
     /// Heartbeats still to be sent to everybody.
     pub(super) broadcasts_left: u32,
     /// The outstanding work that the last heartbeat reported.
-    pub(super) reported_work: Vec<WorkNote>,
+    pub(super) reported_backlogs: Vec<BacklogNote>,
 }
 
 impl Peers {
@@ -77,7 +77,7 @@
             rng,
             awake: Time::default(),
             broadcasts_left: 0,
-            reported_work: Vec::new(),
+            reported_backlogs: Vec::new(),
         };
         peers.set_seeds(seeds);
         peers
--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -10,6 +10,7 @@
         gateway::{
             directory::catalogue::{EndpointChanges, EndpointEntry},
             hashes::{EndpointHash, ServiceHash},
+            rules::backlog::Backlog,
             stages::job::{JobEnd, PieceInput, ResultHandle},
             table::Version,
         },
@@ -155,6 +156,34 @@
     }
 }
 
+/// Outstanding pieces of a service by the order in which they go. A daemon of an earlier release sends
+/// none and reports [`WorkNote`] and [`QueueNote`] alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(
+    into = "(ServiceHash, Backlog, Option<Backlog>)",
+    from = "(ServiceHash, Backlog, Option<Backlog>)"
+)]
+pub struct BacklogNote {
+    /// The service.
+    pub service: ServiceHash,
+    /// Those of the sender's requests.
+    pub own: Backlog,
+    /// Those of all daemons, if the sender coordinates the service.
+    pub all: Option<Backlog>,
+}
+
+impl From<BacklogNote> for (ServiceHash, Backlog, Option<Backlog>) {
+    fn from(note: BacklogNote) -> Self {
+        (note.service, note.own, note.all)
+    }
+}
+
+impl From<(ServiceHash, Backlog, Option<Backlog>)> for BacklogNote {
+    fn from((service, own, all): (ServiceHash, Backlog, Option<Backlog>)) -> Self {
+        Self { service, own, all }
+    }
+}
+
 /// A sign of life of its sender, with what it reports of itself and of some other daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -216,6 +245,9 @@
     /// Its outstanding pieces.
     #[serde(rename = "w")]
     pub work: Vec<WorkNote>,
+    /// The outstanding pieces by their order.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub backlogs: Vec<BacklogNote>,
 }
 
 /// Loads of all daemons together, as a coordinator sums them up; one datagram holds a part of
@@ -246,7 +278,7 @@
 pub enum Datagram {
     /// A sign of life.
     #[serde(rename = "h")]
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// Sums of loads.
     #[serde(rename = "d")]
     Loads(LoadDigest),
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -43,7 +43,7 @@
         self.broadcasts_left = gossip::broadcasts_left(coordinates, self.broadcasts_left);
         let targets = self.targets(&coordinators);
         let peers = self.named_peers(now);
-        self.reported_work.clone_from(&report.work);
+        self.reported_backlogs.clone_from(&report.backlogs);
         let heartbeat = Heartbeat {
             protocol: PROTOCOL,
             host: self.me.host.clone(),
@@ -64,6 +64,7 @@
             loads: gossip::largest_loads(report.loads),
             queues: report.queues,
             work: report.work,
+            backlogs: report.backlogs,
         };
         OutgoingHeartbeat { heartbeat, targets }
     }
--- a/lib/src/gateway/peers/receive.rs
+++ b/lib/src/gateway/peers/receive.rs
@@ -49,7 +49,7 @@
     }
     let now = gateway.now();
     match datagram {
-        Datagram::Heartbeat(heartbeat) => receive_heartbeat(gateway, socket, heartbeat, from),
+        Datagram::Heartbeat(heartbeat) => receive_heartbeat(gateway, socket, *heartbeat, from),
         Datagram::Loads(digest) => gateway
             .state
             .borrow_mut()
--- a/lib/src/gateway/peers/reports.rs
+++ b/lib/src/gateway/peers/reports.rs
@@ -5,11 +5,12 @@
 use {
     crate::gateway::{
         hashes::{EndpointHash, ServiceHash},
-        peers::membership::Peers,
+        peers::{membership::Peers, message::Heartbeat},
         routing::endpoint_state::PeerLoad,
-        rules::coordinator::Coordinator,
+        rules::{backlog::Backlog, coordinator::Coordinator},
     },
     foldhash::HashMap,
+    std::net::SocketAddr,
 };
 
 impl Peers {
@@ -43,43 +44,50 @@
 
     /// Returns the outstanding pieces of a service at other daemons, as their heartbeats report it
     /// here.
-    pub fn reported_outstanding(&self, service: ServiceHash) -> u32 {
-        let notes = self.heartbeats().flat_map(|heartbeat| &heartbeat.work);
-        notes
-            .filter(|note| note.service == service)
-            .map(|note| note.pieces)
-            .fold(0, u32::saturating_add)
+    pub fn reported_backlog(&self, service: ServiceHash) -> Backlog {
+        let reports = self.heartbeats();
+        reports.fold(Backlog::default(), |sum, heartbeat| {
+            sum.plus(&own_backlog(heartbeat, service))
+        })
     }
 
     /// Returns the outstanding pieces of a service at other daemons: as all of them report it in a
     /// small fleet, else as the service's coordinator sums it up.
-    pub fn outstanding(&self, service: ServiceHash, coordinator: Coordinator) -> u32 {
-        let reported = self.reported_outstanding(service);
-        let Coordinator::Peer(address) = coordinator else {
-            return reported;
+    pub fn backlog(&self, service: ServiceHash, coordinator: Coordinator) -> Backlog {
+        let summed = match coordinator {
+            Coordinator::Peer(address) if !self.is_small() => self.summed_backlog(service, address),
+            Coordinator::Peer(_) | Coordinator::Me => None,
         };
-        let total = self
-            .known
-            .get(&address)
-            .and_then(|peer| peer.last_heartbeat.as_ref())
-            .and_then(|last| {
-                last.heartbeat
-                    .queues
-                    .iter()
-                    .find(|note| note.service == service)
-            })
-            .map(|note| note.outstanding);
-        match total {
-            // The coordinator's sum has this daemon's own pieces in it, as its last heartbeat
-            // reported them.
-            Some(total) if !self.is_small() => {
-                let own = self
-                    .reported_work
-                    .iter()
-                    .filter(|note| note.service == service);
-                total.saturating_sub(own.map(|note| note.pieces).sum())
-            }
-            _ => reported,
+        summed.unwrap_or_else(|| self.reported_backlog(service))
+    }
+
+    /// Returns the outstanding pieces of a service at other daemons by the sum of its coordinator. This
+    /// daemon's own pieces are in that sum as its last heartbeat reported them, and are left out.
+    fn summed_backlog(&self, service: ServiceHash, coordinator: SocketAddr) -> Option<Backlog> {
+        let own = self.reported_backlogs.iter();
+        let own = own.filter(|note| note.service == service);
+        let own = own.map(|note| note.own).next().unwrap_or_default();
+        let last = self.known.get(&coordinator)?.last_heartbeat.as_ref()?;
+        let notes = last.heartbeat.backlogs.iter();
+        let mut notes = notes.filter(|note| note.service == service);
+        if let Some(all) = notes.find_map(|note| note.all) {
+            return Some(all.minus(&own));
         }
+        // A coordinator of an earlier release reports a number alone.
+        let mut queues = last.heartbeat.queues.iter();
+        let queue = queues.find(|note| note.service == service)?;
+        let others = queue.outstanding.saturating_sub(own.total());
+        Some(Backlog::unordered(others))
+    }
+}
+
+/// Returns the outstanding pieces of a service that a daemon reports of its own requests.
+fn own_backlog(heartbeat: &Heartbeat, service: ServiceHash) -> Backlog {
+    let mut notes = heartbeat.backlogs.iter();
+    if let Some(note) = notes.find(|note| note.service == service) {
+        return note.own;
     }
+    let mut work = heartbeat.work.iter();
+    let note = work.find(|note| note.service == service);
+    note.map_or(Backlog::default(), |note| Backlog::unordered(note.pieces))
 }
--- a/lib/src/gateway/peers/self_report.rs
+++ b/lib/src/gateway/peers/self_report.rs
@@ -4,7 +4,7 @@
     gateway::{
         dialect::Dialect,
         hashes::{endpoint_hash, service_hash},
-        peers::message::{LoadNote, Phase, QueueNote, WorkNote},
+        peers::message::{BacklogNote, LoadNote, Phase, QueueNote, WorkNote},
         rules::coordinator::Coordinator,
         state::{Gateway, GatewayState},
         table::Version,
@@ -33,6 +33,8 @@
     pub queues: Vec<QueueNote>,
     /// Its outstanding pieces.
     pub work: Vec<WorkNote>,
+    /// The outstanding pieces by their order.
+    pub backlogs: Vec<BacklogNote>,
     /// The services that have a coordinator.
     pub services: Vec<ServiceId>,
 }
@@ -44,12 +46,34 @@
             self.peers.coordinator(now, service, ready, &[]) == Coordinator::Me
         };
         let total = |service: &ServiceId| {
-            let others = self.peers.reported_outstanding(service_hash(service));
-            self.workload.outstanding(service).saturating_add(others)
+            let others = self.peers.reported_backlog(service_hash(service));
+            self.workload
+                .outstanding(service)
+                .saturating_add(others.total())
         };
         self.planning.notes(now, mine, total)
     }
 
+    /// Returns the outstanding pieces by their order, of services that have any; `queues` are those that
+    /// this daemon coordinates.
+    fn backlog_notes(&self, now: Time, queues: &[QueueNote]) -> Vec<BacklogNote> {
+        let note = |service: &ServiceId| {
+            let hash = service_hash(service);
+            let own = self.workload.backlog(now, service);
+            let coordinates = queues.iter().any(|queue| queue.service == hash);
+            let all = coordinates.then(|| own.plus(&self.peers.reported_backlog(hash)));
+            BacklogNote {
+                service: hash,
+                own,
+                all,
+            }
+        };
+        let notes = self.planning.services().map(note);
+        let has_pieces =
+            |note: &BacklogNote| note.own.plus(&note.all.unwrap_or_default()).total() > 0;
+        notes.filter(has_pieces).collect()
+    }
+
     /// Returns what this daemon has in flight at endpoints.
     fn load_notes(&self) -> Vec<LoadNote> {
         self.endpoints
@@ -82,6 +106,8 @@
         let phase = reported_phase(self.phase(), ready);
         let state = self.state.borrow();
         let published = state.published.as_ref();
+        let queues = state.queue_notes(now, ready);
+        let backlogs = state.backlog_notes(now, &queues);
         SelfReport {
             phase,
             table: published.map_or(0, |published| published.table.version),
@@ -90,8 +116,9 @@
             steady: state.contact.reads.is_steady(now),
             read_ms: state.read_ms(now),
             loads: state.load_notes(),
-            queues: state.queue_notes(now, ready),
+            queues,
             work: state.workload.notes(),
+            backlogs,
             services: published
                 .iter()
                 .flat_map(|published| published.table.services())
--- a/lib/src/gateway/routing/stages.rs
+++ b/lib/src/gateway/routing/stages.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         gateway::{
-            dialect::{Dialect, Inbound},
+            dialect::Dialect,
             hashes::service_hash,
             routing::{call::ForwardedCall, outbound::choose_endpoint},
             rules::{
@@ -14,17 +14,19 @@
                     self, AdmissionDecision, AdmissionRequest, CountSources, PieceCount,
                     PlannedStage, StageService,
                 },
+                backlog::{Backlog, Band},
                 call_timing::CallCost,
+                piece_order::due,
                 retry_after::STAGE_FAILED,
             },
             stages::{
                 chain::{self, ChainError},
                 chain_request::ChainRequest,
-                job::piece_count,
                 stage_results::Results,
+                workload::PieceRank,
             },
             state::{Gateway, GatewayState},
-            table::{BatchLimits, Route},
+            table::BatchLimits,
         },
         shared::{
             ids::ServiceId,
@@ -43,7 +45,7 @@
     if !call.has_stages() {
         return Ok(());
     }
-    match admit(gateway, &call.route, &call.inbound) {
+    match admit(gateway, &stages_of(call)) {
         AdmissionDecision::Admit { expected } => {
             log::info!(
                 request = call.id(),
@@ -73,14 +75,7 @@
     if !call.has_stages() {
         return Ok(None);
     }
-    let objective = call.arrived + call.route.objective;
-    let request = ChainRequest::new(
-        &call.inbound,
-        &call.route,
-        call.deadline.min(call.give_up()),
-        objective,
-        call.urgency,
-    );
+    let request = stages_of(call);
     let probable = choose_endpoint(gateway, call, &[], None);
     let request = request.near(probable.map(|choice| choice.entry.data_centre.clone()));
     match chain::run(gateway, &request).await {
@@ -95,35 +90,54 @@
     }
 }
 
+/// Returns a request as its stages need to know it.
+fn stages_of(call: &ForwardedCall) -> ChainRequest {
+    ChainRequest::new(
+        &call.inbound,
+        &call.route,
+        call.deadline.min(call.give_up()),
+        call.arrived + call.route.objective,
+        call.urgency,
+    )
+}
+
 /// Decides whether a request with stages is admitted.
-pub fn admit<D: Dialect>(
-    gateway: &Gateway<D>,
-    route: &Route,
-    inbound: &Inbound,
-) -> AdmissionDecision {
-    let stages = route
-        .stages
-        .iter()
-        .enumerate()
-        .map(|(place, stage)| PlannedStage {
-            service: stage_service(gateway, &stage.service, stage.result),
-            pieces: piece_count(&inbound.pieces, place),
-            after: stage.after.clone(),
-        })
-        .collect();
+pub fn admit<D: Dialect>(gateway: &Gateway<D>, request: &ChainRequest) -> AdmissionDecision {
+    let route = &request.route;
+    let stages = (0..route.stages.len()).map(|place| planned_stage(gateway, request, place));
     admission::decide(&AdmissionRequest {
-        stages,
+        stages: stages.collect(),
         objective: route.objective,
         rank: route.rank,
-        tokens: inbound.prompt.tokens_in,
+        tokens: request.tokens,
     })
 }
 
+/// Gathers how the service of a stage stands, and what goes ahead of the stage's pieces there.
+fn planned_stage<D: Dialect>(
+    gateway: &Gateway<D>,
+    request: &ChainRequest,
+    place: usize,
+) -> PlannedStage {
+    let stage = &request.route.stages[place];
+    let now = gateway.now();
+    let backlog = backlog(&gateway.state.borrow(), now, &stage.service);
+    let PieceRank { objective, rank } = request.piece_rank(place);
+    let band = Band::of(now, due(now, objective, rank));
+    PlannedStage {
+        service: stage_service(gateway, &stage.service, stage.result, backlog.total()),
+        ahead: PieceCount(f64::from(backlog.ahead(band))),
+        pieces: request.count(place),
+        after: stage.after.clone(),
+    }
+}
+
 /// Gathers how the service of a stage stands; `result` is the size of one result.
 fn stage_service<D: Dialect>(
     gateway: &Gateway<D>,
     service: &ServiceId,
     result: ByteSize,
+    outstanding: u32,
 ) -> StageService {
     let now = gateway.now();
     let limits = gateway
@@ -138,7 +152,7 @@
         batch: stated.batch,
         cost: stated.cost,
         room: stated.room,
-        outstanding: outstanding(&state, now, service),
+        outstanding: PieceCount(f64::from(outstanding)),
     }
 }
 
@@ -189,10 +203,9 @@
 
 /// Adds up the outstanding pieces of a service: those of this daemon's requests, which it counts
 /// itself, and those of all others, as they or the service's coordinator report them.
-fn outstanding(state: &GatewayState, now: Time, service: &ServiceId) -> PieceCount {
+fn backlog(state: &GatewayState, now: Time, service: &ServiceId) -> Backlog {
     // Counted as ready: a daemon that would be the coordinator itself adds up the others' reports.
     let coordinator = state.peers.coordinator(now, service, true, &[]);
-    let elsewhere = state.peers.outstanding(service_hash(service), coordinator);
-    let own = state.workload.outstanding(service);
-    PieceCount(f64::from(own) + f64::from(elsewhere))
+    let elsewhere = state.peers.backlog(service_hash(service), coordinator);
+    state.workload.backlog(now, service).plus(&elsewhere)
 }
--- a/lib/src/gateway/rules/admission.rs
+++ b/lib/src/gateway/rules/admission.rs
@@ -82,6 +82,16 @@
         self.sharing() * fill / call * EFFICIENCY
     }
 
+    /// Returns the time until the first endpoint is free for a piece with nothing ahead of it: calls that
+    /// run are not broken off. Endpoints whose calls began at random times become free one after the
+    /// other within the time of one call.
+    fn busy_wait(&self) -> WorkMillis {
+        let call = self.cost.expected(self.fill()).0;
+        let backlog = self.outstanding.0 / self.pieces_per_ms();
+        let busy = (backlog / call).min(1.0);
+        WorkMillis(busy * call / (self.sharing() + 1.0))
+    }
+
     /// Returns the time of a call that has so many pieces of one request, at the present load.
     fn usual_call(&self, pieces: f64) -> WorkMillis {
         let share = self.outstanding.0 / self.sharing();
@@ -116,6 +126,8 @@
 pub struct PlannedStage {
     /// Its service.
     pub service: StageService,
+    /// Those of the service's outstanding pieces that go ahead of its own.
+    pub ahead: PieceCount,
     /// Its pieces; none if it is left out.
     pub pieces: u32,
     /// Stages before it, by their places.
@@ -172,7 +184,7 @@
             continue;
         }
         let service = &stage.service;
-        let queued = service.outstanding.0 / service.pieces_per_ms();
+        let queued = service.busy_wait().0 + stage.ahead.0 / service.pieces_per_ms();
         let call = service.usual_call(f64::from(stage.pieces));
         ends.push(queued.max(before) + call.0);
     }
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod attempt_timeout;
 pub mod backend_choice;
+pub mod backlog;
 pub mod call_fill;
 pub mod call_timing;
 pub mod catch_up;
--- a/lib/src/gateway/rules/piece_order.rs
+++ b/lib/src/gateway/rules/piece_order.rs
@@ -93,12 +93,7 @@
 impl WaitingJob<'_> {
     /// Returns the time by which jobs are ordered, wherever they run.
     fn urgency(&self, now: Time) -> Time {
-        let late = if now > self.objective {
-            LATE_STEP
-        } else {
-            Millis(0)
-        };
-        self.objective + Millis(u64::from(self.rank) * RANK_STEP.0 + late.0)
+        due(now, self.objective, self.rank)
     }
 
     /// Returns whether its pieces may run outside its home, which has so many endpoints.
@@ -159,6 +154,17 @@
     }
 }
 
+/// Returns the time by which the pieces of a job are ordered, wherever they run; the job should end by
+/// `objective`.
+pub fn due(now: Time, objective: Time, rank: u32) -> Time {
+    let late = if now > objective {
+        LATE_STEP
+    } else {
+        Millis(0)
+    };
+    objective + Millis(u64::from(rank) * RANK_STEP.0 + late.0)
+}
+
 /// Returns the time for which pieces wait for one of so many endpoints at home: the fewer there are,
 /// the longer it takes until one is free, and the less the wait is worth.
 pub fn home_wait(moved: ByteSize, endpoints: usize) -> Millis {
--- a/lib/src/gateway/stages/chain.rs
+++ b/lib/src/gateway/stages/chain.rs
@@ -107,7 +107,7 @@
             begun: vec![false; route.stages.len()],
             restarts: 0,
             results: Results::new(gateway.clone(), route),
-            claim: WorkClaim::new(gateway, route, &request.pieces),
+            claim: WorkClaim::new(gateway, request),
         }
     }
 
@@ -147,7 +147,7 @@
         self.restarts += 1;
         self.begun.fill(false);
         self.results.release_all();
-        self.claim = WorkClaim::new(self.gateway, &self.request.route, &self.request.pieces);
+        self.claim = WorkClaim::new(self.gateway, self.request);
     }
 }
 
--- a/lib/src/gateway/stages/chain_request.rs
+++ b/lib/src/gateway/stages/chain_request.rs
@@ -7,7 +7,10 @@
         gateway::{
             dialect::Inbound,
             rules::{admission, stage_objective::stage_objective},
-            stages::job::{PieceInput, StageJob, piece_count},
+            stages::{
+                job::{PieceInput, StageJob, piece_count},
+                workload::PieceRank,
+            },
             table::Route,
         },
         shared::{
@@ -35,6 +38,8 @@
     pub objective: Time,
     /// Its rank; 0 goes first.
     pub rank: u32,
+    /// Tokens of its prompt.
+    pub tokens: u32,
     /// Time that the request itself needs after its stages.
     pub own_time: Millis,
     /// Data centre of the endpoint that will probably serve it.
@@ -59,6 +64,7 @@
             deadline,
             objective,
             rank,
+            tokens: inbound.prompt.tokens_in,
             own_time: Millis(admission::own_time(inbound.prompt.tokens_in).0 as u64),
             home: None,
         }
@@ -72,20 +78,30 @@
     }
 
     /// Returns the number of pieces of a stage.
-    pub(super) fn count(&self, stage: usize) -> u32 {
+    pub fn count(&self, stage: usize) -> u32 {
         piece_count(&self.pieces, stage)
     }
 
+    /// Returns what the place of a stage's pieces in the order depends on.
+    pub fn piece_rank(&self, stage: usize) -> PieceRank {
+        let later = self.later_stages(stage);
+        PieceRank {
+            objective: stage_objective(self.objective, later, self.own_time),
+            rank: self.rank,
+        }
+    }
+
     /// Returns the job of a stage.
     pub(super) fn job(&self, stage: usize, input: PieceInput) -> StageJob {
+        let PieceRank { objective, rank } = self.piece_rank(stage);
         StageJob {
             request: self.id.clone(),
             stage: stage as u32,
             pieces: self.count(stage),
             input,
             deadline: self.deadline,
-            objective: stage_objective(self.objective, self.later_stages(stage), self.own_time),
-            rank: self.rank,
+            objective,
+            rank,
             result: self.route.stages[stage].result,
             home: self.home.clone(),
             moved: self.moved(stage),
--- a/lib/src/gateway/stages/work_claim.rs
+++ b/lib/src/gateway/stages/work_claim.rs
@@ -4,7 +4,11 @@
 
 use {
     crate::{
-        gateway::{dialect::Dialect, stages::job::piece_count, state::Gateway, table::Route},
+        gateway::{
+            dialect::Dialect,
+            stages::{chain_request::ChainRequest, workload::PieceRank},
+            state::Gateway,
+        },
         shared::ids::ServiceId,
     },
     std::rc::Rc,
@@ -21,19 +25,23 @@
 #[derive(Debug)]
 struct StageClaim {
     service: ServiceId,
+    rank: PieceRank,
     pieces: u32,
 }
 
 impl<D: Dialect> WorkClaim<D> {
     /// Counts all pieces of a request.
-    pub(crate) fn new(gateway: &Rc<Gateway<D>>, route: &Route, pieces: &[u32]) -> Self {
+    pub(crate) fn new(gateway: &Rc<Gateway<D>>, request: &ChainRequest) -> Self {
         let mut state = gateway.state.borrow_mut();
-        let mut stages = Vec::with_capacity(route.stages.len());
-        for (place, stage) in route.stages.iter().enumerate() {
-            let pieces = piece_count(pieces, place);
-            state.workload.add(&stage.service, pieces);
-            let service = stage.service.clone();
-            stages.push(StageClaim { service, pieces });
+        let mut stages = Vec::with_capacity(request.route.stages.len());
+        for (place, stage) in request.route.stages.iter().enumerate() {
+            let claim = StageClaim {
+                service: stage.service.clone(),
+                rank: request.piece_rank(place),
+                pieces: request.count(place),
+            };
+            state.workload.add(&claim.service, claim.rank, claim.pieces);
+            stages.push(claim);
         }
         drop(state);
         Self {
@@ -47,7 +55,7 @@
         let claim = &mut self.stages[stage];
         let pieces = std::mem::take(&mut claim.pieces);
         let mut state = self.gateway.state.borrow_mut();
-        state.workload.subtract(&claim.service, pieces);
+        state.workload.subtract(&claim.service, claim.rank, pieces);
     }
 }
 
--- /dev/null
+++ b/lib/tests/test_backlog.rs
@@ -0,0 +1,75 @@
+//! Which outstanding pieces go ahead of a piece, as daemons count and exchange them.
+
+use {
+    arbtest::arbtest,
+    hazelyoke_lib::{
+        gateway::rules::{
+            backlog::{Backlog, Band},
+            piece_order::due,
+        },
+        shared::units::{Millis, Time},
+    },
+};
+
+const NOW: Time = Time(60_000_000);
+
+fn band(span: u64) -> Band {
+    Band::of(NOW, NOW + Millis(span))
+}
+
+#[test]
+fn bands_in_order() {
+    let spans = [0, 100, 300, 700, 1_100, 2_000, 2_600, 5_000, 20_000];
+    let bands: Vec<Band> = spans.into_iter().map(band).collect();
+    assert!(bands.is_sorted(), "{bands:?}");
+    // Objectives of usual routes are told apart; spans beyond the last band are not.
+    assert!(band(1_000) < band(2_000));
+    assert!(band(2_000) < band(2_600));
+    assert_eq!(band(20_000), band(90_000));
+    assert_eq!(Band::of(NOW, NOW - Millis(500)), band(0));
+}
+
+#[test]
+fn pieces_ahead() {
+    let mut backlog = Backlog::default();
+    backlog.add(band(300), 5);
+    backlog.add(band(1_000), 7);
+    backlog.add(band(2_600), 11);
+    assert_eq!(backlog.ahead(band(0)), 0);
+    // Those of its own band go ahead too.
+    assert_eq!(backlog.ahead(band(1_000)), 12);
+    assert_eq!(backlog.ahead(band(20_000)), 23);
+    assert_eq!(backlog.total(), 23);
+    assert_eq!(Backlog::unordered(4).ahead(band(0)), 4);
+}
+
+/// A job past its objective goes behind all others.
+#[test]
+fn late_jobs() {
+    let late = due(NOW, NOW - Millis(1), 0);
+    let patient = due(NOW, NOW + Millis(6_000), 2);
+    assert!(Band::of(NOW, late) >= Band::of(NOW, patient));
+}
+
+/// The later a piece is due, the more goes ahead of it; sums and differences agree.
+#[test]
+fn ordered_sums() {
+    arbtest(|u| {
+        let mut parts = [Backlog::default(); 2];
+        for part in &mut parts {
+            for _ in 0..u.int_in_range(0..=20u8)? {
+                part.add(band(u.int_in_range(0..=9_000u64)?), u.int_in_range(0..=50)?);
+            }
+        }
+        let sum = parts[0].plus(&parts[1]);
+        assert_eq!(sum.minus(&parts[1]), parts[0]);
+        let (one, other) = (u.int_in_range(0..=9_000u64)?, u.int_in_range(0..=9_000u64)?);
+        let (first, last) = (band(one.min(other)), band(one.max(other)));
+        assert!(sum.ahead(first) <= sum.ahead(last));
+        assert_eq!(
+            sum.ahead(first),
+            parts[0].ahead(first) + parts[1].ahead(first)
+        );
+        Ok(())
+    });
+}
--- a/lib/tests/test_coordinator_rule.rs
+++ b/lib/tests/test_coordinator_rule.rs
@@ -68,6 +68,7 @@
         loads: Vec::new(),
         queues: Vec::new(),
         work: Vec::new(),
+        backlogs: Vec::new(),
     }
 }
 
--- a/lib/tests/test_decision_pins.rs
+++ b/lib/tests/test_decision_pins.rs
@@ -76,6 +76,7 @@
             room: PieceCount(24.0),
             outstanding: PieceCount(outstanding),
         },
+        ahead: PieceCount(outstanding * 0.75),
         pieces,
         after: after.to_vec(),
     }
@@ -252,6 +253,7 @@
         loads: Vec::new(),
         queues: Vec::new(),
         work: Vec::new(),
+        backlogs: Vec::new(),
         services: Vec::new(),
     }
 }
--- a/lib/tests/test_gossip_rule.rs
+++ b/lib/tests/test_gossip_rule.rs
@@ -51,6 +51,7 @@
         loads: Vec::new(),
         queues: Vec::new(),
         work: Vec::new(),
+        backlogs: Vec::new(),
         services: services.iter().map(|name| name.parse().unwrap()).collect(),
     }
 }
--- a/lib/tests/test_liveness_rule.rs
+++ b/lib/tests/test_liveness_rule.rs
@@ -56,6 +56,7 @@
         loads: Vec::new(),
         queues: Vec::new(),
         work: Vec::new(),
+        backlogs: Vec::new(),
     }
 }
 
--- a/lib/tests/test_stage_admission.rs
+++ b/lib/tests/test_stage_admission.rs
@@ -27,6 +27,7 @@
 fn stage(outstanding: f64, pieces: u32, after: &[usize]) -> PlannedStage {
     PlannedStage {
         service: service(outstanding),
+        ahead: PieceCount(outstanding),
         pieces,
         after: after.to_vec(),
     }
@@ -92,6 +93,26 @@
     }
 }
 
+/// A request waits for the work that goes ahead of its own, not for what goes behind.
+#[test]
+fn work_behind() {
+    let first = PlannedStage {
+        ahead: PieceCount(20.0),
+        ..stage(300.0, 1, &[])
+    };
+    let last = stage(300.0, 1, &[]);
+    let urgent = decide(&request(vec![first]));
+    assert!(
+        matches!(urgent, AdmissionDecision::Admit { .. }),
+        "{urgent:?}"
+    );
+    let patient = decide(&request(vec![last]));
+    assert!(
+        matches!(patient, AdmissionDecision::Refuse { .. }),
+        "{patient:?}"
+    );
+}
+
 /// Only a bounded part of the time to read a prompt counts against admission.
 #[test]
 fn long_prompt() {
