stages: a stage's pieces run where the fewest bytes cross

Cause: each stage's home was that of its request.

Change: rules/stage_home counts the bytes that would cross for inputs and results in each data centre.

--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -31,6 +31,7 @@
 pub mod retry_budget;
 pub mod set_aside;
 pub mod shutdown;
+pub mod stage_home;
 pub mod stage_objective;
 pub mod suspect_entry;
 pub mod time_limits;
--- a/lib/src/gateway/stages/chain.rs
+++ b/lib/src/gateway/stages/chain.rs
@@ -7,6 +7,7 @@
     crate::{
         gateway::{
             dialect::Dialect,
+            rules::stage_home::StagePlace,
             stages::{
                 chain_request::ChainRequest,
                 handover::run_by_coordinator,
@@ -15,8 +16,9 @@
                 work_claim::WorkClaim,
             },
             state::Gateway,
+            table::RouteStage,
         },
-        shared::ids::ServiceId,
+        shared::ids::{DataCentreId, ServiceId},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
     std::{rc::Rc, time::Duration},
@@ -79,6 +81,8 @@
 struct StageStart {
     stage: usize,
     input: PieceInput,
+    /// Data centre where its pieces should run.
+    home: Option<DataCentreId>,
 }
 
 /// A stage whose job has ended.
@@ -127,11 +131,24 @@
             starts.push(StageStart {
                 stage: place,
                 input: self.results.input_of(stage, &self.request.key),
+                home: self.home(place, stage),
             });
         }
         starts
     }
 
+    /// Returns where the pieces of a stage should run.
+    fn home(&self, place: usize, stage: &RouteStage) -> Option<DataCentreId> {
+        let inputs = self.results.stage_inputs(stage);
+        let stage_place = StagePlace {
+            inputs: &inputs,
+            pieces: self.request.count(place),
+            result: stage.result,
+            request: self.request.home.as_ref(),
+        };
+        stage_place.home().cloned()
+    }
+
     fn are_all_begun(&self) -> bool {
         self.begun.iter().all(|begun| *begun)
     }
@@ -158,7 +175,7 @@
 ) -> StageEnd {
     let stage = start.stage;
     let service = request.route.stages[stage].service.clone();
-    let job = request.job(stage, start.input);
+    let job = request.job(stage, start.input, start.home);
     let begun = gateway.now();
     let end = run_by_coordinator(gateway, &service, job).await;
     let elapsed = gateway.now().since(begun);
--- a/lib/src/gateway/stages/chain_request.rs
+++ b/lib/src/gateway/stages/chain_request.rs
@@ -91,8 +91,13 @@
         }
     }
 
-    /// Returns the job of a stage.
-    pub(super) fn job(&self, stage: usize, input: PieceInput) -> StageJob {
+    /// Returns the job of a stage whose pieces should run in the data centre `home`.
+    pub(super) fn job(
+        &self,
+        stage: usize,
+        input: PieceInput,
+        home: Option<DataCentreId>,
+    ) -> StageJob {
         let PieceRank { objective, rank } = self.piece_rank(stage);
         StageJob {
             request: self.id.clone(),
@@ -103,7 +108,7 @@
             objective,
             rank,
             result: self.route.stages[stage].result,
-            home: self.home.clone(),
+            home,
             moved: self.moved(stage),
         }
     }
--- a/lib/src/gateway/stages/stage_results.rs
+++ b/lib/src/gateway/stages/stage_results.rs
@@ -70,9 +70,18 @@
     /// Returns where the results are kept that the request itself uses; those of endpoints that have
     /// left are left out.
     pub fn input_locations(&self) -> Vec<InputLocation> {
+        self.locations(self.stages.iter().filter(|stage| stage.is_last))
+    }
+
+    /// Returns where the results are kept that each piece of a stage fetches.
+    pub(super) fn stage_inputs(&self, stage: &RouteStage) -> Vec<InputLocation> {
+        self.locations(stage.after.iter().map(|before| &self.stages[*before]))
+    }
+
+    fn locations<'a>(&self, stages: impl Iterator<Item = &'a StageResults>) -> Vec<InputLocation> {
         let state = self.gateway.state.borrow();
         let mut locations = Vec::new();
-        for stage in self.stages.iter().filter(|stage| stage.is_last) {
+        for stage in stages {
             for handle in stage.handles.iter().flatten() {
                 let address = handle.address();
                 let member = state
