--- a/lib/src/gateway/peers/mod.rs
+++ b/lib/src/gateway/peers/mod.rs
@@ -3,7 +3,7 @@
 //! There is no leader and no store behind it: each daemon keeps its own view, from heartbeats that
 //! it receives and from gossip in them. [`membership`] holds that view; [`heartbeats`],
 //! [`receive`] and [`catch_up`] are the tasks that keep it up to date; [`links`] and
-//! [`link_server`] are the two ends of a link; [`message`] is what goes over the wire. The rules
+//! [`link_server`] are the two ends of a link; [`message`] is what goes over the wire, with [`notes`] of single daemons, endpoints and services. The rules
 //! are in [`rules`](crate::gateway::rules).
 
 pub mod catch_up;
@@ -16,6 +16,7 @@
 pub mod load_sums;
 pub mod membership;
 pub mod message;
+pub mod notes;
 pub mod outgoing;
 pub mod peer_change;
 pub(crate) mod peer_loads;
