--- a/lib/src/gateway/rules/backlog.rs
+++ b/lib/src/gateway/rules/backlog.rs
@@ -3,7 +3,7 @@
 //! Inputs: the times by which waiting pieces are ordered (`rules::piece_order`), as spans from now in
 //! milliseconds.
 //!
-//! Pieces are counted by bands of these spans. Bands get wider with the span, by [`BANDS_PER_DOUBLING`]
+//! Pieces are counted by bands of these spans. Bands get wider with the span, by `BANDS_PER_DOUBLING`
 //! for each doubling, so that a few of them tell near objectives apart and reach far ones. A piece waits
 //! for those of lower bands and of its own: pieces of one route are served in the order in which they
 //! came.
