one sum of a coordinated service's backlog; one meaning of ProblemCount; a simpler wait for room

Found by a second reading; behaviour stays. self_report added up the same pieces in two ways for each heartbeat. The name ProblemCount stood in shared/status too: the report's is ReportedProblem, its output the same. The wait before a request's inputs are released asked the same question twice in a turn, and ran for stages that were left out.

--- a/lib/src/gateway/peers/self_report.rs
+++ b/lib/src/gateway/peers/self_report.rs
@@ -5,7 +5,7 @@
         dialect::Dialect,
         hashes::{endpoint_hash, service_hash},
         peers::message::{BacklogNote, LoadNote, Phase, QueueNote, WorkNote},
-        rules::coordinator::Coordinator,
+        rules::{backlog::Backlog, coordinator::Coordinator},
         state::{Gateway, GatewayState},
         table::Version,
     },
@@ -45,27 +45,27 @@
         let mine = |service: &ServiceId| {
             self.peers.coordinator(now, service, ready, &[]) == Coordinator::Me
         };
-        let total = |service: &ServiceId| {
-            let others = self.peers.reported_backlog(service_hash(service));
-            self.workload
-                .outstanding(service)
-                .saturating_add(others.total())
-        };
+        let total = |service: &ServiceId| self.whole_backlog(now, service).total();
         self.planning.notes(now, mine, total)
     }
 
+    /// Adds up the outstanding pieces of a service that this daemon coordinates: those of its own requests,
+    /// and those that the others report.
+    fn whole_backlog(&self, now: Time, service: &ServiceId) -> Backlog {
+        let others = self.peers.reported_backlog(service_hash(service));
+        self.workload.backlog(now, service).plus(&others)
+    }
+
     /// Returns the outstanding pieces by their order, of services that have any; `queues` are those that
     /// this daemon coordinates.
     fn backlog_notes(&self, now: Time, queues: &[QueueNote]) -> Vec<BacklogNote> {
         let note = |service: &ServiceId| {
             let hash = service_hash(service);
-            let own = self.workload.backlog(now, service);
             let coordinates = queues.iter().any(|queue| queue.service == hash);
-            let all = coordinates.then(|| own.plus(&self.peers.reported_backlog(hash)));
             BacklogNote {
                 service: hash,
-                own,
-                all,
+                own: self.workload.backlog(now, service),
+                all: coordinates.then(|| self.whole_backlog(now, service)),
             }
         };
         let notes = self.planning.services().map(note);
--- a/lib/src/gateway/stages/stage_results.rs
+++ b/lib/src/gateway/stages/stage_results.rs
@@ -161,18 +161,20 @@
     /// keep them are short of room. Another attempt then finds them gone, and the stages run again.
     pub(crate) fn release_once_fetched(&self) {
         for stage in self.stages.iter().filter(|stage| stage.is_last) {
-            let Some(handles) = stage.handles.clone() else {
+            // A stage that was left out has no results.
+            let Some(handles) = stage.handles.clone().filter(|handles| !handles.is_empty()) else {
                 continue;
             };
             let gateway = self.gateway.clone();
             let service = stage.service.clone();
             let released = stage.released.clone();
             tokio::task::spawn_local(async move {
-                while !released.get() {
+                loop {
                     tokio::time::sleep(REQUEST_FETCH.to_duration()).await;
-                    if !released.get() {
-                        released.set(release_if_short(&gateway, &service, &handles));
+                    if released.get() {
+                        return;
                     }
+                    released.set(release_if_short(&gateway, &service, &handles));
                 }
             });
         }
--- a/lib/src/report/mod.rs
+++ b/lib/src/report/mod.rs
@@ -27,7 +27,7 @@
     /// Requests by the second in which they came, from the first line's second on.
     pub seconds: BTreeMap<u64, RequestCounts>,
     /// Problems by what they say of the request.
-    pub problems: Vec<ProblemCount>,
+    pub problems: Vec<ReportedProblem>,
     /// Calls by the service of their stage.
     pub services: BTreeMap<String, CallCounts>,
 }
@@ -81,7 +81,7 @@
 
 /// Requests that ended with the same problem.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct ProblemCount {
+pub struct ReportedProblem {
     /// Route; `-` where it wasn't found.
     pub route: String,
     /// Code of the problem.
--- a/lib/src/report/reader.rs
+++ b/lib/src/report/reader.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        CallCounts, LogReport, ProblemCount, RequestCounts,
+        CallCounts, LogReport, ReportedProblem, RequestCounts,
         log_line::{Line, LogLine, PieceField},
     },
     std::collections::{BTreeMap, HashMap},
@@ -24,7 +24,7 @@
 #[derive(Debug, Default)]
 pub struct ReportReader {
     report: LogReport,
-    problems: BTreeMap<ProblemKey, ProblemCount>,
+    problems: BTreeMap<ProblemKey, ReportedProblem>,
     open: HashMap<String, OpenRequest>,
     /// Data centre of the host whose lines are read.
     centre: Option<String>,
@@ -160,7 +160,7 @@
             outcome: text(&line.outcome),
         };
         let has_run = key.outcome != "not_run";
-        let problem = self.problems.entry(key).or_insert_with(|| ProblemCount {
+        let problem = self.problems.entry(key).or_insert_with(|| ReportedProblem {
             route,
             code: text(&line.code),
             outcome: text(&line.outcome),
