gateway: each failed fetch of a table and read of the directory is logged, with its time

A table that came into force late left no line about transfers that ended by their time limit: a fetch from another daemon failed silently, a read of the directory was logged the first time only, and no line had bytes or times. Now: table.fetch_failed, directory.read_failed, bytes and time behind in table.adopted, and metrics of the version, the bytes received by source and the failed fetches.

--- a/lib/src/gateway/directory/adopt_table.rs
+++ b/lib/src/gateway/directory/adopt_table.rs
@@ -57,8 +57,19 @@
         match judge(Some(current), read) {
             VersionVerdict::Adopt => {
                 let routes = table.routes().count();
+                let size = bytes.len();
+                let behind_ms = self.behind_ms();
                 self.put_in_force(table, bytes, fingerprint);
-                log::info!(source, version, before = current.version, routes; "table.adopted");
+                self.metrics.table_adopted(version);
+                log::info!(
+                    source,
+                    version,
+                    before = current.version,
+                    routes,
+                    bytes = size,
+                    behind_ms;
+                    "table.adopted"
+                );
                 TableAdoption::Adopted
             }
             VersionVerdict::Same => TableAdoption::Known,
@@ -74,6 +85,13 @@
         }
     }
 
+    /// Returns the milliseconds since a peer was first known to have something newer; 0 if none is.
+    fn behind_ms(&self) -> f64 {
+        let now = self.now();
+        let since = self.state.borrow().behind_since;
+        since.map_or(0.0, |since| now.millis_since(since))
+    }
+
     fn put_in_force(&self, table: Table, bytes: &Bytes, fingerprint: u64) {
         let mut state = self.state.borrow_mut();
         state.planning.set_services(&table);
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -6,15 +6,19 @@
 //! `adopt_table` and `apply`.
 
 use {
-    crate::gateway::{
-        dialect::Dialect,
-        directory::{
-            catalogue::EndpointEntry,
-            coverage::wait_uncovered,
-            source::{Directory, DirectoryError, Item, Items, Topic},
+    crate::{
+        gateway::{
+            dialect::Dialect,
+            directory::{
+                catalogue::EndpointEntry,
+                coverage::wait_uncovered,
+                source::{Directory, DirectoryError, Item, Items, Topic},
+            },
+            rules::directory_reads::{Backoff, PAUSE_PARTS, pause_after_answer, topic_wait},
+            serving::metrics::TableSource,
+            state::Gateway,
         },
-        rules::directory_reads::{Backoff, PAUSE_PARTS, pause_after_answer, topic_wait},
-        state::Gateway,
+        shared::units::Time,
     },
     std::{rc::Rc, time::Duration},
 };
@@ -37,8 +41,9 @@
     };
     loop {
         let wait = follower.wait_for_turn().await;
+        let began = follower.gateway.now();
         let read = follower.read(wait).await;
-        follower.apply(read).await;
+        follower.apply(read, began).await;
     }
 }
 
@@ -79,15 +84,15 @@
         }
     }
 
-    /// Applies what a call returned, and pauses until the next one is due.
-    async fn apply(&mut self, read: Result<Items, DirectoryError>) {
+    /// Applies what a call returned that began at a time, and pauses until the next one is due.
+    async fn apply(&mut self, read: Result<Items, DirectoryError>, began: Time) {
         match read {
             Ok(items) => self.apply_items(items).await,
             Err(DirectoryError::Compacted) => {
                 log::info!(topic:? = self.topic; "directory.compacted");
                 self.since = None;
             }
-            Err(error) => self.back_off(&error).await,
+            Err(error) => self.back_off(&error, began).await,
         }
     }
 
@@ -107,7 +112,9 @@
         }
     }
 
-    async fn back_off(&mut self, error: &DirectoryError) {
+    async fn back_off(&mut self, error: &DirectoryError, began: Time) {
+        let took_ms = self.gateway.now().millis_since(began);
+        log::info!(topic:? = self.topic, took_ms, error:% = error; "directory.read_failed");
         self.gateway.directory_failed(&error.to_string());
         let part = rand::random_range(PAUSE_PARTS);
         tokio::time::sleep(self.backoff.pause(part)).await;
@@ -118,6 +125,9 @@
 
 fn apply_tables<D: Dialect>(gateway: &Gateway<D>, items: &Items) {
     for value in items.items.iter().filter_map(|item| item.value.as_ref()) {
+        gateway
+            .metrics
+            .table_bytes(TableSource::Directory, value.len());
         // A table that isn't adopted is logged there, and the one in force stays.
         gateway.adopt_table(value, SOURCE);
     }
--- a/lib/src/gateway/peers/catch_up.rs
+++ b/lib/src/gateway/peers/catch_up.rs
@@ -14,6 +14,7 @@
             catch_up::{self, DirectoryReading, ListFetch},
             gossip::HEARTBEAT,
         },
+        serving::metrics::TableSource,
         state::Gateway,
     },
     bytes::Bytes,
@@ -55,9 +56,15 @@
     let version = gateway.published().map_or(0, |p| p.table.version);
     let newer = gateway.state.borrow().peers.newer_table(version);
     let Some(peer) = newer else { return };
+    let began = gateway.now();
     if let Some(LinkReply::Table { bytes }) = fetch(gateway, peer, LinkRequest::Table).await {
+        gateway.metrics.table_bytes(TableSource::Peer, bytes.len());
         gateway.adopt_table(&Bytes::from(bytes), &format!("peer {peer}"));
+        return;
     }
+    let took_ms = gateway.now().millis_since(began);
+    log::info!(peer:% = peer, version, took_ms; "table.fetch_failed");
+    gateway.metrics.table_fetch_failed();
 }
 
 async fn catch_up_endpoints<D: Dialect>(gateway: &Gateway<D>) {
--- a/lib/src/gateway/serving/metrics.rs
+++ b/lib/src/gateway/serving/metrics.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        gateway::rules::retry::RetryReason,
+        gateway::{rules::retry::RetryReason, table::Version},
         shared::{
             problem::{Code, Outcome},
             status::ProblemCount,
@@ -17,6 +17,7 @@
         metrics::{
             counter::Counter,
             family::Family,
+            gauge::Gauge,
             histogram::{Histogram, exponential_buckets},
         },
         registry::Registry,
@@ -61,12 +62,34 @@
 const FIRST: &str = "first";
 const REPEATED: &str = "repeated";
 
+/// Where a table's bytes come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TableSource {
+    /// The directory.
+    Directory,
+    /// Another daemon.
+    Peer,
+}
+
+impl TableSource {
+    /// Returns the value of the label `kind` of a table's bytes.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Directory => "directory",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// Counters and histograms of a daemon.
 pub struct GatewayMetrics {
     registry: Registry,
     ends: Family<EndLabels, Counter>,
     retries: Family<KindLabels, Counter>,
     tables_refused: Counter,
+    table_version: Gauge,
+    table_bytes: Family<KindLabels, Counter>,
+    fetch_failures: Counter,
     directory_failures: Counter,
     pieces: Family<KindLabels, Counter>,
     calls: Counter,
@@ -100,6 +123,9 @@
             ends: Family::default(),
             retries: Family::default(),
             tables_refused: Counter::default(),
+            table_version: Gauge::default(),
+            table_bytes: Family::default(),
+            fetch_failures: Counter::default(),
             directory_failures: Counter::default(),
             pieces: Family::default(),
             calls: Counter::default(),
@@ -123,6 +149,21 @@
             "Tables refused",
             self.tables_refused.clone(),
         );
+        registry.register(
+            "table_version",
+            "Version of the table in force",
+            self.table_version.clone(),
+        );
+        registry.register(
+            "table_bytes",
+            "Bytes of tables received, as they were sent",
+            self.table_bytes.clone(),
+        );
+        registry.register(
+            "table_fetch_failures",
+            "Fetches of tables from other daemons that failed",
+            self.fetch_failures.clone(),
+        );
         registry.register(
             "directory_failures",
             "Failed reads of the directory",
@@ -248,6 +289,31 @@
         self.tables_refused.inc();
     }
 
+    /// Records the version of the table in force.
+    pub fn table_adopted(&self, version: Version) {
+        self.table_version.set(version as i64);
+    }
+
+    /// Counts bytes of a table that were received.
+    pub fn table_bytes(&self, source: TableSource, bytes: usize) {
+        self.table_counter(source).inc_by(bytes as u64);
+    }
+
+    /// Returns the bytes of tables that were received from a source.
+    pub fn received_table_bytes(&self, source: TableSource) -> u64 {
+        self.table_counter(source).get()
+    }
+
+    fn table_counter(&self, source: TableSource) -> Counter {
+        let kind = source.label();
+        self.table_bytes.get_or_create(&KindLabels { kind }).clone()
+    }
+
+    /// Counts a fetch of a table from another daemon that failed.
+    pub fn table_fetch_failed(&self) {
+        self.fetch_failures.inc();
+    }
+
     /// Counts a failed read of the directory.
     pub fn directory_failed(&self) {
         self.directory_failures.inc();
