--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -43,6 +43,7 @@
     tasks: Vec<AbortHandle>,
     listen: SocketAddr,
     ready: SocketAddr,
+    peer: SocketAddr,
     operator: Option<SocketAddr>,
 }
 
@@ -66,7 +67,7 @@
     ) -> Result<Self, BindError> {
         let sockets = Sockets::bind(&settings).await?;
         // Other daemons need the port that the system chose, where the settings leave it open.
-        settings.peer = sockets.peer;
+        settings.peer = settings.advertised.unwrap_or(sockets.peer);
         let gateway: Rc<Gateway<D>> = Gateway::new(settings);
         let (admission, watched) = watch::channel(ListenerState::Open);
         let mut server = Self {
@@ -75,6 +76,7 @@
             tasks: Vec::new(),
             listen: sockets.callers.address,
             ready: sockets.ready.address,
+            peer: sockets.peer,
             operator: sockets.operators.as_ref().map(|bound| bound.address),
         };
         server.follow_directory(directory);
@@ -147,6 +149,12 @@
         self.ready
     }
 
+    /// Returns the address on which this daemon listens to other daemons; they may know it by another
+    /// one, that of its settings.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
     /// Returns the address for operators.
     pub fn operator(&self) -> Option<SocketAddr> {
         self.operator
--- a/lib/src/gateway/serving/settings.rs
+++ b/lib/src/gateway/serving/settings.rs
@@ -57,6 +57,9 @@
     pub metrics: Option<SocketAddr>,
     /// Address for other daemons.
     pub peer: SocketAddr,
+    /// Address at which other daemons reach `peer`, where it is another one: behind a translation of
+    /// addresses, or a proxy that harms links in a test. Its IP number has to be that of `peer`.
+    pub advertised: Option<SocketAddr>,
     /// Addresses of the daemons that are contacted first.
     pub seeds: Vec<SocketAddr>,
     /// Grace period: time from a stop's signal to the end of the process.
--- a/lib/tests/test_reload.rs
+++ b/lib/tests/test_reload.rs
@@ -21,6 +21,7 @@
         ready: "127.0.0.1:2".parse().unwrap(),
         operator: None,
         metrics: None,
+        advertised: None,
         peer: "127.0.0.1:3".parse().unwrap(),
         seeds: Vec::new(),
         grace: Millis(8_000),
