routing/stream_resume: a caller that leaves while its stages run again ends them

Cause: after a stream broke, the relay waited for the stages that run again without watching its reader, so that pieces were sent, and sent again, for seconds after the caller had left (during_resumed_stages, failing on the code before). It also withdrew from the retry budget for it.

test_caller_gone holds the rule in every phase: before the body has arrived, before the connection is read, during a stage here and at another daemon, before the answer, before the first event, within a stream. The other seven passed on the code before.

--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -11,7 +11,7 @@
         routing::{
             attempt::StreamSource,
             guards::AttemptGuard,
-            stream_resume::{StreamedRequest, resume},
+            stream_resume::{ResumeEnd, StreamedRequest, resume},
         },
         rules::{reply_proof::EndpointOutcome, resume::silence_limit},
         wire::{event_stream::EventSplitter, reply::StreamPart},
@@ -97,11 +97,14 @@
                     guard.end(EndpointOutcome::Failed);
                     let last_event = self.splitter.last();
                     match resume(&mut self.request, &self.sink, last_event, &why).await {
-                        Some(next) => {
+                        ResumeEnd::Resumed(next) => {
                             self.splitter = EventSplitter::after(last_event);
                             source = next;
                         }
-                        None => return self.break_off(&why),
+                        ResumeEnd::Failed => return self.break_off(&why),
+                        ResumeEnd::CallerLeft => {
+                            return self.request.gateway.metrics.caller_left();
+                        }
                     }
                 }
             }
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -54,11 +54,28 @@
     pub(crate) _in_flight: RequestGuard<D>,
 }
 
+/// The result of resuming a stream.
+pub(crate) enum ResumeEnd<D: Dialect> {
+    /// Another endpoint continues it.
+    Resumed(StreamSource<D>),
+    /// No endpoint does, or none may be asked.
+    Failed,
+    /// The caller has left meanwhile.
+    CallerLeft,
+}
+
 /// The result of one attempt to resume a stream.
 enum ResumeAttempt<D: Dialect> {
     Resumed(StreamSource<D>),
     Failed,
     NoEndpoint,
+    CallerLeft,
+}
+
+/// Why an endpoint doesn't continue a stream.
+enum SourceError {
+    Failed,
+    CallerLeft,
 }
 
 /// The result of sending one request.
@@ -75,24 +92,38 @@
     sink: &Sink,
     last_event: Option<u64>,
     why: &str,
-) -> Option<StreamSource<D>> {
+) -> ResumeEnd<D> {
     if !is_resumable(request.call.route.kind) {
-        return None;
+        return ResumeEnd::Failed;
     }
     if request.results.is_none() {
-        // The results went when the first endpoint had taken them, so the stages run again. If
-        // they fail, `stage.ended` says why, and the stream breaks off for its own reason.
-        let results = run_stages(&request.gateway, &request.call).await;
-        request.results = results.ok()?;
+        // The results went when the first endpoint had taken them, so the stages run again, for as long as
+        // the caller waits: they may take seconds. If they fail, `stage.ended` says why, and the stream
+        // breaks off for its own reason.
+        let results = tokio::select! {
+            results = run_stages(&request.gateway, &request.call) => results,
+            () = sink.closed() => return ResumeEnd::CallerLeft,
+        };
+        let Ok(results) = results else {
+            return ResumeEnd::Failed;
+        };
+        request.results = results;
     }
-    while request.may_resume() && request.gateway.withdraw(&request.call.service) {
+    while request.may_resume() {
+        if sink.is_closed() {
+            return ResumeEnd::CallerLeft;
+        }
+        if !request.gateway.withdraw(&request.call.service) {
+            break;
+        }
         match request.resume_once(sink, last_event, why).await {
-            ResumeAttempt::Resumed(source) => return Some(source),
-            ResumeAttempt::NoEndpoint => return None,
+            ResumeAttempt::Resumed(source) => return ResumeEnd::Resumed(source),
+            ResumeAttempt::NoEndpoint => break,
+            ResumeAttempt::CallerLeft => return ResumeEnd::CallerLeft,
             ResumeAttempt::Failed => {}
         }
     }
-    None
+    ResumeEnd::Failed
 }
 
 impl<D: Dialect> StreamedRequest<D> {
@@ -121,8 +152,9 @@
         );
         let outbound = outbound_request(gateway, call, &choice, results, last_event);
         match self.open_source(choice, outbound, sink).await {
-            Some(source) => ResumeAttempt::Resumed(source),
-            None => ResumeAttempt::Failed,
+            Ok(source) => ResumeAttempt::Resumed(source),
+            Err(SourceError::Failed) => ResumeAttempt::Failed,
+            Err(SourceError::CallerLeft) => ResumeAttempt::CallerLeft,
         }
     }
 
@@ -132,13 +164,13 @@
         choice: EndpointChoice,
         request: Request<Full<Bytes>>,
         sink: &Sink,
-    ) -> Option<StreamSource<D>> {
+    ) -> Result<StreamSource<D>, SourceError> {
         let mut guard = AttemptGuard::new(&self.gateway, &self.call, choice);
         let address = guard.choice.entry.address;
         // The event `endpoint.set_aside` shows that the endpoint could not be reached.
         let Ok(connection) = egress::connect(address, CONNECT_LIMIT).await else {
             guard.end(EndpointOutcome::Unreachable);
-            return None;
+            return Err(SourceError::Failed);
         };
         self.sent += 1;
         self.gateway.metrics.retry(RetryReason::Resume);
@@ -146,19 +178,19 @@
             Exchange::Replied(response, connection) => (response, connection),
             Exchange::Failed => {
                 guard.end(EndpointOutcome::Failed);
-                return None;
+                return Err(SourceError::Failed);
             }
             // The guard's drop says nothing about the endpoint.
-            Exchange::CallerLeft => return None,
+            Exchange::CallerLeft => return Err(SourceError::CallerLeft),
         };
         let (head, body) = response.into_parts();
         let verdict = judge_resumed_head(self.call.id(), head.status, &D::read_reply(&head));
         if let Err(outcome) = verdict {
             guard.end(outcome);
-            return None;
+            return Err(SourceError::Failed);
         }
         guard.first_event();
-        Some(StreamSource {
+        Ok(StreamSource {
             body,
             connection,
             guard,
