serving/ingress: idle connections make room where none can be accepted

Cause: a daemon with no descriptor left said it was ready and accepted nobody until a caller's idle time was over, 15 s (idle_connections_make_room, failing on the code before: no answer within 8 s). Open connections close as soon as they have no request; requests in hand are answered.

--- a/daemon/tests/test_process.rs
+++ b/daemon/tests/test_process.rs
@@ -21,6 +21,7 @@
         process::{Child, Command, Stdio},
         time::Duration,
     },
+    tokio::net::TcpStream,
 };
 
 /// A table whose requests may take long.
@@ -73,17 +74,35 @@
 }
 
 async fn start(name: &str, store: &StandInStore, log: Stdio) -> Process {
-    start_with_grace(name, store, log, GRACE_S).await
+    start_with(name, store, log, USUAL).await
 }
 
-async fn start_with_grace(name: &str, store: &StandInStore, log: Stdio, grace_s: f64) -> Process {
+/// Limits of a daemon's process.
+struct Limits {
+    /// Grace period, in seconds.
+    grace_s: f64,
+    /// Open files and connections.
+    descriptors: usize,
+}
+
+const USUAL: Limits = Limits {
+    grace_s: GRACE_S,
+    descriptors: 1_024,
+};
+
+async fn start_with(name: &str, store: &StandInStore, log: Stdio, limits: Limits) -> Process {
+    let grace_s = limits.grace_s;
     let [front, ready, peer] = free_ports(loopback().ip());
     let file = format!("hazelyoked-{}-{name}.toml", std::process::id());
     let settings = std::env::temp_dir().join(file);
     let text = settings_text(name, [front, ready, peer], store.address, grace_s);
     std::fs::write(&settings, text).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_hazelyoked"))
-        .arg("--platform")
+    // A shell sets the limit for itself and becomes the program.
+    let program = env!("CARGO_BIN_EXE_hazelyoked");
+    let limit = limits.descriptors;
+    let command = format!("ulimit -n {limit} && exec \"$0\" --platform \"$1\"");
+    let child = Command::new("sh")
+        .args(["-c", &command, program])
         .arg(&settings)
         .stdout(log)
         .spawn()
@@ -99,7 +118,7 @@
 }
 
 async fn is_ready(address: SocketAddr) -> bool {
-    match tokio::net::TcpStream::connect(address).await {
+    match TcpStream::connect(address).await {
         Ok(_) => client::status(address, "/api/ready").await == 200,
         Err(_) => false,
     }
@@ -138,6 +157,29 @@
     });
 }
 
+/// A daemon that says it is ready takes new connections also while callers hold as many idle ones as it has
+/// descriptors.
+#[test]
+fn idle_connections_make_room() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.publish(&config());
+        let _replica = Replica::start(&store, "i-1", "s").await;
+        let limits = Limits {
+            descriptors: 64,
+            ..USUAL
+        };
+        let process = start_with("idle", &store, Stdio::null(), limits).await;
+        let mut idle = Vec::new();
+        for _ in 0..100 {
+            idle.push(TcpStream::connect(process.listen).await.unwrap());
+        }
+        let asked = tokio::time::timeout(Duration::from_secs(8), get(process.listen, "r1"));
+        assert_eq!(asked.await.expect("the connection wasn't taken"), 200);
+        assert!(is_ready(process.ready).await);
+    });
+}
+
 /// Found by the soak, seed 116: a signal that came while the daemon started ended it.
 #[test]
 fn hangup_during_start() {
@@ -213,7 +255,11 @@
         store.publish(&config());
         let replica = Replica::start(&store, "i-1", "s").await;
         let log = LogFile::new("reload");
-        let process = start_with_grace("reload", &store, log.stdout(), 1.0).await;
+        let limits = Limits {
+            grace_s: 1.0,
+            ..USUAL
+        };
+        let process = start_with("reload", &store, log.stdout(), limits).await;
         let before = std::fs::read_to_string(&process.settings).unwrap();
         let changed = before.replace("graceS = 1\n", "graceS = 20\n");
         assert_ne!(changed, before);
--- a/lib/src/gateway/serving/ingress.rs
+++ b/lib/src/gateway/serving/ingress.rs
@@ -1,6 +1,8 @@
 //! Accepts callers' connections, and passes their requests on to routing.
 //!
-//! Owns each connection and its limits, which it reads from the table when the connection begins.
+//! Owns each connection and its limits, which it reads from the table when the connection begins. Where
+//! no further connection can be accepted, for example for lack of descriptors, those that are open
+//! close as soon as they have no request: a caller that keeps one must not keep others out.
 
 use {
     crate::gateway::{
@@ -8,7 +10,7 @@
         routing::forward,
         state::Gateway,
         table::IngressLimits,
-        wire::{listen::accept_each, reply::ReplyBody},
+        wire::{listen::accept_each_or, reply::ReplyBody},
     },
     http::{HeaderValue, Request, Response, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -16,7 +18,7 @@
     std::{convert::Infallible, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::watch,
+        sync::{Notify, watch},
     },
 };
 
@@ -67,20 +69,33 @@
     mut admission: watch::Receiver<ListenerState>,
 ) {
     let connections = admission.clone();
-    let accepting = accept_each(listener, "ingress.accept_failed", |stream, _| {
-        let connection = serve_connection(gateway.clone(), stream, connections.clone());
-        tokio::task::spawn_local(connection);
-    });
+    let full = Rc::new(Notify::new());
+    let accept = |stream, _| {
+        let closing = wait_closing(connections.clone(), full.clone());
+        tokio::task::spawn_local(serve_connection(gateway.clone(), stream, closing));
+    };
+    let make_room = || full.notify_waiters();
+    let accepting = accept_each_or(listener, "ingress.accept_failed", accept, make_room);
     tokio::select! {
         () = accepting => {}
         _ = admission.changed() => {}
     }
 }
 
+/// Waits until a connection has to close once it has no request: the listener closes, or connections
+/// can't be accepted.
+async fn wait_closing(mut admission: watch::Receiver<ListenerState>, full: Rc<Notify>) {
+    tokio::select! {
+        // It fails only when the sender is dropped, which lives as long as the daemon.
+        _ = admission.wait_for(|state| *state == ListenerState::Closing) => {}
+        () = full.notified() => {}
+    }
+}
+
 async fn serve_connection<D: Dialect>(
     gateway: Rc<Gateway<D>>,
     stream: TcpStream,
-    mut admission: watch::Receiver<ListenerState>,
+    closing: impl Future<Output = ()>,
 ) {
     // The option only shortens latency; a stream without it works.
     let _ = stream.set_nodelay(true);
@@ -95,12 +110,6 @@
         .max_buf_size(limits.buffer)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let closing = async {
-        // It fails only when the sender is dropped, which lives as long as the daemon.
-        let _ = admission
-            .wait_for(|state| *state == ListenerState::Closing)
-            .await;
-    };
     // A connection ends with an error when the caller leaves or sends no HTTP; the request that it
     // concerned has been counted where it was handled.
     tokio::select! {
