peers/links: a connection that has gone silent is noticed by pings

Cause: a link waited for replies for as long as its TCP connection stood. Now a link is pinged every 0.4 s while a reply is awaited, every 2 s at rest, and closed 1 s after a ping without an answer; jobs go to the next coordinator. The other end closes a link after 10 s without a ping, if there ever was one.

--- a/lib/src/gateway/peers/link_server.rs
+++ b/lib/src/gateway/peers/link_server.rs
@@ -7,7 +7,9 @@
     crate::gateway::{
         dialect::Dialect,
         peers::{
-            link_socket::{LinkError, LinkSocket, QUEUE, config, read, send, upgraded},
+            link_socket::{
+                LinkError, LinkSocket, PING_MISSING, QUEUE, config, read, send, upgraded,
+            },
             message::{Frame, JobOrder, LinkReply, LinkRequest, Phase, decode, encode},
         },
         state::Gateway,
@@ -17,13 +19,17 @@
     bytes::Bytes,
     foldhash::HashMap,
     futures_util::StreamExt,
-    std::rc::Rc,
+    std::{future, rc::Rc},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc,
         task::{self, AbortHandle, JoinSet},
+        time::{Instant, sleep_until},
+    },
+    tokio_tungstenite::{
+        accept_async_with_config,
+        tungstenite::{self, Message},
     },
-    tokio_tungstenite::accept_async_with_config,
 };
 
 /// Accepts links from other daemons for good.
@@ -47,8 +53,10 @@
     let (replies, mut finished) = mpsc::channel::<Frame<LinkReply>>(QUEUE);
     let mut tasks = JoinSet::new();
     let mut running: HashMap<u64, AbortHandle> = HashMap::default();
+    let mut pings = Pings::default();
     loop {
         tokio::select! {
+            () = pings.missing() => return Err(LinkError::Silent(PING_MISSING)),
             Some(frame) = finished.recv() => {
                 running.remove(&frame.number);
                 send(&mut socket, encode(&frame)).await?;
@@ -56,6 +64,7 @@
             // A task that ended has sent its reply; one that was cancelled has none.
             Some(_) = tasks.join_next() => {}
             message = socket.next() => {
+                pings.record(&message);
                 let Some(bytes) = read(message)? else { continue };
                 let frame: Frame<LinkRequest> = decode(&bytes)?;
                 if let LinkRequest::Cancel(number) = frame.content {
@@ -72,6 +81,31 @@
     }
 }
 
+/// The signs of life of the other end of a link.
+#[derive(Debug, Default)]
+struct Pings {
+    /// When the last message came, from an end that has sent a ping; one of an earlier release sends none
+    /// and may rest for any time.
+    last: Option<Instant>,
+}
+
+impl Pings {
+    fn record(&mut self, message: &Option<Result<Message, tungstenite::Error>>) {
+        let is_ping = matches!(message, Some(Ok(Message::Ping(_))));
+        if is_ping || self.last.is_some() {
+            self.last = Some(Instant::now());
+        }
+    }
+
+    /// Ends when nothing has come for too long.
+    async fn missing(&self) {
+        match self.last {
+            Some(last) => sleep_until(last + PING_MISSING).await,
+            None => future::pending().await,
+        }
+    }
+}
+
 async fn accept_link(stream: TcpStream) -> Result<LinkSocket, LinkError> {
     stream.set_nodelay(true)?;
     upgraded(accept_async_with_config(stream, Some(config()))).await
--- a/lib/src/gateway/peers/link_socket.rs
+++ b/lib/src/gateway/peers/link_socket.rs
@@ -20,6 +20,20 @@
 /// measured.
 pub(crate) const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Time between two pings on a link where a reply is awaited, and on one that rests: chosen, not
+/// measured. Two of the first fit into [`LINK_SILENCE`].
+pub(crate) const PING_WAITING: Duration = Duration::from_millis(400);
+pub(crate) const PING_RESTING: Duration = Duration::from_secs(2);
+
+/// Time after a ping in which the other end has to send something, so that a connection that has gone
+/// silent without a reset isn't waited on: chosen, not measured, as long as a daemon that sends heartbeats
+/// to all may be silent.
+pub(crate) const LINK_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Silence after which a link that was pinged before is closed by the end that replies: chosen, not
+/// measured, some pings.
+pub(crate) const PING_MISSING: Duration = Duration::from_secs(10);
+
 /// Messages that may wait on one link before it counts as stuck: chosen, not measured.
 pub(crate) const QUEUE: usize = 1_024;
 
@@ -41,6 +55,9 @@
     /// The other end didn't accept a message in time.
     #[error("the other end didn't read for {FETCH_LIMIT:?}")]
     WriteTime,
+    /// The connection has gone silent, although the other daemon may live.
+    #[error("nothing came for {0:?} after a ping")]
+    Silent(Duration),
     /// The other end closed the link.
     #[error("closed by the other end")]
     Closed,
@@ -68,7 +85,16 @@
 
 /// Sends one message.
 pub(crate) async fn send(socket: &mut LinkSocket, bytes: Vec<u8>) -> Result<(), LinkError> {
-    timeout(FETCH_LIMIT, socket.send(Message::Binary(bytes.into())))
+    send_message(socket, Message::Binary(bytes.into())).await
+}
+
+/// Sends a ping, which the other end answers by itself.
+pub(crate) async fn ping(socket: &mut LinkSocket) -> Result<(), LinkError> {
+    send_message(socket, Message::Ping(Bytes::new())).await
+}
+
+async fn send_message(socket: &mut LinkSocket, message: Message) -> Result<(), LinkError> {
+    timeout(FETCH_LIMIT, socket.send(message))
         .await
         .map_err(|_| LinkError::WriteTime)??;
     Ok(())
--- a/lib/src/gateway/peers/links.rs
+++ b/lib/src/gateway/peers/links.rs
@@ -2,12 +2,16 @@
 //!
 //! The daemon that opened a link requests, the other one replies. [`Links`] owns all links that
 //! this daemon opened; each runs in a task of its own. A link to a daemon that falls silent is
-//! closed, which ends what waits on it at once.
+//! closed, and so is one whose connection does although the daemon lives, which pings show; what waits
+//! on it ends at once.
 
 use {
     crate::gateway::{
         peers::{
-            link_socket::{LINK_LIMIT, LinkError, LinkSocket, QUEUE, config, read, send, upgraded},
+            link_socket::{
+                LINK_LIMIT, LINK_SILENCE, LinkError, LinkSocket, PING_RESTING, PING_WAITING, QUEUE,
+                config, ping, read, send, upgraded,
+            },
             message::{Frame, LinkReply, LinkRequest, decode, encode},
         },
         rules::gossip::HEARTBEAT,
@@ -19,7 +23,7 @@
     tokio::{
         sync::{mpsc, oneshot},
         task::{self, AbortHandle},
-        time::interval,
+        time::{Instant, interval},
     },
     tokio_tungstenite::client_async_with_config,
 };
@@ -106,11 +110,16 @@
                 None => return Ok(()),
             },
             message = session.socket.next() => {
-                if let Some(bytes) = read(message)? {
+                let bytes = read(message)?;
+                session.pinged = None;
+                if let Some(bytes) = bytes {
                     session.receive_reply(&bytes)?;
                 }
             }
-            _ = sweep.tick() => session.cancel_abandoned().await?,
+            _ = sweep.tick() => {
+                session.cancel_abandoned().await?;
+                session.check_silence().await?;
+            }
         }
     }
 }
@@ -121,6 +130,10 @@
     socket: LinkSocket,
     waiting: HashMap<u64, oneshot::Sender<LinkReply>>,
     last_number: u64,
+    /// When the last ping was sent.
+    last_ping: Instant,
+    /// When the first ping was sent after which nothing has come.
+    pinged: Option<Instant>,
 }
 
 impl LinkSession {
@@ -133,6 +146,8 @@
             socket,
             waiting: HashMap::default(),
             last_number: 0,
+            last_ping: Instant::now(),
+            pinged: None,
         })
     }
 
@@ -152,6 +167,28 @@
         Ok(())
     }
 
+    /// Sends a ping if one is due. A link on which nothing came after one has gone silent: its requests
+    /// would wait for replies that never come, since the daemon itself lives.
+    async fn check_silence(&mut self) -> Result<(), LinkError> {
+        if self
+            .pinged
+            .is_some_and(|since| since.elapsed() > LINK_SILENCE)
+        {
+            return Err(LinkError::Silent(LINK_SILENCE));
+        }
+        let pause = if self.waiting.is_empty() {
+            PING_RESTING
+        } else {
+            PING_WAITING
+        };
+        if self.last_ping.elapsed() < pause {
+            return Ok(());
+        }
+        self.last_ping = Instant::now();
+        self.pinged.get_or_insert(self.last_ping);
+        ping(&mut self.socket).await
+    }
+
     /// Cancels the requests whose requesters have left.
     async fn cancel_abandoned(&mut self) -> Result<(), LinkError> {
         let abandoned: Vec<u64> = self
