soak: links between daemons are harmed, and tables grow large

From seed 1000 on, what other daemons send a daemon, and their links to it, are delayed, reset, silenced or cut one way, in a series of its own beside the other faults, and each version adds 100 routes. Seeds before keep the events with which they once failed. A daemon may be told the port at which others reach it (--advertised-port), where a proxy stands before its own.

--- a/daemon/src/args.rs
+++ b/daemon/src/args.rs
@@ -13,6 +13,11 @@
     #[argh(option)]
     pub metrics_port: Option<u16>,
 
+    /// port of this host at which other daemons reach this one on the platform, where a proxy or a
+    /// translation of addresses stands before the settings' own port
+    #[argh(option)]
+    pub advertised_port: Option<u16>,
+
     /// file with the daemon's settings: JSON with comments, or the platform's own form
     #[argh(positional)]
     pub settings: Option<PathBuf>,
--- a/daemon/src/forwarding.rs
+++ b/daemon/src/forwarding.rs
@@ -9,17 +9,25 @@
     tokio::{runtime::Builder, task::LocalSet},
 };
 
-/// Serves until a signal stops the daemon; `metrics_port` is a port of this host for metrics, beside
-/// the settings' own address.
+/// Ports of this host that the command line adds to the settings.
+#[derive(Debug, Clone, Copy)]
+pub struct ExtraPorts {
+    /// For metrics, beside the settings' own address.
+    pub metrics: Option<u16>,
+    /// At which other daemons reach this one.
+    pub advertised: Option<u16>,
+}
+
+/// Serves until a signal stops the daemon.
 ///
 /// # Errors
 ///
 /// Returns an error when the settings can't be used or an address can't be had.
-pub fn run(path: &Path, metrics_port: Option<u16>) -> Result<()> {
+pub fn run(path: &Path, ports: ExtraPorts) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let mut signals = Signals::install()?;
-        let file = SettingsFile { path, metrics_port };
+        let file = SettingsFile { path, ports };
         let settings = file.read()?;
         let address = settings.store;
         let server: Server<PlatformDialect> =
@@ -35,15 +43,16 @@
 /// The settings file, and what the command line adds to it.
 struct SettingsFile<'a> {
     path: &'a Path,
-    /// Port of this host for metrics, beside the settings' own address.
-    metrics_port: Option<u16>,
+    ports: ExtraPorts,
 }
 
 impl SettingsFile<'_> {
     fn read(&self) -> Result<PlatformSettings, SettingsError> {
         let mut settings = read_settings(self.path)?;
         let host = settings.gateway.peer.ip();
-        settings.gateway.metrics = self.metrics_port.map(|port| SocketAddr::new(host, port));
+        let address = |port| SocketAddr::new(host, port);
+        settings.gateway.metrics = self.ports.metrics.map(address);
+        settings.gateway.advertised = self.ports.advertised.map(address);
         Ok(settings)
     }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -12,6 +12,7 @@
 use {
     anyhow::{Context, Result},
     args::Args,
+    forwarding::ExtraPorts,
     hazelyoke_platform::settings_path,
     log_lines::LogGuard,
 };
@@ -30,7 +31,11 @@
 fn run(args: Args) -> Result<()> {
     if args.platform {
         let path = args.settings.unwrap_or_else(settings_path);
-        return forwarding::run(&path, args.metrics_port);
+        let ports = ExtraPorts {
+            metrics: args.metrics_port,
+            advertised: args.advertised_port,
+        };
+        return forwarding::run(&path, ports);
     }
     let path = args.settings.context("no settings file is named")?;
     pipelines::run(&path)
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -35,6 +35,8 @@
     pub child: Child,
     /// Between it and the store.
     pub store: Proxy,
+    /// Between other daemons and it.
+    pub link: Proxy,
     pub settings: PathBuf,
     pub log: PathBuf,
     /// True if the soak ended the process, or is about to.
@@ -69,14 +71,15 @@
     pub fn restart(&mut self) {
         self.life += 1;
         self.ending = false;
-        self.child = spawn(&self.settings, &self.log);
+        self.child = spawn(&self.settings, &self.log, &self.link);
     }
 }
 
-fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
+fn spawn(settings: &PathBuf, log: &PathBuf, link: &Proxy) -> Child {
     let log = File::options().create(true).append(true).open(log).unwrap();
     Command::new(env!("CARGO_BIN_EXE_hazelyoked"))
         .arg("--platform")
+        .args(["--advertised-port", &link.address.port().to_string()])
         .arg(settings)
         .stdout(Stdio::from(log))
         .spawn()
@@ -134,7 +137,8 @@
             store: proxy.address,
         };
         std::fs::write(&settings, file.text()).unwrap();
-        let child = spawn(&settings, &log);
+        let link = Proxy::start_before(SocketAddr::new(ip, peer)).await;
+        let child = spawn(&settings, &log, &link);
         daemons.push(Daemon {
             name,
             listen: SocketAddr::new(ip, front),
@@ -142,6 +146,7 @@
             life: 0,
             child,
             store: proxy,
+            link,
             settings,
             log,
             ending: false,
--- a/daemon/tests/soak/proxy.rs
+++ b/daemon/tests/soak/proxy.rs
@@ -1,10 +1,16 @@
 //! A loopback proxy that injects faults into the connections through it.
 
 use {
-    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::Cell,
+        collections::{HashMap, hash_map::Entry},
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpStream, UdpSocket},
     },
 };
 
@@ -38,6 +44,25 @@
     /// Starts to pass connections on to `target`.
     pub async fn start(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_on(listener, target)
+    }
+
+    /// Starts to pass connections and datagrams on to `target`, from the same IP number.
+    pub async fn start_before(target: SocketAddr) -> Self {
+        let (listener, datagrams) = loop {
+            let listener = TcpListener::bind((target.ip(), 0)).await.unwrap();
+            // The port may be taken in the other protocol.
+            if let Ok(socket) = UdpSocket::bind(listener.local_addr().unwrap()).await {
+                break (listener, socket);
+            }
+        };
+        let proxy = Self::start_on(listener, target);
+        let fault = proxy.fault.clone();
+        tokio::task::spawn_local(pass_datagrams(datagrams, target, fault));
+        proxy
+    }
+
+    fn start_on(listener: TcpListener, target: SocketAddr) -> Self {
         let proxy = Self {
             address: listener.local_addr().unwrap(),
             fault: Rc::new(Cell::new(Fault::None)),
@@ -57,6 +82,24 @@
     }
 }
 
+/// Passes datagrams on, each from the IP number of its sender; a fault that holds bytes up loses them.
+async fn pass_datagrams(socket: UdpSocket, target: SocketAddr, fault: Rc<Cell<Fault>>) {
+    let mut senders: HashMap<IpAddr, UdpSocket> = HashMap::new();
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        let (size, from) = socket.recv_from(&mut buffer).await.unwrap();
+        if !matches!(fault.get(), Fault::None | Fault::Reset | Fault::CutBack) {
+            continue;
+        }
+        let sender = match senders.entry(from.ip()) {
+            Entry::Occupied(sender) => sender.into_mut(),
+            Entry::Vacant(place) => place.insert(UdpSocket::bind((from.ip(), 0)).await.unwrap()),
+        };
+        // A daemon that is down gets nothing.
+        let _ = sender.send_to(&buffer[..size], target).await;
+    }
+}
+
 async fn pass(near: TcpStream, target: SocketAddr, fault: Rc<Cell<Fault>>) {
     let Ok(far) = TcpStream::connect(target).await else {
         return;
--- a/daemon/tests/soak/trouble.rs
+++ b/daemon/tests/soak/trouble.rs
@@ -5,7 +5,7 @@
         fleet::{Daemon, Member, misbehaviour, proxy_fault, start_member},
         proxy::Fault,
         stand_in::{
-            site::table_of_kinds,
+            site::{table_of_kinds, with_routes},
             store::{StandInStore, Trouble},
         },
     },
@@ -22,8 +22,15 @@
     pub members: Rc<RefCell<Vec<Member>>>,
     pub version: Rc<std::cell::Cell<u64>>,
     pub findings: Rc<RefCell<Vec<String>>>,
+    /// Links between daemons are harmed, and tables grow large.
+    pub harms_links: bool,
 }
 
+/// Routes that each version adds where tables grow large, and the most of them: about 0.4 MB. Chosen, not
+/// measured.
+const ROUTES_PER_VERSION: usize = 100;
+const MOST_ROUTES: usize = 2_000;
+
 /// Longest time that a planned stop may take. Chosen, not measured.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
 
@@ -66,7 +73,14 @@
     /// Publishes a new table, as an operator does.
     pub fn publish(&self) {
         self.version.set(self.version.get() + 1);
-        self.store.publish(&table_of_kinds(self.version.get()));
+        let version = self.version.get();
+        let routes = if self.harms_links {
+            (version as usize * ROUTES_PER_VERSION).min(MOST_ROUTES)
+        } else {
+            0
+        };
+        self.store
+            .publish(&with_routes(table_of_kinds(version), routes));
     }
 
     /// Signals a daemon to read its settings again; one that isn't up yet is left alone.
@@ -167,6 +181,18 @@
         proxy.set(Fault::None);
     }
 
+    /// Harms what other daemons send one after the other of them, and their links to it, for good.
+    pub async fn harm_links(self, mut rng: SmallRng) {
+        loop {
+            let daemon = rng.random_range(0..self.daemons.borrow().len());
+            let time = Duration::from_millis(rng.random_range(50..1_500));
+            let proxy = self.daemons.borrow()[daemon].link.clone();
+            proxy.set(proxy_fault(rng.random()));
+            tokio::time::sleep(time).await;
+            proxy.set(Fault::None);
+        }
+    }
+
     async fn disturb_member(&self, choice: u32, time: Duration) {
         let proxy = {
             let members = self.members.borrow();
@@ -196,6 +222,7 @@
         }
         for daemon in self.daemons.borrow_mut().iter_mut() {
             daemon.store.set(Fault::None);
+            daemon.link.set(Fault::None);
             daemon.resume();
         }
     }
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -35,15 +35,18 @@
         cell::{Cell, RefCell},
         collections::{BTreeMap, BTreeSet},
         env,
-        ops::Range,
         rc::Rc,
         time::Duration,
     },
     tokio::task::LocalSet,
 };
 
-/// Seeds of the short series.
-const SHORT: Range<u64> = 2..4;
+/// Seeds of the short series: without and with harm to links.
+const SHORT: [u64; 4] = [2, 3, 1_000, 1_001];
+
+/// Seeds from this one on also harm the links between daemons, and let tables grow large. Those before keep
+/// the events with which they once failed.
+const LINKS_FROM: u64 = 1_000;
 
 /// Seeds that failed once, with what they showed.
 const REGRESSIONS: [(u64, &str); 4] = [
@@ -142,6 +145,7 @@
         members: Rc::new(RefCell::new(members)),
         version: Rc::new(Cell::new(1)),
         findings: Rc::default(),
+        harms_links: seed >= LINKS_FROM && !planned,
     };
     if !until_settled(&world).await {
         return vec!["the daemons never served".into()];
@@ -162,6 +166,10 @@
             ))
         })
         .collect();
+    let link_harm = world.harms_links.then(|| {
+        let rng = SmallRng::seed_from_u64(!seed);
+        tokio::task::spawn_local(world.clone().harm_links(rng))
+    });
     let version_check = tokio::task::spawn_local(check_versions(world.clone()));
     let end = tokio::time::Instant::now() + Duration::from_secs(seconds());
     while tokio::time::Instant::now() < end {
@@ -174,6 +182,9 @@
     for caller in callers {
         caller.await.unwrap();
     }
+    if let Some(harm) = link_harm {
+        harm.abort();
+    }
     world.heal().await;
     world.publish();
     if !until_settled(&world).await {
--- a/lib/src/gateway/serving/reload.rs
+++ b/lib/src/gateway/serving/reload.rs
@@ -105,7 +105,10 @@
             (SettingField::Ready, current.ready != read.ready),
             (SettingField::Operator, current.operator != read.operator),
             (SettingField::Metrics, current.metrics != read.metrics),
-            (SettingField::Peer, is_moved(current.peer, read.peer)),
+            (
+                SettingField::Peer,
+                is_moved(current.peer, read.reached_at()),
+            ),
             (SettingField::Capacity, current.capacity != read.capacity),
         ];
         Self {
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -67,7 +67,8 @@
     ) -> Result<Self, BindError> {
         let sockets = Sockets::bind(&settings).await?;
         // Other daemons need the port that the system chose, where the settings leave it open.
-        settings.peer = settings.advertised.unwrap_or(sockets.peer);
+        settings.peer = sockets.peer;
+        settings.peer = settings.reached_at();
         let gateway: Rc<Gateway<D>> = Gateway::new(settings);
         let (admission, watched) = watch::channel(ListenerState::Open);
         let mut server = Self {
--- a/lib/src/gateway/serving/settings.rs
+++ b/lib/src/gateway/serving/settings.rs
@@ -40,6 +40,13 @@
     }
 }
 
+impl GatewaySettings {
+    /// Returns the address at which other daemons reach this one.
+    pub fn reached_at(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.peer)
+    }
+}
+
 /// Checked settings of a forwarding daemon.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
