routing/stream_resume: the reply to a resumed stream is judged as any other

A 421 of another endpoint at the same address, and a 409 for results that are gone, counted as failures of the endpoint towards its ejection, and so did a reply that was awaited when the request's time ended; the load that a reply reports was lost.

directory: a call for endpoints that was made while the directory was silent is given up, and made again, once the directory has answered for the table.

--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -96,13 +96,22 @@
         }
     }
 
-    /// Calls the directory; nothing if another daemon brings a table meanwhile, since what the call
-    /// would return is probably that table.
+    /// Calls the directory; nothing if the call isn't worth waiting for any more.
     async fn read(&self, wait: Duration) -> Option<Result<Items, DirectoryError>> {
-        let changed = self.gateway.table_changed.notified();
         tokio::select! {
             read = self.call(wait) => Some(read),
-            () = changed, if self.topic == Topic::Table => None,
+            () = self.superseded() => None,
+        }
+    }
+
+    /// Ends when a call isn't worth waiting for: another daemon has brought a table, which is probably
+    /// what the call would return; or the directory has answered for the table again, while the
+    /// connection of a call for endpoints, made while it was silent, may stay silent. A table on its way
+    /// isn't given up for that.
+    async fn superseded(&self) {
+        match self.topic {
+            Topic::Table => self.gateway.table_changed.notified().await,
+            Topic::Endpoints => self.gateway.directory_regained.notified().await,
         }
     }
 
--- a/lib/src/gateway/directory/outage.rs
+++ b/lib/src/gateway/directory/outage.rs
@@ -15,6 +15,7 @@
         if before.is_lost() {
             let for_ms = before.failed.map_or(0.0, |failed| now.millis_since(failed));
             log::info!(for_ms; "directory.regained");
+            self.directory_regained.notify_waiters();
         }
     }
 
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         gateway::{
-            dialect::Dialect,
+            dialect::{Dialect, ReplyLoad},
             routing::{
                 attempt::StreamSource,
                 call::ForwardedCall,
@@ -82,6 +82,8 @@
 enum Exchange {
     Replied(Response<Incoming>, ConnectionGuard),
     Failed,
+    /// The request's time was over before the reply.
+    TimeOver,
     CallerLeft,
 }
 
@@ -181,10 +183,14 @@
                 return Err(SourceError::Failed);
             }
             // The guard's drop says nothing about the endpoint.
+            Exchange::TimeOver => return Err(SourceError::Failed),
             Exchange::CallerLeft => return Err(SourceError::CallerLeft),
         };
         let (head, body) = response.into_parts();
-        let verdict = judge_resumed_head(self.call.id(), head.status, &D::read_reply(&head));
+        let facts = D::read_reply(&head);
+        self.record_load(&guard, facts.load);
+        let kind = self.call.route.kind;
+        let verdict = judge_resumed_head(self.call.id(), kind, head.status, &facts);
         if let Err(outcome) = verdict {
             guard.end(outcome);
             return Err(SourceError::Failed);
@@ -197,6 +203,16 @@
         })
     }
 
+    fn record_load(&self, guard: &AttemptGuard<D>, load: Option<ReplyLoad>) {
+        if let Some(load) = load {
+            let now = self.gateway.now();
+            let mut state = self.gateway.state.borrow_mut();
+            state
+                .endpoints
+                .record_load(now, &guard.choice.entry.id, load);
+        }
+    }
+
     /// Sends a request and waits for the head of its reply, as long as the caller and the deadline
     /// allow.
     async fn exchange(
@@ -212,9 +228,10 @@
         };
         match sent {
             Ok(Ok((response, connection))) => Exchange::Replied(response, connection),
-            // Both count as a failure of the endpoint; the stream is resumed elsewhere or ends with
+            // It counts as a failure of the endpoint; the stream is resumed elsewhere or ends with
             // `request.broken_off`.
-            Ok(Err(_)) | Err(_) => Exchange::Failed,
+            Ok(Err(_)) => Exchange::Failed,
+            Err(_elapsed) => Exchange::TimeOver,
         }
     }
 }
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -145,6 +145,8 @@
     pub(crate) newer_table: Notify,
     /// Wakes whoever waits for another table to come into force.
     pub(crate) table_changed: Notify,
+    /// Wakes whoever waits for an answer of the directory that was asked for while it was lost.
+    pub(crate) directory_regained: Notify,
     /// Wakes the loop that sends heartbeats: there is something that others should know at once.
     pub(crate) announcement: Notify,
     /// Random number that distinguishes this life of the process from others.
@@ -191,6 +193,7 @@
             work: Notify::new(),
             newer_table: Notify::new(),
             table_changed: Notify::new(),
+            directory_regained: Notify::new(),
             announcement: Notify::new(),
             run,
             start: Instant::now(),
