--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -112,7 +112,7 @@
 /// Starts daemons before a store.
 pub async fn start_daemons(count: usize, seed: u64, store: SocketAddr) -> Vec<Daemon> {
     let subnet = Subnet::new(seed);
-    let [front, ready, control, peer] = free_ports(subnet.ip(0));
+    let [front, ready, control, peer, link_port] = free_ports(subnet.ip(0));
     let seeds: Vec<SocketAddr> = (0..count.min(3))
         .map(|number| SocketAddr::new(subnet.ip(number), control))
         .collect();
@@ -137,7 +137,7 @@
             store: proxy.address,
         };
         std::fs::write(&settings, file.text()).unwrap();
-        let link = Proxy::start_before(SocketAddr::new(ip, peer)).await;
+        let link = Proxy::start_before(link_port, SocketAddr::new(ip, peer)).await;
         let child = spawn(&settings, &log, &link);
         daemons.push(Daemon {
             name,
--- a/daemon/tests/soak/proxy.rs
+++ b/daemon/tests/soak/proxy.rs
@@ -47,15 +47,12 @@
         Self::start_on(listener, target)
     }
 
-    /// Starts to pass connections and datagrams on to `target`, from the same IP number.
-    pub async fn start_before(target: SocketAddr) -> Self {
-        let (listener, datagrams) = loop {
-            let listener = TcpListener::bind((target.ip(), 0)).await.unwrap();
-            // The port may be taken in the other protocol.
-            if let Ok(socket) = UdpSocket::bind(listener.local_addr().unwrap()).await {
-                break (listener, socket);
-            }
-        };
+    /// Starts to pass connections and datagrams on to `target`, from a port of the same IP number. The
+    /// port isn't left to the system, which might choose one that the target is about to bind.
+    pub async fn start_before(port: u16, target: SocketAddr) -> Self {
+        let address = (target.ip(), port);
+        let listener = TcpListener::bind(address).await.unwrap();
+        let datagrams = UdpSocket::bind(address).await.unwrap();
         let proxy = Self::start_on(listener, target);
         let fault = proxy.fault.clone();
         tokio::task::spawn_local(pass_datagrams(datagrams, target, fault));
