peers, directory: what a reading of the change found

- A topic whose history was gone is read whole whatever other daemons report: they may have missed the same change.
- A daemon that was refused as busy waits 0.1 s on average before it asks another one, in place of 0.04 s.

--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -36,7 +36,7 @@
         directory,
         topic,
         since: None,
-        compacted: 0,
+        must_list: false,
         backoff: Backoff::default(),
         limit: AnswerLimit::default(),
     };
@@ -59,8 +59,9 @@
     topic: Topic,
     /// Revision up to which all changes are known; nothing before the first list.
     since: Option<u64>,
-    /// Revision after which changes are no longer kept, as far as the directory said so.
-    compacted: u64,
+    /// History was gone, so that the topic has to be read whole whatever other daemons know: they may
+    /// have missed the same change.
+    must_list: bool,
     backoff: Backoff,
     limit: AnswerLimit,
 }
@@ -91,7 +92,7 @@
     /// again, which takes 1 s of a link of 10 Mbit/s for a table of 0.96 MB.
     fn skip_known_table(&mut self) {
         let known = self.gateway.known_revision(self.topic);
-        if self.topic == Topic::Table && known > self.compacted {
+        if self.topic == Topic::Table && known > 0 && !self.must_list {
             self.since = Some(self.since.map_or(known, |since| known.max(since)));
         }
     }
@@ -138,7 +139,7 @@
             Ok(items) => self.apply_items(items).await,
             Err(DirectoryError::Compacted) => {
                 log::info!(topic:? = self.topic; "directory.compacted");
-                self.compacted = self.since.unwrap_or_default();
+                self.must_list = true;
                 self.since = None;
             }
             Err(error) => self.back_off(&error, took).await,
@@ -148,6 +149,7 @@
     async fn apply_items(&mut self, items: Items) {
         self.gateway.directory_answered(self.topic);
         let whole = self.since.is_none();
+        self.must_list = false;
         self.since = Some(items.revision);
         match self.topic {
             Topic::Table => {
--- a/lib/src/gateway/peers/links.rs
+++ b/lib/src/gateway/peers/links.rs
@@ -23,7 +23,7 @@
     tokio::{
         sync::{mpsc, oneshot},
         task::{self, AbortHandle},
-        time::{Instant, interval},
+        time::{Instant, MissedTickBehavior, interval},
     },
     tokio_tungstenite::client_async_with_config,
 };
@@ -103,6 +103,8 @@
 ) -> Result<(), LinkError> {
     let mut session = LinkSession::open(peer).await?;
     let mut sweep = interval(HEARTBEAT.to_duration());
+    // A process that stood still mustn't count the sweeps that it missed.
+    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             request = requests.recv() => match request {
@@ -111,7 +113,7 @@
             },
             message = session.socket.next() => {
                 let bytes = read(message)?;
-                session.pinged = None;
+                session.unanswered = None;
                 if let Some(bytes) = bytes {
                     session.receive_reply(&bytes)?;
                 }
@@ -132,8 +134,8 @@
     last_number: u64,
     /// When the last ping was sent.
     last_ping: Instant,
-    /// When the first ping was sent after which nothing has come.
-    pinged: Option<Instant>,
+    /// Sweeps since the first ping after which nothing has come.
+    unanswered: Option<u32>,
 }
 
 impl LinkSession {
@@ -147,7 +149,7 @@
             waiting: HashMap::default(),
             last_number: 0,
             last_ping: Instant::now(),
-            pinged: None,
+            unanswered: None,
         })
     }
 
@@ -170,11 +172,12 @@
     /// Sends a ping if one is due. A link on which nothing came after one has gone silent: its requests
     /// would wait for replies that never come, since the daemon itself lives.
     async fn check_silence(&mut self) -> Result<(), LinkError> {
-        if self
-            .pinged
-            .is_some_and(|since| since.elapsed() > LINK_SILENCE)
-        {
-            return Err(LinkError::Silent(LINK_SILENCE));
+        if let Some(sweeps) = &mut self.unanswered {
+            *sweeps += 1;
+            let silence = HEARTBEAT.to_duration() * *sweeps;
+            if silence > LINK_SILENCE {
+                return Err(LinkError::Silent(silence));
+            }
         }
         let pause = if self.waiting.is_empty() {
             PING_RESTING
@@ -185,7 +188,7 @@
             return Ok(());
         }
         self.last_ping = Instant::now();
-        self.pinged.get_or_insert(self.last_ping);
+        self.unanswered.get_or_insert(0);
         ping(&mut self.socket).await
     }
 
--- a/lib/src/gateway/rules/catch_up.rs
+++ b/lib/src/gateway/rules/catch_up.rs
@@ -41,8 +41,8 @@
 pub const READ_FIRST: Millis = Millis(200);
 
 /// Longest pause after a daemon that was busy, of which a random part is waited. Chosen, not
-/// measured: some batches of parts on a link of 10 Mbit/s.
-const BUSY_PAUSE: Millis = Millis(80);
+/// measured: the batches that a busy daemon still has to send take most of it.
+const BUSY_PAUSE: Millis = Millis(200);
 
 /// A list that another daemon reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
