--- a/lib/src/gateway/directory/adopt_table.rs
+++ b/lib/src/gateway/directory/adopt_table.rs
@@ -56,20 +56,16 @@
         let current = mark(current.as_deref());
         match judge(Some(current), read) {
             VersionVerdict::Adopt => {
-                let routes = table.routes().count();
-                let size = bytes.len();
-                let behind_ms = self.behind_ms();
-                self.put_in_force(table, bytes, fingerprint);
-                self.metrics.table_adopted(version);
                 log::info!(
                     source,
                     version,
                     before = current.version,
-                    routes,
-                    bytes = size,
-                    behind_ms;
+                    routes = table.routes().count(),
+                    bytes = bytes.len(),
+                    behind_ms = self.behind_ms();
                     "table.adopted"
                 );
+                self.put_in_force(table, bytes, fingerprint);
                 TableAdoption::Adopted
             }
             VersionVerdict::Same => TableAdoption::Known,
@@ -99,6 +95,7 @@
     }
 
     fn put_in_force(&self, table: Table, bytes: &Bytes, fingerprint: u64) {
+        self.metrics.table_adopted(table.version);
         let mut state = self.state.borrow_mut();
         state.planning.set_services(&table);
         let published = PublishedTable::new(table, bytes.clone(), fingerprint);
--- a/lib/src/gateway/peers/part_batches.rs
+++ b/lib/src/gateway/peers/part_batches.rs
@@ -15,7 +15,7 @@
 
 /// Batches that are kept. Daemons that had the same table ask for the same batches one after the
 /// other; a table of the largest size has eight. Chosen, not measured.
-const KEPT: usize = 8;
+const BATCHES_KEPT: usize = 8;
 
 /// A compressed batch, and the parts that it holds.
 #[derive(Debug, Clone)]
@@ -46,7 +46,7 @@
     /// Keeps a batch for the next daemon that asks for it.
     pub(crate) fn keep(&mut self, parts: Vec<PartHash>, bytes: Bytes) {
         self.kept.push_back(Batch { parts, bytes });
-        if self.kept.len() > KEPT {
+        if self.kept.len() > BATCHES_KEPT {
             self.kept.pop_front();
         }
     }
--- a/lib/src/gateway/table_parts.rs
+++ b/lib/src/gateway/table_parts.rs
@@ -26,7 +26,7 @@
 
 /// Bytes of parts, not compressed, from which on a batch isn't made larger: chosen, not measured. A batch
 /// takes about 30 ms on an idle link of 10 Mbit/s, and other messages on its link wait no longer.
-const BATCH: usize = 128 << 10;
+const BATCH_BYTES: usize = 128 << 10;
 
 /// Largest table, in bytes; chosen, not measured: as large as a message between daemons.
 const LARGEST_TABLE: usize = 8 << 20;
@@ -181,7 +181,7 @@
             }
             missing.push(*mark);
             size += mark.length as usize;
-            if size >= BATCH {
+            if size >= BATCH_BYTES {
                 break;
             }
         }
