--- a/lib/src/gateway/peers/table_fetch.rs
+++ b/lib/src/gateway/peers/table_fetch.rs
@@ -41,7 +41,7 @@
     /// Its parts can't be used.
     #[error(transparent)]
     Parts(#[from] PartsError),
-    /// The table that it sent isn't adopted; why is logged there.
+    /// The table that it sent isn't newer, or is refused; why is logged there.
     #[error("the table isn't adopted")]
     NotAdopted,
 }
@@ -201,8 +201,10 @@
 
     fn adopt(&mut self, peer: SocketAddr, bytes: &Bytes) -> Result<(), FetchError> {
         match self.gateway.adopt_table(bytes, &format!("peer {peer}")) {
-            TableAdoption::Adopted | TableAdoption::Known => Ok(()),
-            TableAdoption::Refused => Err(FetchError::NotAdopted),
+            TableAdoption::Adopted => Ok(()),
+            // A source that started anew may have an older table than its last heartbeat says; asked
+            // again at once it would send the same.
+            TableAdoption::Known | TableAdoption::Refused => Err(FetchError::NotAdopted),
         }
     }
 
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -75,6 +75,7 @@
 /// Why an endpoint doesn't continue a stream.
 enum SourceError {
     Failed,
+    TimeOver,
     CallerLeft,
 }
 
@@ -157,6 +158,8 @@
             Ok(source) => ResumeAttempt::Resumed(source),
             Err(SourceError::Failed) => ResumeAttempt::Failed,
             Err(SourceError::CallerLeft) => ResumeAttempt::CallerLeft,
+            // Nothing more can come in time.
+            Err(SourceError::TimeOver) => ResumeAttempt::NoEndpoint,
         }
     }
 
@@ -183,7 +186,7 @@
                 return Err(SourceError::Failed);
             }
             // The guard's drop says nothing about the endpoint.
-            Exchange::TimeOver => return Err(SourceError::Failed),
+            Exchange::TimeOver => return Err(SourceError::TimeOver),
             Exchange::CallerLeft => return Err(SourceError::CallerLeft),
         };
         let (head, body) = response.into_parts();
