serving/server: requests without an answer at the end of a stop get one

Such requests are now answered as not run, with a time to come back; those that have possibly run as unknown; 0.1 s of the 0.4 s that a stop leaves unused are for these answers.

stop_during_stage fails on the code before.

--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -104,9 +104,14 @@
         progress: RequestProgress::default(),
         results: None,
     };
-    let ended = tokio::time::timeout_at(deadline, run.answer(in_flight)).await;
+    let ended = tokio::select! {
+        ended = run.answer(in_flight) => ended,
+        () = tokio::time::sleep_until(deadline) => Err(run.problem("the request's time is over")),
+        // Its caller hears what can be promised, in place of a connection that just ends.
+        () = gateway.stop_over.notified() => Err(run.problem("the daemon stops")),
+    };
     caller.disarm();
-    ended.unwrap_or_else(|_elapsed| Err(run.problem("the request's time is over")))
+    ended
 }
 
 /// The run of one accepted request.
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -35,6 +35,10 @@
 /// not measured.
 const CHECK: Duration = Duration::from_millis(20);
 
+/// Time for the answers to requests that are ended with the stop: a part of what the schedule of a stop
+/// leaves before the end of the grace period. Chosen, not measured.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
 /// A running forwarding daemon. It lives on one thread, in a `LocalSet`.
 #[derive(Debug)]
 pub struct Server<D: Dialect> {
@@ -163,7 +167,8 @@
     }
 
     /// Stops without cutting a request: not ready at once, callers still accepted until the balancer
-    /// has noticed, then what is in flight ends. The times are the rule
+    /// has noticed, then what is in flight ends. What doesn't in time is answered as not run where that is
+    /// proven, else as unknown. The times are the rule
     /// [`shutdown`](crate::gateway::rules::shutdown).
     pub async fn stop(self) {
         let begun = Instant::now();
@@ -176,9 +181,12 @@
         while Instant::now() < end && self.is_busy() {
             tokio::time::sleep(CHECK).await;
         }
+        let in_flight = self.gateway.in_flight.get();
+        let last_answers = if in_flight > 0 { LAST_ANSWERS } else { CHECK };
+        self.gateway.stop_over.notify_waiters();
         // Answers that were just written get a moment to leave.
-        tokio::time::sleep(CHECK).await;
-        log::info!(in_flight = self.gateway.in_flight.get(); "daemon.stopped");
+        tokio::time::sleep(last_answers).await;
+        log::info!(in_flight; "daemon.stopped");
     }
 
     fn is_busy(&self) -> bool {
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -145,6 +145,8 @@
     pub(crate) newer_table: Notify,
     /// Wakes whoever waits for another table to come into force.
     pub(crate) table_changed: Notify,
+    /// Wakes the requests that are still without an answer when the time of a stop is over.
+    pub(crate) stop_over: Notify,
     /// Wakes whoever waits for an answer of the directory that was asked for while it was lost.
     pub(crate) directory_regained: Notify,
     /// Wakes the loop that sends heartbeats: there is something that others should know at once.
@@ -193,6 +195,7 @@
             work: Notify::new(),
             newer_table: Notify::new(),
             table_changed: Notify::new(),
+            stop_over: Notify::new(),
             directory_regained: Notify::new(),
             announcement: Notify::new(),
             run,
