directory: daemons take turns to look for a directory that nobody reads for them

Cause: in a large fleet a few daemons read the directory for all. Each other daemon judged by itself, by a fixed age (1.4 s) of the last read that it was told of, and then read itself: at the same moment as all others, again and again, both topics. The usual age is up to 1.2 s (1.0 s of a call that waits, and a heartbeat), so that 0.2 s of delay were enough.

Change: such a daemon waits for a turn drawn over the fleet, 30 calls a second in all whatever its size, and hears meanwhile what peers sent. The first that is answered reads on as a substitute; coordinators pass its reads on. A daemon that starts reads at once, and then takes turns too. Outages that peers report count as one's own where entries vanish, and a report of steady reads only while it is current.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -26,7 +26,7 @@
 impl GatewayState {
     /// Returns whether entries that vanish now may have lapsed although their endpoints live.
     fn is_outage(&self, now: Time) -> bool {
-        is_outage(now, self.contact.reads, self.peers.has_steady_peer())
+        is_outage(now, self.contact.reads, self.peers.has_steady_peer(now))
     }
 }
 
--- a/lib/src/gateway/directory/coverage.rs
+++ b/lib/src/gateway/directory/coverage.rs
@@ -1,14 +1,20 @@
-//! Finds out whether peers read the directory for this daemon, and waits while they do.
+//! Finds out whether peers read the directory for this daemon, and waits while they do, or until it is this
+//! daemon's turn to look for the directory.
 //!
 //! Relies on the rule [`directory_reads`](crate::gateway::rules::directory_reads) and on what peers
 //! report of their reads; owns nothing.
 
-use crate::gateway::{
-    dialect::Dialect,
-    directory::source::Topic,
-    peers::message::Phase,
-    rules::directory_reads::{COVER_CHECK, PeerKnowledge, Reader, is_covered},
-    state::{Gateway, GatewayState},
+use crate::{
+    gateway::{
+        dialect::Dialect,
+        directory::source::Topic,
+        peers::message::Phase,
+        rules::directory_reads::{
+            COVER_CHECK, PeerKnowledge, ReadDuty, Reader, first_turn, next_turn, read_duty,
+        },
+        state::{Gateway, GatewayState},
+    },
+    shared::units::{Millis, Time},
 };
 
 impl GatewayState {
@@ -19,45 +25,124 @@
             coordinates: self.peers.coordinates(),
         }
     }
+
+    /// Returns the age of the freshest read that this daemon may rely on: a substitute reads on as long as
+    /// nobody but itself does.
+    fn known_read_age(&self, now: Time) -> Option<Millis> {
+        let others = self.peers.read_age(now);
+        let own = self.contact.read_age(now).filter(|_| !self.substitutes);
+        others.into_iter().chain(own).min()
+    }
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Returns whether peers read the directory for this daemon just now.
-    pub fn is_covered(&self) -> bool {
+    /// Returns what this daemon does about the directory just now.
+    pub fn read_duty(&self) -> ReadDuty {
         let wait = self.settings().bounds.directory_wait();
         let now = self.now();
-        if self.phase() != Phase::Ready {
-            return false;
-        }
+        let is_starting = self.phase() == Phase::Starting;
         let state = self.state.borrow();
         let peers = PeerKnowledge {
             lags: state.lags(now),
-            read_age: state.peers.read_age(now),
+            // What peers read is of no use before it has come here.
+            read_age: state.known_read_age(now).filter(|_| !is_starting),
         };
-        is_covered(state.reader(), peers, wait)
+        read_duty(state.reader(), peers, state.substitutes, wait)
+    }
+
+    /// Returns whether peers read the directory for this daemon just now.
+    pub fn is_covered(&self) -> bool {
+        self.read_duty() == ReadDuty::Leave
+    }
+
+    /// Records that a call in this daemon's turn was answered: from now on it reads for the others.
+    pub(crate) fn probe_answered(&self) {
+        if self.phase() != Phase::Ready || self.read_duty() != ReadDuty::Probe {
+            return;
+        }
+        log::info!("directory.substitute_began");
+        self.state.borrow_mut().substitutes = true;
+    }
+
+    /// Tells the others at once that this daemon reads in place of those that should: meanwhile more of them
+    /// have their turn, six in the time between two heartbeats (worked out).
+    pub(crate) fn announce_read(&self, topic: Topic) {
+        if topic == Topic::Endpoints && self.state.borrow().substitutes {
+            self.announcement.notify_one();
+        }
+    }
+
+    /// Records that this daemon doesn't read the directory for the others any more.
+    pub(crate) fn end_substitution(&self) {
+        let mut state = self.state.borrow_mut();
+        if state.substitutes {
+            state.substitutes = false;
+            log::info!("directory.substitute_ended");
+        }
     }
 }
 
-/// Waits until peers no longer read the directory for this daemon.
-pub(crate) async fn wait_uncovered<D: Dialect>(gateway: &Gateway<D>, topic: Topic) {
-    log::info!(topic:? = topic, read_ms = read_ms(gateway); "directory.covered");
-    while gateway.is_covered() {
+/// Waits until this daemon reads the directory or has to look for it. `failed` is set after a call that failed:
+/// others have their turn before the next one.
+pub(crate) async fn wait_for_duty<D: Dialect>(gateway: &Gateway<D>, topic: Topic, failed: bool) {
+    let mut last = ReadDuty::Read;
+    let mut turn = None;
+    loop {
+        let duty = gateway.read_duty();
+        match duty {
+            ReadDuty::Read => break,
+            ReadDuty::Leave => {
+                gateway.end_substitution();
+                turn = None;
+            }
+            ReadDuty::Probe => {
+                gateway.note_outage();
+                let now = gateway.now();
+                let turn = *turn.get_or_insert_with(|| now + draw_turn(gateway, failed));
+                if turn <= now && probes(gateway, topic) {
+                    break;
+                }
+            }
+        }
+        if duty != last {
+            log_duty(gateway, topic, duty);
+            last = duty;
+        }
         tokio::time::sleep(COVER_CHECK.to_duration()).await;
     }
-    let state = gateway.state.borrow();
-    log::info!(
-        topic:? = topic,
-        read_ms = read_ms(gateway),
-        coordinates = state.peers.coordinates(),
-        behind = state.behind_since.knows_newer(),
-        peers = state.peers.daemons() - 1;
-        "directory.uncovered"
-    );
+    log_duty(gateway, topic, gateway.read_duty());
 }
 
-/// Returns the milliseconds since the directory answered a peer that reports its reads; the largest
-/// number if there is no such peer.
-fn read_ms<D: Dialect>(gateway: &Gateway<D>) -> u64 {
-    let age = gateway.state.borrow().peers.read_age(gateway.now());
-    age.map_or(u64::MAX, |age| age.0)
+/// Returns whether a topic is called to find the directory: one is enough, but for a daemon that lacks
+/// both.
+fn probes<D: Dialect>(gateway: &Gateway<D>, topic: Topic) -> bool {
+    topic == Topic::Table || gateway.phase() == Phase::Starting
+}
+
+fn draw_turn<D: Dialect>(gateway: &Gateway<D>, failed: bool) -> Millis {
+    let daemons = gateway.state.borrow().peers.daemons();
+    let fraction = rand::random();
+    let turn = if failed {
+        next_turn(daemons, fraction)
+    } else {
+        first_turn(daemons, fraction)
+    };
+    Millis(turn.as_millis() as u64)
+}
+
+fn log_duty<D: Dialect>(gateway: &Gateway<D>, topic: Topic, duty: ReadDuty) {
+    let state = gateway.state.borrow();
+    let age = state.peers.read_age(gateway.now());
+    let read_ms = age.map_or(u64::MAX, |age| age.0);
+    match duty {
+        ReadDuty::Leave => log::info!(topic:? = topic, read_ms; "directory.covered"),
+        ReadDuty::Read | ReadDuty::Probe => log::info!(
+            topic:? = topic,
+            read_ms,
+            coordinates = state.peers.coordinates(),
+            behind = state.behind_since.knows_newer(),
+            peers = state.peers.daemons() - 1;
+            "directory.uncovered"
+        ),
+    }
 }
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -10,11 +10,11 @@
         dialect::Dialect,
         directory::{
             catalogue::EndpointEntry,
-            coverage::wait_uncovered,
+            coverage::wait_for_duty,
             source::{Directory, DirectoryError, Item, Items, Topic},
         },
         rules::directory_reads::{
-            AnswerLimit, Backoff, PAUSE_PARTS, pause_after_answer, topic_wait,
+            AnswerLimit, Backoff, PAUSE_PARTS, ReadDuty, pause_after_answer, topic_wait,
         },
         serving::metrics::TableSource,
         state::Gateway,
@@ -37,6 +37,8 @@
         topic,
         since: None,
         must_list: false,
+        called: false,
+        failed: false,
         backoff: Backoff::default(),
         limit: AnswerLimit::default(),
     };
@@ -62,19 +64,25 @@
     /// History was gone, so that the topic has to be read whole whatever other daemons know: they may
     /// have missed the same change.
     must_list: bool,
+    /// A call was made: the first one of a process waits for nobody.
+    called: bool,
+    /// The last call failed.
+    failed: bool,
     backoff: Backoff,
     limit: AnswerLimit,
 }
 
 impl<D: Dialect, S: Directory> Follower<D, S> {
-    /// Waits while peers read the directory for this daemon, and returns how long the next call may
-    /// wait for changes.
+    /// Waits while peers read the directory for this daemon, or it isn't its turn to look for it, and
+    /// returns how long the next call may wait for changes.
     async fn wait_for_turn(&mut self) -> Duration {
-        if !self.gateway.is_covered() {
+        let is_first = !self.called;
+        self.called = true;
+        if is_first || self.gateway.read_duty() == ReadDuty::Read {
             self.skip_known_table();
             return self.usual_wait();
         }
-        wait_uncovered(&self.gateway, self.topic).await;
+        wait_for_duty(&self.gateway, self.topic, self.failed).await;
         let known = self.gateway.known_revision(self.topic);
         self.since = self.since.map(|since| known.max(since));
         self.skip_known_table();
@@ -148,6 +156,8 @@
 
     async fn apply_items(&mut self, items: Items) {
         self.gateway.directory_answered(self.topic);
+        self.gateway.probe_answered();
+        self.failed = false;
         let whole = self.since.is_none();
         self.must_list = false;
         self.since = Some(items.revision);
@@ -159,6 +169,7 @@
             Topic::Endpoints if whole => apply_list(&self.gateway, &items),
             Topic::Endpoints => apply_changes(&self.gateway, &items),
         }
+        self.gateway.announce_read(self.topic);
         self.backoff = Backoff::default();
         let is_steady = self.gateway.is_directory_steady();
         if let Some(pause) = pause_after_answer(self.topic, is_steady) {
@@ -169,6 +180,8 @@
     async fn back_off(&mut self, error: &DirectoryError, took: Duration) {
         let took_ms = took.as_millis() as u64;
         log::info!(topic:? = self.topic, took_ms, error:% = error; "directory.read_failed");
+        self.failed = true;
+        self.gateway.end_substitution();
         self.gateway.directory_failed(&error.to_string());
         let part = rand::random_range(PAUSE_PARTS);
         tokio::time::sleep(self.backoff.pause(part)).await;
--- a/lib/src/gateway/directory/outage.rs
+++ b/lib/src/gateway/directory/outage.rs
@@ -1,4 +1,5 @@
-//! Records the reads of the directory, and logs when it is lost and regained.
+//! Records the reads of the directory, and logs when it is lost and regained. A daemon that leaves the reading
+//! to others takes their outage for its own.
 //!
 //! Relies on [`DirectoryContact`](super::contact::DirectoryContact), which holds the times.
 
@@ -33,6 +34,18 @@
         }
     }
 
+    /// Records an outage, if this daemon doesn't read and those live that should: the directory hasn't answered
+    /// any of them for too long. Without it, a daemon that reads for itself only after the outage would take endpoints for
+    /// gone whose entries lapsed meanwhile (test `lapsed_unread`).
+    pub(crate) fn note_outage(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if state.peers.read_age(now).is_some() {
+            state.contact.reads.failed = Some(now);
+            state.catalogue.extend_suspects(now);
+        }
+    }
+
     /// Returns whether the directory has answered this daemon without a failure for a while, and no
     /// entry is suspect any more.
     pub fn is_directory_steady(&self) -> bool {
--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -90,6 +90,9 @@
     /// shouldn't rely on its reading.
     #[serde(rename = "e")]
     pub read_ms: Option<u32>,
+    /// The daemon that read it in the place of the sender; nothing if the sender did itself.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub read_by: Option<SocketAddr>,
     /// Set if it sends each heartbeat to every daemon it knows.
     #[serde(rename = "b")]
     pub broadcasts: bool,
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -58,6 +58,7 @@
             catalogue: report.catalogue,
             steady: report.steady,
             read_ms: report.read_ms,
+            read_by: report.read_by,
             broadcasts: coordinates,
             capacity: self.me.capacity,
             joining: self.is_joining(now),
--- a/lib/src/gateway/peers/queries.rs
+++ b/lib/src/gateway/peers/queries.rs
@@ -7,6 +7,7 @@
             rules::{
                 catch_up::{self, Offer, TableOffer},
                 coordinator::{self, Coordinator, DaemonCandidate},
+                suspect_entry,
             },
             table::Version,
         },
@@ -41,22 +42,30 @@
 
     /// Returns whether any daemon has read the directory without a failure for a while, so that a
     /// failure here is this daemon's own.
-    pub fn has_steady_peer(&self) -> bool {
-        self.heartbeats().any(|heartbeat| heartbeat.steady)
+    pub fn has_steady_peer(&self, now: Time) -> bool {
+        self.received().any(|last| {
+            let read_age = last.read_age(now);
+            last.heartbeat.steady && read_age.is_some_and(suspect_entry::is_current)
+        })
     }
 
-    /// Returns the time since the directory last answered the daemon that read it last, among
-    /// those that send everybody their heartbeats.
+    /// Returns the time since the directory last answered the daemon that read it last, as those report
+    /// that send everybody their heartbeats. What they pass on of this daemon's own reads doesn't count.
     pub fn read_age(&self, now: Time) -> Option<Millis> {
         self.received()
             .filter(|last| last.heartbeat.broadcasts)
-            .filter_map(|last| {
-                let read = u64::from(last.heartbeat.read_ms?);
-                Some(Millis(now.since(last.at).as_millis() as u64 + read))
-            })
+            .filter(|last| last.heartbeat.read_by != Some(self.me.address))
+            .filter_map(|last| last.read_age(now))
             .min()
     }
 
+    /// Returns the substitutes that read the directory, and the ages of their reads.
+    pub fn substitute_reads(&self, now: Time) -> impl Iterator<Item = (SocketAddr, Millis)> {
+        self.received()
+            .filter(|last| !last.heartbeat.broadcasts)
+            .filter_map(move |last| Some((last.heartbeat.address, last.read_age(now)?)))
+    }
+
     /// Returns the tables that other daemons report.
     pub fn table_offers(&self) -> impl Iterator<Item = TableOffer> {
         self.heartbeats().map(|heartbeat| TableOffer {
--- a/lib/src/gateway/peers/record.rs
+++ b/lib/src/gateway/peers/record.rs
@@ -24,6 +24,15 @@
     pub(crate) heartbeat: Heartbeat,
 }
 
+impl ReceivedHeartbeat {
+    /// Returns the time since the directory last answered, as the heartbeat reports it.
+    pub(crate) fn read_age(&self, now: Time) -> Option<Millis> {
+        let read = Millis(u64::from(self.heartbeat.read_ms?));
+        let since = Millis(now.since(self.at).as_millis() as u64);
+        Some(Millis(since.0 + read.0))
+    }
+}
+
 /// Everything known of one other daemon.
 #[derive(Debug, Clone)]
 pub(crate) struct Peer {
--- a/lib/src/gateway/peers/self_report.rs
+++ b/lib/src/gateway/peers/self_report.rs
@@ -1,15 +1,25 @@
 //! The report of this daemon about itself that goes out with each heartbeat.
 
-use crate::{
-    gateway::{
-        dialect::Dialect,
-        hashes::{endpoint_hash, service_hash},
-        peers::message::{BacklogNote, LoadNote, Phase, QueueNote, WorkNote},
-        rules::{backlog::Backlog, coordinator::Coordinator},
-        state::{Gateway, GatewayState},
-        table::Version,
+use {
+    crate::{
+        gateway::{
+            dialect::Dialect,
+            hashes::{endpoint_hash, service_hash},
+            peers::message::{BacklogNote, LoadNote, Phase, QueueNote, WorkNote},
+            rules::{
+                backlog::Backlog,
+                coordinator::Coordinator,
+                directory_reads::{ReportedRead, reported_read},
+            },
+            state::{Gateway, GatewayState},
+            table::Version,
+        },
+        shared::{
+            ids::ServiceId,
+            units::{Millis, Time},
+        },
     },
-    shared::{ids::ServiceId, units::Time},
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Report of this daemon about itself.
@@ -29,6 +39,8 @@
     pub steady: bool,
     /// Milliseconds since the directory last answered it for every topic.
     pub read_ms: Option<u32>,
+    /// The daemon that read the directory in its place.
+    pub read_by: Option<SocketAddr>,
     /// Its requests in flight.
     pub loads: Vec<LoadNote>,
     /// The stage services that it plans for.
@@ -89,27 +101,35 @@
             .collect()
     }
 
-    /// Returns the milliseconds since the directory answered this daemon, if others should rely on
-    /// its reading: it coordinates, or every daemon receives its heartbeats.
-    fn read_ms(&self, now: Time) -> Option<u32> {
-        if !self.peers.coordinates() && !self.peers.is_small() {
-            return None;
+    /// Returns the read of the directory on which others should rely: that of a coordinator, of a daemon
+    /// whose heartbeats everybody receives, or of a substitute, which coordinators pass on.
+    fn reported_read(&self, now: Time, wait: Duration) -> Option<ReportedRead> {
+        let own = self.contact.read_age(now);
+        if self.peers.coordinates() {
+            return reported_read(own, self.peers.substitute_reads(now), wait);
         }
-        let age = self.contact.read_age(now)?;
-        Some(u32::try_from(age.0).unwrap_or(u32::MAX))
+        let relied_on = self.substitutes || self.peers.is_small();
+        own.filter(|_| relied_on).map(ReportedRead::own)
     }
 }
 
+/// Returns an age as heartbeats carry it.
+fn to_wire(age: Millis) -> u32 {
+    u32::try_from(age.0).unwrap_or(u32::MAX)
+}
+
 impl<D: Dialect> Gateway<D> {
     /// Gathers the report of this daemon about itself.
     pub fn self_report(&self) -> SelfReport {
         let now = self.now();
+        let wait = self.settings().bounds.directory_wait();
         let ready = self.may_coordinate();
         let phase = reported_phase(self.phase(), ready);
         let state = self.state.borrow();
         let published = state.published.as_ref();
         let queues = state.queue_notes(now, ready);
         let backlogs = state.backlog_notes(now, &queues);
+        let read = state.reported_read(now, wait);
         SelfReport {
             phase,
             table: published.map_or(0, |published| published.table.version),
@@ -117,7 +137,8 @@
             table_until: state.table_until(),
             catalogue: state.catalogue.changed(),
             steady: state.contact.reads.is_steady(now),
-            read_ms: state.read_ms(now),
+            read_ms: read.map(|read| to_wire(read.age)),
+            read_by: read.and_then(|read| read.substitute),
             loads: state.load_notes(),
             queues,
             work: state.workload.notes(),
--- a/lib/src/gateway/rules/directory_reads.rs
+++ b/lib/src/gateway/rules/directory_reads.rs
@@ -2,24 +2,28 @@
 //! again?
 //!
 //! Inputs: the daemon's place in the fleet, whether it lags behind its peers, the age of what
-//! reading peers last reported, the apply and the drain time of the installation (all in
-//! milliseconds), and a random fraction.
+//! reading peers last reported, the number of daemons alive, the apply and the drain time of the
+//! installation (all times in milliseconds), and a random fraction.
 //!
-//! Rule: a ready daemon of a large fleet that coordinates nothing leaves the reading to peers while
-//! their last read isn't older than one call's wait and a little, and while it doesn't lag behind
-//! them. A call waits for half of the shorter of the two times, so that a silent connection is
-//! noticed in time. After a failure the pause doubles from a first one to a longest one, shortened
-//! by a random part; after an answer that didn't begin in time, so does the time that the next one
-//! has.
+//! Rule: a daemon of a large fleet that coordinates nothing leaves the reading to peers while their
+//! last read, or its own, isn't older than one call's wait and a little, and while it doesn't lag
+//! behind them. Once nobody's read is so recent, daemons call one after the other, each at a time that
+//! it draws, so that all of them together make [`FLEET_CALLS`] a second, whatever the fleet; the first
+//! that is answered reads on as a substitute, until a coordinator reads again. A call waits for half of
+//! the shorter of the two times, so that a silent connection is noticed in time. After a failure the
+//! pause doubles from a first one to a longest one, shortened by a random part; after an answer that
+//! didn't begin in time, so does the time that the next one has.
 //!
 //! Reason: each daemon of a fleet of 80 that read for itself cost 0.187 of a day's worth in calls
-//! of the directory, few readers 0.018 (`docs/MEASUREMENTS.md`, "The second milestone").
+//! of the directory, few readers 0.018 (`docs/MEASUREMENTS.md`, "The second milestone"). A directory
+//! that fails for all is called by all unless they take turns: the cost of an outage would grow with the
+//! fleet.
 //!
 //! The constants name their own sources; tests: `lib/tests/test_directory_reads.rs`.
 
 use {
     crate::{gateway::directory::source::Topic, shared::units::Millis},
-    std::{ops::Range, time::Duration},
+    std::{net::SocketAddr, ops::Range, time::Duration},
 };
 
 /// Time beyond the wait of one call after which a peer's read counts as out of date. Chosen, not
@@ -52,6 +56,19 @@
 /// measured.
 pub const COVER_CHECK: Millis = Millis(100);
 
+/// Calls a second that the daemons of a larger fleet make together to find out whether the directory
+/// answers again. Chosen, not measured: nine calls in 0.3 s all fail in 1 of 20,000 cases where the directory
+/// refuses a third of the daemons, and an outage of 5 s costs 150 calls (both worked out).
+const FLEET_CALLS: f64 = 30.0;
+
+/// Least time from noticing that all reads are out of date to a call: what peers have sent
+/// meanwhile is received first. Without it, 15 daemons that had stood still for 0.2 s all read a table of
+/// 0.57 MB (test `small_change`, 5 of 10 runs). Chosen, not measured: half of a heartbeat.
+const TURN_DELAY: Millis = Millis(100);
+
+/// Part of the time between two turns that has passed at least before a daemon's next one.
+const NEXT_TURN: f64 = 0.5;
+
 /// A daemon as a reader of the directory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Reader {
@@ -61,6 +78,36 @@
     pub coordinates: bool,
 }
 
+/// What a daemon does about the directory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadDuty {
+    /// It reads, and waits for changes.
+    Read,
+    /// It leaves the reading to peers.
+    Leave,
+    /// Nobody reads for it: it calls in its turn, and reads on if that is answered.
+    Probe,
+}
+
+/// A daemon's report of its reading that others may rely on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedRead {
+    /// Time since the directory last answered for every topic.
+    pub age: Millis,
+    /// The substitute that read it, if the reporting daemon didn't itself.
+    pub substitute: Option<SocketAddr>,
+}
+
+impl ReportedRead {
+    /// Returns the read of the reporting daemon itself.
+    pub fn own(age: Millis) -> Self {
+        Self {
+            age,
+            substitute: None,
+        }
+    }
+}
+
 impl Reader {
     /// Returns whether the daemon reads for itself whatever its peers report.
     pub fn must_read(self) -> bool {
@@ -77,12 +124,65 @@
     pub read_age: Option<Millis>,
 }
 
-/// Returns whether peers read the directory for a ready daemon, so that it needn't; `wait` is the
-/// wait of one call.
-pub fn is_covered(reader: Reader, peers: PeerKnowledge, wait: Duration) -> bool {
-    let bound = wait + READ_SLACK.to_duration();
-    let is_fresh = |age: Millis| age.to_duration() <= bound;
-    !reader.must_read() && !peers.lags && peers.read_age.is_some_and(is_fresh)
+/// Returns whether a read of this age still stands for the directory's present state; `wait` is the wait
+/// of one call.
+pub fn is_fresh(age: Millis, wait: Duration) -> bool {
+    age.to_duration() <= wait + READ_SLACK.to_duration()
+}
+
+/// Returns what a daemon does about the directory; `wait` is the wait of one call, `substitutes` is set
+/// if the daemon's own probe was answered and it reads for the others since then.
+pub fn read_duty(
+    reader: Reader,
+    peers: PeerKnowledge,
+    substitutes: bool,
+    wait: Duration,
+) -> ReadDuty {
+    if reader.must_read() || peers.lags {
+        return ReadDuty::Read;
+    }
+    let covered = peers.read_age.is_some_and(|age| is_fresh(age, wait));
+    match (covered, substitutes) {
+        (true, _) => ReadDuty::Leave,
+        (false, true) => ReadDuty::Read,
+        (false, false) => ReadDuty::Probe,
+    }
+}
+
+/// Returns the time from the moment at which nobody's read is recent any more to a daemon's first call;
+/// `fraction` is random, from 0 up to 1. It is even over the fleet: [`FLEET_CALLS`] a second.
+pub fn first_turn(daemons: usize, fraction: f64) -> Duration {
+    TURN_DELAY.to_duration() + turn_interval(daemons).mul_f64(fraction)
+}
+
+/// Returns the time from a call that failed to the same daemon's next one.
+pub fn next_turn(daemons: usize, fraction: f64) -> Duration {
+    TURN_DELAY.to_duration() + turn_interval(daemons).mul_f64(NEXT_TURN + fraction)
+}
+
+/// Returns the mean time between two calls of one daemon.
+fn turn_interval(daemons: usize) -> Duration {
+    Duration::from_secs_f64(daemons as f64 / FLEET_CALLS)
+}
+
+/// Returns the read that a coordinator reports: its own while that is fresh, else that of the substitute
+/// with the smallest address among those whose reads are, so that all coordinators report the same
+/// one. Without any, its own.
+pub fn reported_read(
+    own: Option<Millis>,
+    substitutes: impl Iterator<Item = (SocketAddr, Millis)>,
+    wait: Duration,
+) -> Option<ReportedRead> {
+    let own = own.map(ReportedRead::own);
+    if own.is_some_and(|own| is_fresh(own.age, wait)) {
+        return own;
+    }
+    let fresh = substitutes.filter(|(_, age)| is_fresh(*age, wait));
+    let relayed = fresh.min().map(|(address, age)| ReportedRead {
+        age,
+        substitute: Some(address),
+    });
+    relayed.or(own)
 }
 
 /// Returns the time for which one call for changes waits. A connection that has gone silent is
--- a/lib/src/gateway/rules/suspect_entry.rs
+++ b/lib/src/gateway/rules/suspect_entry.rs
@@ -76,6 +76,13 @@
     }
 }
 
+/// Returns whether another daemon's read of this age still speaks for the directory: that of a daemon which
+/// has left the reading to others since then doesn't, however well it went (test `lapsed_unread`, 3 of 6
+/// runs without this bound).
+pub fn is_current(read_age: Millis) -> bool {
+    read_age < STEADY
+}
+
 /// Returns whether entries that vanish now may have lapsed although their endpoints live.
 pub fn is_outage(now: Time, reads: ReadHistory, has_steady_peer: bool) -> bool {
     reads.failed_lately(now) && !has_steady_peer
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -80,6 +80,8 @@
     pub planning: Planning,
     /// Times of this daemon's reads of the directory.
     pub contact: DirectoryContact,
+    /// This daemon reads the directory for the others, since none that should does.
+    pub(crate) substitutes: bool,
     /// A whole list of endpoints has been applied at least once.
     pub has_list: bool,
     /// The outstanding pieces of this daemon's requests.
@@ -179,6 +181,7 @@
                 peers,
                 planning: Planning::default(),
                 contact: DirectoryContact::default(),
+                substitutes: false,
                 has_list: false,
                 workload: Workload::default(),
                 load_sums: LoadSums::default(),
--- a/lib/tests/test_coordinator_rule.rs
+++ b/lib/tests/test_coordinator_rule.rs
@@ -62,6 +62,7 @@
         catalogue: 0,
         steady: false,
         read_ms: None,
+        read_by: None,
         broadcasts: false,
         capacity,
         joining: false,
--- a/lib/tests/test_decision_pins.rs
+++ b/lib/tests/test_decision_pins.rs
@@ -251,6 +251,7 @@
         catalogue: 0,
         steady: true,
         read_ms: None,
+        read_by: None,
         loads: Vec::new(),
         queues: Vec::new(),
         work: Vec::new(),
--- a/lib/tests/test_directory_reads.rs
+++ b/lib/tests/test_directory_reads.rs
@@ -5,13 +5,15 @@
         gateway::{
             directory::source::Topic,
             rules::directory_reads::{
-                AnswerLimit, Backoff, PAUSE_PARTS, PeerKnowledge, Reader, call_wait, is_covered,
-                pause_after_answer, topic_wait,
+                AnswerLimit, Backoff, PAUSE_PARTS, PeerKnowledge, ReadDuty, Reader, ReportedRead,
+                call_wait, first_turn, next_turn, pause_after_answer, read_duty, reported_read,
+                topic_wait,
             },
         },
         shared::units::Millis,
     },
-    std::time::Duration,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{net::SocketAddr, time::Duration},
 };
 
 const FOLLOWER: Reader = Reader {
@@ -29,23 +31,94 @@
 
 #[test]
 fn covered_daemons() {
+    use ReadDuty::{Leave, Probe, Read};
     for (reader, lags, read_age, wait, expected) in [
-        (FOLLOWER, false, Some(0), 1_000, true),
-        (FOLLOWER, false, Some(1_400), 1_000, true),
-        (FOLLOWER, false, Some(1_401), 1_000, false),
-        (FOLLOWER, false, Some(600), 200, true),
-        (FOLLOWER, false, Some(601), 200, false),
-        (FOLLOWER, false, None, 1_000, false),
-        (FOLLOWER, true, Some(0), 1_000, false),
-        (COORDINATOR, false, Some(0), 1_000, false),
-        (SMALL, false, Some(0), 1_000, false),
+        (FOLLOWER, false, Some(0), 1_000, Leave),
+        (FOLLOWER, false, Some(1_400), 1_000, Leave),
+        (FOLLOWER, false, Some(1_401), 1_000, Probe),
+        (FOLLOWER, false, Some(600), 200, Leave),
+        (FOLLOWER, false, Some(601), 200, Probe),
+        (FOLLOWER, false, None, 1_000, Probe),
+        (FOLLOWER, true, Some(0), 1_000, Read),
+        (FOLLOWER, true, None, 1_000, Read),
+        (COORDINATOR, false, Some(0), 1_000, Read),
+        (COORDINATOR, false, None, 1_000, Read),
+        (SMALL, false, Some(0), 1_000, Read),
     ] {
         let peers = PeerKnowledge {
             lags,
             read_age: read_age.map(Millis),
         };
-        let found = is_covered(reader, peers, Duration::from_millis(wait));
-        assert_eq!(found, expected, "{reader:?} {peers:?} {wait}");
+        let wait = Duration::from_millis(wait);
+        let found = read_duty(reader, peers, false, wait);
+        assert_eq!(found, expected, "{reader:?} {peers:?} {wait:?}");
+        // A substitute reads where another daemon would look for the directory, and nowhere else.
+        let substitute = if expected == Probe { Read } else { expected };
+        assert_eq!(read_duty(reader, peers, true, wait), substitute);
+    }
+}
+
+/// Calls that a fleet makes in five seconds of an outage, of which nobody knows the end.
+fn outage_calls(daemons: usize) -> usize {
+    let mut rng = SmallRng::seed_from_u64(daemons as u64);
+    let outage = Duration::from_secs(5);
+    (0..daemons)
+        .map(|_| {
+            let mut at = first_turn(daemons, rng.random());
+            let mut calls = 0;
+            while at < outage {
+                calls += 1;
+                at += next_turn(daemons, rng.random());
+            }
+            calls
+        })
+        .sum()
+}
+
+/// An outage costs as many calls in a fleet of a thousand as in one of a hundred.
+#[test]
+fn turns_in_outage() {
+    for daemons in [14, 61, 90, 295, 1_000] {
+        let calls = outage_calls(daemons);
+        assert!((100..=175).contains(&calls), "{calls} by {daemons}");
+    }
+}
+
+/// A daemon that looks for the directory leaves what peers have just sent time to be received.
+#[test]
+fn earliest_turn() {
+    for daemons in [13, 295] {
+        assert_eq!(first_turn(daemons, 0.0), Duration::from_millis(100));
+        assert!(next_turn(daemons, 0.0) > first_turn(daemons, 0.45));
+    }
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+/// A coordinator reports its own read while that is fresh, else the same substitute's as all others.
+#[test]
+fn reported_reads() {
+    let wait = Duration::from_millis(1_000);
+    let substitutes = [(3, 200), (2, 900), (1, 1_401)];
+    let all = substitutes.map(|(number, age)| (address(number), Millis(age)));
+    let by = |number, age| ReportedRead {
+        age: Millis(age),
+        substitute: Some(address(number)),
+    };
+    let own = |age| ReportedRead::own(Millis(age));
+    for (read, known, expected) in [
+        (Some(0), &all[..], Some(own(0))),
+        (Some(1_400), &all[..], Some(own(1_400))),
+        (Some(1_401), &all[..], Some(by(2, 900))),
+        (None, &all[..], Some(by(2, 900))),
+        (None, &all[..1], Some(by(3, 200))),
+        (Some(1_500), &all[2..], Some(own(1_500))),
+        (None, &all[2..], None),
+    ] {
+        let found = reported_read(read.map(Millis), known.iter().copied(), wait);
+        assert_eq!(found, expected, "{read:?} {known:?}");
     }
 }
 
--- a/lib/tests/test_gossip_rule.rs
+++ b/lib/tests/test_gossip_rule.rs
@@ -49,6 +49,7 @@
         catalogue: 0,
         steady: false,
         read_ms: None,
+        read_by: None,
         loads: Vec::new(),
         queues: Vec::new(),
         work: Vec::new(),
--- a/lib/tests/test_large_fleet.rs
+++ b/lib/tests/test_large_fleet.rs
@@ -77,6 +77,7 @@
         catalogue: 0,
         steady: true,
         read_ms,
+        read_by: None,
         loads: vec![load(1, 2, 300)],
         queues: Vec::new(),
         work: vec![work(9, 3)],
--- a/lib/tests/test_liveness_rule.rs
+++ b/lib/tests/test_liveness_rule.rs
@@ -50,6 +50,7 @@
         catalogue: 0,
         steady: false,
         read_ms: None,
+        read_by: None,
         broadcasts,
         capacity: Capacity(250),
         joining: false,
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -112,6 +112,7 @@
         catalogue: 5_000_000_000,
         steady: true,
         read_ms,
+        read_by: None,
         broadcasts: false,
         capacity: Capacity(1_500),
         joining: true,
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -80,6 +80,7 @@
         catalogue: 0,
         steady: true,
         read_ms: None,
+        read_by: None,
         loads: vec![load(1, 2, 300)],
         queues: vec![queue(9, 3, true, 70)],
         work: vec![work(9, 40)],
@@ -218,16 +219,28 @@
 fn steady_peer() {
     let mut me = peers(1, 1, &[]);
     let mut other = peers(2, 2, &[]);
-    let troubled = SelfReport {
-        steady: false,
+    let reads = |steady, read_ms| SelfReport {
+        steady,
+        read_ms,
         ..report(1)
     };
-    me.receive_heartbeat(Time(0), other.heartbeat(Time(0), troubled).heartbeat);
-    assert!(!me.has_steady_peer());
-    me.receive_heartbeat(Time(1), beat(&mut other, Time(1)));
-    assert!(me.has_steady_peer());
-    me.update_liveness(Time(0) + Millis(2_000));
-    assert!(!me.has_steady_peer());
+    for (number, steady, read_ms, expected) in [
+        (1, false, Some(40), false),
+        (2, true, Some(40), true),
+        (3, true, Some(2_999), true),
+        // It left the reading to others long ago, or never read.
+        (4, true, Some(3_000), false),
+        (5, true, None, false),
+        (6, true, Some(40), true),
+    ] {
+        let now = Time(number);
+        let heartbeat = other.heartbeat(now, reads(steady, read_ms)).heartbeat;
+        me.receive_heartbeat(now, heartbeat);
+        assert_eq!(me.has_steady_peer(now), expected, "{steady} {read_ms:?}");
+    }
+    let later = Time(0) + Millis(2_000);
+    me.update_liveness(later);
+    assert!(!me.has_steady_peer(later));
 }
 
 /// A backlog of a coordinated service with pieces in every band.
