peers: silence is noticed by daemons that should hear, and refuted

Cause: each daemon judged every other one by 2.5 s without a sign of life. Signs arrive by gossip at a rate that falls as one over the fleet: about one a second for each pair at 295 daemons.

Change: a daemon's every heartbeat goes to three daemons next to it in an order by hash, and to the coordinators; these suspect it after 1 s and say so in heartbeats, whoever heard it since says no, and the suspect answers whoever told it. A suspect is lost after 1.5 s more. Three of the six drawn receivers gave way to the watchers: as many datagrams as before. A daemon that hears nothing at all suspects everybody; one that nobody suspects is lost after 80 ms for each daemon known.

--- a/lib/src/gateway/peers/membership.rs
+++ b/lib/src/gateway/peers/membership.rs
@@ -18,7 +18,8 @@
                 record::{Peer, ReceivedHeartbeat},
             },
             rules::{
-                coordinator, gossip,
+                coordinator,
+                gossip::{self, WatchPlace},
                 liveness::{self, Listening},
             },
         },
@@ -51,6 +52,8 @@
 #[derive(Debug)]
 pub struct Peers {
     pub(super) me: Identity,
+    /// This daemon's place among those that watch each other.
+    pub(super) place: WatchPlace,
     /// Addresses that get a heartbeat as long as no daemon is alive there.
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) known: HashMap<SocketAddr, Peer>,
@@ -59,6 +62,12 @@
     pub(super) rng: SmallRng,
     /// When the process last woke from a pause.
     awake: Time,
+    /// When a heartbeat of any daemon was last received.
+    heard: Time,
+    /// Since when this daemon coordinates a service, so that everybody sends it each heartbeat.
+    pub(super) coordinates_since: Option<Time>,
+    /// Daemons that told this one that it is suspect.
+    pub(super) accusers: Vec<SocketAddr>,
     /// Heartbeats still to be sent to everybody.
     pub(super) broadcasts_left: u32,
     /// The outstanding work that the last heartbeat reported.
@@ -70,12 +79,16 @@
     pub fn new(me: Identity, seeds: &[SocketAddr]) -> Self {
         let rng = SmallRng::seed_from_u64(me.run);
         let mut peers = Self {
+            place: WatchPlace::new(me.address),
             me,
             seeds: Vec::new(),
             known: HashMap::default(),
             sequence: 0,
             rng,
             awake: Time::default(),
+            heard: Time::default(),
+            coordinates_since: None,
+            accusers: Vec::new(),
             broadcasts_left: 0,
             reported_backlogs: Vec::new(),
         };
@@ -100,7 +113,8 @@
             return Vec::new();
         }
         let (address, host) = (heartbeat.address, heartbeat.host.clone());
-        let peer = self.known.entry(address).or_insert(Peer::new(now));
+        self.heard = now;
+        let peer = self.peer(now, address);
         if peer.is_outdated(&heartbeat) {
             return Vec::new();
         }
@@ -113,6 +127,8 @@
         peer.capacity = heartbeat.capacity;
         peer.last_heartbeat = Some(ReceivedHeartbeat { at: now, heartbeat });
         peer.alive = true;
+        peer.refute(now);
+        self.note_accusation(address, &notes);
         let mut changes = Vec::new();
         if met {
             changes.push(PeerChange::Met(address, Some(host)));
@@ -131,8 +147,8 @@
             recent.filter(move |note| note.address != me)
         };
         // Whether gossip counts depends on the size of the fleet, these daemons included.
-        for note in others() {
-            self.known.entry(note.address).or_insert(Peer::new(now));
+        for note in others().filter(|note| !note.suspect) {
+            self.peer(now, note.address);
         }
         let listening = self.listening();
         others()
@@ -147,8 +163,12 @@
         note: &PeerNote,
         listening: Listening,
     ) -> Option<PeerChange> {
-        let peer = self.known.entry(note.address).or_insert(Peer::new(now));
+        let peer = self.known.get_mut(&note.address)?;
         let sign = liveness::sign_time(now, note.age());
+        if note.suspect {
+            merge_suspicion(now, peer, sign);
+            return None;
+        }
         if peer.last_sign.is_some_and(|last| last >= sign) {
             return None;
         }
@@ -156,6 +176,9 @@
         peer.last_sign = Some(sign);
         peer.phase = note.phase;
         peer.capacity = note.capacity;
+        if liveness::refutes(now, peer.last_sign) {
+            peer.refute(now);
+        }
         if !peer.alive && liveness::is_alive(now, peer.life_signs(), listening) {
             peer.alive = true;
             return Some(PeerChange::Met(note.address, peer.host()));
@@ -174,6 +197,7 @@
     pub fn update_liveness(&mut self, now: Time) -> Vec<PeerChange> {
         let mut changes = Vec::new();
         let listening = self.listening();
+        self.suspect_silent(now);
         for (address, peer) in &mut self.known {
             let was_alive = peer.alive;
             peer.alive = liveness::is_alive(now, peer.life_signs(), listening);
@@ -188,6 +212,46 @@
         changes
     }
 
+    /// Suspects the daemons whose every heartbeat should arrive here, and which are silent.
+    fn suspect_silent(&mut self, now: Time) {
+        if self.is_small() {
+            return;
+        }
+        let watched = gossip::watched(self.place, &self.living_places());
+        for (address, peer) in &mut self.known {
+            let watch = peer.watched.unwrap_or(now);
+            peer.watched = watched.contains(address).then_some(watch);
+            let expected = peer.watched.into_iter().chain(self.coordinates_since).min();
+            let Some(expected) = expected.filter(|_| peer.alive) else {
+                continue;
+            };
+            let heartbeat = peer.last_heartbeat.as_ref().map(|last| last.at);
+            let since = liveness::suspect_since(now, heartbeat, expected.max(self.awake));
+            peer.suspect = peer.suspect.or(since);
+        }
+    }
+
+    /// Returns the places of the living daemons in the order in which they watch each other.
+    pub(super) fn living_places(&self) -> Vec<WatchPlace> {
+        let living = self.known.values().filter(|peer| peer.alive);
+        living.map(|peer| peer.place).collect()
+    }
+
+    /// Returns the record of a daemon, a new one if it wasn't known.
+    fn peer(&mut self, now: Time, address: SocketAddr) -> &mut Peer {
+        self.known
+            .entry(address)
+            .or_insert_with(|| Peer::new(now, address))
+    }
+
+    /// Records that a daemon takes this one for suspect: it gets the next heartbeat.
+    fn note_accusation(&mut self, accuser: SocketAddr, notes: &[PeerNote]) {
+        let me = self.me.address;
+        if notes.iter().any(|note| note.suspect && note.address == me) {
+            self.accusers.push(accuser);
+        }
+    }
+
     /// Passes a daemon over as a coordinator for a while: it failed to accept a job.
     pub fn pass_over(&mut self, now: Time, address: &SocketAddr) {
         if let Some(peer) = self.known.get_mut(address) {
@@ -199,6 +263,18 @@
         Listening {
             small_fleet: self.is_small(),
             awake: self.awake,
+            others: self.known.len(),
+            heard: self.heard,
         }
     }
 }
+
+/// Merges that another daemon takes a third one for suspect, whose last sign of life it knows.
+fn merge_suspicion(now: Time, peer: &mut Peer, sign: Time) {
+    if liveness::refutes(now, peer.last_sign) {
+        peer.refuted = Some(now);
+        return;
+    }
+    peer.last_sign = peer.last_sign.max(Some(sign));
+    peer.suspect.get_or_insert(now);
+}
--- a/lib/src/gateway/peers/notes.rs
+++ b/lib/src/gateway/peers/notes.rs
@@ -41,6 +41,18 @@
     /// Processor that it may use.
     #[serde(rename = "c")]
     pub capacity: Capacity,
+    /// Set if it should have been heard since then.
+    #[serde(rename = "s", default, skip_serializing_if = "is_false")]
+    pub suspect: bool,
+}
+
+/// Returns whether a mark isn't set, so that it can be left out.
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_false(mark: &bool) -> bool {
+    !mark
 }
 
 /// Load at one endpoint.
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -6,13 +6,14 @@
             peers::{
                 membership::Peers,
                 message::{Heartbeat, PROTOCOL, PeerNote, Phase},
+                record::Peer,
                 self_report::SelfReport,
             },
             rules::{coordinator::Coordinator, gossip, liveness},
         },
         shared::units::Time,
     },
-    std::net::SocketAddr,
+    std::{mem, net::SocketAddr},
 };
 
 /// A heartbeat, and the daemons that get it.
@@ -41,6 +42,7 @@
         let coordinators = self.coordinators(now, &report);
         let coordinates = report.phase == Phase::Ready && coordinators.contains(&Coordinator::Me);
         self.broadcasts_left = gossip::broadcasts_left(coordinates, self.broadcasts_left);
+        self.coordinates_since = coordinates.then(|| self.coordinates_since.unwrap_or(now));
         let targets = self.targets(&coordinators);
         let peers = self.named_peers(now);
         self.reported_backlogs.clone_from(&report.backlogs);
@@ -92,28 +94,41 @@
     /// Draws the daemons that get a heartbeat.
     fn targets(&mut self, coordinators: &[Coordinator]) -> Vec<SocketAddr> {
         let known = self.known.keys().copied().collect();
-        let mut targets = gossip::draw_targets(known, self.broadcasts_left, &mut self.rng);
+        let watchers = gossip::watchers(self.place, &self.living_places());
+        let mut targets =
+            gossip::draw_targets(known, watchers, self.broadcasts_left, &mut self.rng);
+        let accusers = mem::take(&mut self.accusers);
         let coordinators = coordinators.iter().filter_map(|one| match one {
             Coordinator::Peer(address) => Some(*address),
             Coordinator::Me => None,
         });
         let missing_seeds = self.seeds.iter().filter(|seed| !self.is_alive(seed));
-        gossip::add_targets(&mut targets, coordinators.chain(missing_seeds.copied()));
+        let required = coordinators.chain(missing_seeds.copied()).chain(accusers);
+        gossip::add_targets(&mut targets, required);
         targets
     }
 
     /// Draws the daemons that a heartbeat names.
     fn named_peers(&mut self, now: Time) -> Vec<PeerNote> {
-        let mut living = self.living(now);
-        living.sort_unstable_by_key(|note| note.address);
-        gossip::draw_named(&living, &mut self.rng)
+        let suspects = self.notes(now, |peer| peer.is_suspect_news(now));
+        let refuted = self.notes(now, |peer| peer.is_refuted_news(now));
+        let living = self.notes(now, |peer| {
+            peer.alive && peer.suspect.is_none() && !peer.is_refuted_news(now)
+        });
+        gossip::draw_named(&suspects, &refuted, &living, &mut self.rng)
     }
 
     fn living(&self, now: Time) -> Vec<PeerNote> {
-        self.known
-            .iter()
-            .filter(|(_, peer)| peer.alive)
+        self.notes(now, |peer| peer.alive)
+    }
+
+    /// Returns notes of the daemons that are chosen, in the order of their addresses.
+    fn notes(&self, now: Time, chosen: impl Fn(&Peer) -> bool) -> Vec<PeerNote> {
+        let peers = self.known.iter().filter(|(_, peer)| chosen(peer));
+        let mut notes: Vec<PeerNote> = peers
             .filter_map(|(address, peer)| peer.note(now, *address))
-            .collect()
+            .collect();
+        notes.sort_unstable_by_key(|note| note.address);
+        notes
     }
 }
--- a/lib/src/gateway/peers/record.rs
+++ b/lib/src/gateway/peers/record.rs
@@ -6,7 +6,8 @@
             peers::message::{Heartbeat, PeerNote, Phase},
             rules::{
                 coordinator::{DaemonCandidate, PeerStanding},
-                liveness::LifeSigns,
+                gossip::WatchPlace,
+                liveness::{self, LifeSigns},
             },
         },
         shared::{
@@ -36,6 +37,8 @@
 /// Everything known of one other daemon.
 #[derive(Debug, Clone)]
 pub(crate) struct Peer {
+    /// Its place among those that watch each other.
+    pub(crate) place: WatchPlace,
     /// When a heartbeat or gossip last gave its address.
     pub(crate) last_mention: Time,
     /// Last sign of life, received here or by a third daemon.
@@ -46,11 +49,18 @@
     /// End of the time for which it is passed over as a coordinator.
     pub(crate) avoid_until: Time,
     pub(crate) alive: bool,
+    /// Since when it is suspect.
+    pub(crate) suspect: Option<Time>,
+    /// When a suspicion of it last turned out to be wrong.
+    pub(crate) refuted: Option<Time>,
+    /// Since when this daemon watches it.
+    pub(crate) watched: Option<Time>,
 }
 
 impl Peer {
-    pub(crate) fn new(now: Time) -> Self {
+    pub(crate) fn new(now: Time, address: SocketAddr) -> Self {
         Self {
+            place: WatchPlace::new(address),
             last_mention: now,
             last_sign: None,
             last_heartbeat: None,
@@ -58,9 +68,30 @@
             capacity: Capacity::default(),
             avoid_until: Time::default(),
             alive: false,
+            suspect: None,
+            refuted: None,
+            watched: None,
         }
     }
 
+    /// Records a sign of life that is recent enough to refute a suspicion.
+    pub(crate) fn refute(&mut self, now: Time) {
+        if self.suspect.take().is_some() {
+            self.refuted = Some(now);
+        }
+    }
+
+    /// Returns whether others should be told that it is suspect.
+    pub(crate) fn is_suspect_news(&self, now: Time) -> bool {
+        let told = |sign| liveness::is_news(now, sign);
+        self.suspect.is_some() && self.last_sign.is_some_and(told)
+    }
+
+    /// Returns whether others should be told that it isn't suspect after all.
+    pub(crate) fn is_refuted_news(&self, now: Time) -> bool {
+        self.alive && self.suspect.is_none() && liveness::refutes(now, self.refuted)
+    }
+
     /// Returns its host, once a heartbeat was received.
     pub(crate) fn host(&self) -> Option<HostId> {
         let last = self.last_heartbeat.as_ref()?;
@@ -89,6 +120,7 @@
             sign: self.last_sign,
             broadcasts: last.is_some_and(|last| last.heartbeat.broadcasts),
             alive: self.alive,
+            suspect: self.suspect,
         }
     }
 
@@ -112,6 +144,7 @@
             age_ms: now.since(self.last_sign?).as_millis() as u32,
             phase: self.phase,
             capacity: self.capacity,
+            suspect: self.suspect.is_some(),
         })
     }
 }
--- a/lib/src/gateway/rules/gossip.rs
+++ b/lib/src/gateway/rules/gossip.rs
@@ -6,12 +6,15 @@
 //!
 //! Rule: in a fleet of at most [`SMALL_FLEET`] other daemons each heartbeat goes to everybody. In
 //! a larger one a daemon that coordinates, or did so within its last [`LAST_BROADCASTS`]
-//! heartbeats, sends to everybody; any other sends to [`DRAWN`] daemons drawn anew each time, to
-//! the coordinators, and to seeds that aren't alive. A heartbeat names [`NAMED`] living daemons
-//! drawn anew each time and the [`LOADS`] largest loads.
+//! heartbeats, sends to everybody; any other sends to the [`WATCHERS`] living daemons that come next in an
+//! order by hash, to [`DRAWN`] daemons drawn anew each time, to the coordinators, to those that told it
+//! that it is suspect, and to seeds that aren't alive. A heartbeat names [`NAMED`] daemons: suspects
+//! first, then living ones that others take for suspect, then other living ones, drawn anew each time; and the
+//! [`LOADS`] largest loads.
 //!
 //! Reason: what one daemon sends and receives doesn't grow with the fleet, coordinators alone
-//! receive everything, and gossip still reaches everybody within seconds. A heartbeat fits into
+//! receive everything, and gossip still reaches everybody within seconds. Each daemon is watched by some
+//! that should receive all of its heartbeats, so that its silence means something. A heartbeat fits into
 //! one datagram that no network splits.
 //!
 //! Measured: heartbeats to all 80 daemons against coordinators in `docs/MEASUREMENTS.md`, section
@@ -24,6 +27,7 @@
     crate::{gateway::peers::message::LoadNote, shared::units::Millis},
     rand::{Rng, seq::IndexedRandom},
     std::{cmp::Reverse, net::SocketAddr},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Time between two heartbeats. Chosen, not measured against other values.
@@ -32,8 +36,15 @@
 /// Largest number of other daemons to which every heartbeat goes. Chosen, not measured.
 pub const SMALL_FLEET: usize = 12;
 
+/// Daemons that receive each heartbeat of one of a larger fleet, and notice its silence. Chosen, not
+/// measured against other values.
+pub const WATCHERS: usize = 3;
+
 /// Daemons drawn for one heartbeat of a larger fleet. Chosen, not measured against other values.
-pub const DRAWN: usize = 6;
+pub const DRAWN: usize = 3;
+
+/// Suspects that one heartbeat names at most, so that other daemons are named too. Chosen, not measured.
+pub const SUSPECTS: usize = 7;
 
 /// Heartbeats that go to everybody from the last one as a coordinator on, so that all learn that
 /// it stopped even if one of the two that report it is lost. Chosen, not measured.
@@ -71,19 +82,58 @@
     broadcasts_left == LAST_BROADCASTS
 }
 
+/// A living daemon's place in the order in which daemons watch each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WatchPlace {
+    /// Hash of its address.
+    pub hash: u64,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+impl WatchPlace {
+    /// Returns the place of a daemon.
+    pub fn new(address: SocketAddr) -> Self {
+        let hash = xxh3_64(address.to_string().as_bytes());
+        Self { hash, address }
+    }
+}
+
+/// Returns the daemons that watch this one: the next living ones after it.
+pub fn watchers(me: WatchPlace, living: &[WatchPlace]) -> Vec<SocketAddr> {
+    nearest(living, |place| (*place < me, *place))
+}
+
+/// Returns the daemons that this one watches: the living ones just before it.
+pub fn watched(me: WatchPlace, living: &[WatchPlace]) -> Vec<SocketAddr> {
+    nearest(living, |place| (*place > me, Reverse(*place)))
+}
+
+/// Returns the daemons with the smallest keys.
+fn nearest<K: Ord>(living: &[WatchPlace], key: impl Fn(&WatchPlace) -> K) -> Vec<SocketAddr> {
+    let mut places: Vec<&WatchPlace> = living.iter().collect();
+    if places.len() > WATCHERS {
+        places.select_nth_unstable_by_key(WATCHERS, |place| key(place));
+        places.truncate(WATCHERS);
+    }
+    places.iter().map(|place| place.address).collect()
+}
+
 /// Draws the daemons that get a heartbeat whatever their part: all `known` ones, in the order of
-/// their addresses, or some of them.
+/// their addresses, or `watchers` and some others.
 pub fn draw_targets(
     mut known: Vec<SocketAddr>,
+    watchers: Vec<SocketAddr>,
     broadcasts_left: u32,
     rng: &mut impl Rng,
 ) -> Vec<SocketAddr> {
     known.sort_unstable();
     if is_small_fleet(known.len()) || broadcasts_left > 0 {
-        known
-    } else {
-        known.sample(rng, DRAWN).copied().collect()
+        return known;
     }
+    known.retain(|address| !watchers.contains(address));
+    let drawn = known.sample(rng, DRAWN).copied();
+    watchers.iter().copied().chain(drawn).collect()
 }
 
 /// Adds daemons that have to get a heartbeat, coordinators and seeds that aren't alive, to those
@@ -96,9 +146,20 @@
     }
 }
 
-/// Draws the living daemons that a heartbeat names.
-pub fn draw_named<T: Clone>(living: &[T], rng: &mut impl Rng) -> Vec<T> {
-    living.sample(rng, NAMED).cloned().collect()
+/// Draws the daemons that a heartbeat names: of the suspects, of the living ones that others suspect, and
+/// of the other living ones.
+pub fn draw_named<T: Clone>(
+    suspects: &[T],
+    refuted: &[T],
+    living: &[T],
+    rng: &mut impl Rng,
+) -> Vec<T> {
+    let mut named: Vec<T> = suspects.sample(rng, SUSPECTS).cloned().collect();
+    for others in [refuted, living] {
+        let room = NAMED - named.len();
+        named.extend(others.sample(rng, room).cloned());
+    }
+    named
 }
 
 /// Returns the loads that a heartbeat carries: those with the most prompt tokens, and of equal
--- a/lib/src/gateway/rules/liveness.rs
+++ b/lib/src/gateway/rules/liveness.rs
@@ -1,23 +1,29 @@
-//! Is another daemon alive, lost, or to be forgotten?
+//! Is another daemon alive, suspect, lost, or to be forgotten?
 //!
 //! Inputs: the times (microseconds of this daemon's clock) of its last heartbeat here and of its
 //! last sign of life anywhere, as gossip brought it; whether it sends each heartbeat to everybody;
-//! whether the fleet is small; when this process last woke from a pause.
+//! since when this daemon should have received each of its heartbeats; since when it is suspect; the number
+//! of daemons known; when this process last woke from a pause.
 //!
 //! Rule: a daemon whose every heartbeat should arrive here, because the fleet is small or because
-//! it broadcasts, is alive while its last heartbeat is at most [`SILENCE`] old. Any other daemon
-//! is alive while its last sign of life is at most [`GOSSIP_SILENCE`] old. Time before the end of
-//! a pause of this process isn't silence of a daemon that was alive when the pause began. A daemon
+//! it broadcasts, is alive while its last heartbeat is at most [`SILENCE`] old. Any other daemon is alive
+//! until it is suspect. Whoever should receive all of its heartbeats (the coordinators, and the next
+//! [`WATCHERS`](crate::gateway::rules::gossip::WATCHERS) daemons in an order by hash) suspects it after
+//! [`SILENCE`], and tells the others; one that has a sign of life not older than that doesn't believe it, and
+//! tells them so, as does the suspect. A suspect is lost once it has been one for [`REFUTE`] and its last sign
+//! is more than [`GOSSIP_SILENCE`] old. A daemon that nobody suspects is lost after the time of
+//! [`quiet_limit`], and one that receives nothing at all suspects everybody. Time before the end of a
+//! pause of this process isn't silence of a daemon that was alive when the pause began. A daemon
 //! that is lost is forgotten [`FORGET`] after its last sign of life, and gossip older than half of
 //! that is ignored.
 //!
-//! Reason: where few heartbeats are received of each daemon, one second of silence means nothing;
-//! where all should arrive, five missed ones mean that the daemon or the way to it is gone. Each
-//! daemon judges for itself: a partition loses nobody for those that still receive heartbeats.
+//! Reason: a daemon of a large fleet receives few signs of life of each other one, fewer the larger the
+//! fleet: with 295 daemons about one a second, so that 2.5 s without one told nothing and a calm fleet counted
+//! 6,000 losses a second. A suspicion comes from those that know, at a cost that doesn't grow with the
+//! fleet. Each daemon judges for itself: a partition loses nobody for those that still receive heartbeats.
 //!
-//! Measured: gossip against direct heartbeats in `docs/MEASUREMENTS.md`, section "The second
-//! milestone: the grown sites"; test `coordinator_replacement`. The single
-//! figures are chosen, not measured.
+//! Measured: `docs/MEASUREMENTS.md`, section "Membership of hundreds of daemons"; tests `calm_fleet` and
+//! `coordinator_replacement`. The single figures are chosen, not measured.
 
 use crate::shared::units::{Millis, Time};
 
@@ -25,9 +31,24 @@
 /// Chosen, not measured: five heartbeats.
 pub const SILENCE: Millis = Millis(1_000);
 
-/// Time without a sign of life after which a daemon known by gossip is lost. Chosen, not measured.
+/// Time without a sign of life after which a daemon known by gossip is lost, if it is suspect. Chosen, not
+/// measured.
 pub const GOSSIP_SILENCE: Millis = Millis(2_500);
 
+/// Time for which a daemon is suspect at least before it is lost: news takes five heartbeats to reach
+/// a thousand daemons, and the answer as long (worked out, six receivers each). Chosen, not measured.
+pub const REFUTE: Millis = Millis(GOSSIP_SILENCE.0 - SILENCE.0);
+
+/// Time without a sign of life after which a daemon is lost although nobody suspects it: at least, and for
+/// each daemon known. Signs of one daemon arrive 300 times a second divided by the number of daemons (worked
+/// out: 30 heartbeats a second that name ten), so that one in 26 thousand million such times passes without one.
+const QUIET: Millis = Millis(4_000);
+const QUIET_EACH: Millis = Millis(80);
+
+/// Age of a suspect's last sign of life up to which others are told of it. Chosen, not measured: 160 daemons
+/// lost at once are each named over ten times to everybody meanwhile (worked out).
+const NEWS: Millis = Millis(10_000);
+
 /// Time after which the address of a lost daemon is forgotten. Chosen, not measured.
 pub const FORGET: Millis = Millis(60_000);
 
@@ -50,6 +71,8 @@
     pub broadcasts: bool,
     /// Set if it counted as alive until now.
     pub alive: bool,
+    /// Since when it is suspect, if it is.
+    pub suspect: Option<Time>,
 }
 
 /// Conditions under which this daemon receives signs of life.
@@ -59,22 +82,68 @@
     pub small_fleet: bool,
     /// When this process last woke from a pause; zero if there was none.
     pub awake: Time,
+    /// Number of other daemons known.
+    pub others: usize,
+    /// When anything was last received of any daemon.
+    pub heard: Time,
 }
 
 /// Returns whether a daemon counts as alive.
 pub fn is_alive(now: Time, signs: LifeSigns, listening: Listening) -> bool {
-    let (last, silence) = if listening.small_fleet || signs.broadcasts {
-        (signs.heartbeat, SILENCE)
-    } else {
-        (signs.sign, GOSSIP_SILENCE)
-    };
+    let direct = listening.small_fleet || signs.broadcasts;
+    let last = if direct { signs.heartbeat } else { signs.sign };
     // Only a daemon that was alive is excused for what was missed in a pause.
     let awake = if signs.alive {
         listening.awake
     } else {
         Time::default()
     };
-    last.is_some_and(|last| now.since(last.max(awake)) <= silence.to_duration())
+    let Some(last) = last.map(|last| last.max(awake)) else {
+        return false;
+    };
+    let silence = now.since(last);
+    if direct {
+        return silence <= SILENCE.to_duration();
+    }
+    if silence <= GOSSIP_SILENCE.to_duration() {
+        return true;
+    }
+    let suspect = earliest(signs.suspect, isolated_since(now, listening));
+    let refuted =
+        suspect.is_none_or(|suspect| now.since(suspect.max(awake)) <= REFUTE.to_duration());
+    signs.alive && refuted && silence <= quiet_limit(listening.others).to_duration()
+}
+
+/// Returns the time without a sign of life after which a daemon is lost that nobody suspects.
+pub fn quiet_limit(others: usize) -> Millis {
+    QUIET.max(Millis(QUIET_EACH.0 * others as u64))
+}
+
+/// Returns since when a daemon is suspect for one that should receive each of its heartbeats, and does so
+/// since `expected`; nothing while it isn't.
+pub fn suspect_since(now: Time, heartbeat: Option<Time>, expected: Time) -> Option<Time> {
+    let since = heartbeat.map_or(expected, |heartbeat| heartbeat.max(expected)) + SILENCE;
+    (now > since).then_some(since)
+}
+
+/// Returns whether a suspicion that gossip brings is refuted by a sign of life known here.
+pub fn refutes(now: Time, sign: Option<Time>) -> bool {
+    sign.is_some_and(|sign| now.since(sign) <= SILENCE.to_duration())
+}
+
+/// Returns whether others are still told of a suspect with this last sign of life: lost ones too, so that
+/// everybody hears of them.
+pub fn is_news(now: Time, sign: Time) -> bool {
+    now.since(sign) <= NEWS.to_duration()
+}
+
+/// Returns since when this daemon has received nothing although it should; nothing while it does.
+fn isolated_since(now: Time, listening: Listening) -> Option<Time> {
+    suspect_since(now, Some(listening.heard), listening.awake)
+}
+
+fn earliest(one: Option<Time>, other: Option<Time>) -> Option<Time> {
+    one.into_iter().chain(other).min()
 }
 
 /// Returns whether a lost daemon is forgotten whose last sign of life or mention was at `known`.
--- /dev/null
+++ b/lib/tests/fleet/mod.rs
@@ -0,0 +1,195 @@
+//! A fleet of daemons that know each other by heartbeats alone, in virtual time.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use {
+    hazelyoke_lib::{
+        gateway::{
+            peers::{
+                membership::{Identity, Peers},
+                message::{Heartbeat, Phase},
+                outgoing::OutgoingHeartbeat,
+                peer_change::PeerChange,
+                self_report::SelfReport,
+            },
+            rules::{coordinator::Coordinator, gossip::HEARTBEAT},
+        },
+        shared::{
+            ids::ServiceId,
+            units::{Capacity, Time},
+        },
+    },
+    std::net::SocketAddr,
+};
+
+const SERVICES: [&str; 5] = ["assist", "pay", "encode", "retrieve", "rerank"];
+pub const STRONG: Capacity = Capacity(500);
+pub const WEAK: Capacity = Capacity(120);
+
+/// One daemon in so many is strong.
+const STRONG_EVERY: usize = 10;
+
+/// Seeds of every daemon, as far as they exist.
+const SEEDS: [usize; 3] = [99, 3, 70];
+
+pub fn address(number: usize) -> SocketAddr {
+    let [high, low] = (number as u16).to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7_000))
+}
+
+pub fn services() -> Vec<ServiceId> {
+    SERVICES.iter().map(|name| name.parse().unwrap()).collect()
+}
+
+/// The report of a ready daemon that reports nothing of services and loads.
+pub fn plain_report(read_ms: Option<u32>) -> SelfReport {
+    SelfReport {
+        phase: Phase::Ready,
+        table: 1,
+        fingerprint: 0,
+        table_until: 0,
+        catalogue: 0,
+        steady: true,
+        read_ms,
+        read_by: None,
+        loads: Vec::new(),
+        queues: Vec::new(),
+        work: Vec::new(),
+        backlogs: Vec::new(),
+        services: services(),
+    }
+}
+
+/// A fleet of which some hosts are down, and whose datagrams go where they should or nowhere.
+pub struct Fleet {
+    pub daemons: Vec<Peers>,
+    pub down: Vec<bool>,
+    pub now: Time,
+    /// Heartbeats received by each daemon.
+    pub received: Vec<usize>,
+    /// Times that a living daemon was taken for lost.
+    pub false_losses: usize,
+    report: SelfReport,
+}
+
+impl Fleet {
+    /// Starts a fleet of which each daemon sends the same report.
+    pub fn new(seed: u64, daemons: usize, report: SelfReport) -> Self {
+        let seeds = SEEDS.map(address);
+        let members = (0..daemons)
+            .map(|number| {
+                let me = Identity {
+                    host: format!("h{number}").parse().unwrap(),
+                    data_centre: "z".parse().unwrap(),
+                    address: address(number),
+                    run: seed * 10_000 + number as u64,
+                    capacity: capacity(number),
+                };
+                Peers::new(me, &seeds)
+            })
+            .collect();
+        Self {
+            daemons: members,
+            down: vec![false; daemons],
+            now: Time(0),
+            received: vec![0; daemons],
+            false_losses: 0,
+            report,
+        }
+    }
+
+    /// One heartbeat of each living daemon; `lost` tells which datagrams don't arrive.
+    pub fn round(&mut self, mut lost: impl FnMut(usize, usize) -> bool) {
+        self.now = self.now + HEARTBEAT;
+        for sender in self.living() {
+            let changes = self.daemons[sender].update_liveness(self.now);
+            self.count_losses(&changes);
+            let OutgoingHeartbeat { heartbeat, targets } =
+                self.daemons[sender].heartbeat(self.now, self.report.clone());
+            self.deliver(sender, &heartbeat, &targets, &mut lost);
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        sender: usize,
+        heartbeat: &Heartbeat,
+        targets: &[SocketAddr],
+        lost: &mut impl FnMut(usize, usize) -> bool,
+    ) {
+        for target in targets {
+            let receiver = number(*target);
+            if self.down.get(receiver).is_none_or(|down| *down) {
+                continue;
+            }
+            if !lost(sender, receiver) {
+                self.received[receiver] += 1;
+                self.daemons[receiver].receive_heartbeat(self.now, heartbeat.clone());
+            }
+        }
+    }
+
+    pub fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.round(|_, _| false);
+        }
+    }
+
+    pub fn coordinator(&self, daemon: usize, service: &ServiceId) -> usize {
+        match self.daemons[daemon].coordinator(self.now, service, true, &[]) {
+            Coordinator::Me => daemon,
+            Coordinator::Peer(peer) => number(peer),
+        }
+    }
+
+    pub fn living(&self) -> Vec<usize> {
+        (0..self.down.len())
+            .filter(|daemon| !self.down[*daemon])
+            .collect()
+    }
+
+    pub fn assert_agreed(&self) {
+        for service in services() {
+            let first = self.coordinator(self.living()[0], &service);
+            assert!(
+                !self.down[first],
+                "{service} is coordinated by a daemon that is down"
+            );
+            for daemon in self.living() {
+                assert_eq!(
+                    self.coordinator(daemon, &service),
+                    first,
+                    "{service} at {daemon}"
+                );
+            }
+        }
+    }
+
+    fn count_losses(&mut self, changes: &[PeerChange]) {
+        for change in changes {
+            if let PeerChange::Lost(peer, _) = change {
+                self.false_losses += usize::from(!self.down[number(*peer)]);
+            }
+        }
+    }
+}
+
+fn capacity(number: usize) -> Capacity {
+    if number.is_multiple_of(STRONG_EVERY) {
+        STRONG
+    } else {
+        WEAK
+    }
+}
+
+/// Returns the number of the daemon at an address.
+fn number(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(address) => {
+            let [.., high, low] = address.ip().octets();
+            usize::from(u16::from_be_bytes([high, low]))
+        }
+        SocketAddr::V6(_) => unreachable!("all have an IPv4 address"),
+    }
+}
--- a/lib/tests/test_large_fleet.rs
+++ b/lib/tests/test_large_fleet.rs
@@ -2,40 +2,27 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+mod fleet;
+
 use {
+    fleet::{Fleet, WEAK, address, plain_report, services},
     hazelyoke_lib::{
         gateway::{
             hashes::{EndpointHash, ServiceHash},
             peers::{
                 membership::{Identity, Peers},
-                message::{BacklogNote, Heartbeat, LoadNote, Phase, QueueNote, WorkNote},
+                message::{BacklogNote, LoadNote, QueueNote, WorkNote},
                 outgoing::OutgoingHeartbeat,
                 self_report::SelfReport,
             },
             rules::{backlog::Backlog, coordinator::Coordinator, gossip::HEARTBEAT},
         },
-        shared::{
-            ids::ServiceId,
-            units::{Capacity, Millis, Time},
-        },
+        shared::units::{Millis, Time},
     },
     hazelyoke_testutils::seeds::for_seeds,
-    std::net::SocketAddr,
 };
 
 const DAEMONS: usize = 80;
-const SERVICES: [&str; 5] = ["assist", "pay", "encode", "retrieve", "rerank"];
-const STRONG: Capacity = Capacity(500);
-const WEAK: Capacity = Capacity(120);
-
-fn address(number: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, number as u8], 7_000))
-}
-
-fn services() -> Vec<ServiceId> {
-    SERVICES.iter().map(|name| name.parse().unwrap()).collect()
-}
-
 fn load(endpoint: u32, running: u32, prefill: u32) -> LoadNote {
     LoadNote {
         endpoint: EndpointHash(endpoint),
@@ -70,127 +57,22 @@
 
 fn report(read_ms: Option<u32>) -> SelfReport {
     SelfReport {
-        phase: Phase::Ready,
-        table: 1,
-        fingerprint: 0,
-        table_until: 0,
-        catalogue: 0,
-        steady: true,
-        read_ms,
-        read_by: None,
         loads: vec![load(1, 2, 300)],
-        queues: Vec::new(),
         work: vec![work(9, 3)],
         backlogs: vec![backlog(Backlog::unordered(3), None)],
-        services: services(),
+        ..plain_report(read_ms)
     }
 }
 
-/// A fleet of which some hosts are down, and whose datagrams go where they should or nowhere.
-struct Fleet {
-    daemons: Vec<Peers>,
-    down: Vec<bool>,
-    now: Time,
-    /// Heartbeats received by each daemon.
-    received: Vec<usize>,
-}
-
-impl Fleet {
-    fn new(seed: u64) -> Self {
-        let seeds = [address(99), address(3), address(70)];
-        let daemons = (0..DAEMONS)
-            .map(|number| {
-                let me = Identity {
-                    host: format!("h{number}").parse().unwrap(),
-                    data_centre: "z".parse().unwrap(),
-                    address: address(number),
-                    run: seed * 1_000 + number as u64,
-                    capacity: if number % 10 == 0 { STRONG } else { WEAK },
-                };
-                Peers::new(me, &seeds)
-            })
-            .collect();
-        Self {
-            daemons,
-            down: vec![false; DAEMONS],
-            now: Time(0),
-            received: vec![0; DAEMONS],
-        }
-    }
-
-    /// One heartbeat of each living daemon; `lost` tells which datagrams don't arrive.
-    fn round(&mut self, mut lost: impl FnMut(usize, usize) -> bool) {
-        self.now = self.now + HEARTBEAT;
-        for sender in 0..DAEMONS {
-            if self.down[sender] {
-                continue;
-            }
-            self.daemons[sender].update_liveness(self.now);
-            let OutgoingHeartbeat { heartbeat, targets } =
-                self.daemons[sender].heartbeat(self.now, report(Some(40)));
-            self.deliver(sender, &heartbeat, &targets, &mut lost);
-        }
-    }
-
-    fn deliver(
-        &mut self,
-        sender: usize,
-        heartbeat: &Heartbeat,
-        targets: &[SocketAddr],
-        lost: &mut impl FnMut(usize, usize) -> bool,
-    ) {
-        for target in targets {
-            let receiver = (0..DAEMONS).find(|number| address(*number) == *target);
-            let Some(receiver) = receiver.filter(|receiver| !self.down[*receiver]) else {
-                continue;
-            };
-            if !lost(sender, receiver) {
-                self.received[receiver] += 1;
-                self.daemons[receiver].receive_heartbeat(self.now, heartbeat.clone());
-            }
-        }
-    }
-
-    fn rounds(&mut self, count: usize) {
-        for _ in 0..count {
-            self.round(|_, _| false);
-        }
-    }
-
-    fn coordinator(&self, daemon: usize, service: &ServiceId) -> usize {
-        match self.daemons[daemon].coordinator(self.now, service, true, &[]) {
-            Coordinator::Me => daemon,
-            Coordinator::Peer(peer) => (0..DAEMONS).find(|n| address(*n) == peer).unwrap(),
-        }
-    }
-
-    fn living(&self) -> Vec<usize> {
-        (0..DAEMONS).filter(|daemon| !self.down[*daemon]).collect()
-    }
-
-    fn assert_agreed(&self) {
-        for service in services() {
-            let first = self.coordinator(self.living()[0], &service);
-            assert!(
-                !self.down[first],
-                "{service} is coordinated by a daemon that is down"
-            );
-            for daemon in self.living() {
-                assert_eq!(
-                    self.coordinator(daemon, &service),
-                    first,
-                    "{service} at {daemon}"
-                );
-            }
-        }
-    }
+fn new_fleet(seed: u64) -> Fleet {
+    Fleet::new(seed, DAEMONS, report(Some(40)))
 }
 
 /// All daemons learn of each other and agree on the coordinator of each service.
 #[test]
 fn fleet_agreement() {
     for seed in 1..=5 {
-        let mut fleet = Fleet::new(seed);
+        let mut fleet = new_fleet(seed);
         fleet.rounds(25);
         for daemon in 0..DAEMONS {
             assert!(
@@ -204,7 +86,7 @@
 
 #[test]
 fn coordinators_are_strong() {
-    let mut fleet = Fleet::new(1);
+    let mut fleet = new_fleet(1);
     fleet.rounds(25);
     for service in services() {
         assert_eq!(fleet.coordinator(7, &service) % 10, 0);
@@ -214,7 +96,7 @@
 /// A daemon that coordinates no service receives few heartbeats a round.
 #[test]
 fn received_heartbeats() {
-    let mut fleet = Fleet::new(1);
+    let mut fleet = new_fleet(1);
     fleet.rounds(25);
     fleet.received.fill(0);
     fleet.rounds(10);
@@ -232,7 +114,7 @@
 #[test]
 fn coordinator_replacement() {
     for seed in 1..=5 {
-        let mut fleet = Fleet::new(seed);
+        let mut fleet = new_fleet(seed);
         fleet.rounds(25);
         for service in services() {
             let coordinator = fleet.coordinator(0, &service);
@@ -247,7 +129,7 @@
 #[test]
 fn half_fleet_lost() {
     for_seeds(4, 256, |u| {
-        let mut fleet = Fleet::new(u.int_in_range(1..=1_000)?);
+        let mut fleet = new_fleet(u.int_in_range(1..=1_000)?);
         fleet.rounds(25);
         for daemon in 0..DAEMONS {
             fleet.down[daemon] = u.ratio(1, 2)?;
@@ -272,7 +154,7 @@
 /// A daemon that receives nothing from a coordinator chooses another one.
 #[test]
 fn silent_coordinator() {
-    let mut fleet = Fleet::new(2);
+    let mut fleet = new_fleet(2);
     fleet.rounds(25);
     let service = &services()[2];
     let coordinator = fleet.coordinator(7, service);
@@ -298,7 +180,7 @@
 /// A coordinator that failed to accept a job is passed over for a while.
 #[test]
 fn passed_over_coordinator() {
-    let mut fleet = Fleet::new(2);
+    let mut fleet = new_fleet(2);
     fleet.rounds(25);
     let service = &services()[2];
     let coordinator = fleet.coordinator(7, service);
@@ -312,7 +194,7 @@
 /// After a pause no daemon is lost at once, and old gossip is passed on as old.
 #[test]
 fn pause_keeps_ages() {
-    let mut fleet = Fleet::new(2);
+    let mut fleet = new_fleet(2);
     fleet.rounds(25);
     fleet.now = fleet.now + Millis(5_000);
     let now = fleet.now;
@@ -336,7 +218,7 @@
 /// The coordinator reports the outstanding pieces of all daemons.
 #[test]
 fn coordinator_outstanding() {
-    let mut fleet = Fleet::new(3);
+    let mut fleet = new_fleet(3);
     fleet.rounds(25);
     let service = &services()[3];
     let coordinator = fleet.coordinator(7, service);
@@ -367,7 +249,7 @@
 /// One roster gives a joining daemon the whole fleet.
 #[test]
 fn newcomer_roster() {
-    let mut fleet = Fleet::new(4);
+    let mut fleet = new_fleet(4);
     fleet.rounds(25);
     let now = fleet.now;
     assert!(fleet.daemons[3].roster(now).len() >= DAEMONS - 3);
@@ -402,7 +284,7 @@
 /// The roster of a small fleet is empty, as each heartbeat reaches every daemon.
 #[test]
 fn small_fleet_roster() {
-    let mut small = Fleet::new(4);
+    let mut small = new_fleet(4);
     small.down = (0..DAEMONS).map(|number| number % 10 != 3).collect();
     small.rounds(10);
     assert!(small.daemons[3].is_small());
--- a/lib/tests/test_liveness_rule.rs
+++ b/lib/tests/test_liveness_rule.rs
@@ -68,6 +68,7 @@
         age_ms,
         phase: Phase::Ready,
         capacity: Capacity(250),
+        suspect: false,
     }
 }
 
--- /dev/null
+++ b/lib/tests/test_membership.rs
@@ -0,0 +1,82 @@
+//! Who counts as alive in fleets of some hundred daemons: no living daemon is lost while all is calm, and one
+//! that dies is noticed soon, whatever the size of the fleet.
+//!
+//! `HAZELYOKE_MEMBERSHIP=1000 cargo test --release -p hazelyoke-lib --test test_membership -- --nocapture`
+//! prints the figures of a fleet of another size.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod fleet;
+
+use {
+    fleet::{Fleet, plain_report},
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::env,
+};
+
+/// Daemons where the variable names no number.
+const DAEMONS: usize = 295;
+
+/// Rounds of heartbeats, five a second, until all know each other.
+const START: usize = 25;
+
+/// Part of the datagrams that are lost.
+const LOSS: f64 = 0.02;
+
+/// Rounds within which all have to notice that one daemon died, 4 s, and that a third did, its coordinators
+/// among them, 6.4 s.
+const NOTICED: [usize; 2] = [20, 32];
+
+fn daemons() -> usize {
+    let named = env::var("HAZELYOKE_MEMBERSHIP").ok();
+    named.map_or(DAEMONS, |number| number.parse().unwrap())
+}
+
+fn started(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(seed, daemons(), plain_report(Some(40)));
+    fleet.rounds(START);
+    fleet.false_losses = 0;
+    fleet
+}
+
+/// A calm fleet, of which some datagrams are lost, loses nobody.
+#[test]
+fn calm_fleet() {
+    let mut fleet = started(1);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let rounds = 50;
+    for _ in 0..rounds {
+        fleet.round(|_, _| rng.random_bool(LOSS));
+    }
+    println!("{} false losses in {rounds} rounds", fleet.false_losses);
+    assert_eq!(fleet.false_losses, 0);
+    let all = fleet.daemons.len();
+    for daemon in &fleet.daemons {
+        assert_eq!(daemon.daemons(), all);
+    }
+}
+
+/// Every daemon notices the loss of one, and of every third one at once, and loses no other.
+#[test]
+fn noticed_losses() {
+    for (lost, limit) in [1, daemons() / 3].into_iter().zip(NOTICED) {
+        let mut fleet = started(2);
+        let every = daemons() / lost;
+        for number in 0..lost {
+            fleet.down[number * every] = true;
+        }
+        let living = fleet.living();
+        let mut noticed = None;
+        for round in 1..=2 * limit {
+            fleet.round(|_, _| false);
+            let knows = |daemon: &&usize| fleet.daemons[**daemon].daemons() == living.len();
+            if living.iter().filter(knows).count() == living.len() {
+                noticed = Some(round);
+                break;
+            }
+        }
+        println!("{lost} lost: noticed by all after {noticed:?} rounds");
+        assert!(noticed.is_some_and(|round| round <= limit), "{noticed:?}");
+        assert_eq!(fleet.false_losses, 0);
+    }
+}
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -59,12 +59,14 @@
             age_ms: 1_234,
             phase: Phase::Starting,
             capacity: Capacity(250),
+            suspect: false,
         },
         PeerNote {
             address: "[fd00::1:2]:7002".parse().unwrap(),
             age_ms: 70_000,
             phase: Phase::Stopping,
             capacity: Capacity(64_000),
+            suspect: false,
         },
     ]
 }
