--- a/lib/src/gateway/directory/coverage.rs
+++ b/lib/src/gateway/directory/coverage.rs
@@ -70,7 +70,7 @@
     }
 
     /// Tells the others at once that this daemon reads in place of those that should: meanwhile more of them
-    /// have their turn, six in the time between two heartbeats (worked out).
+    /// have their turn, three in the time between two heartbeats (worked out).
     pub(crate) fn announce_read(&self, topic: Topic) {
         if topic == Topic::Endpoints && self.state.borrow().substitutes {
             self.announcement.notify_one();
