gossip: the fullest heartbeat fits into a datagram with questions, too

Cause: questions and suspects were added to a heartbeat whose fullest form was near its bound: 1,634 bytes of 1,400. Change: eight questions at most, each two in the room of one named daemon, and five suspects. heartbeat_size, which now covers both, failed before.

--- a/lib/src/gateway/directory/coverage.rs
+++ b/lib/src/gateway/directory/coverage.rs
@@ -22,8 +22,8 @@
 
 impl GatewayState {
     /// Returns this daemon as a reader of the directory. Every fleet looks small to a daemon that has just
-    /// started, unless it has nobody to meet: daemons that took it for so read on and on meanwhile (test `start_calls`, 60 daemons: 261
-    /// calls in place of at most 240).
+    /// started; one that took its fleet for small read on and on meanwhile (test `start_calls`, 60 daemons:
+    /// 261 calls in place of at most 240). Only one that has nobody to meet may.
     pub(crate) fn reader(&self, now: Time) -> Reader {
         Reader {
             small_fleet: self.peers.is_small() && (is_settled(now) || self.peers.is_alone()),
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -46,7 +46,7 @@
         self.coordinates = coordinates;
         let asked = self.ask(now);
         let targets = self.targets(&coordinators, &asked);
-        let peers = self.named_peers(now);
+        let peers = self.named_peers(now, asked.len());
         self.reported_backlogs.clone_from(&report.backlogs);
         let heartbeat = Heartbeat {
             protocol: PROTOCOL,
@@ -135,13 +135,13 @@
     }
 
     /// Draws the daemons that a heartbeat names.
-    fn named_peers(&mut self, now: Time) -> Vec<PeerNote> {
+    fn named_peers(&mut self, now: Time, asked: usize) -> Vec<PeerNote> {
         let suspects = self.tell_suspects(now);
         let refuted = self.notes(now, |peer| peer.is_refuted_news(now));
         let living = self.notes(now, |peer| {
             peer.alive && peer.suspect.is_none() && !peer.is_refuted_news(now)
         });
-        gossip::draw_named(suspects, &refuted, &living, &mut self.rng)
+        gossip::draw_named(suspects, asked, &refuted, &living, &mut self.rng)
     }
 
     /// Returns the suspects that a heartbeat names: those that were named least, so that what is new spreads
--- a/lib/src/gateway/rules/coordinator.rs
+++ b/lib/src/gateway/rules/coordinator.rs
@@ -36,10 +36,10 @@
 /// measured: three heartbeats.
 pub const SETTLED: Millis = Millis(600);
 
-/// Time after its start for which a daemon leaves coordinating to one with more capacity that has just started
-/// too. Without it, 42 to 80 of 295 daemons that had started within 0.5 s of each other planned the calls of the
-/// same service for 3 s, of which 11,126 of 28,431 found their endpoint full (one play). Chosen, not measured:
-/// daemons that start together are ready within a second of each other.
+/// Time after its start for which a daemon leaves coordinating to one with more capacity that has just
+/// started too. Without it, 42 to 80 of 295 daemons that had started within 0.5 s of each other planned
+/// the calls of the same service for 3 s, of which 11,126 of 28,431 found their endpoint full (one
+/// play). Chosen, not measured: daemons that start together are ready within a second of each other.
 pub const YIELD: Millis = Millis(2_000);
 
 /// Bytes of an address as it is hashed: an IP number of either kind, and a port.
--- a/lib/src/gateway/rules/directory_reads.rs
+++ b/lib/src/gateway/rules/directory_reads.rs
@@ -60,7 +60,7 @@
 /// answers again. Chosen, not measured: five calls in 0.3 s all fail in 1 of 250 cases where the directory
 /// refuses a third of the daemons, and an outage of 5 s costs 75 calls (both worked out). With 30, 295 daemons
 /// that waited for their first table for some seconds made 3,626 calls on a quiet day (one play).
-const FLEET_CALLS: f64 = 15.0;
+pub const FLEET_CALLS: f64 = 15.0;
 
 /// Least time from noticing that all reads are out of date to a call: what peers have sent
 /// meanwhile is received first. Without it, 15 daemons that had stood still for 0.2 s all read a table of
--- a/lib/src/gateway/rules/gossip.rs
+++ b/lib/src/gateway/rules/gossip.rs
@@ -4,13 +4,13 @@
 //! seeds that aren't alive, whether this daemon coordinates, the loads in flight (requests, prompt
 //! tokens), and a generator of random numbers.
 //!
-//! Rule: in a fleet of at most [`SMALL_FLEET`] other daemons each heartbeat goes to everybody. In
-//! a larger one a daemon that coordinates, or did so within its last [`LAST_BROADCASTS`]
-//! heartbeats, sends to everybody; any other sends to the [`WATCHERS`] living daemons that come next in an
-//! order by hash, to [`DRAWN`] daemons drawn anew each time, to the coordinators, to those that asked it
-//! for a heartbeat or told it that it is suspect, to those that it asks itself, and to seeds that aren't alive. A heartbeat names [`NAMED`] daemons: suspects
-//! first, then living ones that others take for suspect, then other living ones, drawn anew each time; and the
-//! [`LOADS`] largest loads.
+//! Rule: in a fleet of at most [`SMALL_FLEET`] other daemons each heartbeat goes to everybody. In a
+//! larger one a daemon that coordinates, or did so within its last [`LAST_BROADCASTS`] heartbeats,
+//! sends to everybody; any other sends to the [`WATCHERS`] living daemons that come next in an order by
+//! hash, to [`DRAWN`] daemons drawn anew each time, to the coordinators, to those that asked it for a
+//! heartbeat or told it that it is suspect, to those that it asks itself, and to seeds that aren't
+//! alive. A heartbeat names [`NAMED`] daemons: suspects first, then living ones that others take for
+//! suspect, then other living ones, drawn anew each time; and the [`LOADS`] largest loads.
 //!
 //! Reason: what one daemon sends and receives doesn't grow with the fleet, coordinators alone
 //! receive everything, and gossip still reaches everybody within seconds. Each daemon is watched by some
@@ -47,10 +47,13 @@
 pub const DRAWN: usize = 3;
 
 /// Daemons that one heartbeat asks for theirs, bounded so that it fits into a datagram. Chosen, not measured.
-pub const ASKED: usize = 16;
+pub const ASKED: usize = 8;
+
+/// Daemons that a heartbeat asks in the room of one that it names.
+const ASKED_PER_NAMED: usize = 2;
 
 /// Suspects that one heartbeat names at most, so that other daemons are named too. Chosen, not measured.
-pub const SUSPECTS: usize = 7;
+pub const SUSPECTS: usize = 5;
 
 /// Heartbeats that go to everybody from the last one as a coordinator on, so that all learn that
 /// it stopped even if one of the two that report it is lost. Chosen, not measured.
@@ -79,7 +82,7 @@
 const ROSTER_STRONGEST: usize = 20;
 
 /// Least time between two rosters for the same daemon. Chosen, not measured.
-const ROSTER_PAUSE: Millis = Millis(500);
+pub const ROSTER_PAUSE: Millis = Millis(500);
 
 /// Returns whether every heartbeat goes to everybody, by the number of other daemons known.
 pub fn is_small_fleet(others: usize) -> bool {
@@ -185,16 +188,18 @@
 }
 
 /// Draws the daemons that a heartbeat names beside the suspects: of the living ones that others suspect, and
-/// of the other living ones.
+/// of the other living ones; fewer if it asks `asked` daemons for heartbeats, so that it fits into a datagram
+/// all the same.
 pub fn draw_named<T: Clone>(
     suspects: Vec<T>,
+    asked: usize,
     refuted: &[T],
     living: &[T],
     rng: &mut impl Rng,
 ) -> Vec<T> {
     let mut named = suspects;
     for others in [refuted, living] {
-        let room = NAMED - named.len();
+        let room = NAMED - asked.div_ceil(ASKED_PER_NAMED) - named.len();
         named.extend(others.sample(rng, room).cloned());
     }
     named
--- a/lib/src/gateway/rules/liveness.rs
+++ b/lib/src/gateway/rules/liveness.rs
@@ -5,17 +5,17 @@
 //! since when this daemon should have received each of its heartbeats; since when it is suspect; the number
 //! of daemons known; when this process last woke from a pause.
 //!
-//! Rule: a daemon whose every heartbeat should arrive here, because the fleet is small or because
-//! it broadcasts, is alive while its last heartbeat is at most [`SILENCE`] old. Any other daemon is alive
+//! Rule: a daemon whose every heartbeat should arrive here, because the fleet is small or because it
+//! broadcasts, is alive while its last heartbeat is at most [`SILENCE`] old. Any other daemon is alive
 //! until it is suspect. Whoever should receive all of its heartbeats (the coordinators, and the next
-//! [`WATCHERS`](crate::gateway::rules::gossip::WATCHERS) daemons in an order by hash) asks it for one after
-//! [`ASK`] of silence, suspects it as long after that, and tells the others; one that has a sign of life not older than
-//! that doesn't believe it, and tells them so, as does the suspect. A suspect is lost once it has been one for [`REFUTE`] and its last sign
-//! is more than [`GOSSIP_SILENCE`] old. A daemon that nobody suspects is lost after the time of
-//! [`quiet_limit`], and one that receives nothing at all suspects everybody. Time before the end of a
-//! pause of this process isn't silence of a daemon that was alive when the pause began. A daemon
-//! that is lost is forgotten [`FORGET`] after its last sign of life, and gossip older than half of
-//! that is ignored.
+//! [`WATCHERS`](crate::gateway::rules::gossip::WATCHERS) daemons in an order by hash) asks it for one
+//! after [`ASK`] of silence, suspects it as long after that, and tells the others; one that has a sign
+//! of life not older than that doesn't believe it, and tells them so, as does the suspect. A suspect is
+//! lost once it has been one for [`REFUTE`] and its last sign is more than [`GOSSIP_SILENCE`] old. A
+//! daemon that nobody suspects is lost after the time of [`quiet_limit`], and one that receives nothing
+//! at all suspects everybody. Time before the end of a pause of this process isn't silence of a daemon
+//! that was alive when the pause began. A daemon that is lost is forgotten [`FORGET`] after its last
+//! sign of life, and gossip older than half of that is ignored.
 //!
 //! Reason: a daemon of a large fleet receives few signs of life of each other one, fewer the larger the
 //! fleet: with 295 daemons about one a second, so that 2.5 s without one told nothing and a calm fleet counted
@@ -35,18 +35,19 @@
 /// measured.
 pub const GOSSIP_SILENCE: Millis = Millis(2_500);
 
-/// Time without a heartbeat after which a daemon is asked for one, and time for its answer. Without asking, a watcher took daemons for
-/// silent that hadn't known it yet: 61,464 losses of living ones in 10 s of a calm fleet of 1,000 (test
-/// `calm_fleet`). Chosen, not measured: three heartbeats.
-const ASK: Millis = Millis(600);
+/// Time without a heartbeat after which a daemon is asked for one, and time for its answer. Without
+/// asking, a watcher took daemons for silent that hadn't known it yet: 61,464 losses of living ones in
+/// 10 s of a calm fleet of 1,000 (test `calm_fleet`). Chosen, not measured: three heartbeats.
+pub const ASK: Millis = Millis(600);
 
 /// Time for which a daemon is suspect at least before it is lost: news takes five heartbeats to reach
 /// a thousand daemons (worked out, six receivers each). Chosen, not measured.
 pub const REFUTE: Millis = Millis(1_000);
 
-/// Time without a sign of life after which a daemon is lost although nobody suspects it: at least, and for
-/// each daemon known. Signs of one daemon arrive 300 times a second divided by the number of daemons (worked
-/// out: 30 heartbeats a second that name ten), so that one in 26 thousand million such times passes without one.
+/// Time without a sign of life after which a daemon is lost although nobody suspects it: at least, and
+/// for each daemon known. Signs of one daemon arrive 300 times a second divided by the number of
+/// daemons (worked out: 30 heartbeats a second that name ten), so that one in 26 thousand million such
+/// times passes without one.
 const QUIET: Millis = Millis(4_000);
 const QUIET_EACH: Millis = Millis(80);
 
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -19,6 +19,7 @@
             rules::{
                 backlog::{Backlog, Band},
                 coordinator::Coordinator,
+                gossip::{ASKED, NAMED},
             },
             stages::job::{JobEnd, PieceInput, ResultHandle},
         },
@@ -278,6 +279,21 @@
     let bytes = encode(&heartbeat);
     assert!(bytes.len() <= 1_400, "{} bytes", bytes.len());
     assert_eq!(decode::<Heartbeat>(&bytes).unwrap(), heartbeat);
+    // With as many questions and suspects as one may have, and another daemon's read.
+    let asked = (0..ASKED as u8).map(|n| address(n + 200)).collect();
+    let mut peers = heartbeat.peers.clone();
+    peers.truncate(NAMED - ASKED / 2);
+    for note in &mut peers {
+        note.suspect = true;
+    }
+    let fullest = Heartbeat {
+        asked,
+        peers,
+        read_by: Some(address(250)),
+        ..heartbeat
+    };
+    let bytes = encode(&fullest);
+    assert!(bytes.len() <= 1_400, "{} bytes", bytes.len());
 }
 
 /// A daemon of the release before reads a heartbeat with backlogs, and one without them counts with the
