scale: queues are told once of many changes, plannings sort once, digests are bounded

Cause: each entry of a list told all queues of all endpoints; each call of a planning sorted all jobs anew; a digest of loads named every endpoint to every daemon with each heartbeat. Change: stale queues are refreshed before they are used; one order a data centre and planning, counted down as calls take from it; a digest names the 160 largest loads of a service and what has become of the last ones; the rendezvous hash needs no allocation; a first list of endpoints has one log line.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -81,11 +81,18 @@
                 state.endpoints.upsert(now, Arc::new(entry.clone()));
             }
         }
+        let entries = list.len();
         let changes = state.catalogue.replace(now, revision, list, is_outage);
+        let is_first = !state.has_list;
         state.has_list = true;
         drop(state);
-        for change in changes {
-            self.apply_change(&change, source);
+        log::info!(revision, entries, changes = changes.len(), source; "endpoints.listed");
+        // A line for each entry of the first list says nothing more: 3,001 lines of each daemon.
+        let told = changes
+            .iter()
+            .filter(|change| !is_first || !change.is_added());
+        for change in told {
+            self.apply_change(change, source);
         }
         self.sync_planning();
     }
--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -120,6 +120,13 @@
     Suspect(Arc<EndpointEntry>),
 }
 
+impl EndpointChange {
+    /// Returns whether an endpoint is new.
+    pub(crate) fn is_added(&self) -> bool {
+        matches!(self, Self::Added(_))
+    }
+}
+
 /// The endpoints as of one revision of the directory.
 #[derive(Debug, Clone)]
 pub struct Catalogue {
--- a/lib/src/gateway/peers/heartbeats.rs
+++ b/lib/src/gateway/peers/heartbeats.rs
@@ -63,11 +63,11 @@
 fn send_load_digest<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket) {
     let now = gateway.now();
     let ready = gateway.may_coordinate();
-    let state = gateway.state.borrow();
+    let mut state = gateway.state.borrow_mut();
     if state.peers.is_small() || !ready {
         return;
     }
-    let loads = state.coordinated_loads(now, ready);
+    let loads = state.next_digest(now, ready);
     let everybody: Vec<SocketAddr> = state.peers.addresses().collect();
     drop(state);
     for part in loads.chunks(DIGEST_LOADS) {
--- a/lib/src/gateway/peers/notes.rs
+++ b/lib/src/gateway/peers/notes.rs
@@ -67,6 +67,13 @@
     pub prefill: u32,
 }
 
+impl LoadNote {
+    /// Returns whether there is no load.
+    pub fn is_zero(&self) -> bool {
+        self.running == 0 && self.prefill == 0
+    }
+}
+
 impl From<LoadNote> for (EndpointHash, u32, u32) {
     fn from(note: LoadNote) -> Self {
         (note.endpoint, note.running, note.prefill)
--- a/lib/src/gateway/peers/self_report.rs
+++ b/lib/src/gateway/peers/self_report.rs
@@ -5,7 +5,7 @@
         gateway::{
             dialect::Dialect,
             directory::evacuations::Evacuations,
-            hashes::{endpoint_hash, service_hash},
+            hashes::service_hash,
             peers::message::{BacklogNote, LoadNote, Phase, QueueNote, WorkNote},
             rules::{
                 backlog::Backlog,
@@ -97,7 +97,7 @@
             .members()
             .filter(|member| member.running > 0)
             .map(|member| LoadNote {
-                endpoint: endpoint_hash(&member.entry.id),
+                endpoint: member.hash,
                 running: member.running,
                 prefill: member.prefill as u32,
             })
@@ -124,6 +124,7 @@
 impl<D: Dialect> Gateway<D> {
     /// Gathers the report of this daemon about itself.
     pub fn self_report(&self) -> SelfReport {
+        self.refresh_planning();
         let now = self.now();
         let wait = self.settings().bounds.directory_wait();
         let ready = self.may_coordinate();
--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -5,6 +5,7 @@
         gateway::{
             dialect::{Prompt, ReplyLoad},
             directory::catalogue::EndpointEntry,
+            hashes::{EndpointHash, endpoint_hash},
             routing::{
                 cold_state::{ColdState, Coldness},
                 sent_parts::SentParts,
@@ -39,6 +40,8 @@
 pub struct EndpointState {
     /// Its entry in the directory.
     pub entry: Arc<EndpointEntry>,
+    /// Hash of its name, as loads are exchanged by it.
+    pub(crate) hash: EndpointHash,
     /// Requests in flight from this daemon.
     pub running: u32,
     /// Prompt tokens that this daemon sent and that aren't read yet.
@@ -64,6 +67,7 @@
         Self {
             evacuated,
             cold: ColdState::new(now, entry.cold),
+            hash: endpoint_hash(&entry.id),
             entry,
             running: 0,
             prefill: 0.0,
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -8,7 +8,7 @@
         gateway::{
             dialect::{Prompt, ReplyLoad},
             directory::{catalogue::EndpointEntry, evacuations::Evacuations},
-            hashes::{EndpointHash, data_centre_hash, endpoint_hash},
+            hashes::{EndpointHash, data_centre_hash},
             routing::endpoint_state::{EndpointState, PeerLoad},
             rules::{
                 eligibility::{Exclusion, LeftOut, Places},
@@ -205,8 +205,7 @@
     /// Sets the load that other daemons put on each endpoint; one that isn't named has none.
     pub fn set_peer_loads(&mut self, loads: &HashMap<EndpointHash, PeerLoad>) {
         for member in self.members.values_mut() {
-            let key = endpoint_hash(&member.entry.id);
-            member.peers = loads.get(&key).copied().unwrap_or_default();
+            member.peers = loads.get(&member.hash).copied().unwrap_or_default();
         }
     }
 
@@ -214,8 +213,7 @@
     /// daemon's own part is subtracted.
     pub fn set_total_loads(&mut self, loads: &HashMap<EndpointHash, PeerLoad>) {
         for member in self.members.values_mut() {
-            let key = endpoint_hash(&member.entry.id);
-            let total = loads.get(&key).copied().unwrap_or_default();
+            let total = loads.get(&member.hash).copied().unwrap_or_default();
             member.peers = PeerLoad {
                 running: total.running.saturating_sub(member.running),
                 prefill: (total.prefill - member.prefill).max(0.0),
--- a/lib/src/gateway/rules/endpoint_choice.rs
+++ b/lib/src/gateway/rules/endpoint_choice.rs
@@ -178,14 +178,15 @@
 ) -> Option<&'a EndpointId> {
     let last_shared = prompt.parts.len().checked_sub(2)?;
     let part = prompt.parts[last_shared].id;
-    let weight = |candidate: &&&EndpointCandidate<'a>| {
-        let mut bytes = part.to_le_bytes().to_vec();
+    let mut bytes = part.to_le_bytes().to_vec();
+    let mut weight = |candidate: &&&EndpointCandidate<'a>| {
+        bytes.truncate(size_of_val(&part));
         bytes.extend_from_slice(candidate.entry.id.as_str().as_bytes());
         xxh3_64(&bytes)
     };
     let warm = candidates.iter().filter(|candidate| !candidate.cold);
-    let best = warm.max_by_key(weight);
-    let best = best.or_else(|| candidates.iter().max_by_key(weight))?;
+    let best = warm.max_by_key(&mut weight);
+    let best = best.or_else(|| candidates.iter().max_by_key(&mut weight))?;
     Some(&best.entry.id)
 }
 
--- a/lib/src/gateway/rules/gossip.rs
+++ b/lib/src/gateway/rules/gossip.rs
@@ -76,6 +76,11 @@
 /// Loads in one datagram of a coordinator's digest. Chosen, not measured.
 pub const DIGEST_LOADS: usize = 80;
 
+/// Loads of a service that a digest names, the largest: an engine with little to do is as good as one with
+/// nothing. With the loads of 3,001 endpoints, each of 299 daemons would receive 38 datagrams with every
+/// heartbeat, 0.18 MB a second (worked out). Chosen, not measured.
+pub const DIGEST_LARGEST: usize = 160;
+
 /// Daemons in one datagram of a roster. Chosen, not measured.
 pub const ROSTER_PEERS: usize = 40;
 
@@ -219,6 +224,19 @@
     evacuated <= EVACUATED
 }
 
+/// Returns the loads of a service that a digest names: the largest ones that aren't 0, and what has become
+/// of those that the one before named.
+pub fn digest_loads(
+    mut loads: Vec<LoadNote>,
+    was_named: impl Fn(&LoadNote) -> bool,
+) -> Vec<LoadNote> {
+    loads.retain(|load| !load.is_zero() || was_named(load));
+    loads.sort_unstable_by_key(|load| Reverse((load.prefill, load.running, load.endpoint)));
+    let smaller = loads.split_off(loads.len().min(DIGEST_LARGEST));
+    loads.extend(smaller.into_iter().filter(was_named));
+    loads
+}
+
 /// Returns the loads that a heartbeat carries: those with the most prompt tokens, and of equal
 /// ones those with the most requests; fewer where it names evacuated data centres.
 pub fn largest_loads(mut loads: Vec<LoadNote>, evacuated: usize) -> Vec<LoadNote> {
--- a/lib/src/gateway/rules/piece_order.rs
+++ b/lib/src/gateway/rules/piece_order.rs
@@ -26,7 +26,7 @@
             units::{ByteSize, Millis, Time},
         },
     },
-    foldhash::HashMap,
+    foldhash::{HashMap, HashSet},
 };
 
 /// Wait for an endpoint at home, for each megabyte that would cross (ms/MB; rows "longer waits"
@@ -114,6 +114,10 @@
     pub own: usize,
     /// Pieces that endpoints anywhere may take.
     pub shared: usize,
+    /// Jobs whose pieces endpoints anywhere may take.
+    pub shared_jobs: HashSet<JobId>,
+    /// Jobs whose pieces only endpoints of its data centre may take yet.
+    pub own_jobs: HashSet<JobId>,
 }
 
 impl WaitingOrder {
@@ -136,8 +140,10 @@
             }
             if is_shared {
                 order.shared += job.waiting;
+                order.shared_jobs.insert(job.id);
             } else {
                 order.own += job.waiting;
+                order.own_jobs.insert(job.id);
             }
             let is_away = home.is_some() && !is_own;
             let handicap = if is_away { AWAY_STEP } else { Millis(0) };
@@ -149,6 +155,16 @@
         order
     }
 
+    /// Records that a call took pieces of a job. The order stays: sorted anew for each call, as many jobs were
+    /// compared for 100 calls as 100 times those that wait (test `planning_cost`).
+    pub fn take(&mut self, job: JobId, pieces: usize) {
+        if self.shared_jobs.contains(&job) {
+            self.shared -= pieces;
+        } else if self.own_jobs.contains(&job) {
+            self.own -= pieces;
+        }
+    }
+
     /// Returns the pieces that one call should take, where so many endpoints are free in its data
     /// centre and anywhere.
     pub fn share(&self, free_here: usize, free: usize) -> usize {
--- a/lib/src/gateway/stages/batch_plan.rs
+++ b/lib/src/gateway/stages/batch_plan.rs
@@ -19,19 +19,76 @@
                 batch_call::{BatchCall, CallId, PieceRef, RunningCall, SentPiece},
                 batch_queue::BatchQueue,
                 job::{JobEnd, JobId, PieceTask},
+                workers::FreeWorker,
             },
         },
-        shared::units::{Time, WorkMillis},
+        shared::{
+            ids::DataCentreId,
+            units::{Time, WorkMillis},
+        },
     },
+    foldhash::HashMap,
     std::sync::Arc,
 };
 
-/// The part of the waiting pieces that one endpoint should get.
-struct CallShare {
-    /// Jobs with waiting pieces, in the order in which they go.
-    jobs: Vec<JobId>,
-    /// Pieces that its call should take.
-    pieces: usize,
+/// What the calls of one planning share: the free endpoints, and the order of the jobs in each data centre. It is
+/// gathered once, and each call takes its part from it.
+struct PlanRound {
+    /// The free endpoints, in the order in which they get calls.
+    free: Vec<FreeWorker>,
+    /// The number of them in each data centre.
+    free_counts: HashMap<DataCentreId, usize>,
+    /// Endpoints that may be called at all, by data centre.
+    counts: DataCentreCounts,
+    /// The jobs in order, for each data centre that was asked for.
+    orders: HashMap<DataCentreId, WaitingOrder>,
+    /// Pieces that wait.
+    waiting: usize,
+}
+
+impl PlanRound {
+    fn new(free: Vec<FreeWorker>, counts: DataCentreCounts, waiting: usize) -> Self {
+        let mut free_counts: HashMap<DataCentreId, usize> = HashMap::default();
+        for worker in &free {
+            *free_counts.entry(worker.data_centre.clone()).or_default() += 1;
+        }
+        Self {
+            free,
+            free_counts,
+            counts,
+            orders: HashMap::default(),
+            waiting,
+        }
+    }
+
+    /// Returns the number of free endpoints in a data centre.
+    fn free_in(&self, data_centre: &DataCentreId) -> usize {
+        self.free_counts.get(data_centre).copied().unwrap_or(0)
+    }
+
+    /// Removes an endpoint that isn't free any more.
+    fn remove(&mut self, place: usize) {
+        let worker = self.free.remove(place);
+        if let Some(count) = self.free_counts.get_mut(&worker.data_centre) {
+            *count -= 1;
+        }
+    }
+
+    /// Records the pieces that a call took.
+    fn take(&mut self, pieces: &[SentPiece]) {
+        self.waiting -= pieces.len();
+        for order in self.orders.values_mut() {
+            for sent in pieces {
+                order.take(sent.piece.job, 1);
+            }
+        }
+    }
+}
+
+/// A planned call, and the pieces that it took.
+struct PlannedCall {
+    call: BatchCall,
+    sent: Vec<SentPiece>,
 }
 
 /// The pieces chosen for one call.
@@ -50,61 +107,79 @@
         self.end_hopeless(now);
         self.requeue_overdue(now);
         let mut calls = Vec::new();
-        let mut free = self.free_endpoints(now);
+        let free = self.free_endpoints(now);
         if free.is_empty() {
             return calls;
         }
-        let counts = self.workers.counts();
-        let mut waiting = self.waiting();
-        while !free.is_empty() && waiting > 0 {
-            let Some(call) = self.plan_next(now, &free, &counts, waiting) else {
+        let mut round = PlanRound::new(free, self.workers.counts(), self.waiting());
+        while !round.free.is_empty() && round.waiting > 0 {
+            let Some(call) = self.plan_next(now, &mut round) else {
                 break;
             };
-            waiting -= call.pieces.len();
             calls.push(call);
-            free = self.free_endpoints(now);
         }
         calls
     }
 
-    fn free_endpoints(&self, now: Time) -> Vec<EndpointLife> {
-        // An endpoint without a stated number of slots runs one call at a time.
-        self.workers.free(now, self.limits.slots.max(1))
+    fn free_endpoints(&self, now: Time) -> Vec<FreeWorker> {
+        self.workers.free(now, self.slots())
+    }
+
+    /// Returns the calls that an endpoint runs at a time; one without a stated number runs one.
+    fn slots(&self) -> usize {
+        self.limits.slots.max(1)
     }
 
     /// Plans one call, for the first free endpoint that may take any of the waiting pieces.
-    fn plan_next(
+    fn plan_next(&mut self, now: Time, round: &mut PlanRound) -> Option<BatchCall> {
+        for place in 0..round.free.len() {
+            let worker = round.free[place].clone();
+            let Some(planned) = self.plan_for(now, &worker, round) else {
+                continue;
+            };
+            round.take(&planned.sent);
+            let calls = self.workers.get_mut(&worker.life).map(|busy| busy.calls());
+            if calls.is_none_or(|calls| calls >= self.slots()) {
+                round.remove(place);
+            }
+            return Some(planned.call);
+        }
+        None
+    }
+
+    /// Plans a call of a free endpoint, with its part of the waiting pieces; nothing if it has none.
+    fn plan_for(
         &mut self,
         now: Time,
-        free: &[EndpointLife],
-        counts: &DataCentreCounts,
-        waiting: usize,
-    ) -> Option<BatchCall> {
-        free.iter().find_map(|endpoint| {
-            let share = self.share_of(now, endpoint, free, counts)?;
-            self.plan_call(now, endpoint, &share, waiting)
-        })
+        worker: &FreeWorker,
+        round: &mut PlanRound,
+    ) -> Option<PlannedCall> {
+        let here = &worker.data_centre;
+        let (free_here, free) = (round.free_in(here), round.free.len());
+        if !round.orders.contains_key(here) {
+            let order = self.order_in(now, here, &round.counts);
+            self.ordered += order.jobs.len() as u64;
+            round.orders.insert(here.clone(), order);
+        }
+        let order = &round.orders[here];
+        let pieces = order.share(free_here, free);
+        if pieces == 0 {
+            return None;
+        }
+        let pieces = pieces.min(self.limits.pieces);
+        self.plan_call(now, &worker.life, &order.jobs, pieces, round.waiting)
     }
 
-    /// Returns the part of the waiting pieces that a free endpoint should get, if any.
-    fn share_of(
+    /// Returns the order of the jobs for the endpoints of a data centre.
+    fn order_in(
         &self,
         now: Time,
-        endpoint: &EndpointLife,
-        free: &[EndpointLife],
+        data_centre: &DataCentreId,
         counts: &DataCentreCounts,
-    ) -> Option<CallShare> {
-        let here = self.workers.data_centre(endpoint)?;
-        let is_here = |other: &&EndpointLife| self.workers.data_centre(other) == Some(here);
-        let free_here = free.iter().filter(is_here).count();
+    ) -> WaitingOrder {
         let waiting = self.jobs.iter().filter(|(_, state)| state.waiting() > 0);
         let jobs = waiting.map(|(id, state)| state.waiting_job(*id));
-        let order = WaitingOrder::new(now, jobs, here, counts);
-        let pieces = order.share(free_here, free.len());
-        (pieces > 0).then_some(CallShare {
-            jobs: order.jobs,
-            pieces: pieces.min(self.limits.pieces),
-        })
+        WaitingOrder::new(now, jobs, data_centre, counts)
     }
 
     /// Plans a call of an endpoint; nothing if no piece may be sent there.
@@ -112,14 +187,15 @@
         &mut self,
         now: Time,
         endpoint: &EndpointLife,
-        share: &CallShare,
+        jobs: &[JobId],
+        pieces: usize,
         waiting: usize,
-    ) -> Option<BatchCall> {
+    ) -> Option<PlannedCall> {
         let worker = self.workers.get_mut(endpoint)?;
         let room = worker.free_room(now, self.limits.room);
         let entry = Arc::clone(&worker.entry);
-        let fill = CallFill::new(share.pieces, self.limits.pieces, room);
-        let chosen = self.choose(now, &share.jobs, fill);
+        let fill = CallFill::new(pieces, self.limits.pieces, room);
+        let chosen = self.choose(now, jobs, fill);
         if chosen.tasks.is_empty() {
             return None;
         }
@@ -136,8 +212,9 @@
             retries: chosen.retries,
         };
         self.next_call += 1;
-        self.begin(now, &call, chosen.sent, chosen.fill);
-        Some(call)
+        let sent = chosen.sent;
+        self.begin(now, &call, sent.clone(), chosen.fill);
+        Some(PlannedCall { call, sent })
     }
 
     /// Chooses pieces of waiting jobs for one call, and marks them as sent.
@@ -162,6 +239,9 @@
         let Some(state) = self.jobs.get_mut(&job) else {
             return;
         };
+        if state.waiting() == 0 {
+            return;
+        }
         let result = state.result_size();
         for piece in 0..state.pieces() {
             match chosen.fill.fit(result) {
--- a/lib/src/gateway/stages/batch_queue.rs
+++ b/lib/src/gateway/stages/batch_queue.rs
@@ -45,6 +45,8 @@
     pub(super) ended: Vec<EndedJob>,
     /// Results that nobody waits for any more.
     pub(super) surplus: Vec<ResultHandle>,
+    /// Jobs that were put in order so far, each time counted.
+    pub(super) ordered: u64,
     /// When a call was last kept small for lack of room for results.
     pub(super) short_at: Option<Time>,
 }
@@ -71,10 +73,16 @@
             next_call: 0,
             ended: Vec::new(),
             surplus: Vec::new(),
+            ordered: 0,
             short_at: None,
         }
     }
 
+    /// Returns how many jobs were put in order so far, each as often as it was: the cost of planning.
+    pub fn ordered_jobs(&self) -> u64 {
+        self.ordered
+    }
+
     /// Sets the limits of calls and of retries, and how many daemons share the budget of retries.
     pub fn set_limits(&mut self, limits: BatchLimits, budget: BudgetLimits, daemons: usize) {
         self.limits = limits;
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -46,6 +46,7 @@
 }
 
 fn start_calls<D: Dialect>(gateway: &Rc<Gateway<D>>) {
+    gateway.refresh_planning();
     let now = gateway.now();
     let calls = gateway.state.borrow_mut().planning.plan(now);
     for ServiceCall { service, call } in calls {
--- a/lib/src/gateway/stages/local_job.rs
+++ b/lib/src/gateway/stages/local_job.rs
@@ -31,6 +31,7 @@
     /// Runs a job in this daemon's queue; dropping the future cancels the job. A service without a
     /// queue runs no pieces, so that its job fails.
     pub async fn run_locally(&self, service: &ServiceId, job: StageJob) -> JobEnd {
+        self.refresh_planning();
         let now = self.now();
         let handle = self.state.borrow_mut().planning.add(now, service, job);
         let Some(JobHandle { id, receiver }) = handle else {
--- a/lib/src/gateway/stages/queues.rs
+++ b/lib/src/gateway/stages/queues.rs
@@ -32,6 +32,8 @@
     jobs: HashMap<JobId, QueuedJob>,
     releases: Releases,
     last_job: u64,
+    /// Times that the queues were told which endpoints they may call.
+    syncs: u64,
 }
 
 /// A job that hasn't ended, and where its end is awaited.
@@ -83,6 +85,7 @@
 
     /// Sets which endpoints may be called, and how many daemons share the budgets of retries.
     pub fn sync(&mut self, endpoints: &EndpointStates, budget: BudgetLimits, daemons: usize) {
+        self.syncs += 1;
         for (service, limits) in &self.limits {
             let queue = self.queues.entry(service.clone()).or_insert_with(|| {
                 BatchQueue::new(*limits, WindowBudget::new(budget, Time::default()))
@@ -97,6 +100,11 @@
         }
     }
 
+    /// Returns how often the queues were told which endpoints they may call: it costs a look at all of them.
+    pub fn syncs(&self) -> u64 {
+        self.syncs
+    }
+
     /// Returns what other daemons should know of the services that this daemon coordinates
     /// (`is_mine`), or that have jobs here; `outstanding` returns the pieces of a service that all
     /// daemons have admitted and not completed.
--- a/lib/src/gateway/stages/workers.rs
+++ b/lib/src/gateway/stages/workers.rs
@@ -16,6 +16,13 @@
     std::sync::Arc,
 };
 
+/// An endpoint that may get a call.
+#[derive(Debug, Clone)]
+pub(crate) struct FreeWorker {
+    pub(crate) life: EndpointLife,
+    pub(crate) data_centre: DataCentreId,
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Workers(HashMap<EndpointLife, Worker>);
 
@@ -40,11 +47,6 @@
         self.0.get_mut(endpoint)
     }
 
-    pub(crate) fn data_centre(&self, endpoint: &EndpointLife) -> Option<&DataCentreId> {
-        let worker = self.0.get(endpoint)?;
-        Some(&worker.entry.data_centre)
-    }
-
     /// Returns the number of endpoints that may get calls and aren't slow.
     pub(crate) fn available(&self, now: Time) -> usize {
         self.0
@@ -61,7 +63,7 @@
 
     /// Returns the endpoints that may get a call now, the fastest first; each runs `slots` calls at
     /// a time. Slow ones are among them only while all are slow.
-    pub(crate) fn free(&self, now: Time, slots: usize) -> Vec<EndpointLife> {
+    pub(crate) fn free(&self, now: Time, slots: usize) -> Vec<FreeWorker> {
         let any_available = self.available(now) > 0;
         let mut free: Vec<&Worker> = self
             .0
@@ -74,7 +76,12 @@
             let by_pace = a.pace(now).0.total_cmp(&b.pace(now).0);
             by_pace.then_with(|| a.entry.id.cmp(&b.entry.id))
         });
-        free.iter().map(|worker| worker.entry.life()).collect()
+        free.iter()
+            .map(|worker| FreeWorker {
+                life: worker.entry.life(),
+                data_centre: worker.entry.data_centre.clone(),
+            })
+            .collect()
     }
 
     /// Records that endpoints dropped results, so that they have room again.
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -12,6 +12,7 @@
                 catalogue::Catalogue, contact::DirectoryContact, evacuations::Evacuations,
                 refused_entries::RefusedEntries,
             },
+            hashes::EndpointHash,
             peers::{
                 links::Links,
                 load_sums::LoadSums,
@@ -29,7 +30,7 @@
         shared::{ids::ServiceId, units::Time},
     },
     bytes::Bytes,
-    foldhash::HashMap,
+    foldhash::{HashMap, HashSet},
     std::{
         cell::{Cell, OnceCell, RefCell},
         marker::PhantomData,
@@ -95,6 +96,8 @@
     pub workload: Workload,
     /// Requests in flight from all daemons, as coordinators sum them up.
     pub load_sums: LoadSums,
+    /// Endpoints that this daemon's last digest of loads named as busy.
+    pub(crate) digest_named: HashSet<EndpointHash>,
     /// Since when a peer is known to have a newer table or list.
     pub behind_since: BehindSince,
     /// Since when a peer is known to have a newer table, whatever of it has come.
@@ -155,6 +158,8 @@
     pub in_flight: Cell<usize>,
     /// Wakes the loop that plans the calls of stages.
     pub work: Notify,
+    /// The queues of stages weren't told yet what has changed of endpoints, services or limits.
+    stale_planning: Cell<bool>,
     /// Wakes the loop that fetches newer tables: another daemon reports one.
     pub(crate) newer_table: Notify,
     /// Wakes whoever waits for another table to come into force.
@@ -199,6 +204,7 @@
                 has_list: false,
                 workload: Workload::default(),
                 load_sums: LoadSums::default(),
+                digest_named: HashSet::default(),
                 behind_since: BehindSince::default(),
                 newer_since: None,
                 table_read: 0,
@@ -210,6 +216,7 @@
             stopping: Cell::new(false),
             in_flight: Cell::new(0),
             work: Notify::new(),
+            stale_planning: Cell::new(false),
             newer_table: Notify::new(),
             table_changed: Notify::new(),
             stop_over: Notify::new(),
@@ -281,13 +288,23 @@
         self.state.borrow().published.clone()
     }
 
-    /// Updates the endpoints that the queues of stages may call, and wakes the loop that plans calls.
+    /// Records that endpoints, services or limits have changed, and wakes the loop that plans calls. However
+    /// many have changed, the queues are told once: told of each entry of a first list of 3,001 endpoints, a
+    /// daemon compared 3,001 times all endpoints of each stage (worked out).
     pub(crate) fn sync_planning(&self) {
+        self.stale_planning.set(true);
+        self.work.notify_one();
+    }
+
+    /// Tells the queues of stages which endpoints they may call, if that has changed.
+    pub(crate) fn refresh_planning(&self) {
+        if !self.stale_planning.take() {
+            return;
+        }
         let limits = self.settings().budget;
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let daemons = state.peers.daemons();
         state.planning.sync(&state.endpoints, limits, daemons);
-        self.work.notify_one();
     }
 }
--- a/lib/tests/test_stage_rules.rs
+++ b/lib/tests/test_stage_rules.rs
@@ -226,6 +226,7 @@
         jobs: Vec::new(),
         own: 5,
         shared: 7,
+        ..WaitingOrder::default()
     };
     assert_eq!(order.share(2, 3), 3 + 3);
     assert_eq!(order.share(0, 0), 5 + 7);
