stages: calls that aren't full are spaced evenly; the first page of a long list serves

Cause: calls of one service come in bunches, so that many hold under five pieces of 40 and cost 240 ms all the same; after a loss of all of 299 daemons nobody served for 2.5 s, since each read 3,001 entries before it used one. Change: a call that isn't full waits for its share of the round of its data centre, unless half of the endpoints are free; endpoints are used as the pages of the first list come.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -70,6 +70,23 @@
         self.advance_revision(changes.revision);
     }
 
+    /// Uses endpoints of the first list while the rest of it is still on its way. The list of 3,001 endpoints took
+    /// 299 daemons that started together 2.5 s, in which they refused everything; a page of it holds a sixth of
+    /// the endpoints of each service.
+    pub(crate) fn add_early(&self, entries: impl Iterator<Item = EndpointEntry>) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if state.has_list {
+            return;
+        }
+        for entry in entries {
+            state.endpoints.upsert(now, Arc::new(entry));
+        }
+        state.has_part = true;
+        drop(state);
+        self.sync_planning();
+    }
+
     /// Applies a whole list of endpoints as of a revision.
     pub fn replace_endpoints(&self, revision: u64, list: Vec<EndpointEntry>, source: &str) {
         let now = self.now();
@@ -84,6 +101,15 @@
         let entries = list.len();
         let changes = state.catalogue.replace(now, revision, list, is_outage);
         let is_first = !state.has_list;
+        if is_first {
+            // Of a list that was begun and not read to its end, some may be gone since.
+            let GatewayState {
+                catalogue,
+                endpoints,
+                ..
+            } = &mut *state;
+            endpoints.retain(|id| catalogue.get(id).is_some());
+        }
         state.has_list = true;
         drop(state);
         log::info!(revision, entries, changes = changes.len(), source; "endpoints.listed");
--- a/lib/src/gateway/directory/coverage.rs
+++ b/lib/src/gateway/directory/coverage.rs
@@ -8,7 +8,6 @@
     gateway::{
         dialect::Dialect,
         directory::source::Topic,
-        peers::message::Phase,
         rules::{
             coordinator::is_settled,
             directory_reads::{
@@ -31,6 +30,11 @@
         }
     }
 
+    /// Returns whether a table and a whole list of endpoints are known.
+    fn knows_directory(&self) -> bool {
+        self.published.is_some() && self.has_list
+    }
+
     /// Returns the age of the freshest read that this daemon may rely on: a substitute reads on as long as
     /// nobody but itself does.
     fn known_read_age(&self, now: Time) -> Option<Millis> {
@@ -45,8 +49,8 @@
     pub fn read_duty(&self) -> ReadDuty {
         let wait = self.settings().bounds.directory_wait();
         let now = self.now();
-        let is_starting = self.phase() == Phase::Starting;
         let state = self.state.borrow();
+        let is_starting = !state.knows_directory();
         let peers = PeerKnowledge {
             lags: state.lags(now),
             // What peers read is of no use before it has come here.
@@ -62,7 +66,8 @@
 
     /// Records that a call in this daemon's turn was answered: from now on it reads for the others.
     pub(crate) fn probe_answered(&self) {
-        if self.phase() != Phase::Ready || self.read_duty() != ReadDuty::Probe {
+        let knows = self.state.borrow().knows_directory();
+        if !knows || self.stopping.get() || self.read_duty() != ReadDuty::Probe {
             return;
         }
         log::info!("directory.substitute_began");
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -132,7 +132,10 @@
         let (directory, topic) = (&self.directory, self.topic);
         let limit = self.limit.to_duration();
         match self.since {
-            None => directory.list(topic, limit).await,
+            None => {
+                let on_part = |part: &[Item]| apply_part(&self.gateway, topic, part);
+                directory.list(topic, limit, on_part).await
+            }
             Some(since) => directory.changes(topic, since, wait, limit).await,
         }
     }
@@ -214,6 +217,14 @@
     }
 }
 
+/// Applies a part of a list that is still on its way.
+fn apply_part<D: Dialect>(gateway: &Gateway<D>, topic: Topic, part: &[Item]) {
+    if topic == Topic::Endpoints {
+        let entries = part.iter().filter_map(|item| read_entry(gateway, item));
+        gateway.add_early(entries);
+    }
+}
+
 fn apply_list<D: Dialect>(gateway: &Gateway<D>, items: &Items) {
     let entries = items
         .items
--- a/lib/src/gateway/directory/source.rs
+++ b/lib/src/gateway/directory/source.rs
@@ -72,7 +72,7 @@
 /// Reads the directory. An answer has to begin within the `limit` of a call, and may then take as long as
 /// it keeps coming.
 pub trait Directory: 'static {
-    /// Reads a topic whole.
+    /// Reads a topic whole. Where it comes in parts, each but the last is shown to `on_part` as it comes.
     ///
     /// # Errors
     ///
@@ -81,6 +81,7 @@
         &self,
         topic: Topic,
         limit: Duration,
+        on_part: impl FnMut(&[Item]),
     ) -> impl Future<Output = Result<Items, DirectoryError>>;
 
     /// Waits for changes of a topic after the revision `since`, at most for `wait`; returns no items if
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -79,6 +79,15 @@
         }
     }
 
+    /// Removes the endpoints that aren't to be kept.
+    pub(crate) fn retain(&mut self, is_kept: impl Fn(&EndpointId) -> bool) {
+        let ids = self.members.keys().filter(|id| !is_kept(id));
+        let removed: Vec<EndpointId> = ids.cloned().collect();
+        for id in removed {
+            self.remove(&id);
+        }
+    }
+
     /// Returns the endpoints of a service.
     pub fn service(&self, id: &ServiceId) -> impl Iterator<Item = &EndpointState> {
         let ids = self.services.get(id).into_iter().flatten();
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -9,6 +9,7 @@
 pub mod backend_choice;
 pub mod backlog;
 pub mod call_fill;
+pub mod call_spacing;
 pub mod call_timing;
 pub mod catch_up;
 pub mod cold_share;
--- a/lib/src/gateway/rules/piece_order.rs
+++ b/lib/src/gateway/rules/piece_order.rs
@@ -66,7 +66,8 @@
         Self(counts)
     }
 
-    fn get(&self, data_centre: &DataCentreId) -> Option<usize> {
+    /// Returns the endpoints in a data centre; nothing if there is none.
+    pub fn get(&self, data_centre: &DataCentreId) -> Option<usize> {
         self.0.get(data_centre).copied()
     }
 }
--- a/lib/src/gateway/stages/batch_plan.rs
+++ b/lib/src/gateway/stages/batch_plan.rs
@@ -10,6 +10,7 @@
             directory::catalogue::EndpointLife,
             rules::{
                 call_fill::{CallFill, Fit},
+                call_spacing::CallSpacing,
                 call_timing::is_overdue,
                 piece_order::{DataCentreCounts, WaitingOrder},
                 piece_retry::{is_hopeless, is_retry},
@@ -38,6 +39,8 @@
     free: Vec<FreeWorker>,
     /// The number of them in each data centre.
     free_counts: HashMap<DataCentreId, usize>,
+    /// That number before any call of this planning.
+    idle_counts: HashMap<DataCentreId, usize>,
     /// Endpoints that may be called at all, by data centre.
     counts: DataCentreCounts,
     /// The jobs in order, for each data centre that was asked for.
@@ -54,6 +57,7 @@
         }
         Self {
             free,
+            idle_counts: free_counts.clone(),
             free_counts,
             counts,
             orders: HashMap::default(),
@@ -66,6 +70,11 @@
         self.free_counts.get(data_centre).copied().unwrap_or(0)
     }
 
+    /// Returns the number of endpoints in a data centre that were free before this planning.
+    fn idle_in(&self, data_centre: &DataCentreId) -> usize {
+        self.idle_counts.get(data_centre).copied().unwrap_or(0)
+    }
+
     /// Removes an endpoint that isn't free any more.
     fn remove(&mut self, place: usize) {
         let worker = self.free.remove(place);
@@ -106,6 +115,7 @@
     pub fn plan(&mut self, now: Time) -> Vec<BatchCall> {
         self.end_hopeless(now);
         self.requeue_overdue(now);
+        self.held_until = None;
         let mut calls = Vec::new();
         let free = self.free_endpoints(now);
         if free.is_empty() {
@@ -138,6 +148,7 @@
                 continue;
             };
             round.take(&planned.sent);
+            self.record_spacing(now, &planned.call);
             let calls = self.workers.get_mut(&worker.life).map(|busy| busy.calls());
             if calls.is_none_or(|calls| calls >= self.slots()) {
                 round.remove(place);
@@ -167,9 +178,37 @@
             return None;
         }
         let pieces = pieces.min(self.limits.pieces);
+        if pieces < self.limits.pieces && self.is_held(now, here, round) {
+            return None;
+        }
         self.plan_call(now, &worker.life, &order.jobs, pieces, round.waiting)
     }
 
+    /// Returns whether a call in a data centre that isn't full has to wait; records until when.
+    fn is_held(&mut self, now: Time, data_centre: &DataCentreId, round: &PlanRound) -> bool {
+        let Some(spacing) = self.spacing.get(data_centre) else {
+            return false;
+        };
+        let endpoints = round.counts.get(data_centre).unwrap_or(1);
+        let due = spacing.due(endpoints, round.idle_in(data_centre));
+        if due <= now {
+            return false;
+        }
+        let first = self.held_until.map_or(due, |other| other.min(due));
+        self.held_until = Some(first);
+        true
+    }
+
+    /// Records when a call was planned in a data centre.
+    fn record_spacing(&mut self, now: Time, call: &BatchCall) {
+        let data_centre = &call.entry.data_centre;
+        let spacing = match self.spacing.get(data_centre) {
+            Some(spacing) => spacing.after_call(now, call.expected),
+            None => CallSpacing::new(now, call.expected),
+        };
+        self.spacing.insert(data_centre.clone(), spacing);
+    }
+
     /// Returns the order of the jobs for the endpoints of a data centre.
     fn order_in(
         &self,
--- a/lib/src/gateway/stages/batch_queue.rs
+++ b/lib/src/gateway/stages/batch_queue.rs
@@ -13,6 +13,7 @@
         gateway::{
             directory::catalogue::EndpointEntry,
             rules::{
+                call_spacing::CallSpacing,
                 result_room,
                 retry_budget::{BudgetLimits, WindowBudget},
             },
@@ -24,7 +25,7 @@
             },
             table::BatchLimits,
         },
-        shared::units::Time,
+        shared::{ids::DataCentreId, units::Time},
     },
     foldhash::HashMap,
     std::{collections::BTreeMap, sync::Arc},
@@ -45,6 +46,10 @@
     pub(super) ended: Vec<EndedJob>,
     /// Results that nobody waits for any more.
     pub(super) surplus: Vec<ResultHandle>,
+    /// The calls of each data centre.
+    pub(super) spacing: HashMap<DataCentreId, CallSpacing>,
+    /// When the first of the calls is due that were held; nothing if none was.
+    pub(super) held_until: Option<Time>,
     /// Jobs that were put in order so far, each time counted.
     pub(super) ordered: u64,
     /// When a call was last kept small for lack of room for results.
@@ -73,11 +78,18 @@
             next_call: 0,
             ended: Vec::new(),
             surplus: Vec::new(),
+            spacing: HashMap::default(),
+            held_until: None,
             ordered: 0,
             short_at: None,
         }
     }
 
+    /// Returns when the next planning is due because a call was held; nothing if none was.
+    pub fn held_until(&self) -> Option<Time> {
+        self.held_until
+    }
+
     /// Returns how many jobs were put in order so far, each as often as it was: the cost of planning.
     pub fn ordered_jobs(&self) -> u64 {
         self.ordered
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -36,7 +36,7 @@
         let is_busy = gateway.state.borrow().planning.jobs() > 0;
         if is_busy {
             // Either end means the same: it is time to look.
-            let _ = tokio::time::timeout(LOOK, gateway.work.notified()).await;
+            let _ = tokio::time::timeout(next_look(&gateway), gateway.work.notified()).await;
         } else {
             gateway.work.notified().await;
         }
@@ -45,6 +45,13 @@
     }
 }
 
+/// Returns the time to the next look without news: that to the first call that was held, if it is shorter.
+fn next_look<D: Dialect>(gateway: &Gateway<D>) -> Duration {
+    let held = gateway.state.borrow().planning.held_until();
+    let now = gateway.now();
+    held.map_or(LOOK, |held| held.since(now).min(LOOK))
+}
+
 fn start_calls<D: Dialect>(gateway: &Rc<Gateway<D>>) {
     gateway.refresh_planning();
     let now = gateway.now();
--- a/lib/src/gateway/stages/queues.rs
+++ b/lib/src/gateway/stages/queues.rs
@@ -199,6 +199,12 @@
         calls
     }
 
+    /// Returns when the next planning is due because calls were held; nothing if none was.
+    pub(crate) fn held_until(&self) -> Option<Time> {
+        let queues = self.queues.values();
+        queues.filter_map(BatchQueue::held_until).min()
+    }
+
     /// Applies how a call ended.
     pub(crate) fn call_ended(&mut self, now: Time, service: &ServiceId, id: CallId, end: CallEnd) {
         if let Some(queue) = self.queues.get_mut(service) {
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -92,6 +92,8 @@
     pub(crate) substitutes: bool,
     /// A whole list of endpoints has been applied at least once.
     pub has_list: bool,
+    /// A part of the first list of endpoints is in use.
+    pub(crate) has_part: bool,
     /// The outstanding pieces of this daemon's requests.
     pub workload: Workload,
     /// Requests in flight from all daemons, as coordinators sum them up.
@@ -202,6 +204,7 @@
                 contact: DirectoryContact::default(),
                 substitutes: false,
                 has_list: false,
+                has_part: false,
                 workload: Workload::default(),
                 load_sums: LoadSums::default(),
                 digest_named: HashSet::default(),
@@ -265,7 +268,7 @@
         let state = self.state.borrow();
         if self.stopping.get() {
             Phase::Stopping
-        } else if state.published.is_some() && state.has_list {
+        } else if state.published.is_some() && (state.has_list || state.has_part) {
             Phase::Ready
         } else {
             Phase::Starting
