--- a/daemon/tests/soak/trouble.rs
+++ b/daemon/tests/soak/trouble.rs
@@ -24,8 +24,13 @@
     pub findings: Rc<RefCell<Vec<String>>>,
     /// Links between daemons are harmed, and tables grow large.
     pub harms_links: bool,
+    /// The replicas' data centre is evacuated now and then, and others write among their entries.
+    pub evacuates: bool,
 }
 
+/// Key of the order to evacuate the replicas' data centre.
+const EVACUATION: &str = "op/evacuate/here";
+
 /// Routes that each version adds where tables grow large, and the most of them: about 0.4 MB. Chosen, not
 /// measured.
 const ROUTES_PER_VERSION: usize = 100;
@@ -41,7 +46,12 @@
         let daemon = rng.random_range(0..self.daemons.borrow().len());
         let choice = rng.random();
         let world = self.clone();
-        match rng.random_range(0..if planned { 5 } else { 12 }) {
+        let kinds = match (planned, self.evacuates) {
+            (true, _) => 5,
+            (false, false) => 12,
+            (false, true) => 15,
+        };
+        match rng.random_range(0..kinds) {
             0 => self.publish(),
             1 => self.reload(daemon).await,
             2 => {
@@ -66,10 +76,56 @@
             10 => {
                 tokio::task::spawn_local(async move { world.disturb_member(choice, time).await });
             }
-            _ => self.misbehave(rng),
+            11 => self.misbehave(rng),
+            12 => self.write_foreign(choice),
+            13 => {
+                tokio::task::spawn_local(async move { world.spoil_entry(choice, time).await });
+            }
+            _ => {
+                tokio::task::spawn_local(async move { world.evacuate(time).await });
+            }
         }
     }
 
+    /// Evacuates the data centre of all replicas, and takes it back.
+    async fn evacuate(&self, time: Duration) {
+        self.store.put_text(EVACUATION, "{}");
+        tokio::time::sleep(time).await;
+        self.store.remove(EVACUATION);
+    }
+
+    /// Writes an entry that names no replica.
+    fn write_foreign(&self, choice: u32) {
+        let texts = [
+            "{\"service\": 7}",
+            "[[[[",
+            "\u{1}",
+            "{\"state\": \"ready\"}",
+        ];
+        let text = texts[choice as usize % texts.len()];
+        self.store
+            .put_text(&format!("servers/f-{}", choice % 50), text);
+    }
+
+    /// Overwrites the entry of a replica for a while.
+    async fn spoil_entry(&self, choice: u32, time: Duration) {
+        let place = choice as usize % self.members.borrow().len();
+        let key = format!("servers/{}", self.members.borrow()[place].replica.id);
+        self.store.put_text(&key, "{\"slots\": -1}");
+        tokio::time::sleep(time).await;
+        self.rewrite(place);
+    }
+
+    /// Lets a replica write its entry again, as it does with each of its heartbeats.
+    fn rewrite(&self, place: usize) {
+        let members = self.members.borrow();
+        let member = &members[place];
+        let state = if member.left { "draining" } else { "ready" };
+        member
+            .replica
+            .write_down(&self.store, member.service, state);
+    }
+
     /// Publishes a new table, as an operator does.
     pub fn publish(&self) {
         self.version.set(self.version.get() + 1);
@@ -220,6 +276,10 @@
         for member in self.members.borrow().iter() {
             member.proxy.set(Fault::None);
         }
+        if self.evacuates {
+            self.store.remove(EVACUATION);
+            (0..self.members.borrow().len()).for_each(|place| self.rewrite(place));
+        }
         for daemon in self.daemons.borrow_mut().iter_mut() {
             daemon.store.set(Fault::None);
             daemon.link.set(Fault::None);
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -41,13 +41,16 @@
     tokio::task::LocalSet,
 };
 
-/// Seeds of the short series: without and with harm to links.
-const SHORT: [u64; 4] = [2, 3, 1_000, 1_001];
+/// Seeds of the short series: without and with harm to links, and with evacuations.
+const SHORT: [u64; 6] = [2, 3, 1_000, 1_001, 2_000, 2_002];
 
 /// Seeds from this one on also harm the links between daemons, and let tables grow large. Those before keep
 /// the events with which they once failed.
 const LINKS_FROM: u64 = 1_000;
 
+/// Seeds from this one on also evacuate the replicas' data centre and write foreign entries.
+const EVACUATIONS_FROM: u64 = 2_000;
+
 /// Seeds that failed once, with what they showed.
 const REGRESSIONS: [(u64, &str); 4] = [
     (
@@ -146,6 +149,7 @@
         version: Rc::new(Cell::new(1)),
         findings: Rc::default(),
         harms_links: seed >= LINKS_FROM && !planned,
+        evacuates: seed >= EVACUATIONS_FROM && !planned,
     };
     if !until_settled(&world).await {
         return vec!["the daemons never served".into()];
