--- a/lib/src/gateway/rules/call_spacing.rs
+++ b/lib/src/gateway/rules/call_spacing.rs
@@ -3,8 +3,8 @@
 //! Inputs: the time of the last call in the endpoint's data centre, how long calls there usually take
 //! (milliseconds, learnt), and how many endpoints there may be called and are free.
 //!
-//! Rule: at once if [`FREE_PART`] of them or more are free, or if the call would be full. Else once
-//! [`EVENNESS`] of an even share of the round has passed since the last call: the usual time of a call,
+//! Rule: at once if `FREE_PART` of them or more are free, or if the call would be full. Else once
+//! `EVENNESS` of an even share of the round has passed since the last call: the usual time of a call,
 //! divided by the endpoints.
 //!
 //! Reason: a call costs a fixed time before its first piece. Whoever is free first takes nearly all that waits,
--- a/lib/src/gateway/rules/cold_share.rs
+++ b/lib/src/gateway/rules/cold_share.rs
@@ -6,14 +6,14 @@
 //!
 //! Rule: daemons that are no more than the endpoint bears requests in a second each send it a whole
 //! share of them, evenly spaced. Daemons that are more have turns: each may send one request within the
-//! [`TURN`] that comes round with its own phase, so often that all of them together send [`MEAN_PART`] of
+//! `TURN` that comes round with its own phase, so often that all of them together send `MEAN_PART` of
 //! what the endpoint bears on average. A turn that isn't used is over. A daemon that doesn't know its
 //! fleet yet sends nothing.
 //!
 //! Reason: an endpoint that has just started falls over at more, and daemons agree on nothing. Shares
 //! that are saved up would all be spent in the same second once a key becomes hot; turns with phases of
 //! their own never meet by more than chance. 295 daemons that each want to send at any moment exceeded
-//! 20 requests in a second in none of 600 seconds (test `large_fleet_turns`).
+//! 20 requests in a second in none of 120 seconds (test `large_fleet_turns`).
 //!
 //! What the fleet sends doesn't depend on who is alive: a daemon that is cut off counts those that it
 //! knew.
@@ -27,7 +27,7 @@
 const TURN: Millis = Millis(1_000);
 
 /// Part of what an endpoint bears that daemons send on average where they have turns. Worked out: at a
-/// mean of 6 a second, 21 or more come together in 1 of 300,000 seconds.
+/// mean of 6 a second, 21 or more come together in 1 of 690,000 seconds.
 const MEAN_PART: f64 = 0.3;
 
 /// Time over which daemons with whole shares spread them, in seconds: the tenth beyond one second is for
