--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -11,7 +11,7 @@
                 sent_parts::SentParts,
             },
             rules::{
-                eligibility::{Offer, Standing},
+                eligibility::{RequestStanding, Standing},
                 endpoint_choice::{EndpointCandidate, EndpointChoice, Placement},
                 endpoint_pace::{CallTime, EnginePace},
                 reply_proof::EndpointOutcome,
@@ -123,9 +123,9 @@
     }
 
     /// Returns what speaks against giving the endpoint a request.
-    pub(crate) fn offer(&self, now: Time, placement: &Placement<'_>) -> Offer {
+    pub(crate) fn standing_for(&self, now: Time, placement: &Placement<'_>) -> RequestStanding {
         let is_cold = self.cold.at(now, placement.cold_start) == Coldness::Stated;
-        Offer {
+        RequestStanding {
             standing: self.standing(),
             away: !placement.places.allow(&self.entry.data_centre),
             cold: is_cold && self.cold.is_spent(now, placement.cold_share),
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -155,7 +155,7 @@
             if placement.tried.contains(&member.entry.id) {
                 continue;
             }
-            match member.offer(now, placement).exclusion() {
+            match member.standing_for(now, placement).exclusion() {
                 Some(reason) => left_out.count(reason),
                 None => candidates.push(member.candidate(now, placement)),
             }
--- a/lib/src/gateway/rules/eligibility.rs
+++ b/lib/src/gateway/rules/eligibility.rs
@@ -126,7 +126,7 @@
 
 /// What speaks against an endpoint for one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Offer {
+pub struct RequestStanding {
     /// What speaks against it in any case.
     pub standing: Standing,
     /// The request may not run where it stands.
@@ -137,7 +137,7 @@
     pub full: bool,
 }
 
-impl Offer {
+impl RequestStanding {
     /// Returns why the endpoint doesn't get the request, if there is a reason.
     pub fn exclusion(self) -> Option<Exclusion> {
         let reasons = [
--- a/lib/src/gateway/stages/batch_plan.rs
+++ b/lib/src/gateway/stages/batch_plan.rs
@@ -20,6 +20,7 @@
                 batch_call::{BatchCall, CallId, PieceRef, RunningCall, SentPiece},
                 batch_queue::BatchQueue,
                 job::{JobEnd, JobId, PieceTask},
+                plan_round::PlanRound,
                 workers::FreeWorker,
             },
         },
@@ -28,72 +29,9 @@
             units::{Time, WorkMillis},
         },
     },
-    foldhash::HashMap,
     std::sync::Arc,
 };
 
-/// What the calls of one planning share: the free endpoints, and the order of the jobs in each data centre. It is
-/// gathered once, and each call takes its part from it.
-struct PlanRound {
-    /// The free endpoints, in the order in which they get calls.
-    free: Vec<FreeWorker>,
-    /// The number of them in each data centre.
-    free_counts: HashMap<DataCentreId, usize>,
-    /// That number before any call of this planning.
-    idle_counts: HashMap<DataCentreId, usize>,
-    /// Endpoints that may be called at all, by data centre.
-    counts: DataCentreCounts,
-    /// The jobs in order, for each data centre that was asked for.
-    orders: HashMap<DataCentreId, WaitingOrder>,
-    /// Pieces that wait.
-    waiting: usize,
-}
-
-impl PlanRound {
-    fn new(free: Vec<FreeWorker>, counts: DataCentreCounts, waiting: usize) -> Self {
-        let mut free_counts: HashMap<DataCentreId, usize> = HashMap::default();
-        for worker in &free {
-            *free_counts.entry(worker.data_centre.clone()).or_default() += 1;
-        }
-        Self {
-            free,
-            idle_counts: free_counts.clone(),
-            free_counts,
-            counts,
-            orders: HashMap::default(),
-            waiting,
-        }
-    }
-
-    /// Returns the number of free endpoints in a data centre.
-    fn free_in(&self, data_centre: &DataCentreId) -> usize {
-        self.free_counts.get(data_centre).copied().unwrap_or(0)
-    }
-
-    /// Returns the number of endpoints in a data centre that were free before this planning.
-    fn idle_in(&self, data_centre: &DataCentreId) -> usize {
-        self.idle_counts.get(data_centre).copied().unwrap_or(0)
-    }
-
-    /// Removes an endpoint that isn't free any more.
-    fn remove(&mut self, place: usize) {
-        let worker = self.free.remove(place);
-        if let Some(count) = self.free_counts.get_mut(&worker.data_centre) {
-            *count -= 1;
-        }
-    }
-
-    /// Records the pieces that a call took.
-    fn take(&mut self, pieces: &[SentPiece]) {
-        self.waiting -= pieces.len();
-        for order in self.orders.values_mut() {
-            for sent in pieces {
-                order.take(sent.piece.job, 1);
-            }
-        }
-    }
-}
-
 /// A planned call, and the pieces that it took.
 struct PlannedCall {
     call: BatchCall,
--- a/lib/src/gateway/stages/mod.rs
+++ b/lib/src/gateway/stages/mod.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod job_state;
 mod local_job;
+mod plan_round;
 mod worker;
 mod workers;
 
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -113,6 +113,31 @@
 }
 
 impl GatewayState {
+    /// Starts without a table and without endpoints.
+    fn new(peers: Peers, catalogue: Catalogue) -> Self {
+        Self {
+            published: None,
+            catalogue,
+            evacuations: Evacuations::default(),
+            refused: RefusedEntries::default(),
+            endpoints: EndpointStates::default(),
+            peers,
+            planning: Planning::default(),
+            contact: DirectoryContact::default(),
+            substitutes: false,
+            has_list: false,
+            has_part: false,
+            workload: Workload::default(),
+            load_sums: LoadSums::default(),
+            digest_named: HashSet::default(),
+            behind_since: BehindSince::default(),
+            newer_since: None,
+            table_read: 0,
+            batches: PartBatches::default(),
+            budgets: HashMap::default(),
+        }
+    }
+
     /// Returns whether peers have had something newer than this daemon for too long.
     pub(crate) fn lags(&self, now: Time) -> bool {
         self.behind_since.is_behind(now)
@@ -193,27 +218,7 @@
         let catalogue = Catalogue::new(settings.bounds.suspect_time());
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
-            state: RefCell::new(GatewayState {
-                published: None,
-                catalogue,
-                evacuations: Evacuations::default(),
-                refused: RefusedEntries::default(),
-                endpoints: EndpointStates::default(),
-                peers,
-                planning: Planning::default(),
-                contact: DirectoryContact::default(),
-                substitutes: false,
-                has_list: false,
-                has_part: false,
-                workload: Workload::default(),
-                load_sums: LoadSums::default(),
-                digest_named: HashSet::default(),
-                behind_since: BehindSince::default(),
-                newer_since: None,
-                table_read: 0,
-                batches: PartBatches::default(),
-                budgets: HashMap::default(),
-            }),
+            state: RefCell::new(GatewayState::new(peers, catalogue)),
             links: Links::default(),
             metrics: GatewayMetrics::default(),
             stopping: Cell::new(false),
--- a/lib/tests/test_eligibility.rs
+++ b/lib/tests/test_eligibility.rs
@@ -13,7 +13,7 @@
             routing::endpoint_states::EndpointStates,
             rules::{
                 cold_share::ColdShare,
-                eligibility::{Exclusion, LeftOut, Offer, Places, Standing},
+                eligibility::{Exclusion, LeftOut, Places, RequestStanding, Standing},
                 endpoint_choice::{EndpointChoice, Placement},
                 reply_proof::EndpointOutcome,
             },
@@ -101,7 +101,7 @@
 /// Each reason is enough, and the one that lasts longest is named.
 #[test]
 fn each_reason() {
-    let free = Offer {
+    let free = RequestStanding {
         standing: Standing::default(),
         away: false,
         cold: false,
@@ -113,23 +113,23 @@
         evacuated,
         replaced,
     };
-    for (offer, reason) in [
+    for (standing, reason) in [
         (
-            Offer {
+            RequestStanding {
                 standing: standing(true, true, true),
                 ..free
             },
             Exclusion::Draining,
         ),
         (
-            Offer {
+            RequestStanding {
                 standing: standing(false, true, true),
                 ..free
             },
             Exclusion::Evacuated,
         ),
         (
-            Offer {
+            RequestStanding {
                 standing: standing(false, false, true),
                 away: true,
                 ..free
@@ -137,7 +137,7 @@
             Exclusion::Replaced,
         ),
         (
-            Offer {
+            RequestStanding {
                 away: true,
                 cold: true,
                 ..free
@@ -145,16 +145,16 @@
             Exclusion::Away,
         ),
         (
-            Offer {
+            RequestStanding {
                 cold: true,
                 full: true,
                 ..free
             },
             Exclusion::Cold,
         ),
-        (Offer { full: true, ..free }, Exclusion::Full),
+        (RequestStanding { full: true, ..free }, Exclusion::Full),
     ] {
-        assert_eq!(offer.exclusion(), Some(reason));
+        assert_eq!(standing.exclusion(), Some(reason));
     }
 }
 
