--- a/lib/src/gateway/directory/contact.rs
+++ b/lib/src/gateway/directory/contact.rs
@@ -40,9 +40,8 @@
     }
 
     /// Returns the time since the directory last answered for every topic; nothing if there is a
-    /// topic for which it never did. An answer that is on its way counts: 0.57 MB of a table take a link of
-    /// 10 Mbit/s half a second, in which another daemon took the reader for lost and read the table as well (test
-    /// `small_change` beside load, 1 of 8 runs).
+    /// topic for which it never did. An answer that is on its way counts: without it, 15 daemons called 20 times
+    /// while their reader received a table for 1.8 s, and 5 times with it (test `answer_on_its_way`, three runs each).
     pub(crate) fn read_age(&self, now: Time) -> Option<Millis> {
         let answers = self.topics.iter().zip(self.begun);
         let times = answers.map(|(last, begun)| if begun { last.map(|_| now) } else { *last });
