--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -113,11 +113,11 @@
         state.has_list = true;
         drop(state);
         log::info!(revision, entries, changes = changes.len(), source; "endpoints.listed");
-        // A line for each entry of the first list says nothing more: 3,001 lines of each daemon.
         if is_first {
             // Others choose a coordinator among those that are ready.
             self.announcement.notify_one();
         }
+        // A line for each entry of the first list says nothing more: 3,001 lines of each daemon.
         let told = changes
             .iter()
             .filter(|change| !is_first || !change.is_added());
--- a/lib/src/gateway/directory/evacuate.rs
+++ b/lib/src/gateway/directory/evacuate.rs
@@ -50,15 +50,14 @@
     fn set_evacuations(&self, next: Evacuations, source: impl Display) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let places = |of: &Evacuations| of.data_centres().collect::<BTreeSet<_>>();
-        let (before, after) = (places(&state.evacuations), places(&next));
-        let until = next.until();
+        let is_same = state.evacuations.data_centres().eq(next.data_centres());
         state.evacuations = next;
-        if before == after {
+        if is_same {
             return;
         }
-        let evacuations = state.evacuations.clone();
-        state.endpoints.set_evacuations(now, &evacuations);
+        let until = state.evacuations.until();
+        let after: BTreeSet<DataCentreHash> = state.evacuations.data_centres().collect();
+        let before = state.endpoints.set_evacuated(now, after.clone());
         for place in after.difference(&before) {
             let name = state.data_centre_name(*place);
             log::warn!(data_centre = name.as_str(), revision = until, source:%; "evacuation.began");
--- a/lib/src/gateway/peers/membership.rs
+++ b/lib/src/gateway/peers/membership.rs
@@ -64,8 +64,6 @@
     pub(super) awake: Time,
     /// When a heartbeat of any daemon was last received.
     heard: Time,
-    /// This daemon coordinates a service, so that everybody sends it each heartbeat.
-    pub(super) coordinates: bool,
     /// Daemons that asked this one for a heartbeat, or told it that it is suspect.
     pub(super) questioners: Vec<SocketAddr>,
     /// Heartbeats still to be sent to everybody.
@@ -87,7 +85,6 @@
             rng,
             awake: Time::default(),
             heard: Time::default(),
-            coordinates: false,
             questioners: Vec::new(),
             broadcasts_left: 0,
             reported_backlogs: Vec::new(),
@@ -224,8 +221,10 @@
             return;
         }
         let watched = gossip::watched(self.place, &self.watch_places());
+        // Everybody sends a coordinator each heartbeat.
+        let coordinates = self.coordinates();
         for (address, peer) in &mut self.known {
-            peer.expected = self.coordinates || watched.contains(address);
+            peer.expected = coordinates || watched.contains(address);
             peer.judge_silence(now, self.awake);
         }
     }
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -44,7 +44,6 @@
         let coordinators = self.coordinators(now, &report);
         let coordinates = report.phase == Phase::Ready && coordinators.contains(&Coordinator::Me);
         self.broadcasts_left = gossip::broadcasts_left(coordinates, self.broadcasts_left);
-        self.coordinates = coordinates;
         let asked = self.ask(now);
         let targets = self.targets(&coordinators, &asked);
         let peers = self.named_peers(now, asked.len());
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -7,8 +7,8 @@
     crate::{
         gateway::{
             dialect::{Prompt, ReplyLoad},
-            directory::{catalogue::EndpointEntry, evacuations::Evacuations},
-            hashes::{EndpointHash, data_centre_hash},
+            directory::catalogue::EndpointEntry,
+            hashes::{DataCentreHash, EndpointHash, data_centre_hash},
             routing::endpoint_state::{EndpointState, PeerLoad},
             rules::{
                 eligibility::{Exclusion, LeftOut, Places},
@@ -23,7 +23,7 @@
         },
     },
     foldhash::HashMap,
-    std::{net::SocketAddr, sync::Arc},
+    std::{collections::BTreeSet, mem, net::SocketAddr, sync::Arc},
 };
 
 /// The endpoints of all services.
@@ -32,7 +32,7 @@
     members: HashMap<EndpointId, EndpointState>,
     services: HashMap<ServiceId, Vec<EndpointId>>,
     /// The evacuated data centres, for endpoints that come later.
-    evacuations: Evacuations,
+    evacuated: BTreeSet<DataCentreHash>,
 }
 
 impl EndpointStates {
@@ -52,22 +52,23 @@
         let id = entry.id.clone();
         let ids = self.services.entry(entry.service.clone()).or_default();
         ids.push(id.clone());
-        let evacuated = self.is_evacuated(&entry.data_centre);
+        let place = data_centre_hash(&entry.data_centre);
+        let evacuated = self.evacuated.contains(&place);
         let member = EndpointState::new(now, entry, evacuated);
         self.members.insert(id, member);
     }
 
-    fn is_evacuated(&self, data_centre: &DataCentreId) -> bool {
-        self.evacuations.contains(data_centre_hash(data_centre))
-    }
-
-    /// Sets which data centres are evacuated.
-    pub fn set_evacuations(&mut self, now: Time, evacuations: &Evacuations) {
-        self.evacuations = evacuations.clone();
+    /// Sets which data centres are evacuated, and returns those that were before.
+    pub fn set_evacuated(
+        &mut self,
+        now: Time,
+        data_centres: BTreeSet<DataCentreHash>,
+    ) -> BTreeSet<DataCentreHash> {
         for member in self.members.values_mut() {
-            let hash = data_centre_hash(&member.entry.data_centre);
-            member.set_evacuated(now, evacuations.contains(hash));
+            let place = data_centre_hash(&member.entry.data_centre);
+            member.set_evacuated(now, data_centres.contains(&place));
         }
+        mem::replace(&mut self.evacuated, data_centres)
     }
 
     /// Removes an endpoint with all that is known of it.
--- a/lib/src/gateway/rules/call_spacing.rs
+++ b/lib/src/gateway/rules/call_spacing.rs
@@ -29,8 +29,6 @@
 /// centre at load.
 const GAIN: f64 = 0.1;
 
-const MICROS: f64 = 1_000.0;
-
 /// The calls of one data centre.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CallSpacing {
@@ -61,7 +59,7 @@
         if free as f64 >= endpoints as f64 * FREE_PART {
             return self.last;
         }
-        let space_ms = self.usual.0 / endpoints as f64 * EVENNESS;
-        Time(self.last.0 + (space_ms * MICROS) as u64)
+        let space = self.usual.0 / endpoints as f64 * EVENNESS;
+        self.last + WorkMillis(space)
     }
 }
--- a/lib/src/gateway/rules/piece_order.rs
+++ b/lib/src/gateway/rules/piece_order.rs
@@ -26,7 +26,7 @@
             units::{ByteSize, Millis, Time},
         },
     },
-    foldhash::{HashMap, HashSet},
+    foldhash::HashMap,
 };
 
 /// Wait for an endpoint at home, for each megabyte that would cross (ms/MB; rows "longer waits"
@@ -115,10 +115,17 @@
     pub own: usize,
     /// Pieces that endpoints anywhere may take.
     pub shared: usize,
-    /// Jobs whose pieces endpoints anywhere may take.
-    pub shared_jobs: HashSet<JobId>,
-    /// Jobs whose pieces only endpoints of its data centre may take yet.
-    pub own_jobs: HashSet<JobId>,
+    /// Who may take the pieces of each job.
+    pub takers: HashMap<JobId, Takers>,
+}
+
+/// Which endpoints may take the pieces of a job yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Takers {
+    /// Those of its home alone.
+    Home,
+    /// Any.
+    Anywhere,
 }
 
 impl WaitingOrder {
@@ -139,13 +146,13 @@
             if !is_own && !is_shared {
                 continue;
             }
-            if is_shared {
-                order.shared += job.waiting;
-                order.shared_jobs.insert(job.id);
+            let takers = if is_shared {
+                Takers::Anywhere
             } else {
-                order.own += job.waiting;
-                order.own_jobs.insert(job.id);
-            }
+                Takers::Home
+            };
+            *order.count(takers) += job.waiting;
+            order.takers.insert(job.id, takers);
             let is_away = home.is_some() && !is_own;
             let handicap = if is_away { AWAY_STEP } else { Millis(0) };
             keys.push((job.urgency(now) + handicap, job.id));
@@ -159,10 +166,16 @@
     /// Records that a call took pieces of a job. The order stays: sorted anew for each call, as many jobs were
     /// compared for 100 calls as 100 times those that wait (test `planning_cost`).
     pub fn take(&mut self, job: JobId, pieces: usize) {
-        if self.shared_jobs.contains(&job) {
-            self.shared -= pieces;
-        } else if self.own_jobs.contains(&job) {
-            self.own -= pieces;
+        // A job that isn't in this order waits for endpoints of another data centre.
+        if let Some(takers) = self.takers.get(&job).copied() {
+            *self.count(takers) -= pieces;
+        }
+    }
+
+    fn count(&mut self, takers: Takers) -> &mut usize {
+        match takers {
+            Takers::Home => &mut self.own,
+            Takers::Anywhere => &mut self.shared,
         }
     }
 
--- a/lib/src/gateway/stages/batch_plan.rs
+++ b/lib/src/gateway/stages/batch_plan.rs
@@ -32,12 +32,6 @@
     std::sync::Arc,
 };
 
-/// A planned call, and the pieces that it took.
-struct PlannedCall {
-    call: BatchCall,
-    sent: Vec<SentPiece>,
-}
-
 /// The pieces chosen for one call.
 struct ChosenPieces {
     fill: CallFill,
@@ -82,16 +76,16 @@
     fn plan_next(&mut self, now: Time, round: &mut PlanRound) -> Option<BatchCall> {
         for place in 0..round.free.len() {
             let worker = round.free[place].clone();
-            let Some(planned) = self.plan_for(now, &worker, round) else {
+            let Some(call) = self.plan_for(now, &worker, round) else {
                 continue;
             };
-            round.take(&planned.sent);
-            self.record_spacing(now, &planned.call);
+            round.take(&self.calls[&call.id].pieces);
+            self.record_spacing(now, &call);
             let calls = self.workers.get_mut(&worker.life).map(|busy| busy.calls());
             if calls.is_none_or(|calls| calls >= self.slots()) {
                 round.remove(place);
             }
-            return Some(planned.call);
+            return Some(call);
         }
         None
     }
@@ -102,7 +96,7 @@
         now: Time,
         worker: &FreeWorker,
         round: &mut PlanRound,
-    ) -> Option<PlannedCall> {
+    ) -> Option<BatchCall> {
         let here = &worker.data_centre;
         let (free_here, free) = (round.free_in(here), round.free.len());
         if !round.orders.contains_key(here) {
@@ -167,7 +161,7 @@
         jobs: &[JobId],
         pieces: usize,
         waiting: usize,
-    ) -> Option<PlannedCall> {
+    ) -> Option<BatchCall> {
         let worker = self.workers.get_mut(endpoint)?;
         let room = worker.free_room(now, self.limits.room);
         let entry = Arc::clone(&worker.entry);
@@ -189,9 +183,8 @@
             retries: chosen.retries,
         };
         self.next_call += 1;
-        let sent = chosen.sent;
-        self.begin(now, &call, sent.clone(), chosen.fill);
-        Some(PlannedCall { call, sent })
+        self.begin(now, &call, chosen.sent, chosen.fill);
+        Some(call)
     }
 
     /// Chooses pieces of waiting jobs for one call, and marks them as sent.
--- a/lib/src/shared/units/time.rs
+++ b/lib/src/shared/units/time.rs
@@ -106,6 +106,22 @@
 #[serde(transparent)]
 pub struct WorkMillis(pub f64);
 
+/// Adds a time of work, rounded down to whole microseconds.
+impl ops::Add<WorkMillis> for Time {
+    type Output = Time;
+
+    fn add(self, span: WorkMillis) -> Time {
+        Time(self.0.saturating_add(span.micros()))
+    }
+}
+
+impl WorkMillis {
+    /// Returns the whole microseconds; a negative time has none.
+    fn micros(self) -> u64 {
+        (self.0 * MICROS_PER_MILLI as f64) as u64
+    }
+}
+
 impl fmt::Display for WorkMillis {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:.3}ms", self.0)
--- a/lib/tests/load/mod.rs
+++ b/lib/tests/load/mod.rs
@@ -17,7 +17,7 @@
             },
             table::BatchLimits,
         },
-        shared::units::{ByteSize, Millis, Share, Time},
+        shared::units::{ByteSize, Millis, Share, Time, WorkMillis},
     },
     hazelyoke_testutils::draws::Draws,
     std::{
@@ -212,8 +212,7 @@
         for call in self.queue.plan(now) {
             self.outcome.fills.push(call.pieces.len());
             let spread = (self.fraction() * 2.0 - 1.0) * self.pattern.jitter;
-            let took_us = (call.expected.0 * (1.0 + spread) * 1e3) as u64;
-            let ends = Time(now.0 + took_us);
+            let ends = now + WorkMillis(call.expected.0 * (1.0 + spread));
             self.events.insert((ends, Event::CallEnd(call.id.0)));
             self.calls.insert(call.id.0, call);
         }
--- a/lib/tests/test_eligibility.rs
+++ b/lib/tests/test_eligibility.rs
@@ -6,10 +6,8 @@
     hazelyoke_lib::{
         gateway::{
             dialect::{Prompt, PromptPart, ReplyLoad},
-            directory::{
-                catalogue::{Born, EndpointEntry},
-                evacuations::{EvacuationOrder, Evacuations},
-            },
+            directory::catalogue::{Born, EndpointEntry},
+            hashes::{DataCentreHash, data_centre_hash},
             routing::endpoint_states::EndpointStates,
             rules::{
                 cold_share::ColdShare,
@@ -83,14 +81,9 @@
     choice.entry.id.to_string()
 }
 
-fn evacuated(names: &[&str]) -> Evacuations {
-    let order = |name: &&str| EvacuationOrder {
-        data_centre: name.parse().unwrap(),
-        revision: 7,
-        evacuated: true,
-    };
-    let orders: Vec<EvacuationOrder> = names.iter().map(order).collect();
-    Evacuations::listed(7, orders.iter())
+fn evacuated(names: &[&str]) -> BTreeSet<DataCentreHash> {
+    let hash = |name: &&str| data_centre_hash(&name.parse().unwrap());
+    names.iter().map(hash).collect()
 }
 
 fn only(names: &[&str]) -> Places {
@@ -169,7 +162,7 @@
         entry(3, "south"),
         entry(4, "south"),
     ]);
-    states.set_evacuations(NOW, &evacuated(&["north"]));
+    states.set_evacuated(NOW, evacuated(&["north"]));
     let left_out = choose(&states, NOW, &only(&["near", "north"])).unwrap_err();
     assert_eq!(left_out.to_string(), "draining=1,evacuated=1,away=2");
     assert_eq!(LeftOut::default().to_string(), "none");
@@ -181,12 +174,12 @@
 #[test]
 fn later_endpoint() {
     let mut states = states([entry(1, "near")]);
-    states.set_evacuations(NOW, &evacuated(&["north"]));
+    states.set_evacuated(NOW, evacuated(&["north"]));
     states.upsert(NOW, Arc::new(entry(2, "north")));
     let service = "s".parse().unwrap();
     assert_eq!(states.open(&service).count(), 1);
     assert_eq!(chosen(&states, NOW), "e1");
-    states.set_evacuations(NOW, &evacuated(&["near", "north"]));
+    states.set_evacuated(NOW, evacuated(&["near", "north"]));
     let none = states.any_open(&service, &Places::Anywhere).unwrap_err();
     assert_eq!(none.to_string(), "evacuated=2");
 }
@@ -247,8 +240,8 @@
 fn presumed_cold() {
     let (one, two) = (entry(1, "near"), entry(2, "north"));
     let mut states = states([one.clone(), two]);
-    states.set_evacuations(NOW, &evacuated(&["near"]));
-    states.set_evacuations(NOW, &Evacuations::default());
+    states.set_evacuated(NOW, evacuated(&["near"]));
+    states.set_evacuated(NOW, BTreeSet::new());
     states.sent(NOW, &one, &Prompt::default(), 0);
     states.ended(NOW, &one, EndpointOutcome::Served(None));
     for _ in 0..2 {
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -8,7 +8,10 @@
 use {
     hazelyoke_lib::{
         gateway::{
-            directory::catalogue::{EndpointChanges, EndpointEntry, GoneEndpoint},
+            directory::{
+                catalogue::{Born, EndpointChanges, EndpointEntry, GoneEndpoint},
+                evacuations::{EvacuationOrder, Evacuations},
+            },
             hashes::{EndpointHash, ServiceHash},
             peers::message::{
                 BacklogNote, Datagram, Frame, Heartbeat, JobOrder, LinkReply, LinkRequest,
@@ -277,6 +280,38 @@
     insta::assert_snapshot!(lines.0);
 }
 
+/// Fields that the release before doesn't know: it leaves them out, and reads past them.
+#[test]
+fn later_field_bytes() {
+    let mut lines = Lines::default();
+    let order_to = |name: &str, revision| EvacuationOrder {
+        data_centre: name.parse().unwrap(),
+        revision,
+        evacuated: true,
+    };
+    let orders = [order_to("north", 69_000), order_to("south", 70_000)];
+    let evacuated = Heartbeat {
+        evacuations: Some(Evacuations::listed(70_003, orders.iter())),
+        ..bare_heartbeat()
+    };
+    lines.add(
+        "heartbeat with evacuations",
+        &Datagram::Heartbeat(Box::new(evacuated)),
+    );
+    let restarted = EndpointEntry {
+        cold: Millis(2_900),
+        born: Some(Born(1_700_000_000_000)),
+        ..entry(1, false)
+    };
+    lines.add("entry of a cold endpoint", &restarted);
+    let kept = JobOrder {
+        places: vec!["north".parse().unwrap(), "west".parse().unwrap()],
+        ..order(PieceInput::Key("key-1".into()), 1_200, None)
+    };
+    lines.add_framed("job with data centres", LinkRequest::Job(kept));
+    insta::assert_snapshot!(lines.0);
+}
+
 #[test]
 fn phase_bytes() {
     let mut lines = Lines::default();
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -259,6 +259,19 @@
     }
 }
 
+/// A report with more of everything than a heartbeat holds.
+fn full_report() -> SelfReport {
+    SelfReport {
+        loads: (0..600).map(|n| load(n * 7_019_777, 60, 90_000)).collect(),
+        queues: (0..6)
+            .map(|n| queue(n * 7_019_777, 9, true, 9_000))
+            .collect(),
+        work: (0..6).map(|n| work(n * 7_019_777, 9_000)).collect(),
+        backlogs: (0..6).map(|n| full_backlog(n * 7_019_777)).collect(),
+        ..report(1)
+    }
+}
+
 /// A heartbeat of a large fleet fits into a datagram.
 #[test]
 fn heartbeat_size() {
@@ -267,16 +280,7 @@
         let mut other = peers(n, u64::from(n), &[]);
         me.receive_heartbeat(Time(0), beat(&mut other, Time(0)));
     }
-    let full = SelfReport {
-        loads: (0..600).map(|n| load(n * 7_019_777, 60, 90_000)).collect(),
-        queues: (0..6)
-            .map(|n| queue(n * 7_019_777, 9, true, 9_000))
-            .collect(),
-        work: (0..6).map(|n| work(n * 7_019_777, 9_000)).collect(),
-        backlogs: (0..6).map(|n| full_backlog(n * 7_019_777)).collect(),
-        ..report(1)
-    };
-    let OutgoingHeartbeat { heartbeat, targets } = me.heartbeat(Time(0), full);
+    let OutgoingHeartbeat { heartbeat, targets } = me.heartbeat(Time(0), full_report());
     assert!(targets.len() <= 12);
     let bytes = encode(&heartbeat);
     assert!(bytes.len() <= 1_400, "{} bytes", bytes.len());
@@ -319,13 +323,7 @@
     for count in [0, 1, 2, 6, 11, 12] {
         let full = SelfReport {
             evacuations: evacuations(count),
-            loads: (0..600).map(|n| load(n * 7_019_777, 60, 90_000)).collect(),
-            queues: (0..6)
-                .map(|n| queue(n * 7_019_777, 9, true, 9_000))
-                .collect(),
-            work: (0..6).map(|n| work(n * 7_019_777, 9_000)).collect(),
-            backlogs: (0..6).map(|n| full_backlog(n * 7_019_777)).collect(),
-            ..report(1)
+            ..full_report()
         };
         let heartbeat = me.heartbeat(Time(0), full).heartbeat;
         let fullest = Heartbeat {
