tests: a failing test shows the log lines of its daemons

Cause: tests in one process installed no logger, and those that start daemons as processes sent their logs to nowhere, so that a failure printed numbers alone. Two more things were silent: why spans weren't exported, and how far a test of a process had come.

Change: test_log writes to where the harness captures output, each line with its time and the daemon that wrote it (run_named); a process whose test fails shows its threads, twice, and its log; a test that takes too long panics before what it owns is dropped. "spans not exported" gives the exporter's reason.

--- a/daemon/tests/test_process.rs
+++ b/daemon/tests/test_process.rs
@@ -5,22 +5,23 @@
 #[path = "../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 
+mod process;
+
 use {
+    process::{
+        GRACE_S, Limits, Log, LogFile, Process, USUAL, is_ready, own_ip, settings_text, signal,
+        start, start_with,
+    },
     serde_json::{Value, json},
     stand_in::{
-        client, loopback,
+        client,
         replica::{Act, Replica},
         run,
-        site::{DaemonFile, free_ports, plain_table},
+        site::{free_ports, plain_table},
         store::StandInStore,
         until,
     },
-    std::{
-        net::SocketAddr,
-        path::PathBuf,
-        process::{Child, Command, Stdio},
-        time::Duration,
-    },
+    std::{net::SocketAddr, process::Command, time::Duration},
     tokio::net::TcpStream,
 };
 
@@ -33,105 +34,6 @@
     table
 }
 
-/// A running daemon; killed when the test ends, whichever way.
-struct Process {
-    child: Child,
-    settings: PathBuf,
-    listen: SocketAddr,
-    ready: SocketAddr,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
-/// Grace period of a daemon that a test doesn't choose, in seconds.
-const GRACE_S: f64 = 3.5;
-
-fn settings_text(
-    name: &str,
-    [front, ready, peer]: [u16; 3],
-    store: SocketAddr,
-    grace_s: f64,
-) -> String {
-    let file = DaemonFile {
-        name,
-        ip: loopback().ip(),
-        front,
-        ready,
-        control: None,
-        peer,
-        seeds: &[],
-        grace_s,
-        store,
-    };
-    file.text()
-}
-
-async fn start(name: &str, store: &StandInStore, log: Stdio) -> Process {
-    start_with(name, store, log, USUAL).await
-}
-
-/// Limits of a daemon's process.
-struct Limits {
-    /// Grace period, in seconds.
-    grace_s: f64,
-    /// Open files and connections.
-    descriptors: usize,
-}
-
-const USUAL: Limits = Limits {
-    grace_s: GRACE_S,
-    descriptors: 1_024,
-};
-
-async fn start_with(name: &str, store: &StandInStore, log: Stdio, limits: Limits) -> Process {
-    let grace_s = limits.grace_s;
-    let [front, ready, peer] = free_ports(loopback().ip());
-    let file = format!("hazelyoked-{}-{name}.toml", std::process::id());
-    let settings = std::env::temp_dir().join(file);
-    let text = settings_text(name, [front, ready, peer], store.address, grace_s);
-    std::fs::write(&settings, text).unwrap();
-    // A shell sets the limit for itself and becomes the program.
-    let program = env!("CARGO_BIN_EXE_hazelyoked");
-    let limit = limits.descriptors;
-    let command = format!("ulimit -n {limit} && exec \"$0\" --platform \"$1\"");
-    let child = Command::new("sh")
-        .args(["-c", &command, program])
-        .arg(&settings)
-        .stdout(log)
-        .spawn()
-        .unwrap();
-    let process = Process {
-        child,
-        settings,
-        listen: SocketAddr::from(([127, 0, 0, 1], front)),
-        ready: SocketAddr::from(([127, 0, 0, 1], ready)),
-    };
-    until(|| is_ready(process.ready), true).await;
-    process
-}
-
-async fn is_ready(address: SocketAddr) -> bool {
-    match TcpStream::connect(address).await {
-        Ok(_) => client::status(address, "/api/ready").await == 200,
-        Err(_) => false,
-    }
-}
-
-fn signal(process: &Process, name: &str) {
-    let sent = Command::new("kill")
-        .arg(format!("-{name}"))
-        .arg(process.child.id().to_string())
-        .status();
-    assert!(sent.unwrap().success());
-}
-
 async fn get(listen: SocketAddr, id: &str) -> u16 {
     let text = client::request("GET", "/x/1", id, &[], "");
     client::send(listen, &text).await.status
@@ -144,7 +46,7 @@
         let store = StandInStore::start().await;
         store.publish(&config());
         let _replica = Replica::start(&store, "i-1", "s").await;
-        let process = start("blocked", &store, Stdio::piped()).await;
+        let process = start_with("blocked", &store, Log::Unread, USUAL).await;
         // Far more than a pipe and the queue of lines hold together.
         for round in 0..250 {
             let asks = (0..20).map(|n| format!("r{round}-{n}"));
@@ -153,6 +55,7 @@
             for status in futures_util::future::join_all(tasks).await {
                 assert_eq!(status, 200);
             }
+            log::info!(round; "answered");
         }
     });
 }
@@ -169,7 +72,7 @@
             descriptors: 64,
             ..USUAL
         };
-        let process = start_with("idle", &store, Stdio::null(), limits).await;
+        let process = start("idle", &store, limits).await;
         let mut idle = Vec::new();
         for _ in 0..100 {
             idle.push(TcpStream::connect(process.listen).await.unwrap());
@@ -187,23 +90,25 @@
         let store = StandInStore::start().await;
         store.publish(&config());
         let _replica = Replica::start(&store, "i-1", "s").await;
-        let [front, ready, peer] = free_ports(loopback().ip());
+        let [front, ready, peer] = free_ports(own_ip());
         // Settings that come through a pipe hold the daemon in its start until they are written.
         let pipe = std::env::temp_dir().join(format!("hazelyoked-{}-pipe", std::process::id()));
         let _ = std::fs::remove_file(&pipe);
         let made = Command::new("mkfifo").arg(&pipe).status();
         assert!(made.unwrap().success());
+        let log = LogFile::new("starting");
         let child = Command::new(env!("CARGO_BIN_EXE_hazelyoked"))
             .arg("--platform")
             .arg(&pipe)
-            .stdout(Stdio::null())
+            .stdout(log.stdout())
             .spawn()
             .unwrap();
         let process = Process {
             child,
             settings: pipe.clone(),
-            listen: SocketAddr::from(([127, 0, 0, 1], front)),
-            ready: SocketAddr::from(([127, 0, 0, 1], ready)),
+            listen: SocketAddr::new(own_ip(), front),
+            ready: SocketAddr::new(own_ip(), ready),
+            log: Log::File(log),
         };
         // Opening it to write waits until the daemon has opened it to read, within its start.
         let opened = pipe.clone();
@@ -228,7 +133,7 @@
         let store = StandInStore::start().await;
         store.publish(&config());
         let _replica = Replica::start(&store, "i-1", "s").await;
-        let mut process = start("signals", &store, Stdio::null()).await;
+        let mut process = start("signals", &store, USUAL).await;
         signal(&process, "HUP");
         std::fs::write(&process.settings, "not = [settings").unwrap();
         signal(&process, "HUP");
@@ -254,18 +159,17 @@
         let store = StandInStore::start().await;
         store.publish(&config());
         let replica = Replica::start(&store, "i-1", "s").await;
-        let log = LogFile::new("reload");
         let limits = Limits {
             grace_s: 1.0,
             ..USUAL
         };
-        let process = start_with("reload", &store, log.stdout(), limits).await;
+        let process = start("reload", &store, limits).await;
         let before = std::fs::read_to_string(&process.settings).unwrap();
         let changed = before.replace("graceS = 1\n", "graceS = 20\n");
         assert_ne!(changed, before);
         std::fs::write(&process.settings, changed).unwrap();
         signal(&process, "HUP");
-        until(|| async { log.names("settings.reloaded") }, true).await;
+        until(|| async { process.logged("settings.reloaded") }, true).await;
         replica.next(Act::Wait(Duration::from_secs(3), "late".into()));
         let text = client::request("GET", "/x/1", "r1", &[], "");
         let stop = async {
@@ -277,30 +181,3 @@
         assert_eq!(answer.text(), "late");
     });
 }
-
-/// A daemon's log in a file; removed when the test ends, whichever way.
-struct LogFile(PathBuf);
-
-impl LogFile {
-    fn new(name: &str) -> Self {
-        let file = format!("hazelyoked-{}-{name}.log", std::process::id());
-        Self(std::env::temp_dir().join(file))
-    }
-
-    fn stdout(&self) -> Stdio {
-        std::fs::File::create(&self.0).unwrap().into()
-    }
-
-    /// Returns whether an event was logged.
-    fn names(&self, event: &str) -> bool {
-        let text = std::fs::read_to_string(&self.0).unwrap();
-        text.contains(&format!("\"event\":\"{event}\""))
-    }
-}
-
-impl Drop for LogFile {
-    fn drop(&mut self) {
-        // Whoever removed it before did the same.
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
--- a/lib/src/pipeline/trace.rs
+++ b/lib/src/pipeline/trace.rs
@@ -15,7 +15,7 @@
     opentelemetry_otlp::{Protocol, SpanExporter, WithExportConfig, WithHttpConfig},
     opentelemetry_sdk::{
         Resource,
-        error::OTelSdkResult,
+        error::{OTelSdkError, OTelSdkResult},
         trace::{
             Sampler, SdkTracer, SdkTracerProvider, Span, SpanData, SpanExporter as _, SpanProcessor,
         },
@@ -66,6 +66,15 @@
     reason: String,
 }
 
+/// Spans couldn't be exported.
+#[derive(Debug, Error)]
+enum ExportError {
+    #[error("the collector didn't answer within {EXPORT_TIMEOUT:?}")]
+    Late,
+    #[error(transparent)]
+    Failed(#[from] OTelSdkError),
+}
+
 /// Starts spans; without a collector it starts none.
 #[derive(Debug, Clone, Default)]
 pub struct Tracing {
@@ -243,9 +252,16 @@
     while ended.recv_many(&mut batch, BATCH).await > 0 {
         let spans = std::mem::take(&mut batch);
         let count = spans.len() as u64;
-        let sent = tokio::time::timeout(EXPORT_TIMEOUT, exporter.export(spans)).await;
-        if !matches!(sent, Ok(Ok(()))) {
+        if let Err(error) = export(&exporter, spans).await {
+            log::info!(spans = count, error:%; "spans not exported");
             dropped.fetch_add(count, Ordering::Relaxed);
         }
     }
 }
+
+/// Exports spans; an error says why they weren't, as far as the collector or the exporter does.
+async fn export(exporter: &SpanExporter, spans: Vec<SpanData>) -> Result<(), ExportError> {
+    let sent = tokio::time::timeout(EXPORT_TIMEOUT, exporter.export(spans)).await;
+    sent.map_err(|_elapsed| ExportError::Late)?
+        .map_err(ExportError::Failed)
+}
--- a/lib/testutils/src/fixture.rs
+++ b/lib/testutils/src/fixture.rs
@@ -10,6 +10,7 @@
         expect::Step,
         http_client::Caller,
         plain::{self, Answers, PlainModel},
+        test_log,
     },
     hazelyoke_lib::{
         pipeline::{
@@ -80,6 +81,7 @@
 impl Fixture {
     /// Starts the outside systems and publishes the tree.
     pub async fn start() -> Self {
+        test_log::start();
         let mut endpoints = BTreeMap::new();
         for service in PLAIN {
             let model = PlainModel {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod plain;
 pub mod prefix_cache;
 pub mod seeds;
+pub mod test_log;
