traces: spans that no collector took count as dropped

Cause: another test's server had got the collector's port and answered 200, and any such answer counted as success; refused spans of a partial success were never looked at. And the test gave back the port that it relied on being free.

Change: the exporter's client judges the answer by OTLP (type, form, refused spans) and names the reason of a failure. The test's premise was wrong: the address of an absent collector is now held by a socket that doesn't listen, everything that it asserts is unchanged.

Ruled out: an export without an end.

--- a/lib/src/pipeline/mod.rs
+++ b/lib/src/pipeline/mod.rs
@@ -10,3 +10,4 @@
 pub mod node;
 mod status_view;
 pub mod trace;
+mod trace_collector;
--- a/lib/src/pipeline/trace.rs
+++ b/lib/src/pipeline/trace.rs
@@ -5,6 +5,7 @@
 //! sampling and on `docs/PROTOCOLS.md`, section Traces, for the form.
 
 use {
+    crate::pipeline::trace_collector::{AnswerError, CollectorClient},
     opentelemetry::{
         Context, KeyValue,
         trace::{
@@ -72,7 +73,9 @@
     #[error("the collector didn't answer within {EXPORT_TIMEOUT:?}")]
     Late,
     #[error(transparent)]
-    Failed(#[from] OTelSdkError),
+    Answer(#[from] AnswerError),
+    #[error(transparent)]
+    Exporter(#[from] OTelSdkError),
 }
 
 /// Starts spans; without a collector it starts none.
@@ -101,8 +104,10 @@
     ///
     /// Panics outside of a Tokio runtime, which runs the export.
     pub fn export_to(collector: &str, share: f64, host: &str) -> Result<Self, TraceError> {
+        let client = CollectorClient::new(EXPORT_TIMEOUT);
         let exporter = SpanExporter::builder()
             .with_http()
+            .with_http_client(client.clone())
             .with_protocol(Protocol::HttpJson)
             .with_endpoint(format!("{}/v1/traces", collector.trim_end_matches('/')))
             .with_timeout(EXPORT_TIMEOUT)
@@ -114,7 +119,8 @@
             })?;
         let dropped = Arc::new(AtomicU64::new(0));
         let (queue, ended) = mpsc::channel(QUEUE);
-        tokio::spawn(export_all(exporter, ended, dropped.clone()));
+        let export = Export { exporter, client };
+        tokio::spawn(export_all(export, ended, dropped.clone()));
         let processor = QueueProcessor {
             queue,
             dropped: dropped.clone(),
@@ -241,27 +247,43 @@
     }
 }
 
-/// Exports ended spans until all tracers are dropped. A failed export isn't retried: its spans are
-/// counted as dropped, which `/metrics` reports, so that the queue keeps draining.
-async fn export_all(
+/// The way to a collector.
+struct Export {
     exporter: SpanExporter,
-    mut ended: mpsc::Receiver<SpanData>,
-    dropped: Arc<AtomicU64>,
-) {
+    client: CollectorClient,
+}
+
+impl Export {
+    /// Exports spans and returns how many of them the collector refused. The exporter sends them up to four times
+    /// within its timeout if there is no answer, or one that asks for it.
+    async fn send(&self, spans: Vec<SpanData>) -> Result<u64, ExportError> {
+        let sent = tokio::time::timeout(EXPORT_TIMEOUT, self.exporter.export(spans)).await;
+        let result = sent.map_err(|_elapsed| ExportError::Late)?;
+        // Its verdict says more than the exporter's error.
+        let refused = self.client.verdict()?;
+        result?;
+        Ok(refused)
+    }
+}
+
+/// Exports ended spans until all tracers are dropped. Spans that no collector took are counted as dropped, which
+/// `/metrics` reports, so that the queue keeps draining.
+async fn export_all(export: Export, mut ended: mpsc::Receiver<SpanData>, dropped: Arc<AtomicU64>) {
     let mut batch = Vec::with_capacity(BATCH);
     while ended.recv_many(&mut batch, BATCH).await > 0 {
         let spans = std::mem::take(&mut batch);
         let count = spans.len() as u64;
-        if let Err(error) = export(&exporter, spans).await {
-            log::info!(spans = count, error:%; "spans not exported");
-            dropped.fetch_add(count, Ordering::Relaxed);
-        }
+        let lost = match export.send(spans).await {
+            Ok(0) => continue,
+            Ok(refused) => {
+                log::info!(spans = count, refused; "spans refused by the collector");
+                refused.min(count)
+            }
+            Err(error) => {
+                log::info!(spans = count, error:%; "spans not exported");
+                count
+            }
+        };
+        dropped.fetch_add(lost, Ordering::Relaxed);
     }
 }
-
-/// Exports spans; an error says why they weren't, as far as the collector or the exporter does.
-async fn export(exporter: &SpanExporter, spans: Vec<SpanData>) -> Result<(), ExportError> {
-    let sent = tokio::time::timeout(EXPORT_TIMEOUT, exporter.export(spans)).await;
-    sent.map_err(|_elapsed| ExportError::Late)?
-        .map_err(ExportError::Failed)
-}
--- a/lib/tests/test_traces.rs
+++ b/lib/tests/test_traces.rs
@@ -7,6 +7,7 @@
     hazelyoke_testutils::{
         collector::Collector,
         fixture::{Fixture, any_address, wait_for},
+        held_port::HeldPort,
         http_client::CallerRequest,
         http_server::{Server, whole_body},
     },
@@ -50,10 +51,8 @@
 #[tokio::test]
 async fn absent_collector() {
     let fixture = Fixture::start().await;
-    let collector = Collector::start().await.unwrap();
-    let address = collector.address();
-    drop(collector);
-    let (daemon, caller) = fixture.traced_daemon(address).await;
+    let absent = HeldPort::bind(any_address()).unwrap();
+    let (daemon, caller) = fixture.traced_daemon(absent.address()).await;
     let request = CallerRequest::new("/v1/services/encoder", "market", "{}");
     assert_eq!(caller.post(request).await.unwrap().status, 200);
     let tracing = daemon.node().tracing().clone();
--- a/lib/testutils/src/collector.rs
+++ b/lib/testutils/src/collector.rs
@@ -4,8 +4,8 @@
 //! test that looks for a span fails either way.
 
 use {
-    crate::http_server::{Server, empty_body},
-    http::Response,
+    crate::http_server::{Server, whole_body},
+    http::{HeaderValue, Response, header::CONTENT_TYPE},
     http_body_util::BodyExt,
     serde_json::Value,
     std::{
@@ -52,7 +52,10 @@
                 let export: Value = serde_json::from_slice(&body).ok()?;
                 let mut spans = spans.lock().expect("no panic while held");
                 spans.extend(read_spans(&export));
-                Some(Response::new(empty_body()))
+                let mut response = Response::new(whole_body("{}"));
+                let json = HeaderValue::from_static("application/json");
+                response.headers_mut().insert(CONTENT_TYPE, json);
+                Some(response)
             }
         })
         .await?;
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod expect;
 pub mod faults;
 pub mod fixture;
+pub mod held_port;
 pub mod http_client;
 pub mod http_server;
 pub mod one_value;
