peers: a read before the daemon's own start keeps its age

Cause: the mend of standstills took the time of a read from its age, which ends at the daemon's own start: a read reported as 3 s old to a daemon that had just started counted as younger (steady_peer failed in the run of all tests).

Change: ages are reckoned as before, and the time for which the process stood still is taken off where a daemon judges whether it is covered.

--- a/lib/src/gateway/directory/contact.rs
+++ b/lib/src/gateway/directory/contact.rs
@@ -44,18 +44,13 @@
         self.begun[topic as usize]
     }
 
-    /// Returns when the directory last answered for every topic; nothing if there is a
+    /// Returns the time since the directory last answered for every topic; nothing if there is a
     /// topic for which it never did. An answer that is on its way counts: without it, 15 daemons called 20 times
     /// while their reader received a table for 1.8 s, and 5 times with it (test `answer_on_its_way`, three runs each).
-    pub(crate) fn read_at(&self, now: Time) -> Option<Time> {
+    pub(crate) fn read_age(&self, now: Time) -> Option<Millis> {
         let answers = self.topics.iter().zip(self.begun);
         let times = answers.map(|(last, begun)| if begun { last.map(|_| now) } else { *last });
-        times.min().flatten()
-    }
-
-    /// Returns the time since the directory last answered for every topic.
-    pub(crate) fn read_age(&self, now: Time) -> Option<Millis> {
-        let read = self.read_at(now)?;
-        Some(Millis(now.since(read).as_millis() as u64))
+        let oldest = times.min().flatten()?;
+        Some(Millis(now.since(oldest).as_millis() as u64))
     }
 }
--- a/lib/src/gateway/directory/coverage.rs
+++ b/lib/src/gateway/directory/coverage.rs
@@ -41,10 +41,11 @@
     /// nobody but itself does. Of the time since then counts that in which this process ran: while it stood still,
     /// nobody could tell it of a later one. What is reported to others is the whole age.
     fn known_read_age(&self, now: Time) -> Option<Millis> {
-        let own = self.contact.read_at(now).filter(|_| !self.substitutes);
-        let last = own.into_iter().chain(self.peers.last_read()).max()?;
-        let ran = self.peers.standstills.ran_since(last, now);
-        Some(Millis(ran.as_millis() as u64))
+        let others = self.peers.read_age(now);
+        let own = self.contact.read_age(now).filter(|_| !self.substitutes);
+        let age = others.into_iter().chain(own).min()?;
+        let stood = self.peers.standstills.stood_since(now - age, now);
+        Some(Millis(age.0.saturating_sub(stood.as_millis() as u64)))
     }
 }
 
--- a/lib/src/gateway/peers/queries.rs
+++ b/lib/src/gateway/peers/queries.rs
@@ -79,21 +79,11 @@
     /// Returns the time since the directory last answered the daemon that read it last, as those report
     /// that send everybody their heartbeats. What they pass on of this daemon's own reads doesn't count.
     pub fn read_age(&self, now: Time) -> Option<Millis> {
-        self.relied_on().filter_map(|last| last.read_age(now)).min()
-    }
-
-    /// Returns when the directory last answered the daemon that read it last, by the same reports.
-    pub(crate) fn last_read(&self) -> Option<Time> {
-        self.relied_on()
-            .filter_map(ReceivedHeartbeat::read_at)
-            .max()
-    }
-
-    /// Returns the heartbeats whose report of reads counts for this daemon.
-    fn relied_on(&self) -> impl Iterator<Item = &ReceivedHeartbeat> {
         self.received()
             .filter(|last| last.heartbeat.broadcasts)
             .filter(|last| last.heartbeat.read_by != Some(self.me.address))
+            .filter_map(|last| last.read_age(now))
+            .min()
     }
 
     /// Returns the substitutes that read the directory, and the ages of their reads.
--- a/lib/src/gateway/peers/record.rs
+++ b/lib/src/gateway/peers/record.rs
@@ -28,14 +28,9 @@
 impl ReceivedHeartbeat {
     /// Returns the time since the directory last answered, as the heartbeat reports it.
     pub(crate) fn read_age(&self, now: Time) -> Option<Millis> {
-        let read = self.read_at()?;
-        Some(Millis(now.since(read).as_millis() as u64))
-    }
-
-    /// Returns when the directory last answered, as the heartbeat reports it.
-    pub(crate) fn read_at(&self) -> Option<Time> {
-        let age = Millis(u64::from(self.heartbeat.read_ms?));
-        Some(self.at - age)
+        let read = Millis(u64::from(self.heartbeat.read_ms?));
+        let since = Millis(now.since(self.at).as_millis() as u64);
+        Some(Millis(since.0 + read.0))
     }
 }
 
--- a/lib/src/gateway/rules/pause.rs
+++ b/lib/src/gateway/rules/pause.rs
@@ -87,16 +87,20 @@
 
     /// Returns for how long this process ran since a time.
     pub fn ran_since(&self, since: Time, now: Time) -> Duration {
-        let current = self.current(now);
+        let stood = self.stood_since(since, now);
+        now.since(since).saturating_sub(stood)
+    }
+
+    /// Returns for how long this process stood still since a time, with the grace after each standstill.
+    pub fn stood_since(&self, since: Time, now: Time) -> Duration {
         // One that has just ended may begin in the grace of the one before.
-        let begun = self.recent.back().map_or(Time::default(), |one| one.until);
-        let current = current.map(|one| Standstill {
-            from: one.from.max(begun),
+        let counted = self.recent.back().map_or(Time::default(), |one| one.until);
+        let current = self.current(now).map(|one| Standstill {
+            from: one.from.max(counted),
             ..one
         });
         let stood = self.recent.iter().copied().chain(current);
-        let stood: Duration = stood.map(|one| one.within(since, now)).sum();
-        now.since(since).saturating_sub(stood)
+        stood.map(|one| one.within(since, now)).sum()
     }
 
     /// Returns the time from which on this process would have run as long if it hadn't stood still.
