--- a/lib/src/gateway/peers/heartbeats.rs
+++ b/lib/src/gateway/peers/heartbeats.rs
@@ -15,7 +15,7 @@
             rules::{
                 coordinator::{SETTLED, YIELD},
                 gossip::{DIGEST_LOADS, HEARTBEAT},
-                pause::{LOOK, PauseDetector},
+                pause::{CLOCK_LOOK, PauseDetector},
             },
             state::Gateway,
         },
@@ -53,7 +53,7 @@
 
 /// Looks at the clock for good, so that it shows whether this process stands still.
 pub async fn look_at_clock<D: Dialect>(gateway: Rc<Gateway<D>>) {
-    let mut looks = interval(LOOK.to_duration());
+    let mut looks = interval(CLOCK_LOOK.to_duration());
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         looks.tick().await;
--- a/lib/src/gateway/rules/pause.rs
+++ b/lib/src/gateway/rules/pause.rs
@@ -1,10 +1,10 @@
 //! Did this process stand still, and for how much of a time did it run?
 //!
 //! Inputs: the times (microseconds of this daemon's clock) at which it looked at the clock: one with every
-//! heartbeat that it sends, and one each [`LOOK`].
+//! heartbeat that it sends, and one each [`CLOCK_LOOK`].
 //!
-//! Rule: a gap of [`PAUSE`] or more between two heartbeats is a pause, from which membership recovers. A gap of
-//! more than [`STANDSTILL`] between two looks is a standstill: neither it nor the [`GRACE`] after it counts as time
+//! Rule: a gap of `PAUSE` or more between two heartbeats is a pause, from which membership recovers. A gap of
+//! more than `STANDSTILL` between two looks is a standstill: neither it nor the `GRACE` after it counts as time
 //! in which others were late.
 //!
 //! Reason: a suspended host, a busy host or a daemon that had much to do at once received nothing meanwhile, and
@@ -26,7 +26,7 @@
 const PAUSE: Millis = Millis(600);
 
 /// Time between two looks at the clock. Chosen, not measured.
-pub const LOOK: Millis = Millis(100);
+pub const CLOCK_LOOK: Millis = Millis(100);
 
 /// Time without a look beyond which a process stood still. Chosen, not measured: two looks.
 const STANDSTILL: Millis = Millis(200);
@@ -36,7 +36,7 @@
 
 /// Time for which standstills are remembered: longer than what is concluded from others' silence takes. Chosen, not
 /// measured.
-const KEPT: Millis = Millis(10_000);
+const REMEMBERED: Millis = Millis(10_000);
 
 /// Detects pauses from the times of looks.
 #[derive(Debug, Default)]
@@ -82,7 +82,7 @@
             self.record(last);
         }
         self.looked = now;
-        self.recent.retain(|one| now < one.until + KEPT);
+        self.recent.retain(|one| now < one.until + REMEMBERED);
     }
 
     /// Returns for how long this process ran since a time.
--- a/lib/src/pipeline/trace_collector.rs
+++ b/lib/src/pipeline/trace_collector.rs
@@ -23,8 +23,8 @@
     thiserror::Error,
 };
 
-/// Type of OTLP's requests and answers in JSON.
-const JSON: &str = "application/json";
+/// Type of OTLP's requests and answers in OTLP_JSON.
+const OTLP_JSON: &str = "application/json";
 
 /// Why the spans of an export didn't reach a collector.
 #[derive(Debug, Clone, Error)]
@@ -33,7 +33,7 @@
     #[error("{0}")]
     Transport(String),
     /// The answer has another type than OTLP asks for.
-    #[error("the answer's type is {kind:?}, not {JSON}; not a collector")]
+    #[error("the answer's type is {kind:?}, not {OTLP_JSON}; not a collector")]
     Kind {
         /// The type; empty if there is none.
         kind: String,
@@ -115,7 +115,7 @@
     let kind = String::from_utf8_lossy(kind.unwrap_or_default());
     // Parameters, such as a character set, may follow.
     let essence = kind.split(';').next().unwrap_or_default().trim();
-    if essence.eq_ignore_ascii_case(JSON) {
+    if essence.eq_ignore_ascii_case(OTLP_JSON) {
         return Ok(());
     }
     let kind = kind.into_owned();
@@ -137,7 +137,7 @@
     rejected_spans: u64,
 }
 
-/// Reads a 64-bit number, which JSON of Protocol Buffers writes as text, and some servers as a number.
+/// Reads a 64-bit number, which OTLP_JSON of Protocol Buffers writes as text, and some servers as a number.
 fn read_count<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
     #[derive(Deserialize)]
     #[serde(untagged)]
--- a/lib/tests/test_standstill.rs
+++ b/lib/tests/test_standstill.rs
@@ -1,7 +1,7 @@
 //! How long a process ran since a time, although it stood still in between.
 
 use hazelyoke_lib::{
-    gateway::rules::pause::{LOOK, Standstills},
+    gateway::rules::pause::{CLOCK_LOOK, Standstills},
     shared::units::{Millis, Time},
 };
 
@@ -11,7 +11,7 @@
 
 /// Looks as a daemon does that runs from one time to another.
 fn run(standstills: &mut Standstills, from: u64, until: u64) {
-    for ms in (from..=until).step_by(LOOK.0 as usize) {
+    for ms in (from..=until).step_by(CLOCK_LOOK.0 as usize) {
         standstills.look(at(ms));
     }
 }
