rates: replies that name a rate are read, logged and counted

An endpoint in need names how many requests a second it takes from all daemons together, and nothing read it: neither logs nor metrics could show which daemons knew, which rate, and when.

`endpoint.limited` and `endpoint.limit_ended` say so now, and `hazelyoke_endpoints_limited` counts them. A value that is no rate counts as 0 and is logged once; of several the least counts. No decision uses it yet.

--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -13,7 +13,7 @@
         },
         shared::{
             ids::{CustomerId, EndpointId},
-            units::Millis,
+            units::{Millis, Rate},
         },
     },
     bytes::Bytes,
@@ -109,8 +109,17 @@
     pub slots: u32,
 }
 
+/// Rate that an endpoint names in a reply.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct NamedRate {
+    /// Requests a second that it takes from all daemons together; 0 where none can be read.
+    pub rate: Rate,
+    /// The reply states it as one number, not below zero.
+    pub clear: bool,
+}
+
 /// The head of a reply, as far as it matters here.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ReplyFacts {
     /// Request that it answers.
     pub request: Option<String>,
@@ -120,6 +129,8 @@
     pub not_run: bool,
     /// Load of the endpoint.
     pub load: Option<ReplyLoad>,
+    /// Rate that the endpoint names, if it names any.
+    pub rate: Option<NamedRate>,
 }
 
 /// The spelling of one installation. It translates and decides nothing.
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod hashes;
 pub mod peers;
 pub mod quarantine;
+pub mod rates;
 pub mod request_digest;
 pub mod routing;
 pub mod rules;
--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -5,25 +5,28 @@
 //! of the attempt reports to the state of the endpoint how it ended.
 
 use {
-    crate::gateway::{
-        dialect::{Dialect, ReplyLoad},
-        directory::catalogue::EndpointEntry,
-        routing::{
-            answer::WholeReply, call::ForwardedCall, guards::AttemptGuard,
-            progress::RequestProgress,
-        },
-        rules::{
-            endpoint_choice::EndpointChoice,
-            reply_proof::{
-                EndpointOutcome, HeadVerdict, NotRunReason, ReplyOriginError, is_endpoint_failure,
-                judge_head,
+    crate::{
+        gateway::{
+            dialect::{Dialect, ReplyFacts},
+            directory::catalogue::EndpointEntry,
+            routing::{
+                answer::WholeReply, call::ForwardedCall, guards::AttemptGuard,
+                progress::RequestProgress,
+            },
+            rules::{
+                endpoint_choice::EndpointChoice,
+                reply_proof::{
+                    EndpointOutcome, HeadVerdict, NotRunReason, ReplyOriginError,
+                    is_endpoint_failure, judge_head,
+                },
             },
+            state::Gateway,
+            wire::egress::{self, CONNECT_LIMIT, ConnectionGuard, FreshConnection, SendError},
         },
-        state::Gateway,
-        wire::egress::{self, CONNECT_LIMIT, ConnectionGuard, FreshConnection, SendError},
+        shared::units::Time,
     },
     bytes::Bytes,
-    http::{Request, response},
+    http::{Request, StatusCode, response},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
     std::{rc::Rc, time::Duration},
@@ -169,10 +172,11 @@
     connection: FreshConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<ProvenReply, AttemptError> {
+    let sent = gateway.now();
     let (response, connection) = connection.send(request).await?;
     let (head, body) = response.into_parts();
     let facts = D::read_reply(&head);
-    gateway.record_load(endpoint, facts.load);
+    gateway.record_reply(endpoint, head.status, &facts, sent);
     match judge_head(call.id(), call.route.kind, head.status, &facts)? {
         HeadVerdict::NotRun(reason) => Ok(ProvenReply::NotRun(reason)),
         HeadVerdict::Stream => Ok(ProvenReply::Streaming(head, body, connection)),
@@ -244,12 +248,23 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Records the load that an endpoint reports with a reply, if it reports any.
-    pub(crate) fn record_load(&self, endpoint: &EndpointEntry, load: Option<ReplyLoad>) {
-        if let Some(load) = load {
+    /// Records what an endpoint reports of itself with its reply to a request that was sent at `sent`.
+    pub(crate) fn record_reply(
+        &self,
+        endpoint: &EndpointEntry,
+        status: StatusCode,
+        facts: &ReplyFacts,
+        sent: Time,
+    ) {
+        // What another endpoint at the same address says of itself is of no use for this one.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        if let Some(load) = facts.load {
             let now = self.now();
             let mut state = self.state.borrow_mut();
             state.endpoints.record_load(now, endpoint, load);
         }
+        self.record_rate(endpoint, facts.rate, facts.signed, sent);
     }
 }
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -8,7 +8,8 @@
         gateway::{
             dialect::{Prompt, ReplyLoad},
             directory::catalogue::EndpointEntry,
-            hashes::{DataCentreHash, EndpointHash, data_centre_hash},
+            hashes::{DataCentreHash, EndpointHash, data_centre_hash, life_hash},
+            rates::store::EndpointRates,
             routing::endpoint_state::{EndpointState, PeerLoad},
             rules::{
                 eligibility::{Exclusion, LeftOut, Places},
@@ -33,6 +34,8 @@
     services: HashMap<ServiceId, Vec<EndpointId>>,
     /// The evacuated data centres, for endpoints that come later.
     evacuated: BTreeSet<DataCentreHash>,
+    /// The rates that endpoints name.
+    pub(crate) rates: EndpointRates,
 }
 
 impl EndpointStates {
@@ -73,9 +76,11 @@
 
     /// Removes an endpoint with all that is known of it.
     pub fn remove(&mut self, id: &EndpointId) {
-        if let Some(member) = self.members.remove(id)
-            && let Some(ids) = self.services.get_mut(&member.entry.service)
-        {
+        let Some(member) = self.members.remove(id) else {
+            return;
+        };
+        self.rates.forget(life_hash(&member.entry));
+        if let Some(ids) = self.services.get_mut(&member.entry.service) {
             ids.retain(|other| other != id);
         }
     }
--- a/lib/src/gateway/routing/mod.rs
+++ b/lib/src/gateway/routing/mod.rs
@@ -10,6 +10,7 @@
 pub mod endpoint_states;
 pub mod forward;
 pub(crate) mod guards;
+pub(crate) mod named_rates;
 pub(crate) mod outbound;
 pub(crate) mod progress;
 pub(crate) mod quarantine;
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -190,6 +190,7 @@
         };
         self.sent += 1;
         self.gateway.metrics.retry(RetryReason::Resume);
+        let sent = self.gateway.now();
         let (response, connection) = match self.exchange(connection, request, sink).await {
             Exchange::Replied(response, connection) => (response, connection),
             Exchange::Failed => {
@@ -204,7 +205,8 @@
         };
         let (head, body) = response.into_parts();
         let facts = D::read_reply(&head);
-        self.gateway.record_load(&guard.choice.entry, facts.load);
+        self.gateway
+            .record_reply(&guard.choice.entry, head.status, &facts, sent);
         let kind = self.call.route.kind;
         let verdict = judge_resumed_head(self.call.id(), kind, head.status, &facts);
         if let Err(outcome) = verdict {
--- a/lib/src/gateway/serving/endpoint_metrics.rs
+++ b/lib/src/gateway/serving/endpoint_metrics.rs
@@ -18,6 +18,7 @@
     ended: Counter,
     connects_failed: Family<KindLabels, Counter>,
     quarantined: Gauge,
+    limited: Gauge,
 }
 
 impl EndpointMetrics {
@@ -38,6 +39,11 @@
             "Requests that are refused because endpoints ended under them",
             self.quarantined.clone(),
         );
+        registry.register(
+            "endpoints_limited",
+            "Endpoints that name the rate that they take",
+            self.limited.clone(),
+        );
     }
 
     /// Counts an attempt that broke off because its endpoint ended.
@@ -60,6 +66,11 @@
         self.quarantined.set(requests as i64);
     }
 
+    /// Records how many endpoints name the rate that they take.
+    pub(crate) fn limited(&self, endpoints: usize) {
+        self.limited.set(endpoints as i64);
+    }
+
     fn connect_counter(&self, refused: bool) -> Counter {
         let kind = if refused { REFUSED } else { SILENT };
         let counter = self.connects_failed.get_or_create(&KindLabels { kind });
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -76,7 +76,7 @@
 async fn run_call<D: Dialect>(gateway: Rc<Gateway<D>>, service: ServiceId, call: BatchCall) {
     let body = D::write_pieces(&call.pieces);
     let sent = gateway.now();
-    let end = send_call::<D>(&call, body).await;
+    let end = send_call(&gateway, &call, body).await;
     let now = gateway.now();
     let elapsed = WorkMillis(now.millis_since(sent));
     let name = call_name(&gateway, &service, &call);
@@ -112,7 +112,8 @@
     }
 }
 
-async fn send_call<D: Dialect>(call: &BatchCall, body: Bytes) -> CallEnd {
+async fn send_call<D: Dialect>(gateway: &Gateway<D>, call: &BatchCall, body: Bytes) -> CallEnd {
+    let sent = gateway.now();
     let reply = post::<D>(Post {
         address: call.entry.address,
         path: D::PIECES_PATH,
@@ -122,7 +123,10 @@
     })
     .await;
     match reply {
-        Ok(reply) => read_end::<D>(&reply, call.pieces.len()),
+        Ok(reply) => {
+            gateway.record_call_rate(&call.entry, reply.status, &reply.facts, sent);
+            read_end::<D>(&reply, call.pieces.len())
+        }
         Err(SendError::NotSent(_)) => CallEnd::Refused,
         Err(SendError::TimedOut) => CallEnd::Broken,
         Err(SendError::MaybeSent(_) | SendError::Broken(_)) => {
--- a/lib/src/gateway/stages/endpoint_post.rs
+++ b/lib/src/gateway/stages/endpoint_post.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         gateway::{
-            dialect::Dialect,
+            dialect::{Dialect, ReplyFacts},
             wire::egress::{self, CONNECT_LIMIT, SendError},
         },
         shared::ids::EndpointId,
@@ -34,6 +34,8 @@
 /// The whole answer to a post.
 pub(super) struct Reply {
     pub(super) status: StatusCode,
+    /// What its head says.
+    pub(super) facts: ReplyFacts,
     pub(super) body: Bytes,
 }
 
@@ -52,11 +54,13 @@
     let request = request_of::<D>(post);
     let exchange = async {
         let (response, _guard) = connection.send(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_SIZE);
+        let (head, body) = response.into_parts();
+        let (status, facts) = (head.status, D::read_reply(&head));
+        let body = Limited::new(body, ANSWER_SIZE);
         match body.collect().await {
             Ok(collected) => Ok(Reply {
                 status,
+                facts,
                 body: collected.to_bytes(),
             }),
             Err(error) => Err(SendError::Broken(error.to_string())),
--- a/lib/tests/test_reply_proof.rs
+++ b/lib/tests/test_reply_proof.rs
@@ -27,6 +27,7 @@
         signed,
         not_run,
         load: None,
+        rate: None,
     }
 }
 
