rates: all daemons together keep to the rate that an endpoint names

An endpoint in need that named 1 request a second in each reply went on getting some three a second from seven daemons: nothing read it. Callers saw it as slow answers and refusals of an endpoint that asked to be spared while eight others were free.

Each daemon hands its even share of the rate, as it comes with time, to the coordinator of the endpoint's service, which gives permits for whole requests to whoever wants to send, the most urgent first. Without a permit nothing is sent there: first attempts, retries, resumed streams and calls of pieces ask the same rule.

Where nobody else can serve, a request waits while a permit may come soon; what can't get one is refused at once, with the time to the next.

--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -17,6 +17,7 @@
                 evacuations::Evacuations,
             },
             quarantine::note::EvidenceNote,
+            rates::note::{PermitNote, RateNote},
             request_digest::RequestDigest,
             stages::job::{JobEnd, PieceInput, ResultHandle},
             table::Version,
@@ -164,6 +165,23 @@
     pub notes: Vec<EvidenceNote>,
 }
 
+/// What daemons tell each other of endpoints that name a rate; one datagram holds a part of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateReport {
+    /// Version of the messages.
+    #[serde(rename = "v")]
+    pub protocol: u16,
+    /// Address of the sender for other daemons.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// What the sender knows of endpoints, and its part in what they take.
+    #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
+    pub notes: Vec<RateNote>,
+    /// Permits of the sender for the receiver.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub permits: Vec<PermitNote>,
+}
+
 /// A datagram between daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -179,6 +197,9 @@
     /// Requests under which endpoints ended. A daemon of a release that doesn't know it ignores it.
     #[serde(rename = "q")]
     Quarantine(QuarantineReport),
+    /// Endpoints that name a rate. A daemon of a release that doesn't know it ignores it.
+    #[serde(rename = "e")]
+    Rates(RateReport),
 }
 
 impl Datagram {
@@ -189,6 +210,7 @@
             Self::Loads(digest) => digest.protocol,
             Self::Roster(roster) => roster.protocol,
             Self::Quarantine(report) => report.protocol,
+            Self::Rates(report) => report.protocol,
         }
     }
 }
--- a/lib/src/gateway/peers/mod.rs
+++ b/lib/src/gateway/peers/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) mod peer_loads;
 pub mod quarantine_news;
 pub(crate) mod queries;
+pub(crate) mod rate_news;
 pub mod receive;
 pub(crate) mod record;
 pub(crate) mod reports;
--- /dev/null
+++ b/lib/src/gateway/peers/rate_news.rs
@@ -0,0 +1,198 @@
+//! Tells other daemons which endpoints name a rate, hands this daemon's share of it to the coordinator, and passes
+//! permits on.
+//!
+//! Whoever learns of a rate tells the coordinator of the endpoint's service and some daemons drawn anew each time, in a
+//! small fleet all; the coordinator tells everybody what is new. A fleet without such endpoints sends nothing. Relies on
+//! [`EndpointRates`] for what there is to tell.
+
+use {
+    crate::{
+        gateway::{
+            dialect::Dialect,
+            peers::{
+                membership::Peers,
+                message::{Datagram, PROTOCOL, RateReport},
+                sockets::send_datagram,
+            },
+            rates::{
+                note::{PermitNote, RateNote},
+                store::{Answer, EndpointRates, RateMessages},
+            },
+            routing::named_rates::RateSource,
+            rules::{coordinator::Coordinator, gossip::HEARTBEAT},
+            state::{Gateway, GatewayState},
+        },
+        shared::units::{Millis, Time},
+    },
+    foldhash::HashMap,
+    std::{iter, net::SocketAddr, rc::Rc},
+    tokio::net::UdpSocket,
+};
+
+/// Notes that one datagram holds: one takes up to 33 bytes, and 1,400 are sent whole by any network.
+const DATAGRAM_NOTES: usize = 36;
+
+/// Time for which claims are gathered before they are sent.
+const NEWS_DELAY: Millis = Millis(2);
+
+/// Tells others what is new, for good.
+pub(crate) async fn run_rate_news<D: Dialect>(gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
+    loop {
+        let is_idle = gateway.state.borrow().endpoints.rates.is_empty();
+        if is_idle {
+            gateway.rate_news.notified().await;
+        } else {
+            // Either end means the same: it is time to tell.
+            let news = gateway.rate_news.notified();
+            let _ = tokio::time::timeout(HEARTBEAT.to_duration(), news).await;
+        }
+        tokio::time::sleep(NEWS_DELAY.to_duration()).await;
+        send(&gateway, &socket);
+    }
+}
+
+/// What one daemon is told.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Parcel {
+    notes: Vec<RateNote>,
+    permits: Vec<PermitNote>,
+}
+
+/// What each daemon is told.
+#[derive(Debug, Default)]
+struct Parcels(HashMap<SocketAddr, Parcel>);
+
+impl Parcels {
+    fn add_note(&mut self, to: SocketAddr, note: RateNote) {
+        self.0.entry(to).or_default().notes.push(note);
+    }
+
+    fn add_answers(&mut self, answers: Vec<Answer>) {
+        for Answer { to, note } in answers {
+            self.0.entry(to).or_default().permits.push(note);
+        }
+    }
+
+    /// Addresses what there is to tell of one endpoint.
+    fn add(&mut self, now: Time, ready: bool, peers: &mut Peers, messages: RateMessages) {
+        let coordinator = peers.coordinator(now, &messages.service, ready, &[]);
+        let address = match coordinator {
+            Coordinator::Me => peers.own_address(),
+            Coordinator::Peer(address) => address,
+        };
+        if let Some(report) = messages.report {
+            self.add_note(address, report);
+        }
+        let Some(note) = messages.telling else {
+            return;
+        };
+        let mut told: Vec<SocketAddr> = match coordinator {
+            Coordinator::Me => peers.addresses().collect(),
+            Coordinator::Peer(_) => peers.draw_any(),
+        };
+        if !told.contains(&address) && messages.report.is_none() {
+            told.push(address);
+        }
+        told.retain(|to| *to != peers.own_address());
+        for to in told {
+            self.add_note(to, note);
+        }
+    }
+}
+
+fn send<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket) {
+    let now = gateway.now();
+    let ready = gateway.may_coordinate();
+    let settled = gateway.is_settled();
+    let mut guard = gateway.state.borrow_mut();
+    let GatewayState {
+        peers, endpoints, ..
+    } = &mut *guard;
+    let daemons = settled.then(|| peers.known_daemons());
+    let mut parcels = Parcels::default();
+    for messages in endpoints.rates.messages(now, daemons) {
+        parcels.add(now, ready, peers, messages);
+    }
+    drop(guard);
+    deliver(gateway, socket, parcels);
+}
+
+/// Sends what others are told; what this daemon tells itself, as the coordinator, is taken at once.
+fn deliver<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket, mut parcels: Parcels) {
+    let me = gateway.state.borrow().peers.own_address();
+    if let Some(own) = parcels.0.remove(&me) {
+        let answers = take_reports(gateway, &own.notes, me);
+        gateway.take_permits(&own.permits);
+        parcels.add_answers(answers);
+    }
+    if let Some(own) = parcels.0.remove(&me) {
+        gateway.take_permits(&own.permits);
+    }
+    for (to, parcel) in parcels.0 {
+        send_parcel(socket, me, to, &parcel);
+    }
+}
+
+fn send_parcel(socket: &UdpSocket, from: SocketAddr, to: SocketAddr, parcel: &Parcel) {
+    let notes = parcel.notes.chunks(DATAGRAM_NOTES);
+    let permits = parcel.permits.chunks(DATAGRAM_NOTES);
+    let notes = notes.map(|part| (part.to_vec(), Vec::new()));
+    let permits = permits.map(|part| (Vec::new(), part.to_vec()));
+    for (notes, permits) in notes.chain(permits) {
+        let datagram = Datagram::Rates(RateReport {
+            protocol: PROTOCOL,
+            address: from,
+            notes,
+            permits,
+        });
+        send_datagram(socket, &datagram, iter::once(to));
+    }
+}
+
+/// Takes the reports of a daemon, as the coordinator.
+fn take_reports<D: Dialect>(
+    gateway: &Gateway<D>,
+    notes: &[RateNote],
+    from: SocketAddr,
+) -> Vec<Answer> {
+    let now = gateway.now();
+    let mut state = gateway.state.borrow_mut();
+    let rates = &mut state.endpoints.rates;
+    let reports = notes.iter().filter(|note| note.is_report());
+    let answers = reports.flat_map(|note| rates.take_report(now, from, note));
+    answers.collect()
+}
+
+/// Returns what this daemon knows better than another one that takes part in it.
+fn corrections(rates: &EndpointRates, now: Time, notes: &[RateNote]) -> Vec<RateNote> {
+    let reports = notes.iter().filter(|note| note.is_report());
+    let newer = reports.filter_map(|note| rates.newer(now, note));
+    newer.collect()
+}
+
+/// Takes what another daemon tells of endpoints that name rates.
+pub(crate) fn receive_rates<D: Dialect>(
+    gateway: &Gateway<D>,
+    socket: &UdpSocket,
+    report: &RateReport,
+    from: SocketAddr,
+) {
+    // A daemon speaks for itself alone.
+    if report.address.ip() != from.ip() {
+        log::warn!(from:% = from, protocol = report.protocol; "heartbeat.refused");
+        return;
+    }
+    let sender = report.address;
+    let now = gateway.now();
+    let better = corrections(&gateway.state.borrow().endpoints.rates, now, &report.notes);
+    for note in &report.notes {
+        gateway.merge_rate(note, RateSource::Peer(sender));
+    }
+    gateway.take_permits(&report.permits);
+    let mut parcels = Parcels::default();
+    for note in better {
+        parcels.add_note(sender, note);
+    }
+    parcels.add_answers(take_reports(gateway, &report.notes, sender));
+    deliver(gateway, socket, parcels);
+}
--- a/lib/src/gateway/peers/receive.rs
+++ b/lib/src/gateway/peers/receive.rs
@@ -6,6 +6,7 @@
         peers::{
             changes::apply_changes,
             message::{Datagram, Heartbeat, PROTOCOL, Roster, decode},
+            rate_news::receive_rates,
             sockets::{DATAGRAM, send_datagram},
         },
         rules::gossip::{HEARTBEAT, ROSTER_PEERS},
@@ -62,6 +63,7 @@
             apply_changes(gateway, &changes);
         }
         Datagram::Quarantine(report) => gateway.merge_quarantine(&report.notes, from),
+        Datagram::Rates(report) => receive_rates(gateway, socket, &report, from),
     }
 }
 
--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -5,7 +5,7 @@
         gateway::{
             dialect::{Prompt, ReplyLoad},
             directory::catalogue::EndpointEntry,
-            hashes::{EndpointHash, endpoint_hash},
+            hashes::{EndpointHash, LifeHash, endpoint_hash, life_hash},
             routing::{
                 cold_state::{ColdState, Coldness},
                 sent_parts::SentParts,
@@ -42,6 +42,8 @@
     pub entry: Arc<EndpointEntry>,
     /// Hash of its name, as loads are exchanged by it.
     pub(crate) hash: EndpointHash,
+    /// Hash of this life, as rates are exchanged by it.
+    pub(crate) life: LifeHash,
     /// Requests in flight from this daemon.
     pub running: u32,
     /// Prompt tokens that this daemon sent and that aren't read yet.
@@ -70,6 +72,7 @@
             evacuated,
             cold: ColdState::new(now, entry.cold),
             hash: endpoint_hash(&entry.id),
+            life: life_hash(&entry),
             entry,
             running: 0,
             prefill: 0.0,
@@ -125,13 +128,20 @@
         self.evacuated = evacuated;
     }
 
-    /// Returns what speaks against giving the endpoint a request.
-    pub(crate) fn standing_for(&self, now: Time, placement: &Placement<'_>) -> RequestStanding {
+    /// Returns what speaks against giving the endpoint a request; `limited` says that it names a rate, and there is no
+    /// permit.
+    pub(crate) fn standing_for(
+        &self,
+        now: Time,
+        placement: &Placement<'_>,
+        limited: bool,
+    ) -> RequestStanding {
         let is_cold = self.cold.at(now, placement.cold_start) == Coldness::Stated;
         RequestStanding {
             standing: self.standing(),
             away: !placement.places.allow(&self.entry.data_centre),
             cold: is_cold && self.cold.is_spent(now, placement.cold_share),
+            limited,
             full: self.running >= placement.connection_limit,
         }
     }
@@ -152,8 +162,13 @@
         reachable && healthy && !self.has_ended
     }
 
-    /// Describes the endpoint to the choice.
-    pub(crate) fn candidate(&self, now: Time, placement: &Placement<'_>) -> EndpointCandidate<'_> {
+    /// Describes the endpoint to the choice; `look_due` says that it is to be asked whether it still names a rate.
+    pub(crate) fn candidate(
+        &self,
+        now: Time,
+        placement: &Placement<'_>,
+        look_due: bool,
+    ) -> EndpointCandidate<'_> {
         let cached_tokens = if placement.affinity {
             self.sent_parts.cached_tokens(now, placement.prompt)
         } else {
@@ -172,6 +187,7 @@
             waiting_tokens: self.prefill + self.peers.prefill,
             pace: self.pace.at(now),
             cached_tokens,
+            look_due,
         }
     }
 
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -7,8 +7,8 @@
     crate::{
         gateway::{
             dialect::{Prompt, ReplyLoad},
-            directory::catalogue::EndpointEntry,
-            hashes::{DataCentreHash, EndpointHash, data_centre_hash, life_hash},
+            directory::catalogue::{EndpointEntry, EndpointLife},
+            hashes::{DataCentreHash, EndpointHash, LifeHash, data_centre_hash},
             rates::store::EndpointRates,
             routing::endpoint_state::{EndpointState, PeerLoad},
             rules::{
@@ -20,7 +20,7 @@
         shared::{
             health::can_spare,
             ids::{DataCentreId, EndpointId, ServiceId},
-            units::{Time, WorkMillis},
+            units::{Millis, Time, WorkMillis},
         },
     },
     foldhash::HashMap,
@@ -79,7 +79,7 @@
         let Some(member) = self.members.remove(id) else {
             return;
         };
-        self.rates.forget(life_hash(&member.entry));
+        self.rates.forget(member.life);
         if let Some(ids) = self.services.get_mut(&member.entry.service) {
             ids.retain(|other| other != id);
         }
@@ -161,9 +161,13 @@
             if placement.tried.contains(&member.entry.id) {
                 continue;
             }
-            match member.standing_for(now, placement).exclusion() {
+            let limited = !self.rates.may_send(now, member.life, placement.urgency);
+            match member.standing_for(now, placement, limited).exclusion() {
                 Some(reason) => left_out.count(reason),
-                None => candidates.push(member.candidate(now, placement)),
+                None => {
+                    let look_due = self.rates.is_look_due(now, member.life);
+                    candidates.push(member.candidate(now, placement, look_due));
+                }
             }
         }
         let choice = endpoint_choice::choose(&candidates, here, placement);
@@ -186,6 +190,62 @@
         }
     }
 
+    /// Uses up a permit for an endpoint that names a rate.
+    pub(crate) fn use_permit(&mut self, now: Time, entry: &EndpointEntry, urgency: u32) {
+        if let Some(life) = self.of_life(entry).map(|member| member.life) {
+            self.rates.sent(now, life, urgency);
+        }
+    }
+
+    /// Returns the endpoint whose life has a hash.
+    pub(crate) fn of_hash(&self, life: LifeHash) -> Option<&EndpointState> {
+        self.members.values().find(|member| member.life == life)
+    }
+
+    /// Returns the rates that endpoints name.
+    pub fn rates(&self) -> &EndpointRates {
+        &self.rates
+    }
+
+    /// Returns the open endpoints of a service that name a rate.
+    fn limited(&self, service: &ServiceId) -> impl Iterator<Item = &EndpointState> {
+        let limited = |member: &&EndpointState| self.rates.rate(member.life).is_some();
+        self.open(service).filter(limited)
+    }
+
+    /// Records that a request of a service wasn't sent to the endpoints for which there is no permit; returns whether
+    /// their coordinator is to be told at once.
+    pub(crate) fn turned_away(&mut self, now: Time, service: &ServiceId, urgency: u32) -> bool {
+        let limited = self.limited(service).map(|member| member.life);
+        let without = limited.filter(|life| !self.rates.may_send(now, *life, urgency));
+        let without: Vec<LifeHash> = without.collect();
+        let mut is_due = false;
+        for life in without {
+            is_due |= self.rates.turned_away(now, life, urgency);
+        }
+        is_due
+    }
+
+    /// Returns the time after which a permit for an endpoint of a service may be expected; nothing where that isn't
+    /// known.
+    pub(crate) fn permit_wait(&self, now: Time, service: &ServiceId) -> Option<Millis> {
+        let limited = self.limited(service);
+        let waits = limited.filter_map(|member| self.rates.wait(now, member.life));
+        waits.min()
+    }
+
+    /// Returns the permits for each endpoint of a service that names a rate.
+    pub(crate) fn permits(
+        &self,
+        now: Time,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = (EndpointLife, usize)> {
+        self.limited(service).filter_map(move |member| {
+            let permits = self.rates.permits(now, member.life)?;
+            Some((member.entry.life(), permits))
+        })
+    }
+
     /// Records the time to the first event of a generation.
     pub fn first_event(&mut self, now: Time, choice: &EndpointChoice, waited: WorkMillis) {
         if let Some(member) = self.of_life(&choice.entry) {
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -14,7 +14,7 @@
                 attempt::{AttemptOutcome, PreparedAttempt, StreamingReply, attempt},
                 call::ForwardedCall,
                 guards::{CallerLeftGuard, RequestGuard},
-                outbound::{choose_endpoint, outbound_request},
+                outbound::outbound_request,
                 progress::RequestProgress,
                 reply_stream,
                 stages::{check_admission, run_stages},
@@ -135,7 +135,7 @@
                 // The host was suspended meanwhile: no endpoint is given work whose time is over.
                 return self.end_unanswered(TIME_OVER);
             }
-            let choice = match self.choose() {
+            let choice = match self.choose().await {
                 Ok(choice) => choice,
                 Err(left_out) => return self.end_unanswered(&no_endpoint(left_out)),
             };
@@ -159,9 +159,11 @@
         }
     }
 
-    fn choose(&self) -> Result<EndpointChoice, LeftOut> {
-        let results = self.results.as_ref();
-        choose_endpoint(self.gateway, self.call, &self.progress.tried, results)
+    async fn choose(&self) -> Result<EndpointChoice, LeftOut> {
+        let (tried, results) = (&self.progress.tried, self.results.as_ref());
+        self.gateway
+            .choose_permitted(self.call, tried, results)
+            .await
     }
 
     async fn attempt(&mut self, choice: EndpointChoice) -> AttemptOutcome<D> {
@@ -279,9 +281,12 @@
         })
     }
 
-    /// Returns the time after which the caller may come back, by the loads that the service's
-    /// endpoints reported last.
+    /// Returns the time after which the caller may come back, by the permits that are to be expected, or by the loads
+    /// that the service's endpoints reported last.
     fn retry_after(&self) -> Millis {
+        if let Some(wait) = self.gateway.permit_wait(&self.call.service) {
+            return retry_after::after_permits(wait);
+        }
         let state = self.gateway.state.borrow();
         let members = state.endpoints.open(&self.call.service);
         retry_after::after_attempts(members.filter_map(|member| Some(member.reported_load?.1)))
--- a/lib/src/gateway/routing/guards.rs
+++ b/lib/src/gateway/routing/guards.rs
@@ -38,6 +38,7 @@
         state
             .endpoints
             .sent(now, &choice.entry, prompt, choice.uncached);
+        state.endpoints.use_permit(now, &choice.entry, call.urgency);
         drop(state);
         Self {
             gateway: gateway.clone(),
--- a/lib/src/gateway/routing/mod.rs
+++ b/lib/src/gateway/routing/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod guards;
 pub(crate) mod named_rates;
 pub(crate) mod outbound;
+pub(crate) mod permits;
 pub(crate) mod progress;
 pub(crate) mod quarantine;
 pub(crate) mod reply_stream;
--- a/lib/src/gateway/routing/named_rates.rs
+++ b/lib/src/gateway/routing/named_rates.rs
@@ -1,4 +1,4 @@
-//! Records the rates that endpoints name in their replies, and logs what changes.
+//! Records the rates that endpoints name, in their replies and as other daemons tell, and logs what changes.
 
 use {
     crate::{
@@ -6,14 +6,36 @@
             dialect::{Dialect, NamedRate, ReplyFacts},
             directory::catalogue::EndpointEntry,
             hashes::life_hash,
-            rates::store::{RateChange, SeenRate},
+            rates::{
+                note::RateNote,
+                store::{RateChange, SeenRate},
+            },
             state::Gateway,
         },
         shared::units::Time,
     },
     http::StatusCode,
+    std::{fmt, net::SocketAddr, sync::Arc},
 };
 
+/// Where a change of a rate was learned from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RateSource {
+    /// A reply of the endpoint.
+    Reply,
+    /// Another daemon.
+    Peer(SocketAddr),
+}
+
+impl fmt::Display for RateSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Reply => f.write_str("reply"),
+            Self::Peer(address) => write!(f, "peer {address}"),
+        }
+    }
+}
+
 impl<D: Dialect> Gateway<D> {
     /// Records what an endpoint's reply to a call of pieces that was sent at `sent` says of its rate.
     pub(crate) fn record_call_rate(
@@ -47,29 +69,53 @@
             return;
         }
         let rates = &mut state.endpoints.rates;
-        let change = rates.observe(now, life, SeenRate { named, sent });
+        let seen = SeenRate { named, sent };
+        let change = rates.observe(now, life, &endpoint.service, seen);
         let unclear = named.filter(|named| !named.clear);
         let unclear = unclear.filter(|_| rates.is_first_unclear(life));
-        let limited = rates.limited();
         drop(state);
         if let Some(change) = change {
-            log_change(endpoint, change, "reply");
-            self.metrics.endpoints.limited(limited);
+            self.rate_changed(endpoint, change, RateSource::Reply);
         }
         if let Some(named) = unclear {
             log::warn!(endpoint:% = endpoint.id, rate:% = named.rate; "endpoint.limit_unclear");
         }
     }
+
+    /// Merges what another daemon tells of an endpoint; nothing of one that isn't in the list.
+    pub(crate) fn merge_rate(&self, note: &RateNote, source: RateSource) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let Some(member) = state.endpoints.of_hash(note.endpoint) else {
+            return;
+        };
+        let entry: Arc<EndpointEntry> = member.entry.clone();
+        let change = state.endpoints.rates.merge(now, &entry.service, note);
+        drop(state);
+        if let Some(change) = change {
+            self.rate_changed(&entry, change, source);
+        }
+    }
+
+    fn rate_changed(&self, endpoint: &EndpointEntry, change: RateChange, source: RateSource) {
+        log_change(endpoint, change, source);
+        let limited = self.state.borrow().endpoints.rates.limited();
+        self.metrics.endpoints.limited(limited);
+        self.rate_news.notify_one();
+        // Whoever waits for a permit may need none any more.
+        self.permits.notify_waiters();
+    }
 }
 
-fn log_change(endpoint: &EndpointEntry, change: RateChange, source: &str) {
+fn log_change(endpoint: &EndpointEntry, change: RateChange, source: RateSource) {
     match change {
         RateChange::Began(rate) => {
-            log::info!(endpoint:% = endpoint.id, rate:%, source; "endpoint.limited");
+            log::info!(endpoint:% = endpoint.id, rate:%, source:%; "endpoint.limited");
         }
+        // A rate may change with each reply.
         RateChange::Changed(rate) => {
-            log::debug!(endpoint:% = endpoint.id, rate:%, source; "endpoint.limited");
+            log::debug!(endpoint:% = endpoint.id, rate:%, source:%; "endpoint.limited");
         }
-        RateChange::Ended => log::info!(endpoint:% = endpoint.id, source; "endpoint.limit_ended"),
+        RateChange::Ended => log::info!(endpoint:% = endpoint.id, source:%; "endpoint.limit_ended"),
     }
 }
--- a/lib/src/gateway/routing/outbound.rs
+++ b/lib/src/gateway/routing/outbound.rs
@@ -42,6 +42,7 @@
         places: &call.places,
         cold_share: gateway.cold_share(&call.service),
         cold_start: gateway.cold_start(&call.service),
+        urgency: call.urgency,
     };
     let settings = gateway.settings();
     let here = &settings.data_centre;
--- /dev/null
+++ b/lib/src/gateway/routing/permits.rs
@@ -0,0 +1,141 @@
+//! Permits to send requests to endpoints that name a rate: who wants one, who waits for one, and who gets it.
+//!
+//! Relies on [`rules::endpoint_rate`](crate::gateway::rules::endpoint_rate) for how long a request waits, and on
+//! `peers::rate_news` to ask the coordinators.
+
+use {
+    crate::{
+        gateway::{
+            dialect::Dialect,
+            directory::catalogue::{EndpointEntry, EndpointLife},
+            rates::note::PermitNote,
+            routing::{call::ForwardedCall, outbound::choose_endpoint},
+            rules::{
+                eligibility::{Exclusion, LeftOut},
+                endpoint_choice::EndpointChoice,
+                endpoint_rate::{CLAIM_RENEWAL, longest_wait},
+            },
+            stages::stage_results::Results,
+            state::Gateway,
+        },
+        shared::{
+            ids::{EndpointId, ServiceId},
+            units::{Millis, Time},
+        },
+    },
+    foldhash::HashMap,
+};
+
+/// Urgency of calls of pieces: whatever request they are for, its stages come first.
+const PIECES: u32 = 0;
+
+impl<D: Dialect> Gateway<D> {
+    /// Chooses an endpoint for a request, other than those in `tried`; where only endpoints are left that name a rate,
+    /// waits for a permit, unless none is to be expected in time.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the others were left out if none may get it.
+    pub(crate) async fn choose_permitted(
+        &self,
+        call: &ForwardedCall,
+        tried: &[EndpointId],
+        results: Option<&Results<D>>,
+    ) -> Result<EndpointChoice, LeftOut> {
+        let end = call
+            .deadline
+            .min(self.now() + longest_wait(call.route.objective));
+        loop {
+            // Permits that come from here on wake it.
+            let permits = self.permits.notified();
+            let choice = choose_endpoint(self, call, tried, results);
+            let left_out = match &choice {
+                Ok(choice) => choice.left_out,
+                Err(left_out) => *left_out,
+            };
+            if left_out.of(Exclusion::Limited) == 0 {
+                return choice;
+            }
+            self.want_permits(&call.service, call.urgency);
+            if choice.is_ok() || !self.is_permit_near(call, end) {
+                return choice;
+            }
+            // A claim that isn't renewed ends.
+            let renewal = self.now() + CLAIM_RENEWAL;
+            let is_over = self.before(end.min(renewal), permits).await.is_none();
+            if is_over && self.now() >= end {
+                return Err(left_out);
+            }
+        }
+    }
+
+    /// Records that a request of a service wasn't sent to the endpoints that name a rate.
+    fn want_permits(&self, service: &ServiceId, urgency: u32) {
+        let now = self.now();
+        let is_due = self
+            .state
+            .borrow_mut()
+            .endpoints
+            .turned_away(now, service, urgency);
+        if is_due {
+            self.rate_news.notify_one();
+        }
+    }
+
+    /// Returns whether a permit may come before `end`, as far as is known.
+    fn is_permit_near(&self, call: &ForwardedCall, end: Time) -> bool {
+        let now = self.now();
+        let wait = self.permit_wait(&call.service);
+        now < end && wait.is_none_or(|wait| now + wait < end)
+    }
+
+    /// Returns the time after which a permit for an endpoint of a service may be expected; nothing where that isn't
+    /// known, or none is needed.
+    pub(crate) fn permit_wait(&self, service: &ServiceId) -> Option<Millis> {
+        let now = self.now();
+        self.state.borrow().endpoints.permit_wait(now, service)
+    }
+
+    /// Takes permits that coordinators gave.
+    pub(crate) fn take_permits(&self, notes: &[PermitNote]) {
+        if notes.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        for note in notes {
+            state.endpoints.rates.granted(now, note);
+        }
+        drop(state);
+        self.permits.notify_waiters();
+        self.work.notify_one();
+    }
+
+    /// Returns the calls of pieces that endpoints which name a rate may get now, and asks for more where there are none.
+    pub(crate) fn allowed_calls(&self) -> HashMap<EndpointLife, usize> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if state.endpoints.rates.limited() == 0 {
+            return HashMap::default();
+        }
+        let services: Vec<ServiceId> = state.planning.busy_services().cloned().collect();
+        let mut allowed = HashMap::default();
+        let mut is_due = false;
+        for service in &services {
+            is_due |= state.endpoints.turned_away(now, service, PIECES);
+            allowed.extend(state.endpoints.permits(now, service));
+        }
+        drop(state);
+        if is_due {
+            self.rate_news.notify_one();
+        }
+        allowed
+    }
+
+    /// Uses up the permit for a call of pieces.
+    pub(crate) fn call_sent(&self, endpoint: &EndpointEntry) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.endpoints.use_permit(now, endpoint, PIECES);
+    }
+}
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -11,7 +11,7 @@
                 attempt::StreamSource,
                 call::ForwardedCall,
                 guards::{AttemptGuard, RequestGuard},
-                outbound::{choose_endpoint, outbound_request},
+                outbound::outbound_request,
                 stages::run_stages,
             },
             rules::{
@@ -145,7 +145,11 @@
         why: &str,
     ) -> ResumeAttempt<D> {
         let (gateway, call, results) = (&self.gateway, &self.call, self.results.as_ref());
-        let Ok(choice) = choose_endpoint(gateway, call, &self.tried, results) else {
+        let choice = tokio::select! {
+            choice = gateway.choose_permitted(call, &self.tried, results) => choice,
+            () = sink.closed() => return ResumeAttempt::CallerLeft,
+        };
+        let Ok(choice) = choice else {
             return ResumeAttempt::NoEndpoint;
         };
         self.tried.push(choice.entry.id.clone());
--- a/lib/src/gateway/rules/eligibility.rs
+++ b/lib/src/gateway/rules/eligibility.rs
@@ -2,7 +2,7 @@
 //!
 //! Inputs: what the directory and operators say of the endpoint (leaving, evacuated), what it said
 //! itself (it answered as another one), where it stands and where the request may run, and how much of what
-//! it bears this daemon has used (connections, its share of a cold endpoint).
+//! it bears this daemon has used (connections, its share of a cold endpoint, its permits for one that names a rate).
 //!
 //! Rule: one reason against it is enough; the one that lasts longest is named. Health isn't among them:
 //! an endpoint that failed gets nothing as long as another one is available, which is a matter of
@@ -73,18 +73,21 @@
     Replaced,
     /// It is cold, and this daemon has sent it its share.
     Cold,
+    /// It names the rate that it takes, and this daemon has no permit to send it one more.
+    Limited,
     /// This daemon has as many requests in flight there as it may.
     Full,
 }
 
 impl Exclusion {
     /// All reasons, in the order in which they are named.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Draining,
         Self::Evacuated,
         Self::Away,
         Self::Replaced,
         Self::Cold,
+        Self::Limited,
         Self::Full,
     ];
 
@@ -96,6 +99,7 @@
             Self::Away => "away",
             Self::Replaced => "replaced",
             Self::Cold => "cold",
+            Self::Limited => "limited",
             Self::Full => "full",
         }
     }
@@ -133,6 +137,8 @@
     pub away: bool,
     /// It is cold, and this daemon has sent it its share.
     pub cold: bool,
+    /// It names the rate that it takes, and this daemon has no permit to send it one more.
+    pub limited: bool,
     /// This daemon has as many requests in flight there as it may.
     pub full: bool,
 }
@@ -143,6 +149,7 @@
         let reasons = [
             (self.away, Exclusion::Away),
             (self.cold, Exclusion::Cold),
+            (self.limited, Exclusion::Limited),
             (self.full, Exclusion::Full),
         ];
         self.standing.exclusion().or_else(|| first(&reasons))
--- a/lib/src/gateway/rules/endpoint_choice.rs
+++ b/lib/src/gateway/rules/endpoint_choice.rs
@@ -6,7 +6,7 @@
 //! (tokens), and the size of its inputs by data centre (bytes).
 //!
 //! **Rule.** Available candidates go first; the others are considered only where none is available. The
-//! candidate with the least expected time wins. For a plain call that is its usual time, more where
+//! candidate with the least expected time wins, but for one that is to be asked whether it still names a rate. For a plain call that is its usual time, more where
 //! calls have to queue. For a prompt it is the time to read what waits there and isn't cached, more for
 //! requests in flight, times the endpoint's pace. Both add the cost of inputs in another data centre.
 //!
@@ -91,6 +91,8 @@
     pub cold_share: ColdShare,
     /// Time for which an endpoint of the service is usually cold after its start.
     pub cold_start: Millis,
+    /// Urgency of the request; 0 goes first.
+    pub urgency: u32,
 }
 
 /// An endpoint that may get a request.
@@ -112,6 +114,8 @@
     pub pace: f64,
     /// Tokens of the prompt that it holds, as this daemon sent them; 0 without affinity.
     pub cached_tokens: u32,
+    /// It is to be asked whether it still names a rate.
+    pub look_due: bool,
 }
 
 /// The endpoint that was chosen, with what decided.
@@ -169,7 +173,10 @@
             estimate.time.0 += distance_cost(candidate, here, placement).0;
             (candidate, estimate)
         })
-        .min_by(|(_, a), (_, b)| a.time.0.total_cmp(&b.time.0))?;
+        .min_by(|(a, at_a), (b, at_b)| {
+            let by_look = b.look_due.cmp(&a.look_due);
+            by_look.then(at_a.time.0.total_cmp(&at_b.time.0))
+        })?;
     Some(EndpointChoice {
         entry: best.entry.clone(),
         expected: estimate.time,
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -19,6 +19,7 @@
 pub mod eligibility;
 pub mod endpoint_choice;
 pub mod endpoint_pace;
+pub mod endpoint_rate;
 pub mod engine_pace;
 pub mod gossip;
 pub mod homes;
--- a/lib/src/gateway/rules/retry_after.rs
+++ b/lib/src/gateway/rules/retry_after.rs
@@ -36,6 +36,9 @@
 const SHORTEST_AFTER_ATTEMPTS: Millis = Millis(100);
 const LONGEST_AFTER_ATTEMPTS: Millis = Millis(3_000);
 
+/// Longest wait for a permit: an endpoint in need may take more again meanwhile.
+const LONGEST_AFTER_PERMITS: Millis = Millis(10_000);
+
 /// Share of the allowed time down to which the expected time should fall before the caller comes
 /// back; chosen, not measured.
 const FREE_SHARE: f64 = 0.9;
@@ -58,6 +61,11 @@
         .clamp(SHORTEST_AFTER_ATTEMPTS, LONGEST_AFTER_ATTEMPTS)
 }
 
+/// Returns the wait of a caller whose request found no permit, where one is to be expected after `wait`.
+pub fn after_permits(wait: Millis) -> Millis {
+    wait.clamp(SHORTEST_AFTER_ATTEMPTS, LONGEST_AFTER_PERMITS)
+}
+
 /// Returns the wait after a request was refused because it was expected to take longer than allowed.
 pub fn after_admission(expected: WorkMillis, allowed: WorkMillis) -> Millis {
     let wait = (expected.0 - allowed.0 * FREE_SHARE)
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -11,7 +11,9 @@
             follow::follow,
             source::{Directory, Topic},
         },
-        peers::{catch_up, heartbeats, link_server, quarantine_news, receive, table_fetch},
+        peers::{
+            catch_up, heartbeats, link_server, quarantine_news, rate_news, receive, table_fetch,
+        },
         rules::shutdown::StopSchedule,
         serving::{
             ingress::{self, ListenerState},
@@ -124,6 +126,7 @@
             gateway.clone(),
             datagrams.clone(),
         ));
+        self.spawn(rate_news::run_rate_news(gateway.clone(), datagrams.clone()));
         self.spawn(receive::receive_datagrams(gateway.clone(), datagrams));
         self.spawn(link_server::serve_links(gateway.clone(), links));
         self.spawn(catch_up::run_list_fetch(gateway.clone()));
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -59,8 +59,13 @@
 fn start_calls<D: Dialect>(gateway: &Rc<Gateway<D>>) {
     gateway.refresh_planning();
     let now = gateway.now();
-    let calls = gateway.state.borrow_mut().planning.plan(now);
+    let allowed = gateway.allowed_calls();
+    let mut state = gateway.state.borrow_mut();
+    state.planning.allow(&allowed);
+    let calls = state.planning.plan(now);
+    drop(state);
     for ServiceCall { service, call } in calls {
+        gateway.call_sent(&call.entry);
         let firsts = call.pieces.len() - call.retries;
         gateway.metrics.call(firsts, call.retries);
         log_start(&call_name(gateway, &service, &call), &service, &call);
--- a/lib/src/gateway/stages/queues.rs
+++ b/lib/src/gateway/stages/queues.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         gateway::{
+            directory::catalogue::EndpointLife,
             hashes::service_hash,
             peers::message::QueueNote,
             request_digest::RequestDigest,
@@ -144,6 +145,19 @@
         (queue.jobs() > 0).then(|| queue.available_workers(now))
     }
 
+    /// Returns the services that have jobs here.
+    pub(crate) fn busy_services(&self) -> impl Iterator<Item = &ServiceId> {
+        let busy = self.queues.iter().filter(|(_, queue)| queue.jobs() > 0);
+        busy.map(|(id, _)| id)
+    }
+
+    /// Sets the calls that endpoints may get that name the rate that they take; others may get any.
+    pub(crate) fn allow(&mut self, calls: &HashMap<EndpointLife, usize>) {
+        for queue in self.queues.values_mut() {
+            queue.workers.allow(calls);
+        }
+    }
+
     /// Returns the number of jobs that haven't ended.
     pub fn jobs(&self) -> usize {
         self.jobs.len()
--- a/lib/src/gateway/stages/worker.rs
+++ b/lib/src/gateway/stages/worker.rs
@@ -35,6 +35,8 @@
     calls: usize,
     pace: KnownPace,
     avoid_until: Time,
+    /// Calls that it may get, where it names the rate that it takes.
+    allowed: Option<usize>,
     kept: HashMap<ResultHandle, KeptResult>,
     /// Room reserved for the results of calls in flight.
     reserved: ByteSize,
@@ -48,6 +50,7 @@
             calls: 0,
             pace: KnownPace::default(),
             avoid_until: Time::default(),
+            allowed: None,
             kept: HashMap::default(),
             reserved: ByteSize(0),
         }
@@ -64,7 +67,17 @@
 
     /// Returns whether a call may be planned for it, apart from its calls in flight.
     pub(crate) fn is_ready(&self, now: Time) -> bool {
-        self.open && self.avoid_until <= now
+        self.open && self.avoid_until <= now && self.allowed != Some(0)
+    }
+
+    /// Sets the calls that it may get, where it names the rate that it takes.
+    pub(crate) fn allow(&mut self, calls: Option<usize>) {
+        self.allowed = calls;
+    }
+
+    /// Returns whether it names the rate that it takes.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.allowed.is_some()
     }
 
     /// Returns the room for more results where `stated` is all the room that it has; drops results
@@ -77,6 +90,7 @@
 
     pub(crate) fn call_sent(&mut self, reserved: ByteSize) {
         self.calls += 1;
+        self.allowed = self.allowed.map(|calls| calls.saturating_sub(1));
         self.reserved.0 += reserved.0;
     }
 
--- a/lib/src/gateway/stages/workers.rs
+++ b/lib/src/gateway/stages/workers.rs
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Sets the calls that endpoints may get that name the rate that they take; others may get any.
+    pub(crate) fn allow(&mut self, calls: &HashMap<EndpointLife, usize>) {
+        for (life, worker) in &mut self.0 {
+            worker.allow(calls.get(life).copied());
+        }
+    }
+
     pub(crate) fn get_mut(&mut self, endpoint: &EndpointLife) -> Option<&mut Worker> {
         self.0.get_mut(endpoint)
     }
@@ -72,9 +79,13 @@
             .filter(|worker| worker.is_ready(now))
             .filter(|worker| !any_available || !worker.pace(now).is_slow())
             .collect();
+        // A permit that isn't used is lost, and its use shows whether the endpoint still names a rate.
         free.sort_by(|a, b| {
+            let by_permit = b.is_limited().cmp(&a.is_limited());
             let by_pace = a.pace(now).0.total_cmp(&b.pace(now).0);
-            by_pace.then_with(|| a.entry.id.cmp(&b.entry.id))
+            by_permit
+                .then(by_pace)
+                .then_with(|| a.entry.id.cmp(&b.entry.id))
         });
         free.iter()
             .map(|worker| FreeWorker {
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -206,6 +206,10 @@
     pub(crate) resumed: Notify,
     /// Wakes the loop that tells others under which requests endpoints ended.
     pub(crate) quarantine_news: Notify,
+    /// Wakes the loop that tells others of rates that endpoints name, and asks for permits.
+    pub(crate) rate_news: Notify,
+    /// Wakes the requests that wait for a permit.
+    pub(crate) permits: Notify,
     /// Random number that distinguishes this life of the process from others.
     pub run: u64,
     clock: Clock,
@@ -241,6 +245,8 @@
             announcement: Notify::new(),
             resumed: Notify::new(),
             quarantine_news: Notify::new(),
+            rate_news: Notify::new(),
+            permits: Notify::new(),
             run,
             clock: Clock::default(),
             dialect: PhantomData,
--- a/lib/tests/test_eligibility.rs
+++ b/lib/tests/test_eligibility.rs
@@ -66,6 +66,7 @@
         places,
         cold_share: one_a_second(),
         cold_start: COLD,
+        urgency: 0,
     }
 }
 
@@ -98,6 +99,7 @@
         standing: Standing::default(),
         away: false,
         cold: false,
+        limited: false,
         full: false,
     };
     assert_eq!(free.exclusion(), None);
--- /dev/null
+++ b/lib/tests/test_endpoint_rate.rs
@@ -0,0 +1,204 @@
+//! What a fleet sends to an endpoint that names the rate it takes, together, whatever daemons know of each other.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod rates;
+
+use {
+    hazelyoke_lib::{
+        gateway::rules::endpoint_rate::{
+            Claim, LEAST_RATE, Permit, Pool, Share, Tokens, kept_rate,
+        },
+        shared::units::{Millis, Rate, Time},
+    },
+    hazelyoke_testutils::draws::Draws,
+    rates::{Counted, Demand, Model, Plan, Trouble, TroubleKind, Way, allowed},
+    std::net::SocketAddr,
+};
+
+fn plan(daemons: usize, rate: f64, demand: Demand) -> Plan {
+    Plan {
+        way: Way::Permits,
+        daemons,
+        rate,
+        load: 60.0,
+        wait_ms: 0,
+        demand,
+        seconds: 30,
+        troubles: Vec::new(),
+        seed: 1,
+    }
+}
+
+fn run(plan: &Plan) -> Counted {
+    let counted = Model::new(plan.clone()).run();
+    println!("{plan:?}: {counted:?}");
+    counted
+}
+
+const DEMANDS: [Demand; 3] = [Demand::Even, Demand::AtOne, Demand::Moving];
+
+/// Fleets of any size keep to what the endpoint takes, and use most of it where nobody else can serve, wherever the
+/// callers are.
+#[test]
+fn only_endpoint() {
+    for daemons in [2, 6, 30, 300] {
+        for rate in [1.0, 6.0, 20.0] {
+            for demand in DEMANDS {
+                let plan = Plan {
+                    wait_ms: 50,
+                    ..plan(daemons, rate, demand)
+                };
+                let counted = run(&plan);
+                assert!(counted.most <= allowed(rate), "{plan:?} {counted:?}");
+                // A daemon that has just lost its callers gets permits for a moment more.
+                let least = if daemons <= 6 && demand != Demand::Moving {
+                    0.9
+                } else {
+                    0.7
+                };
+                assert!(counted.used >= least, "{plan:?} {counted:?}");
+            }
+        }
+    }
+}
+
+/// Where others serve in its place, nobody waits for a permit.
+#[test]
+fn others_serve() {
+    for daemons in [2, 6, 30, 300] {
+        for rate in [1.0, 6.0, 20.0] {
+            for demand in DEMANDS {
+                let plan = plan(daemons, rate, demand);
+                let counted = run(&plan);
+                assert!(counted.most <= allowed(rate), "{plan:?} {counted:?}");
+            }
+        }
+    }
+}
+
+/// Even shares, as cold endpoints get them, keep to it as well, but a daemon that has all the callers uses its own share
+/// alone.
+#[test]
+fn even_shares_compared() {
+    for daemons in [6, 30, 300] {
+        for rate in [1.0, 6.0, 20.0] {
+            for demand in DEMANDS {
+                let plan = Plan {
+                    way: Way::EvenShares,
+                    wait_ms: 50,
+                    ..plan(daemons, rate, demand)
+                };
+                let counted = run(&plan);
+                assert!(counted.most <= allowed(rate), "{plan:?} {counted:?}");
+                if demand == Demand::AtOne {
+                    assert!(counted.used < 0.25, "{plan:?} {counted:?}");
+                }
+            }
+        }
+    }
+}
+
+const KINDS: [TroubleKind; 5] = [
+    TroubleKind::Mute,
+    TroubleKind::Deaf,
+    TroubleKind::Still,
+    TroubleKind::Believes,
+    TroubleKind::Restart,
+];
+
+/// Daemons that are cut off one way, stand still, start anew, or take themselves for the coordinator, the coordinator
+/// among them: the bound holds in any window. All are counted, also those in trouble.
+#[test]
+fn drawn_troubles() {
+    for seed in 0..200 {
+        let mut draws = Draws::new(seed);
+        let daemons = *draws.pick(&[2, 6, 30]);
+        let rate = *draws.pick(&[0.0, 0.4, 1.0, 1.1, 6.0, 20.0]);
+        let demand = *draws.pick(&[Demand::Even, Demand::AtOne, Demand::Moving]);
+        let troubles = (0..draws.below(8)).map(|_| {
+            let start = draws.below(20_000);
+            let length = *draws.pick(&[300, 1_000, 3_000, 8_000]);
+            Trouble {
+                daemon: draws.below(daemons as u64) as usize,
+                time: start..start + length,
+                kind: *draws.pick(&KINDS),
+            }
+        });
+        let plan = Plan {
+            troubles: troubles.collect(),
+            load: *draws.pick(&[5.0, 60.0, 300.0]),
+            seed,
+            ..plan(daemons, rate, demand)
+        };
+        let counted = run(&plan);
+        assert!(counted.most <= allowed(rate), "{plan:?} {counted:?}");
+    }
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+const NOW: Time = Time(5_000_000);
+const RATE: Rate = Rate(2.0);
+
+/// The most urgent daemon goes first; of equal ones, the one that has waited longest for a permit.
+#[test]
+fn order_of_claims() {
+    let mut pool = Pool::default();
+    pool.deposit(NOW, Rate(20.0), Tokens(4.0));
+    pool.claim(NOW, address(1), Claim(5));
+    pool.claim(NOW, address(2), Claim(1));
+    pool.claim(NOW, address(3), Claim(5));
+    let order: Vec<SocketAddr> = (0..4).filter_map(|_| pool.grant(NOW)).collect();
+    assert_eq!(order, [2, 1, 3].map(address));
+    pool.claim(NOW, address(3), Claim(5));
+    pool.claim(NOW, address(4), Claim(5));
+    assert_eq!(pool.grant(NOW), Some(address(4)));
+    assert_eq!(pool.grant(NOW), None);
+}
+
+/// What isn't used is lost, so that nothing is saved up for later.
+#[test]
+fn nothing_saved_up() {
+    let mut pool = Pool::default();
+    pool.deposit(NOW, RATE, Tokens(50.0));
+    pool.claim(NOW, address(1), Claim(0));
+    assert_eq!(pool.grant(NOW), Some(address(1)));
+    pool.claim(NOW, address(1), Claim(0));
+    assert_eq!(pool.grant(NOW), None);
+    let mut share = Share::new(NOW);
+    share.count(NOW + Millis(60_000), RATE, 4);
+    assert_eq!(share.take(), Tokens(0.5));
+    assert_eq!(share.take(), Tokens(0.0));
+    let permit = Permit::new(NOW, RATE, Claim(0));
+    assert!(permit.is_valid(NOW + Millis(1_999)));
+    assert!(!permit.is_valid(NOW + Millis(2_000)));
+}
+
+/// A permit is kept for the urgent for a moment, and serves anybody after that.
+#[test]
+fn kept_for_urgent() {
+    let permit = Permit::new(NOW, RATE, Claim(3));
+    assert!(permit.serves(NOW, 3) && permit.serves(NOW, 0));
+    assert!(!permit.serves(NOW, 4));
+    assert!(permit.serves(NOW + Millis(300), 4));
+}
+
+/// An endpoint that takes nothing is asked now and then all the same.
+#[test]
+fn least_rate() {
+    assert_eq!(kept_rate(Rate(0.0)), LEAST_RATE);
+    assert_eq!(kept_rate(RATE), RATE);
+}
+
+/// The wait grows with those that go first, not with those that are less urgent.
+#[test]
+fn wait_for_permit() {
+    let mut pool = Pool::default();
+    pool.claim(NOW, address(1), Claim(5));
+    pool.claim(NOW, address(2), Claim(1));
+    assert_eq!(pool.wait(NOW, RATE, address(1)), Millis(1_000));
+    assert_eq!(pool.wait(NOW, RATE, address(2)), Millis(500));
+}
--- a/lib/tests/test_fleet_choice.rs
+++ b/lib/tests/test_fleet_choice.rs
@@ -70,6 +70,7 @@
         places: &Places::Anywhere,
         cold_share: ColdShare::Unlimited,
         cold_start: Millis(0),
+        urgency: 0,
     }
 }
 
--- a/lib/tests/test_fleet_pins.rs
+++ b/lib/tests/test_fleet_pins.rs
@@ -149,6 +149,7 @@
             places: &Places::Anywhere,
             cold_share: ColdShare::Unlimited,
             cold_start: Millis(0),
+            urgency: 0,
         };
         let service = "s".parse().unwrap();
         let choice = self
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -16,10 +16,11 @@
             peers::message::{
                 BacklogNote, Datagram, Frame, Heartbeat, JobOrder, LinkReply, LinkRequest,
                 LoadDigest, LoadNote, PROTOCOL, PeerNote, Phase, QuarantineReport, QueueNote,
-                Roster, WorkNote, decode, encode,
+                RateReport, Roster, WorkNote, decode, encode,
             },
             quarantine::note::{EndedNote, EvidenceNote},
-            rules::backlog::Backlog,
+            rates::note::{PermitNote, RateNote},
+            rules::{backlog::Backlog, endpoint_rate::Claim},
             stages::job::{JobEnd, PieceInput, ResultHandle},
             table_parts::{PartHash, PartList, PartMark},
         },
@@ -280,6 +281,45 @@
     insta::assert_snapshot!(lines.0);
 }
 
+/// Rates that endpoints name, which the release before doesn't know: it ignores the datagram.
+#[test]
+fn rate_bytes() {
+    let mut lines = Lines::default();
+    let claim = RateNote {
+        endpoint: LifeHash(u32::MAX),
+        rate_milli: Some(1_100),
+        age_ms: 70_000,
+        share_micro: 183_333,
+        claim: Some(Claim(3)),
+    };
+    let ended = RateNote {
+        endpoint: LifeHash(7),
+        rate_milli: None,
+        age_ms: 12,
+        share_micro: 0,
+        claim: None,
+    };
+    let report = RateReport {
+        protocol: PROTOCOL,
+        address: "10.1.2.3:7001".parse().unwrap(),
+        notes: vec![claim, ended],
+        permits: Vec::new(),
+    };
+    lines.add("rates", &Datagram::Rates(report.clone()));
+    let permit = PermitNote {
+        endpoint: LifeHash(7),
+        permits: 1,
+        wait_ms: 909,
+    };
+    let report = RateReport {
+        notes: Vec::new(),
+        permits: vec![permit],
+        ..report
+    };
+    lines.add("permits", &Datagram::Rates(report));
+    insta::assert_snapshot!(lines.0);
+}
+
 /// Tables in parts, which the release before doesn't know: nobody sends them to a daemon whose heartbeats
 /// lack the table's revision.
 #[test]
