directory: older news of endpoints brings no removed one back

A request reached an endpoint 3.9 s after its end had been taken by the directory, of 3 s allowed: a daemon had applied the removal at revision 163, and a whole list as of 149 that was on its way from another daemon brought the endpoint back. It went on stating 163, so that whoever asked it got a list as of 163 with what was gone, and no later change corrected anybody.

A daemon that has applied all changes up to a revision knows that an entry written before it, which it doesn't have, was removed since: such an entry adds nothing, from an older list and from changes that were asked for before. A list that is no older holds as before.

The endpoints of requests take what the catalogue holds, where they took the list before it.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -92,22 +92,19 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let is_outage = state.is_outage(now);
-        for entry in &list {
-            let known = state.catalogue.get(&entry.id);
-            if known.is_none_or(|known| entry.supersedes(known)) {
-                state.endpoints.upsert(now, Arc::new(entry.clone()));
-            }
-        }
         let entries = list.len();
         let changes = state.catalogue.replace(now, revision, list, is_outage);
         let is_first = !state.has_list;
+        let GatewayState {
+            catalogue,
+            endpoints,
+            ..
+        } = &mut *state;
+        for entry in catalogue.entries() {
+            endpoints.upsert(now, entry.clone());
+        }
         if is_first {
             // Of a list that was begun and not read to its end, some may be gone since.
-            let GatewayState {
-                catalogue,
-                endpoints,
-                ..
-            } = &mut *state;
             endpoints.retain(|id| catalogue.get(id).is_some());
         }
         state.has_list = true;
--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -205,8 +205,21 @@
         self.suspects.len()
     }
 
-    /// Applies a new or changed entry; an older one than the known one changes nothing.
+    /// Applies a new or changed entry; one that is older than what is known changes nothing.
     pub fn upsert(&mut self, entry: EndpointEntry) -> Option<EndpointChange> {
+        if self.is_removed(&entry) {
+            return None;
+        }
+        self.apply(entry)
+    }
+
+    /// Returns whether an entry was removed after it was written: all changes up to a revision were applied, and it
+    /// isn't there. Without it, news on its way from another daemon brings removed endpoints back.
+    fn is_removed(&self, entry: &EndpointEntry) -> bool {
+        entry.revision <= self.revision && !self.entries.contains_key(&entry.id)
+    }
+
+    fn apply(&mut self, entry: EndpointEntry) -> Option<EndpointChange> {
         let old = self.entries.get(&entry.id).cloned();
         if old.as_ref().is_none_or(|old| old.revision < entry.revision) {
             self.log.record(entry.revision, &entry.id);
@@ -262,7 +275,7 @@
     }
 
     /// Applies a whole list as of `revision`: entries that it lacks have vanished, unless they are newer
-    /// than the list.
+    /// than the list. One that is older than what is known adds no endpoint that was removed since.
     pub fn replace(
         &mut self,
         now: Time,
@@ -277,10 +290,13 @@
             .filter(|entry| !listed.contains(&entry.id) && entry.revision <= revision)
             .map(|entry| entry.id.clone())
             .collect();
-        let mut changes: Vec<EndpointChange> = list
-            .into_iter()
-            .filter_map(|entry| self.upsert(entry))
-            .collect();
+        let is_older = revision < self.revision;
+        let mut changes = Vec::new();
+        for entry in list {
+            if !(is_older && self.is_removed(&entry)) {
+                changes.extend(self.apply(entry));
+            }
+        }
         changes.extend(
             missing
                 .iter()
