directory: a daemon that lists again is asked for changes, not for its whole list

Daemons whose links had been reset fetched whole lists of 145 endpoints from each other within 0.2 s although they had one, most without a change, and one of these came too late. Two causes: a whole list counted as a change as of its revision, so that everybody took the daemon that had listed again for ahead; and its log started over, so that it answered with everything.

A list is a change only by what it changes, and these go into the log; of revisions between what was known and the list, some changes may be missing, and only who asks from there gets the whole list. What a daemon asks from is the revision up to which it has applied all changes, also those that weren't of endpoints.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -146,7 +146,7 @@
     pub fn known_revision(&self, topic: Topic) -> u64 {
         match topic {
             Topic::Operator => self.state.borrow().operator_until(),
-            Topic::Endpoints => self.state.borrow().catalogue.changed(),
+            Topic::Endpoints => self.state.borrow().catalogue.revision(),
         }
     }
 
--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -163,7 +163,8 @@
         self.revision
     }
 
-    /// Returns the revision of the last change of an endpoint.
+    /// Returns the revision of the last change of an endpoint, which others are told: a list that only counts as newer
+    /// would be fetched by everybody.
     pub fn changed(&self) -> u64 {
         self.log.last()
     }
@@ -297,13 +298,16 @@
                 changes.extend(self.apply(entry));
             }
         }
-        changes.extend(
-            missing
-                .iter()
-                .filter_map(|id| self.vanish(now, id, is_outage)),
-        );
+        for id in &missing {
+            self.log.record(revision, id);
+            changes.extend(self.vanish(now, id, is_outage));
+        }
+        if self.log.is_unstarted() {
+            self.log.start(revision);
+        } else {
+            self.log.skip(self.revision, revision);
+        }
         self.advance_to(revision);
-        self.log.restart(revision);
         changes
     }
 
--- a/lib/src/gateway/directory/change_log.rs
+++ b/lib/src/gateway/directory/change_log.rs
@@ -1,6 +1,6 @@
 //! The last changes of the list of endpoints, for daemons that ask for what they lack.
 //!
-//! Owns the order of changes and the revision after which none is missing.
+//! Owns the order of changes, and the spans of revisions of which some may be missing.
 
 use {crate::shared::ids::EndpointId, foldhash::HashMap, std::collections::VecDeque};
 
@@ -15,6 +15,17 @@
     id: EndpointId,
 }
 
+/// Most spans that are remembered; what is before the oldest one is forgotten.
+const GAPS_KEPT: usize = 16;
+
+/// Revisions between which changes may be missing: one that knows the list as of a revision inside may have seen an
+/// endpoint that came and went unseen here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Gap {
+    from: u64,
+    to: u64,
+}
+
 /// Changes in the order in which they were recorded.
 #[derive(Debug, Clone)]
 pub(crate) struct ChangeLog {
@@ -23,6 +34,7 @@
     last: u64,
     /// Revision after which no change is missing; the largest number before the first list.
     complete_from: u64,
+    gaps: VecDeque<Gap>,
 }
 
 impl Default for ChangeLog {
@@ -31,6 +43,7 @@
             changes: VecDeque::new(),
             last: 0,
             complete_from: u64::MAX,
+            gaps: VecDeque::new(),
         }
     }
 }
@@ -55,18 +68,39 @@
         }
     }
 
-    /// Starts over from a whole list. The revisions at which the entries that it lacks vanished aren't
-    /// known, so that only later changes are.
-    pub(crate) fn restart(&mut self, revision: u64) {
-        self.last = self.last.max(revision);
-        self.changes.clear();
-        self.complete_from = self.last;
+    /// Starts from the first whole list, as of `revision`. The revisions at which entries vanished before aren't known,
+    /// so that only later changes are.
+    pub(crate) fn start(&mut self, revision: u64) {
+        self.complete_from = revision;
+    }
+
+    /// Returns whether there was no whole list yet.
+    pub(crate) fn is_unstarted(&self) -> bool {
+        self.complete_from == u64::MAX
+    }
+
+    /// Records that a whole list brought the changes between two revisions.
+    pub(crate) fn skip(&mut self, from: u64, to: u64) {
+        if to <= from + 1 {
+            return;
+        }
+        self.gaps.push_back(Gap { from, to });
+        if self.gaps.len() > GAPS_KEPT
+            && let Some(forgotten) = self.gaps.pop_front()
+        {
+            self.complete_from = self.complete_from.max(forgotten.to);
+        }
+    }
+
+    fn is_in_gap(&self, revision: u64) -> bool {
+        let mut gaps = self.gaps.iter();
+        gaps.any(|gap| gap.from < revision && revision < gap.to)
     }
 
     /// Returns the revision of the last change of each endpoint that changed after `revision`;
-    /// nothing if changes since then were forgotten.
+    /// nothing if changes since then may be missing.
     pub(crate) fn since(&self, revision: u64) -> Option<HashMap<&EndpointId, u64>> {
-        if revision < self.complete_from {
+        if revision < self.complete_from || self.is_in_gap(revision) {
             return None;
         }
         let later = self
--- a/lib/src/gateway/peers/catch_up.rs
+++ b/lib/src/gateway/peers/catch_up.rs
@@ -45,8 +45,8 @@
 fn note_behind<D: Dialect>(gateway: &Gateway<D>) {
     let now = gateway.now();
     let mut state = gateway.state.borrow_mut();
-    let changed = state.catalogue.changed();
-    let newer = state.peers.newer_catalogue(changed).is_some();
+    let known = state.catalogue.revision();
+    let newer = state.peers.newer_catalogue(known).is_some();
     state.behind_since.list = catch_up::behind_since(now, state.behind_since.list, newer);
 }
 
@@ -84,7 +84,7 @@
         answered: state.contact.reads.answered.unwrap_or_default(),
         wait: gateway.settings().bounds.directory_wait(),
     };
-    let known = state.has_list.then(|| state.catalogue.changed());
+    let known = state.has_list.then(|| state.catalogue.revision());
     let fetch = catch_up::list_fetch(now, known, reading)?;
     let peer = match fetch {
         ListFetch::Whole => state.peers.any_catalogue(rand::random()),
--- a/lib/tests/test_list_order.rs
+++ b/lib/tests/test_list_order.rs
@@ -244,7 +244,8 @@
                 4 => late_lists.push(directory.list()),
                 5 => late_lists.push(daemons[one].list()),
                 6 => {
-                    let known = daemons[one].catalogue.changed();
+                    let catalogue = &daemons[one].catalogue;
+                    let known = *draws.pick(&[catalogue.changed(), catalogue.revision()]);
                     if daemons[other].catalogue.changed() <= known {
                         continue;
                     }
