--- a/bench/src/experiment/mod.rs
+++ b/bench/src/experiment/mod.rs
@@ -80,7 +80,7 @@
     /// Load of an experiment that names none.
     pub const CAPACITY: Self = Self(1.0);
 
-    /// Largest multiple accepted; chosen, not measured: far more than loopback can carry.
+    /// Largest multiple accepted: far more than loopback can carry.
     const MAX: f64 = 100.0;
 
     const EXPECTED: &'static str = "a multiple of the capacity from 0 to 100";
--- a/bench/src/experiment/reader.rs
+++ b/bench/src/experiment/reader.rs
@@ -24,13 +24,13 @@
     std::{fmt::Display, str::FromStr},
 };
 
-/// Daemons of an experiment that names no number; chosen, not measured.
+/// Daemons of an experiment that names no number.
 const DAEMONS: Count = Count(6);
 
 /// Seed of an experiment that names none.
 const SEED: u64 = 1;
 
-/// Factor of a slow endpoint whose fault names none; chosen, not measured.
+/// Factor of a slow endpoint whose fault names none.
 const SLOWNESS: f64 = 10.0;
 
 /// Reads the experiments of a file: one, or one for each of its cases.
--- a/bench/src/installation.rs
+++ b/bench/src/installation.rs
@@ -30,16 +30,16 @@
     tokio::net::TcpListener,
 };
 
-/// Time between two readings of the tree's root value; chosen, not measured.
+/// Time between two readings of the tree's root value.
 const POLL: Millis = Millis(500);
 
-/// Network time that daemons count for a call; chosen, not measured: an upper bound on loopback.
+/// Network time that daemons count for a call: an upper bound on loopback.
 const HOP: Millis = Millis(1);
 
-/// Time between two load reports of an endpoint; chosen, not measured.
+/// Time between two load reports of an endpoint.
 const LOAD_INTERVAL: Millis = Millis(100);
 
-/// Limits of the callers' interface; chosen, not measured, so that no experiment meets them.
+/// Limits of the callers' interface: so that no experiment meets them.
 const LIMITS: ApiLimits = ApiLimits {
     requests: Count(5_000),
     headers: ByteSize(16 << 10),
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -22,10 +22,10 @@
     },
 };
 
-/// Least rate of requests; chosen, not measured, so that a run at no load ends.
+/// Least rate of requests: so that a run at no load ends.
 const MIN_RATE: Rate = Rate(0.1);
 
-/// Places between the most likely shared context and the one half as likely; chosen, not measured.
+/// Places between the most likely shared context and the one half as likely.
 const CONTEXT_SKEW: u32 = 4;
 
 /// An outcome with the time at which its request was due.
--- a/bench/src/model.rs
+++ b/bench/src/model.rs
@@ -15,22 +15,22 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Factor from a service's floor to the usual time of a call; chosen, not measured.
+/// Factor from a service's floor to the usual time of a call.
 const USUAL: f64 = 3.0;
 
-/// Factor from an engine's floor to the time of a generation alone on it; chosen, not measured.
+/// Factor from an engine's floor to the time of a generation alone on it.
 const ALONE: f64 = 2.0;
 
-/// Share by which a full batch slows each sequence down; chosen, not measured.
+/// Share by which a full batch slows each sequence down.
 const BATCH_COST: f64 = 0.5;
 
-/// Time of an engine's prefill for one byte; chosen, not measured.
+/// Time of an engine's prefill for one byte.
 const PREFILL_BYTE: Duration = Duration::from_micros(25);
 
-/// Blocks that an engine's prefix cache holds; chosen, not measured.
+/// Blocks that an engine's prefix cache holds.
 const CACHE_BLOCKS: usize = 400;
 
-/// Bytes of an engine's usual input, for its capacity; chosen, not measured.
+/// Bytes of an engine's usual input, for its capacity.
 const INPUT_BYTES: u32 = 30;
 
 /// Model of a plain service's endpoint.
--- a/bench/src/runner.rs
+++ b/bench/src/runner.rs
@@ -20,12 +20,10 @@
     },
 };
 
-/// Longest wait for the last answers after the load has ended; chosen, not measured: longer than
-/// any deadline of the tree.
+/// Longest wait for the last answers after the load has ended: longer than any deadline of the tree.
 const DRAIN: Duration = Duration::from_secs(30);
 
-/// Pause after the last answer, so that endpoints finish work whose caller has left; chosen, not
-/// measured.
+/// Pause after the last answer, so that endpoints finish work whose caller has left.
 const SETTLE: Duration = Duration::from_millis(300);
 
 /// Time between two reports of progress.
--- a/bench/src/tally.rs
+++ b/bench/src/tally.rs
@@ -6,10 +6,10 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Longest latency recorded, in microseconds; chosen, not measured: longer than any deadline.
+/// Longest latency recorded, in microseconds: longer than any deadline.
 const MAX_MICROS: u64 = 120_000_000;
 
-/// Decimal digits of a latency that are kept; chosen, not measured.
+/// Decimal digits of a latency that are kept.
 const DIGITS: u8 = 3;
 
 /// Counts of one group of requests.
--- a/daemon/src/log_lines.rs
+++ b/daemon/src/log_lines.rs
@@ -19,10 +19,10 @@
     tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard},
 };
 
-/// Lines that may wait for the writer. Chosen, not measured.
+/// Lines that may wait for the writer.
 const QUEUE: usize = 16_384;
 
-/// Bytes of most lines. Chosen, not measured.
+/// Bytes of most lines.
 const USUAL_LINE: usize = 256;
 
 /// Factor that keeps one digit of a number after the point.
--- a/lib/src/gateway/directory/change_log.rs
+++ b/lib/src/gateway/directory/change_log.rs
@@ -4,7 +4,7 @@
 
 use {crate::shared::ids::EndpointId, foldhash::HashMap, std::collections::VecDeque};
 
-/// Most changes that are remembered. Chosen, not measured.
+/// Most changes that are remembered.
 const CHANGES_KEPT: usize = 512;
 
 /// One change of an endpoint's entry.
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -26,8 +26,8 @@
 /// Name of the directory as a source in the log.
 const SOURCE: &str = "directory";
 
-/// Longest part of a refused entry's name, or of the reason, that is logged, in characters. Chosen, not
-/// measured: an entry may be as large as the directory allows.
+/// Longest part of a refused entry's name, or of the reason, that is logged, in characters. An entry may be as large as
+/// the directory allows.
 const LOGGED: usize = 200;
 
 /// Follows one topic for good.
--- a/lib/src/gateway/directory/refused_entries.rs
+++ b/lib/src/gateway/directory/refused_entries.rs
@@ -5,7 +5,7 @@
 
 use foldhash::HashMap;
 
-/// Most entries that are remembered; beyond them, some are logged again. Chosen, not measured.
+/// Most entries that are remembered; beyond them, some are logged again.
 const REMEMBERED: usize = 1_000;
 
 /// Entries that couldn't be read, with the revision of each.
--- a/lib/src/gateway/peers/link_socket.rs
+++ b/lib/src/gateway/peers/link_socket.rs
@@ -13,37 +13,33 @@
     },
 };
 
-/// Longest time to connect, and again to upgrade the connection, at the first try: chosen, not measured.
+/// Longest time to connect, and again to upgrade the connection, at the first try.
 pub(crate) const LINK_LIMIT: Duration = Duration::from_millis(300);
 
-/// The same at the second and last try. A daemon to which hundreds open links at once is slow to answer, and
-/// lives: with one try, each of 295 daemons took its coordinator for lost in the first second after they had
-/// started together, 749 times in all (one play). Chosen, not measured; a daemon that is really lost is
-/// noticed by its heartbeats, which ends the link.
+/// The same at the second and last try. A daemon to which hundreds open links at once is slow to answer, and lives:
+/// with one try, each of 295 daemons took its coordinator for lost in the first second after they had started together,
+/// 749 times in all (one play). A daemon that is really lost is noticed by its heartbeats, which ends the link.
 pub(crate) const PATIENT_LIMIT: Duration = Duration::from_millis(900);
 
-/// Longest pause between the two tries, of which a random part is waited. Chosen, not measured.
+/// Longest pause between the two tries, of which a random part is waited.
 pub(crate) const LINK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest time for a table or a list, and for the other end to accept a message: chosen, not
-/// measured.
+/// Longest time for a table or a list, and for the other end to accept a message.
 pub(crate) const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// Time between two pings on a link where a reply is awaited, and on one that rests: chosen, not
-/// measured. Two of the first fit into [`LINK_SILENCE`].
+/// Time between two pings on a link where a reply is awaited, and on one that rests. Two of the first fit into
+/// [`LINK_SILENCE`].
 pub(crate) const PING_WAITING: Duration = Duration::from_millis(400);
 pub(crate) const PING_RESTING: Duration = Duration::from_secs(2);
 
-/// Time after a ping in which the other end has to send something, so that a connection that has gone
-/// silent without a reset isn't waited on: chosen, not measured, as long as a daemon that sends heartbeats
-/// to all may be silent.
+/// Time after a ping in which the other end has to send something, so that a connection that has gone silent without a
+/// reset isn't waited on: as long as a daemon that sends heartbeats to all may be silent.
 pub(crate) const LINK_SILENCE: Duration = Duration::from_millis(1_000);
 
-/// Silence after which a link that was pinged before is closed by the end that replies: chosen, not
-/// measured, some pings.
+/// Silence after which a link that was pinged before is closed by the end that replies: some pings.
 pub(crate) const PING_MISSING: Duration = Duration::from_secs(10);
 
-/// Messages that may wait on one link before it counts as stuck: chosen, not measured.
+/// Messages that may wait on one link before it counts as stuck.
 pub(crate) const QUEUE: usize = 1_024;
 
 /// A link over one TCP connection.
--- a/lib/src/gateway/peers/load_sums.rs
+++ b/lib/src/gateway/peers/load_sums.rs
@@ -10,8 +10,7 @@
     foldhash::HashMap,
 };
 
-/// Time after which a sum is stale; a coordinator sends one with every heartbeat. Chosen, not
-/// measured.
+/// Time after which a sum is stale; a coordinator sends one with every heartbeat.
 const STALE: Millis = Millis(1_500);
 
 /// Sums of loads by endpoint, as coordinators sent them.
--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -36,12 +36,10 @@
 /// Version of these messages; a daemon ignores all others.
 pub const PROTOCOL: u16 = 2;
 
-/// Largest message accepted on a link, in bytes: chosen, not measured, well above a table or a
-/// list.
+/// Largest message accepted on a link, in bytes: well above a table or a list.
 pub const MAX_MESSAGE: usize = 8 << 20;
 
-/// Capacity reserved for a message before it is encoded, in bytes: chosen, not measured, about the
-/// size of a heartbeat.
+/// Capacity reserved for a message before it is encoded, in bytes: about the size of a heartbeat.
 const CAPACITY: usize = 512;
 
 /// Reports bytes that aren't a message.
--- a/lib/src/gateway/peers/part_batches.rs
+++ b/lib/src/gateway/peers/part_batches.rs
@@ -13,8 +13,8 @@
     std::collections::VecDeque,
 };
 
-/// Batches that are kept. Daemons that had the same table ask for the same batches one after the
-/// other; a table of the largest size has eight. Chosen, not measured.
+/// Batches that are kept. Daemons that had the same table ask for the same batches one after the other; a table of the
+/// largest size has eight.
 const BATCHES_KEPT: usize = 8;
 
 /// A compressed batch, and the parts that it holds.
--- a/lib/src/gateway/peers/quarantine_news.rs
+++ b/lib/src/gateway/peers/quarantine_news.rs
@@ -31,7 +31,6 @@
 const DATAGRAM_NOTES: usize = 16;
 
 /// Time for which news is gathered before it is sent, since all requests of an endpoint that ends break off together.
-/// Chosen, not measured.
 const NEWS_DELAY: Millis = Millis(5);
 
 /// Tells others what is new, for good.
--- a/lib/src/gateway/peers/sockets.rs
+++ b/lib/src/gateway/peers/sockets.rs
@@ -6,10 +6,10 @@
     tokio::net::{TcpListener, UdpSocket},
 };
 
-/// Largest datagram accepted, in bytes: chosen, not measured, well above the largest that is sent.
+/// Largest datagram accepted, in bytes: well above the largest that is sent.
 pub(crate) const DATAGRAM: usize = 16 * 1024;
 
-/// Ports that are tried where the system chooses one: chosen, not measured.
+/// Ports that are tried where the system chooses one.
 const PORT_TRIES: u32 = 16;
 
 /// Opens the sockets for other daemons, both at the same port.
--- a/lib/src/gateway/quarantine/evidence.rs
+++ b/lib/src/gateway/quarantine/evidence.rs
@@ -10,8 +10,8 @@
     shared::units::{Millis, Time},
 };
 
-/// Difference between two reports of one good end, at most: each hop between daemons makes it look a little later,
-/// and would renew it for good without this. Chosen, not measured: well above the time of a datagram.
+/// Difference between two reports of one good end, at most: each hop between daemons makes it look a little later, and
+/// would renew it for good without this. Well above the time of a datagram.
 const SAME_END: Millis = Millis(1_000);
 
 /// An endpoint that ended while it ran the request.
--- a/lib/src/gateway/quarantine/served.rs
+++ b/lib/src/gateway/quarantine/served.rs
@@ -8,8 +8,7 @@
     std::collections::VecDeque,
 };
 
-/// Good ends that a daemon remembers (a count). Chosen, not measured: a quarter of a megabyte, and some minutes at
-/// 20 requests a second.
+/// Good ends that a daemon remembers (a count). A quarter of a megabyte, and some minutes at 20 requests a second.
 const SERVED: usize = 4_096;
 
 /// The last good ends.
--- a/lib/src/gateway/quarantine/store.rs
+++ b/lib/src/gateway/quarantine/store.rs
@@ -22,16 +22,15 @@
     std::cmp::Reverse,
 };
 
-/// Requests of which evidence is kept (a count). Chosen, not measured: an endpoint that ends leaves one record for each
-/// request that ran there, some tens.
+/// Requests of which evidence is kept (a count). An endpoint that ends leaves one record for each request that ran
+/// there, some tens.
 const RECORDS: usize = 2_048;
 
-/// Refused requests that daemons tell all others of (a count), the latest ones: four datagrams of 1.2 KB. Chosen, not
-/// measured.
+/// Refused requests that daemons tell all others of (a count), the latest ones: four datagrams of 1.2 KB.
 const IN_FORCE: usize = 64;
 
-/// Time for which all are told that a request isn't refused any more, since it was served. Chosen, not measured:
-/// some rounds of gossip among hundreds of daemons.
+/// Time for which all are told that a request isn't refused any more, since it was served. Some rounds of gossip among
+/// hundreds of daemons.
 const CLEARED_TOLD: Millis = Millis(10_000);
 
 /// Returns a time of the daemon's clock on the one of this module.
--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -33,7 +33,7 @@
     thiserror::Error,
 };
 
-/// Largest reply that is read whole before it is passed on, in bytes; chosen, not measured.
+/// Largest reply that is read whole before it is passed on, in bytes.
 const WHOLE_REPLY: usize = 8 << 20;
 
 /// An attempt that is ready to be sent.
--- a/lib/src/gateway/routing/endpoint_check.rs
+++ b/lib/src/gateway/routing/endpoint_check.rs
@@ -15,11 +15,11 @@
     std::{rc::Rc, sync::Arc, time::Duration},
 };
 
-/// Time to the first look whether an endpoint that ended is back; each later one comes after twice the time. Chosen,
-/// not measured: an entry stands for 3.6 s where endpoints write it each 1.2 s, which makes three looks.
+/// Time to the first look whether an endpoint that ended is back; each later one comes after twice the time. An entry
+/// stands for 3.6 s where endpoints write it each 1.2 s, which makes three looks.
 const FIRST_LOOK: Duration = Duration::from_millis(400);
 
-/// Longest time between two looks. Chosen, not measured.
+/// Longest time between two looks.
 const LONGEST_LOOK: Duration = Duration::from_millis(1_600);
 
 impl<D: Dialect> Gateway<D> {
--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -23,7 +23,7 @@
     tokio::sync::mpsc,
 };
 
-/// Chunks of a stream that may wait for its reader; chosen, not measured.
+/// Chunks of a stream that may wait for its reader.
 const QUEUE: usize = 8;
 
 struct StreamRelay<D: Dialect> {
--- a/lib/src/gateway/routing/sent_parts.rs
+++ b/lib/src/gateway/routing/sent_parts.rs
@@ -8,11 +8,11 @@
     foldhash::HashMap,
 };
 
-/// Time for which a part is believed to stay cached where it was sent. Chosen, not measured.
+/// Time for which a part is believed to stay cached where it was sent.
 const LIFETIME: Millis = Millis(20_000);
 
-/// Most parts remembered for one endpoint; beyond them all are forgotten. At 16 bytes a part this bounds
-/// the memory of an endpoint at about 100 KB. Chosen, not measured.
+/// Most parts remembered for one endpoint; beyond them all are forgotten. At 16 bytes a part this bounds the memory of
+/// an endpoint at about 100 KB.
 const MOST_PARTS: usize = 4_096;
 
 /// Parts of prompts that were sent to one endpoint, with the time of the last sending.
--- a/lib/src/gateway/rules/admission.rs
+++ b/lib/src/gateway/rules/admission.rs
@@ -20,7 +20,7 @@
     shared::units::{Millis, WorkMillis},
 };
 
-/// Time that a request needs beside its stages and its prompt (chosen, not measured).
+/// Time that a request needs beside its stages and its prompt.
 const OWN: WorkMillis = WorkMillis(80.0);
 
 /// Most of a request's own time that counts against its admission ("a long prompt counts for 200 ms
@@ -28,10 +28,10 @@
 /// it for its length alone would starve its kind.
 const MOST_OWN: WorkMillis = WorkMillis(200.0);
 
-/// Part of a service's full throughput that is reached (a share; chosen, not measured).
+/// Part of a service's full throughput that is reached (a share).
 const EFFICIENCY: f64 = 0.85;
 
-/// Time for which results are kept beyond the call that computed them (chosen, not measured).
+/// Time for which results are kept beyond the call that computed them.
 const KEPT: WorkMillis = WorkMillis(350.0);
 
 /// Part of the objective that the expected time may take at rank 0 (a share; "nine tenths of the
--- a/lib/src/gateway/rules/attempt_timeout.rs
+++ b/lib/src/gateway/rules/attempt_timeout.rs
@@ -9,25 +9,22 @@
 //!
 //! Reason: an endpoint that has hung holds the request until its deadline otherwise. A limit near
 //! the expected time would send slow requests twice and spend the retry budget.
-//!
-//! All constants are chosen, not measured.
 
 use {
     crate::{gateway::table::RouteKind, shared::units::WorkMillis},
     std::time::Duration,
 };
 
-/// Limit for a whole reply, in multiples of its expected time; chosen, not measured.
+/// Limit for a whole reply, in multiples of its expected time.
 const REPLY_FACTOR: f64 = 8.0;
 
-/// Shortest limit for a whole reply; chosen, not measured.
+/// Shortest limit for a whole reply.
 const SHORTEST_REPLY: Duration = Duration::from_millis(120);
 
-/// Fixed part of the limit for the head of a stream; chosen, not measured.
+/// Fixed part of the limit for the head of a stream.
 const STREAM_HEAD: Duration = Duration::from_millis(2_500);
 
-/// Part of the limit for the head of a stream that grows with the expected time, in multiples of it;
-/// chosen, not measured.
+/// Part of the limit for the head of a stream that grows with the expected time, in multiples of it.
 const STREAM_FACTOR: f64 = 3.0;
 
 /// Milliseconds in a second.
--- a/lib/src/gateway/rules/backlog.rs
+++ b/lib/src/gateway/rules/backlog.rs
@@ -17,14 +17,14 @@
     serde::{Deserialize, Serialize},
 };
 
-/// Number of bands (a count), which is part of the messages between daemons. Chosen, not measured: they
-/// reach 6.2 s, beyond which all pieces count as equally late.
+/// Number of bands (a count), which is part of the messages between daemons. They reach 6.2 s, beyond which all pieces
+/// count as equally late.
 pub const BANDS: usize = 16;
 
-/// Span that the bands begin to double from. Chosen, not measured: about the shortest call of a stage.
+/// Span that the bands begin to double from. About the shortest call of a stage.
 const FIRST_SPAN: Millis = Millis(200);
 
-/// Bands for each doubling of the span. Chosen, not measured.
+/// Bands for each doubling of the span.
 const BANDS_PER_DOUBLING: f64 = 3.0;
 
 /// A band of the spans until pieces are due; lower ones go first.
--- a/lib/src/gateway/rules/call_spacing.rs
+++ b/lib/src/gateway/rules/call_spacing.rs
@@ -16,8 +16,8 @@
 
 use crate::shared::units::{Time, WorkMillis};
 
-/// Part of a data centre's endpoints from which on a free one starts at once. Chosen, not measured: with so many
-/// idle, nothing waits for them.
+/// Part of a data centre's endpoints from which on a free one starts at once. With so many idle, nothing waits for
+/// them.
 const FREE_PART: f64 = 0.5;
 
 /// Part of an even share of the round that passes between two calls. In virtual time (100 jobs of four pieces a
@@ -25,8 +25,7 @@
 /// worth of four days of a deployment of 59 daemons, one play each: 0.686 with 0, 0.699 with 0.8, 0.696 with 1.
 const EVENNESS: f64 = 0.8;
 
-/// Weight of a new call in the usual time. Chosen, not measured: some ten calls, half a second of one data
-/// centre at load.
+/// Weight of a new call in the usual time. Some ten calls, half a second of one data centre at load.
 const GAIN: f64 = 0.1;
 
 /// The calls of one data centre.
--- a/lib/src/gateway/rules/call_timing.rs
+++ b/lib/src/gateway/rules/call_timing.rs
@@ -9,24 +9,21 @@
 //! `CALL_FACTOR` times the expected time and `CALL_LIMIT`, since a late result still counts if the
 //! other endpoint is later.
 //!
-//! An endpoint that is slow or cut off would otherwise hold all requests with a piece in its call.
-//! The factors are those of `docs/design/stages.md`; they were chosen, not measured.
-//! `overdue_call_retried` and `test_stage_rules` pin
-//! them.
+//! An endpoint that is slow or cut off would otherwise hold all requests with a piece in its call. The factors are
+//! those of `docs/design/stages.md`. `overdue_call_retried` and `test_stage_rules` pin them.
 
 use {crate::shared::units::WorkMillis, std::time::Duration};
 
-/// Part of the bound that grows with the expected time (a factor; chosen, not measured).
+/// Part of the bound that grows with the expected time (a factor).
 const OVERDUE_FACTOR: f64 = 1.7;
 
-/// Part of the bound that doesn't (milliseconds; chosen, not measured).
+/// Part of the bound that doesn't (milliseconds).
 const OVERDUE_MS: f64 = 120.0;
 
-/// Time for which an answer is awaited beside a multiple of the expected time (chosen, not
-/// measured).
+/// Time for which an answer is awaited beside a multiple of the expected time.
 const CALL_LIMIT: Duration = Duration::from_millis(2_500);
 
-/// The multiple of the expected time (a factor; chosen, not measured).
+/// The multiple of the expected time (a factor).
 const CALL_FACTOR: f64 = 6.0;
 
 const MS_PER_SECOND: f64 = 1_000.0;
--- a/lib/src/gateway/rules/catch_up.rs
+++ b/lib/src/gateway/rules/catch_up.rs
@@ -15,10 +15,6 @@
 //! Reason: tables are rare and may be large, so that each daemon that has one passes it on; lists
 //! change all the time, and the directory has them first for whoever reads it. As long as parts of
 //! a table come, a second copy of it from the directory would only take their room on the link.
-//!
-//! Measured: `docs/MEASUREMENTS.md`, sections "A change until every daemon acts on it" and, calls of
-//! the store by few readers, "The second milestone: the grown sites". The single figures are chosen,
-//! not measured.
 
 use {
     crate::{
@@ -28,20 +24,20 @@
     std::{cmp::Reverse, net::SocketAddr, time::Duration},
 };
 
-/// Time beyond the wait of a call for changes after which a silent directory counts as out of
-/// reach, so that a peer is asked for the list. Chosen, not measured.
+/// Time beyond the wait of a call for changes after which a silent directory counts as out of reach, so that a peer is
+/// asked for the list.
 pub const LIST_LAG: Millis = Millis(500);
 
-/// Time for which a peer may be known to have something newer, and nothing of it comes, before the
-/// directory is read. Chosen, not measured: three heartbeats.
+/// Time for which a peer may be known to have something newer, and nothing of it comes, before the directory is read.
+/// Three heartbeats.
 pub const BEHIND: Millis = Millis(600);
 
-/// Time that a daemon which reads the directory itself leaves to that reading before it asks
-/// another daemon for a newer table. Chosen, not measured: one heartbeat.
+/// Time that a daemon which reads the directory itself leaves to that reading before it asks another daemon for a newer
+/// table. One heartbeat.
 pub const READ_FIRST: Millis = Millis(200);
 
-/// Longest pause after a daemon that was busy, of which a random part is waited. Chosen, not
-/// measured: the batches that a busy daemon still has to send take most of it.
+/// Longest pause after a daemon that was busy, of which a random part is waited. The batches that a busy daemon still
+/// has to send take most of it.
 const BUSY_PAUSE: Millis = Millis(200);
 
 /// A list that another daemon reports.
--- a/lib/src/gateway/rules/cold_share.rs
+++ b/lib/src/gateway/rules/cold_share.rs
@@ -23,15 +23,15 @@
     std::time::Duration,
 };
 
-/// Longest turn of one daemon. Chosen, not measured: long enough that some request comes in it.
+/// Longest turn of one daemon. Long enough that some request comes in it.
 const TURN: Millis = Millis(1_000);
 
 /// Part of what an endpoint bears that daemons send on average where they have turns. Worked out: at a
 /// mean of 6 a second, 21 or more come together in 1 of 690,000 seconds.
 const MEAN_PART: f64 = 0.3;
 
-/// Time over which daemons with whole shares spread them, in seconds: the tenth beyond one second is for
-/// requests that take unlike times on their way. Chosen, not measured.
+/// Time over which daemons with whole shares spread them, in seconds: the tenth beyond one second is for requests that
+/// take unlike times on their way.
 const SPREAD_S: f64 = 1.1;
 
 /// What this daemon may send to each cold endpoint of a service.
--- a/lib/src/gateway/rules/coordinator.rs
+++ b/lib/src/gateway/rules/coordinator.rs
@@ -14,10 +14,6 @@
 //! Reason: all daemons that know the same others agree without a message, a lost coordinator moves
 //! only its own services, and the load of coordinating goes to hosts that have the processor for
 //! it.
-//!
-//! Measured: coordinators against heartbeats to everybody in `docs/MEASUREMENTS.md`, section "The
-//! second milestone: the grown sites"; the same section has waiting for the other daemons to be
-//! known ([`SETTLED`] is chosen, not measured against other values).
 
 use {
     crate::shared::{
@@ -28,18 +24,17 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
-/// Time for which a daemon that failed to accept a job is passed over. Chosen, not measured:
-/// longer than it takes to notice that a coordinator is silent.
+/// Time for which a daemon that failed to accept a job is passed over. Longer than it takes to notice that a
+/// coordinator is silent.
 pub const PASSED_OVER: Millis = Millis(1_500);
 
-/// Time after its start within which a daemon receives heartbeats of the others. Chosen, not
-/// measured: three heartbeats.
+/// Time after its start within which a daemon receives heartbeats of the others. Three heartbeats.
 pub const SETTLED: Millis = Millis(600);
 
-/// Time after its start for which a daemon leaves coordinating to one with more capacity that has just
-/// started too. Without it, 42 to 80 of 295 daemons that had started within 0.5 s of each other planned
-/// the calls of the same service for 3 s, of which 11,126 of 28,431 found their endpoint full (one
-/// play). Chosen, not measured: daemons that start together are ready within a second of each other.
+/// Time after its start for which a daemon leaves coordinating to one with more capacity that has just started too.
+/// Without it, 42 to 80 of 295 daemons that had started within 0.5 s of each other planned the calls of the same
+/// service for 3 s, of which 11,126 of 28,431 found their endpoint full (one play). Daemons that start together are
+/// ready within a second of each other.
 pub const YIELD: Millis = Millis(2_000);
 
 /// Bytes of an address as it is hashed: an IP number of either kind, and a port.
--- a/lib/src/gateway/rules/directory_reads.rs
+++ b/lib/src/gateway/rules/directory_reads.rs
@@ -26,25 +26,23 @@
     std::{net::SocketAddr, ops::Range, time::Duration},
 };
 
-/// Time beyond the wait of one call after which a peer's read counts as out of date. Chosen, not
-/// measured.
+/// Time beyond the wait of one call after which a peer's read counts as out of date.
 const READ_SLACK: Millis = Millis(400);
 
-/// Bounds of the time for which one call waits for changes. Chosen, not measured.
+/// Bounds of the time for which one call waits for changes.
 const SHORTEST_WAIT: Millis = Millis(200);
 const LONGEST_WAIT: Millis = Millis(1_000);
 
-/// Pause after the first failure. Chosen, not measured.
+/// Pause after the first failure.
 const FIRST_PAUSE: Millis = Millis(60);
 
-/// Longest pause of a daemon that has to find the directory's return itself. Chosen, not measured.
+/// Longest pause of a daemon that has to find the directory's return itself.
 const LONGEST_PAUSE: Millis = Millis(400);
 
-/// Longest pause of a daemon that peers soon inform of the directory's return. Chosen, not measured.
+/// Longest pause of a daemon that peers soon inform of the directory's return.
 const LONGEST_PAUSE_INFORMED: Millis = Millis(1_200);
 
-/// Part of a pause that a daemon waits, drawn at random, so that daemons that failed together don't
-/// call together. Chosen, not measured.
+/// Part of a pause that a daemon waits, drawn at random, so that daemons that failed together don't call together.
 pub const PAUSE_PARTS: Range<f64> = 0.5..1.0;
 
 /// Pause between two calls for changes of endpoints while the directory is steady: entries that
@@ -52,19 +50,18 @@
 /// second milestone", the row about calls 0.3 s apart.
 const ENDPOINTS_PAUSE: Millis = Millis(300);
 
-/// Time between two checks of whether peers still read the directory for this daemon. Chosen, not
-/// measured.
+/// Time between two checks of whether peers still read the directory for this daemon.
 pub const COVER_CHECK: Millis = Millis(100);
 
-/// Calls a second that the daemons of a larger fleet make together to find out whether the directory
-/// answers again. Chosen, not measured: five calls in 0.3 s all fail in 1 of 250 cases where the directory
-/// refuses a third of the daemons, and an outage of 5 s costs 75 calls (both worked out). With 30, 295 daemons
-/// that waited for their first table for some seconds made 3,626 calls on a quiet day (one play).
+/// Calls a second that the daemons of a larger fleet make together to find out whether the directory answers again.
+/// Five calls in 0.3 s all fail in 1 of 250 cases where the directory refuses a third of the daemons, and an outage of
+/// 5 s costs 75 calls (both worked out). With 30, 295 daemons that waited for their first table for some seconds made
+/// 3,626 calls on a quiet day (one play).
 pub const FLEET_CALLS: f64 = 15.0;
 
-/// Least time from noticing that all reads are out of date to a call: what peers have sent
-/// meanwhile is received first. Without it, 15 daemons that had stood still for 0.2 s all read a table of
-/// 0.57 MB (test `small_change`, 5 of 10 runs). Chosen, not measured: half of a heartbeat.
+/// Least time from noticing that all reads are out of date to a call: what peers have sent meanwhile is received first.
+/// Without it, 15 daemons that had stood still for 0.2 s all read a table of 0.57 MB (test `small_change`, 5 of 10
+/// runs). Half of a heartbeat.
 const TURN_DELAY: Millis = Millis(100);
 
 /// Part of the time between two turns that has passed at least before a daemon's next one.
@@ -215,10 +212,10 @@
     pauses.then(|| ENDPOINTS_PAUSE.to_duration())
 }
 
-/// Time in which an answer of the directory has to begin: at first, and at most after answers that didn't.
-/// Chosen, not measured. The first notices a silent connection in time for another call before a change
-/// has to be in force; with it alone, a directory that takes longer to begin its answers was never read
-/// (test `slow_store`). The longest leaves a daemon two seconds behind a directory that was silent.
+/// Time in which an answer of the directory has to begin: at first, and at most after answers that didn't. The first
+/// notices a silent connection in time for another call before a change has to be in force; with it alone, a directory
+/// that takes longer to begin its answers was never read (test `slow_store`). The longest leaves a daemon two seconds
+/// behind a directory that was silent.
 const FIRST_ANSWER: Millis = Millis(500);
 const LONGEST_ANSWER: Millis = Millis(2_000);
 
--- a/lib/src/gateway/rules/endpoint_choice.rs
+++ b/lib/src/gateway/rules/endpoint_choice.rs
@@ -12,10 +12,6 @@
 //!
 //! **Reason.** A request should begin where it begins soonest. Daemons share no state, so all prefer the
 //! same endpoint for a shared part of a prompt, chosen by rendezvous hashing: it is then read once.
-//!
-//! **Measured.** One endpoint for a shared part, and the price of reading it again: MEASUREMENTS.md, "On
-//! the users' platform" and "The second milestone". The other constants were chosen, not measured one by
-//! one; days of both sites were played with all of them together.
 
 use {
     crate::{
@@ -37,15 +33,15 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Time to the first event that each generation in flight adds, in milliseconds. Chosen, not measured.
+/// Time to the first event that each generation in flight adds, in milliseconds.
 const GENERATION_MS: f64 = 1.0;
 
-/// Time that each request beyond the slots of an engine adds, in milliseconds: enough to prefer any
-/// engine with a free slot. Chosen, not measured.
+/// Time that each request beyond the slots of an engine adds, in milliseconds: enough to prefer any engine with a free
+/// slot.
 const OVERFULL_MS: f64 = 100.0;
 
-/// Part of a plain call's usual time that a wholly busy endpoint adds before calls queue, so that equal
-/// endpoints get equal load. Chosen, not measured.
+/// Part of a plain call's usual time that a wholly busy endpoint adds before calls queue, so that equal endpoints get
+/// equal load.
 const CROWDING: f64 = 0.5;
 
 /// Factor on the time of a plain call for which there is a permit: a permit that isn't used is lost.
@@ -56,11 +52,10 @@
 /// "The second milestone": 0.15 was kept against 0.06 and 0.3.
 const SHARED_TOKEN_MS: f64 = 0.15;
 
-/// Cost of a call into another data centre, in milliseconds: about the way there and back. Chosen, not
-/// measured.
+/// Cost of a call into another data centre, in milliseconds: about the way there and back.
 const HOP_MS: f64 = 1.0;
 
-/// Cost of each megabyte of inputs from another data centre, in milliseconds. Chosen, not measured.
+/// Cost of each megabyte of inputs from another data centre, in milliseconds.
 const INPUT_MB_MS: f64 = 100.0;
 
 /// Bytes of a megabyte.
--- a/lib/src/gateway/rules/endpoint_pace.rs
+++ b/lib/src/gateway/rules/endpoint_pace.rs
@@ -8,25 +8,25 @@
 //! **Reason.** A slow endpoint gets less work. Since it then gives fewer observations, the pace has to
 //! be forgotten, or a recovered endpoint would never be tried again.
 //!
-//! **Measured.** The constants were chosen, not measured; `test_fleet_choice` pins the effect.
+//! Tests: `lib/tests/test_fleet_choice.rs`.
 
 use crate::shared::units::{Millis, Time, WorkMillis};
 
-/// Usual time of a plain call before the first one was observed. Chosen, not measured.
+/// Usual time of a plain call before the first one was observed.
 const FIRST_CALL: WorkMillis = WorkMillis(15.0);
 
-/// Weight of a new observation in both averages, from 0 to 1. Chosen, not measured.
+/// Weight of a new observation in both averages, from 0 to 1.
 const GAIN: f64 = 0.15;
 
-/// Least and greatest pace that is believed, as a ratio. Chosen, not measured.
+/// Least and greatest pace that is believed, as a ratio.
 const LEAST_PACE: f64 = 0.5;
 const GREATEST_PACE: f64 = 20.0;
 
-/// Time after which a pace is forgotten. Chosen, not measured.
+/// Time after which a pace is forgotten.
 const PACE_LIFETIME: Millis = Millis(4_000);
 
-/// Least expected time that a pace is worked out from: below it, the ratio says more about the network
-/// than about the endpoint. Chosen, not measured.
+/// Least expected time that a pace is worked out from: below it, the ratio says more about the network than about the
+/// endpoint.
 const LEAST_EXPECTED: WorkMillis = WorkMillis(30.0);
 
 /// Usual time of a plain call at one endpoint.
--- a/lib/src/gateway/rules/gossip.rs
+++ b/lib/src/gateway/rules/gossip.rs
@@ -33,23 +33,22 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Time between two heartbeats. Chosen, not measured against other values.
+/// Time between two heartbeats.
 pub const HEARTBEAT: Millis = Millis(200);
 
-/// Largest number of other daemons to which every heartbeat goes. Chosen, not measured.
+/// Largest number of other daemons to which every heartbeat goes.
 pub const SMALL_FLEET: usize = 12;
 
-/// Daemons that receive each heartbeat of one of a larger fleet, and notice its silence. Chosen, not
-/// measured against other values.
+/// Daemons that receive each heartbeat of one of a larger fleet, and notice its silence.
 pub const WATCHERS: usize = 3;
 
-/// Daemons drawn for one heartbeat of a larger fleet. Chosen, not measured against other values.
+/// Daemons drawn for one heartbeat of a larger fleet.
 pub const DRAWN: usize = 3;
 
-/// Daemons that one heartbeat asks for theirs, bounded so that it fits into a datagram. Chosen, not measured.
+/// Daemons that one heartbeat asks for theirs, bounded so that it fits into a datagram.
 pub const ASKED: usize = 8;
 
-/// Evacuated data centres that a heartbeat names at most, so that it fits into a datagram. Chosen, not measured.
+/// Evacuated data centres that a heartbeat names at most, so that it fits into a datagram.
 pub const EVACUATED: usize = 12;
 
 /// Loads that a heartbeat leaves out for each evacuated data centre that it names: one takes up to 15 bytes, a
@@ -59,11 +58,11 @@
 /// Daemons that a heartbeat asks in the room of one that it names.
 const ASKED_PER_NAMED: usize = 2;
 
-/// Suspects that one heartbeat names at most, so that other daemons are named too. Chosen, not measured.
+/// Suspects that one heartbeat names at most, so that other daemons are named too.
 pub const SUSPECTS: usize = 5;
 
-/// Heartbeats that go to everybody from the last one as a coordinator on, so that all learn that
-/// it stopped even if one of the two that report it is lost. Chosen, not measured.
+/// Heartbeats that go to everybody from the last one as a coordinator on, so that all learn that it stopped even if one
+/// of the two that report it is lost.
 pub const LAST_BROADCASTS: u32 = 3;
 
 /// Daemons that one heartbeat names, bounded so that it fits into a datagram: test
@@ -73,27 +72,26 @@
 /// Loads that one heartbeat carries, bounded so that it fits into a datagram: the same test.
 pub const LOADS: usize = 24;
 
-/// Loads in one datagram of a coordinator's digest. Chosen, not measured.
+/// Loads in one datagram of a coordinator's digest.
 pub const DIGEST_LOADS: usize = 80;
 
-/// Loads of a service that a digest names, the largest: an engine with little to do is as good as one with
-/// nothing. With the loads of 3,001 endpoints, each of 299 daemons would receive 38 datagrams with every
-/// heartbeat, 0.18 MB a second (worked out). Chosen, not measured.
+/// Loads of a service that a digest names, the largest: an engine with little to do is as good as one with nothing.
+/// With the loads of 3,001 endpoints, each of 299 daemons would receive 38 datagrams with every heartbeat, 0.18 MB a
+/// second (worked out).
 pub const DIGEST_LARGEST: usize = 160;
 
-/// Daemons in one datagram of a roster. Chosen, not measured.
+/// Daemons in one datagram of a roster.
 pub const ROSTER_PEERS: usize = 40;
 
-/// Daemons of a roster at most. A fleet that starts at once asks everybody for rosters, its seeds most: 295
-/// daemons made one of them send 11,800 datagrams a second, and with this bound and [`ROSTER_PAUSE`] 1,180
-/// (worked out). Chosen, not measured: who has just started asks some ten daemons in each heartbeat, and
-/// knows 295 others after two of them.
+/// Daemons of a roster at most. A fleet that starts at once asks everybody for rosters, its seeds most: 295 daemons
+/// made one of them send 11,800 datagrams a second, and with this bound and [`ROSTER_PAUSE`] 1,180 (worked out). Who
+/// has just started asks some ten daemons in each heartbeat, and knows 295 others after two of them.
 pub const ROSTER: usize = 80;
 
-/// Daemons of a roster that are chosen for their capacity. Chosen, not measured.
+/// Daemons of a roster that are chosen for their capacity.
 const ROSTER_STRONGEST: usize = 20;
 
-/// Least time between two rosters for the same daemon. Chosen, not measured.
+/// Least time between two rosters for the same daemon.
 pub const ROSTER_PAUSE: Millis = Millis(500);
 
 /// Returns whether every heartbeat goes to everybody, by the number of other daemons known.
--- a/lib/src/gateway/rules/liveness.rs
+++ b/lib/src/gateway/rules/liveness.rs
@@ -22,26 +22,23 @@
 //! 6,000 losses a second. A suspicion comes from those that know, at a cost that doesn't grow with the
 //! fleet. Each daemon judges for itself: a partition loses nobody for those that still receive heartbeats.
 //!
-//! Measured: `docs/MEASUREMENTS.md`, section "Membership of hundreds of daemons"; tests `calm_fleet` and
-//! `coordinator_replacement`. The single figures are chosen, not measured.
+//! Tests: `calm_fleet`, `coordinator_replacement`.
 
 use crate::shared::units::{Millis, Time};
 
-/// Time without a heartbeat after which a daemon is lost whose every heartbeat should arrive.
-/// Chosen, not measured: five heartbeats.
+/// Time without a heartbeat after which a daemon is lost whose every heartbeat should arrive. Five heartbeats.
 pub const SILENCE: Millis = Millis(1_000);
 
-/// Time without a sign of life after which a daemon known by gossip is lost, if it is suspect. Chosen, not
-/// measured.
+/// Time without a sign of life after which a daemon known by gossip is lost, if it is suspect.
 pub const GOSSIP_SILENCE: Millis = Millis(2_500);
 
-/// Time without a heartbeat after which a daemon is asked for one, and time for its answer. Without
-/// asking, a watcher took daemons for silent that hadn't known it yet: 61,464 losses of living ones in
-/// 10 s of a calm fleet of 1,000 (test `calm_fleet`). Chosen, not measured: three heartbeats.
+/// Time without a heartbeat after which a daemon is asked for one, and time for its answer. Without asking, a watcher
+/// took daemons for silent that hadn't known it yet: 61,464 losses of living ones in 10 s of a calm fleet of 1,000
+/// (test `calm_fleet`). Three heartbeats.
 pub const ASK: Millis = Millis(600);
 
-/// Time for which a daemon is suspect at least before it is lost: news takes five heartbeats to reach
-/// a thousand daemons (worked out, six receivers each). Chosen, not measured.
+/// Time for which a daemon is suspect at least before it is lost: news takes five heartbeats to reach a thousand
+/// daemons (worked out, six receivers each).
 pub const REFUTE: Millis = Millis(1_000);
 
 /// Time without a sign of life after which a daemon is lost although nobody suspects it: at least, and
@@ -51,19 +48,18 @@
 const QUIET: Millis = Millis(4_000);
 const QUIET_EACH: Millis = Millis(80);
 
-/// Age of a suspect's last sign of life up to which others are told of it. Chosen, not measured: 160 daemons
-/// lost at once are each named over ten times to everybody meanwhile (worked out).
+/// Age of a suspect's last sign of life up to which others are told of it. 160 daemons lost at once are each named over
+/// ten times to everybody meanwhile (worked out).
 const NEWS: Millis = Millis(10_000);
 
-/// Time after which the address of a lost daemon is forgotten. Chosen, not measured.
+/// Time after which the address of a lost daemon is forgotten.
 pub const FORGET: Millis = Millis(60_000);
 
 /// Age from which gossip is ignored: half of the time for which addresses are kept, so that
 /// daemons don't go on reminding each other of a dead one.
 pub const STALE_GOSSIP: Millis = Millis(FORGET.0 / 2);
 
-/// Time after its start during which a daemon asks for the roster of all daemons. Chosen, not
-/// measured.
+/// Time after its start during which a daemon asks for the roster of all daemons.
 pub const JOINING: Millis = Millis(1_500);
 
 /// Signs of life of a daemon.
--- a/lib/src/gateway/rules/pause.rs
+++ b/lib/src/gateway/rules/pause.rs
@@ -14,28 +14,26 @@
 //! what a daemon knows of it ages while the daemon stands still.
 //!
 //! Without it, 15 of 15 daemons went to read the directory after a standstill of 1 s of all, and 7 of 15 read a new
-//! table from it after 0.9 s (tests `fleet_stands_still`, `behind_meanwhile`). The constants are chosen, not
-//! measured.
+//! table from it after 0.9 s (tests `fleet_stands_still`, `behind_meanwhile`).
 
 use {
     crate::shared::units::{Millis, Time},
     std::{collections::VecDeque, time::Duration},
 };
 
-/// Time without a heartbeat of its own that counts as a pause. Chosen, not measured: three heartbeats.
+/// Time without a heartbeat of its own that counts as a pause. Three heartbeats.
 const PAUSE: Millis = Millis(600);
 
-/// Time between two looks at the clock. Chosen, not measured.
+/// Time between two looks at the clock.
 pub const CLOCK_LOOK: Millis = Millis(100);
 
-/// Time without a look beyond which a process stood still. Chosen, not measured: two looks.
+/// Time without a look beyond which a process stood still. Two looks.
 const STANDSTILL: Millis = Millis(200);
 
-/// Time after a standstill in which what came meanwhile is received. Chosen, not measured: half of a heartbeat.
+/// Time after a standstill in which what came meanwhile is received. Half of a heartbeat.
 const GRACE: Millis = Millis(100);
 
-/// Time for which standstills are remembered: longer than what is concluded from others' silence takes. Chosen, not
-/// measured.
+/// Time for which standstills are remembered: longer than what is concluded from others' silence takes.
 const REMEMBERED: Millis = Millis(10_000);
 
 /// Detects pauses from the times of looks.
--- a/lib/src/gateway/rules/piece_order.rs
+++ b/lib/src/gateway/rules/piece_order.rs
@@ -33,17 +33,17 @@
 /// and "1.2 s a MB" of the second milestone, the latter together with a change that was dropped).
 const WAIT_MS_PER_MB: f64 = 1200.0;
 
-/// The longest such wait (chosen with it, not measured by itself).
+/// The longest such wait.
 const LONGEST_WAIT: Millis = Millis(600);
 
 /// Endpoints at home from which on the whole wait is worth it (a count; row "the wait follows from
 /// the endpoints at home").
 const MANY_ENDPOINTS: f64 = 4.0;
 
-/// Handicap of a job at an endpoint outside its home (chosen, not measured).
+/// Handicap of a job at an endpoint outside its home.
 const AWAY_STEP: Millis = Millis(200);
 
-/// Head start that each rank has over the next one (chosen, not measured).
+/// Head start that each rank has over the next one.
 const RANK_STEP: Millis = Millis(400);
 
 /// Handicap of a job past its objective ("late jobs 2.5 s behind instead of 20 s": 0.068 -> -0.017,
--- a/lib/src/gateway/rules/piece_retry.rs
+++ b/lib/src/gateway/rules/piece_retry.rs
@@ -15,7 +15,7 @@
 
 use crate::shared::units::{Millis, Time, WorkMillis};
 
-/// Sends of one piece (a count; chosen, not measured).
+/// Sends of one piece (a count).
 const PIECE_TRIES: u32 = 3;
 
 /// A send of a piece that brought no result, by what is known of it.
--- a/lib/src/gateway/rules/quarantine.rs
+++ b/lib/src/gateway/rules/quarantine.rs
@@ -13,7 +13,7 @@
 //! `ends_few_whole`). Many callers that ask for the same thing while endpoints end for other reasons aren't refused:
 //! a request that does no harm is served all the time, and one that does harm never.
 //!
-//! All constants are chosen, not measured, but for the limit: see `docs/design/quarantine.md`.
+//! See `docs/design/quarantine.md`.
 
 use {
     crate::shared::units::{Millis, Time},
--- a/lib/src/gateway/rules/result_room.rs
+++ b/lib/src/gateway/rules/result_room.rs
@@ -25,7 +25,7 @@
 /// 100": 0.079 -> 0.112).
 const ROOM_USED: f64 = 0.92;
 
-/// Time for which a lack of room counts after it was last met (chosen, not measured).
+/// Time for which a lack of room counts after it was last met.
 const SHORTAGE: Millis = Millis(1_000);
 
 /// Time within which an endpoint has fetched the inputs of a call ("give inputs up 100 ms after the
--- a/lib/src/gateway/rules/resume.rs
+++ b/lib/src/gateway/rules/resume.rs
@@ -10,15 +10,13 @@
 //!
 //! Reason: a stream that cannot be resumed would repeat events or run twice; it breaks off visibly
 //! instead. Before the first event the endpoint may still have the request in its queue.
-//!
-//! All constants are chosen, not measured.
 
 use {crate::gateway::table::RouteKind, std::time::Duration};
 
-/// Longest silence before the first event of a resumable stream; chosen, not measured.
+/// Longest silence before the first event of a resumable stream.
 const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(3_000);
 
-/// Longest silence between two events of a resumable stream; chosen, not measured.
+/// Longest silence between two events of a resumable stream.
 const EVENT_SILENCE: Duration = Duration::from_millis(1_200);
 
 /// Returns whether another endpoint may continue a route's streams.
--- a/lib/src/gateway/rules/retry.rs
+++ b/lib/src/gateway/rules/retry.rs
@@ -11,17 +11,15 @@
 //!
 //! Reason: a request that must not run twice runs at most once; retries of many requests at the same
 //! time would overload the endpoints that are left.
-//!
-//! Its constant is chosen, not measured.
 
 use crate::gateway::{
     rules::{outcome::AttemptHistory, reply_proof::NotRunReason},
     table::RouteKind,
 };
 
-/// Endpoints that one request may wait for in vain, each for the longest time of a connect; chosen, not measured.
-/// Endpoints that refuse connections don't count: with them, a request ended with nowhere sent while one of 24
-/// endpoints could be reached (test `one_left`), and each costs 0.1 ms on loopback.
+/// Endpoints that one request may wait for in vain, each for the longest time of a connect. Endpoints that refuse
+/// connections don't count: with them, a request ended with nowhere sent while one of 24 endpoints could be reached
+/// (test `one_left`), and each costs 0.1 ms on loopback.
 const UNREACHABLE_LIMIT: usize = 4;
 
 /// Reason for which a request is sent again. The names of the variants appear in the event
--- a/lib/src/gateway/rules/retry_after.rs
+++ b/lib/src/gateway/rules/retry_after.rs
@@ -9,38 +9,33 @@
 //!
 //! Reason: a caller that comes back too early is refused again and costs both sides a request; one
 //! that comes back too late could have been served before.
-//!
-//! Constants without another source are chosen, not measured.
 
 use crate::{
     gateway::dialect::ReplyLoad,
     shared::units::{Millis, WorkMillis},
 };
 
-/// Wait while the daemon has no table yet; chosen, not measured.
+/// Wait while the daemon has no table yet.
 pub const TABLE_UNKNOWN: Millis = Millis(500);
 
-/// Wait after a stage of the request was late or failed; chosen, not measured.
+/// Wait after a stage of the request was late or failed.
 pub const STAGE_FAILED: Millis = Millis(100);
 
-/// Wait while a service has no endpoint that may get work: all leave, or their data centres are evacuated.
-/// Chosen, not measured: operators take seconds to change that, and callers that come back sooner are refused
-/// again.
+/// Wait while a service has no endpoint that may get work: all leave, or their data centres are evacuated. Operators
+/// take seconds to change that, and callers that come back sooner are refused again.
 pub const NO_ENDPOINT: Millis = Millis(1_000);
 
-/// Wait for each waiting request per slot of the most loaded endpoint, in milliseconds; chosen, not
-/// measured.
+/// Wait for each waiting request per slot of the most loaded endpoint, in milliseconds.
 const MS_PER_QUEUE: f64 = 500.0;
 
-/// Shortest and longest wait after failed attempts; chosen, not measured.
+/// Shortest and longest wait after failed attempts.
 const SHORTEST_AFTER_ATTEMPTS: Millis = Millis(100);
 const LONGEST_AFTER_ATTEMPTS: Millis = Millis(3_000);
 
 /// Longest wait for a permit: an endpoint in need may take more again meanwhile.
 const LONGEST_AFTER_PERMITS: Millis = Millis(10_000);
 
-/// Share of the allowed time down to which the expected time should fall before the caller comes
-/// back; chosen, not measured.
+/// Share of the allowed time down to which the expected time should fall before the caller comes back.
 const FREE_SHARE: f64 = 0.9;
 
 /// Shortest wait after a refused admission, in milliseconds: an overload outlasts the queue that it shows in,
@@ -48,7 +43,7 @@
 /// refused fell from 6.1 to 4.3 in 100 on days with trouble (means of five days, one and three scores).
 const SHORTEST_AFTER_ADMISSION_MS: f64 = 1_500.0;
 
-/// Longest such wait, in milliseconds; chosen, not measured.
+/// Longest such wait, in milliseconds.
 const LONGEST_AFTER_ADMISSION_MS: f64 = 3_500.0;
 
 /// Returns the wait after attempts that did not run, from the last reported loads of the service's
--- a/lib/src/gateway/rules/retry_budget.rs
+++ b/lib/src/gateway/rules/retry_budget.rs
@@ -8,21 +8,18 @@
 //! divided among `SPARE_DAEMONS` more than it knows. A daemon that has just started leaves the slack
 //! alone for a window, since the process before it may have spent it.
 //!
-//! So the bound holds for all daemons together although none of them asks another one. The
-//! constants were chosen, not measured; `fleet_bound` (`test_window_budget`)
-//! shows that the bound holds with them under any order of requests, retries and restarts that it
-//! draws.
+//! So the bound holds for all daemons together although none of them asks another one. Test: `fleet_bound`
+//! (`test_window_budget`).
 
 use {
     crate::shared::units::{Millis, Share, Time},
     std::collections::VecDeque,
 };
 
-/// Part of what is allowed that is spent (a share; chosen, not measured); the rest covers
-/// differences of clocks and of windows.
+/// Part of what is allowed that is spent (a share); the rest covers differences of clocks and of windows.
 const SAFETY: f64 = 0.75;
 
-/// Daemons that may be alive beyond those known (a count; chosen, not measured).
+/// Daemons that may be alive beyond those known (a count).
 const SPARE_DAEMONS: f64 = 2.0;
 
 /// Retries that the installation allows at a service.
--- a/lib/src/gateway/rules/set_aside.rs
+++ b/lib/src/gateway/rules/set_aside.rs
@@ -10,16 +10,15 @@
 //! belief must end by itself: kept for the life of the daemon, one odd reply took an endpoint out for
 //! good (soak, seeds 4 and 5).
 //!
-//! **Measured.** Chosen, not measured; `test_fleet_choice` holds both.
+//! Tests: `lib/tests/test_fleet_choice.rs`.
 
 use crate::shared::units::{Millis, Time};
 
 /// Time for which an endpoint that refused a connection is passed over: about one try by each daemon.
-/// Chosen, not measured.
 const UNREACHABLE_TIME: Millis = Millis(400);
 
-/// Time for which an endpoint that answered as another one gets nothing: an address that was given to
-/// another endpoint costs one attempt that doesn't run. Chosen, not measured.
+/// Time for which an endpoint that answered as another one gets nothing: an address that was given to another endpoint
+/// costs one attempt that doesn't run.
 const REPLACED_TIME: Millis = Millis(5_000);
 
 /// Returns when an endpoint is available again that couldn't be reached at `now`.
--- a/lib/src/gateway/rules/shutdown.rs
+++ b/lib/src/gateway/rules/shutdown.rs
@@ -9,16 +9,14 @@
 //! Reason: a caller that the balancer still sends here must be served, and a process that is ended
 //! from outside cuts its answers and loses its last log lines.
 //!
-//! The constants are chosen, not measured; tests: `lib/tests/test_shutdown.rs`.
+//! Tests: `lib/tests/test_shutdown.rs`.
 
 use {crate::shared::units::Millis, std::time::Duration};
 
-/// Time that the balancer has to notice a stop, during which callers are accepted. Chosen, not
-/// measured.
+/// Time that the balancer has to notice a stop, during which callers are accepted.
 const NOTICE: Millis = Millis(2_700);
 
-/// Part of the grace period that isn't used, so that the daemon ends before it is ended. Chosen, not
-/// measured.
+/// Part of the grace period that isn't used, so that the daemon ends before it is ended.
 const GRACE_MARGIN: Millis = Millis(400);
 
 /// Steps of a stop, as times since its signal.
--- a/lib/src/gateway/rules/stage_objective.rs
+++ b/lib/src/gateway/rules/stage_objective.rs
@@ -11,7 +11,7 @@
 
 use crate::shared::units::{Millis, Time};
 
-/// Time kept for each later stage (chosen, not measured).
+/// Time kept for each later stage.
 const LATER_STAGE: Millis = Millis(350);
 
 /// Returns when a stage should have ended.
--- a/lib/src/gateway/rules/suspect_entry.rs
+++ b/lib/src/gateway/rules/suspect_entry.rs
@@ -20,20 +20,19 @@
 
 use crate::shared::units::{Millis, Time};
 
-/// Time after a failed read of the directory during which vanished entries are suspect. Chosen, not
-/// measured.
+/// Time after a failed read of the directory during which vanished entries are suspect.
 const OUTAGE: Millis = Millis(1_500);
 
-/// Time without a failed read after which the directory counts as steady for a daemon, and within
-/// which it must have answered. Without it, a daemon whose own connections had been reset used an endpoint
-/// 2,070 ms after it had left, of 2,000 ms allowed (one play). Chosen, not measured.
+/// Time without a failed read after which the directory counts as steady for a daemon, and within which it must have
+/// answered. Without it, a daemon whose own connections had been reset used an endpoint 2,070 ms after it had left, of
+/// 2,000 ms allowed (one play).
 const STEADY: Millis = Millis(3_000);
 
-/// Shortest time for which a suspect endpoint is used. Chosen, not measured.
+/// Shortest time for which a suspect endpoint is used.
 const LEAST_SUSPECT: Millis = Millis(200);
 
-/// Part of the drain time that isn't used, since other daemons need time to report that an entry
-/// vanished and suspects are only checked at each heartbeat. Chosen, not measured.
+/// Part of the drain time that isn't used, since other daemons need time to report that an entry vanished and suspects
+/// are only checked at each heartbeat.
 const DRAIN_MARGIN: Millis = Millis(600);
 
 /// Intervals between two writes for which a suspect endpoint is used, as a fraction: a living
--- a/lib/src/gateway/rules/table_upload.rs
+++ b/lib/src/gateway/rules/table_upload.rs
@@ -12,8 +12,7 @@
 //! daemon that has the table passes it on while the next ones get it. The rest of the link is left to
 //! callers' requests and to stages.
 //!
-//! Measured: `docs/MEASUREMENTS.md`, "A change until every daemon acts on it". Both figures are chosen,
-//! not measured. Tests: `lib/tests/test_table_upload.rs`.
+//! Tests: `lib/tests/test_table_upload.rs`.
 
 use crate::shared::units::{BitRate, ByteSize, Millis, Share, Time};
 
--- a/lib/src/gateway/rules/time_limits.rs
+++ b/lib/src/gateway/rules/time_limits.rs
@@ -9,26 +9,22 @@
 //! event doesn't come: after some objectives or some pauses, whichever is longer.
 //!
 //! Reason: work for a caller that has left takes the place of work that is still wanted.
-//!
-//! All constants are chosen, not measured.
 
 use crate::{gateway::table::RouteKind, shared::units::Millis};
 
-/// Time that the answer needs to reach the caller, kept back of the request's time; chosen, not
-/// measured.
+/// Time that the answer needs to reach the caller, kept back of the request's time.
 const ANSWER_TRANSIT: Millis = Millis(15);
 
-/// Time that a caller is expected to wait if it names none; chosen, not measured.
+/// Time that a caller is expected to wait if it names none.
 const DEFAULT_TIME: Millis = Millis(30_000);
 
-/// Shortest time that callers of a stream wait for its first event; chosen, not measured.
+/// Shortest time that callers of a stream wait for its first event.
 const SHORTEST_FIRST_EVENT: Millis = Millis(2_000);
 
-/// Objectives that callers of a stream wait for its first event; chosen, not measured.
+/// Objectives that callers of a stream wait for its first event.
 const FIRST_EVENT_OBJECTIVES: u64 = 4;
 
-/// Longest pauses between two events that callers of a stream wait for its first one; chosen, not
-/// measured.
+/// Longest pauses between two events that callers of a stream wait for its first one.
 const FIRST_EVENT_GAPS: u64 = 8;
 
 /// Returns the time within which a caller expects its answer, and within which its body has to
--- a/lib/src/gateway/rules/urgency.rs
+++ b/lib/src/gateway/rules/urgency.rs
@@ -7,14 +7,11 @@
 //! customer's, the two overlap.
 //!
 //! Reason: endpoints take one number for the order of requests, from 0 to 9.
-//!
-//! All constants are chosen, not measured.
 
 /// Urgency of the requests that go last: the largest one digit, as endpoints read it.
 pub const LAST: u32 = 9;
 
-/// Steps of urgency between two ranks of customers, which leave room for route ranks 0, 1 and 2;
-/// chosen, not measured.
+/// Steps of urgency between two ranks of customers, which leave room for route ranks 0, 1 and 2.
 const CUSTOMER_STEP: u32 = 3;
 
 /// Returns the urgency of a request; a request without a customer counts as one of rank 0.
--- a/lib/src/gateway/rules/worker_pace.rs
+++ b/lib/src/gateway/rules/worker_pace.rs
@@ -9,33 +9,30 @@
 //! may take it. One that refused or broke off a call is passed over for `PASSED_OVER`, one without
 //! room for a result for `FULL_PASSED_OVER`.
 //!
-//! A call to a slow endpoint delays each request with a piece in it. Passing a full endpoint over
-//! for 60 ms, together with no longer counting half of its room as taken, was worth -0.177 -> 0.317
-//! (`docs/MEASUREMENTS.md`, "On the users' platform"); the other constants were chosen, not
-//! measured. `test_stage_rules` pins the rule.
+//! A call to a slow endpoint delays each request with a piece in it. Passing a full endpoint over for 60 ms, together
+//! with no longer counting half of its room as taken, was worth -0.177 -> 0.317 (`docs/MEASUREMENTS.md`, "On the users'
+//! platform"); the `test_stage_rules` pins the rule.
 
 use {
     crate::shared::units::{Millis, Time, WorkMillis},
     std::cmp::Ordering,
 };
 
-/// Weight of a new observation against what was known (a share; chosen, not measured).
+/// Weight of a new observation against what was known (a share).
 const PACE_GAIN: f64 = 0.5;
 
-/// Time for which a known pace is believed (chosen, not measured).
+/// Time for which a known pace is believed.
 const PACE_KEPT: Millis = Millis(3_000);
 
-/// Pace from which on an endpoint gets no call while others may take it (a ratio; chosen, not
-/// measured).
+/// Pace from which on an endpoint gets no call while others may take it (a ratio).
 const SLOW_PACE: Pace = Pace(1.8);
 
-/// Bounds of a learnt pace (ratios; chosen, not measured): one wrong estimate of a call's cost
-/// can't make an endpoint look better or worse than this.
+/// Bounds of a learnt pace (ratios): one wrong estimate of a call's cost can't make an endpoint look better or worse
+/// than this.
 const FASTEST_PACE: f64 = 0.5;
 const SLOWEST_PACE: f64 = 20.0;
 
-/// Time for which an endpoint is passed over that refused or broke off a call, or wasn't reached
-/// (chosen, not measured).
+/// Time for which an endpoint is passed over that refused or broke off a call, or wasn't reached.
 const PASSED_OVER: Millis = Millis(300);
 
 /// Time for which an endpoint without room for a result is passed over (`docs/MEASUREMENTS.md`,
--- a/lib/src/gateway/serving/ingress.rs
+++ b/lib/src/gateway/serving/ingress.rs
@@ -22,10 +22,10 @@
     },
 };
 
-/// Longest time until a head has arrived while there is no table. Chosen, not measured.
+/// Longest time until a head has arrived while there is no table.
 const HEAD_TIME: Duration = Duration::from_secs(15);
 
-/// Largest head while there is no table, in bytes. Chosen, not measured.
+/// Largest head while there is no table, in bytes.
 const HEAD_SIZE: usize = 16 * 1024;
 
 /// Smallest buffer of a connection, in bytes: `hyper` panics below it.
--- a/lib/src/gateway/serving/metrics.rs
+++ b/lib/src/gateway/serving/metrics.rs
@@ -109,7 +109,6 @@
 }
 
 /// Bounds of the latency histograms: 13 buckets from 5 ms, each twice the one before, up to 20.48 s.
-/// Chosen, not measured.
 const FIRST_BUCKET_S: f64 = 0.005;
 const BUCKET_FACTOR: f64 = 2.0;
 const BUCKETS: u16 = 13;
--- a/lib/src/gateway/serving/operator.rs
+++ b/lib/src/gateway/serving/operator.rs
@@ -18,7 +18,7 @@
     tokio::net::{TcpListener, TcpStream},
 };
 
-/// Longest time for a head to arrive. Chosen, not measured.
+/// Longest time for a head to arrive.
 const HEAD_TIME: Duration = Duration::from_secs(10);
 
 /// Path of the metrics.
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -33,12 +33,11 @@
     },
 };
 
-/// Time between two checks of what is still in flight, and for the last answers to leave. Chosen,
-/// not measured.
+/// Time between two checks of what is still in flight, and for the last answers to leave.
 const CHECK: Duration = Duration::from_millis(20);
 
-/// Time for the answers to requests that are ended with the stop: a part of what the schedule of a stop
-/// leaves before the end of the grace period. Chosen, not measured.
+/// Time for the answers to requests that are ended with the stop: a part of what the schedule of a stop leaves before
+/// the end of the grace period.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
 
 /// A running forwarding daemon. It lives on one thread, in a `LocalSet`.
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -29,8 +29,8 @@
     std::{collections::BTreeSet, rc::Rc, time::Duration},
 };
 
-/// Time between two looks at the queues while they have jobs, for what follows from time alone:
-/// overdue calls, late jobs, endpoints that were passed over (chosen, not measured).
+/// Time between two looks at the queues while they have jobs, for what follows from time alone: overdue calls, late
+/// jobs, endpoints that were passed over.
 const LOOK: Duration = Duration::from_millis(25);
 
 /// Plans and sends calls for good, whenever something has changed, and now and then while there are
--- a/lib/src/gateway/stages/chain.rs
+++ b/lib/src/gateway/stages/chain.rs
@@ -24,8 +24,7 @@
     std::{rc::Rc, time::Duration},
 };
 
-/// Times that the stages of a request start over because results of one of them were gone (a count;
-/// chosen, not measured).
+/// Times that the stages of a request start over because results of one of them were gone (a count).
 const RESTARTS: u32 = 2;
 
 /// Why the stages of a request failed; the request itself hasn't run.
--- a/lib/src/gateway/stages/endpoint_post.rs
+++ b/lib/src/gateway/stages/endpoint_post.rs
@@ -17,7 +17,7 @@
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Largest answer to a call (bytes; chosen, not measured).
+/// Largest answer to a call (bytes).
 const ANSWER_SIZE: usize = 256 * 1024;
 
 /// One body to post.
--- a/lib/src/gateway/stages/handover.rs
+++ b/lib/src/gateway/stages/handover.rs
@@ -21,12 +21,10 @@
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
-/// Time between two looks for a coordinator by a daemon that has just started (chosen, not
-/// measured).
+/// Time between two looks for a coordinator by a daemon that has just started.
 const SETTLE_LOOK: Duration = Duration::from_millis(50);
 
-/// Daemons that are tried for one job, the last of which is this one (a count; chosen, not
-/// measured).
+/// Daemons that are tried for one job, the last of which is this one (a count).
 const COORDINATORS: usize = 3;
 
 /// Runs a job by the coordinator of its service.
--- a/lib/src/gateway/stages/release.rs
+++ b/lib/src/gateway/stages/release.rs
@@ -25,7 +25,7 @@
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
 };
 
-/// Time for which results are gathered before their release is sent (chosen, not measured).
+/// Time for which results are gathered before their release is sent.
 const GATHER: Duration = Duration::from_millis(15);
 
 /// Reports to the coordinator of a service that results are no longer needed.
--- a/lib/src/gateway/table_parts.rs
+++ b/lib/src/gateway/table_parts.rs
@@ -18,17 +18,17 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Smallest, usual and largest part, in bytes: chosen, not measured. A route takes about 200 bytes; the
-/// list of the parts of a table of 0.85 MB takes 3 KB.
+/// Smallest, usual and largest part, in bytes. A route takes about 200 bytes; the list of the parts of a table of 0.85
+/// MB takes 3 KB.
 const SMALLEST: usize = 1 << 10;
 const USUAL: usize = 4 << 10;
 const LARGEST: usize = 16 << 10;
 
-/// Bytes of parts, not compressed, from which on a batch isn't made larger: chosen, not measured. A batch
-/// takes about 30 ms on an idle link of 10 Mbit/s, and other messages on its link wait no longer.
+/// Bytes of parts, not compressed, from which on a batch isn't made larger. A batch takes about 30 ms on an idle link
+/// of 10 Mbit/s, and other messages on its link wait no longer.
 const BATCH_BYTES: usize = 128 << 10;
 
-/// Largest table, in bytes; chosen, not measured: as large as a message between daemons.
+/// Largest table, in bytes: as large as a message between daemons.
 const LARGEST_TABLE: usize = 8 << 20;
 
 /// Hash of a part's bytes: their XXH3.
--- a/lib/src/gateway/wire/egress.rs
+++ b/lib/src/gateway/wire/egress.rs
@@ -17,19 +17,18 @@
     tokio::{net::TcpStream, task::AbortHandle},
 };
 
-/// Longest time to connect to an endpoint; chosen, not measured.
+/// Longest time to connect to an endpoint.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
 /// Time of silence before the first keep-alive probe, and between two probes; the shortest that the
 /// system's interface takes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
-/// Unanswered probes after which a connection breaks: a silent peer is noticed within about three
-/// seconds. Chosen, not measured.
+/// Unanswered probes after which a connection breaks: a silent peer is noticed within about three seconds.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Time after which unacknowledged bytes break a connection: several times a round trip between data
-/// centres with a lost packet. Chosen, not measured.
+/// Time after which unacknowledged bytes break a connection: several times a round trip between data centres with a
+/// lost packet.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
 
 /// Why a request got no reply.
--- a/lib/src/gateway/wire/endpoint_check.rs
+++ b/lib/src/gateway/wire/endpoint_check.rs
@@ -8,8 +8,8 @@
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Longest wait for the connect: a living process answers within a round trip between data centres, and whoever
-/// waits for the next attempt or a final answer waits for this too. Chosen, not measured.
+/// Longest wait for the connect: a living process answers within a round trip between data centres, and whoever waits
+/// for the next attempt or a final answer waits for this too.
 const CHECK_LIMIT: Duration = Duration::from_millis(100);
 
 /// What a connect to an endpoint shows.
--- a/lib/src/gateway/wire/event_stream.rs
+++ b/lib/src/gateway/wire/event_stream.rs
@@ -6,7 +6,6 @@
 use bytes::{Bytes, BytesMut};
 
 /// Longest event that is buffered until it is whole, in bytes: far above any event of a generation.
-/// Chosen, not measured.
 const LONGEST_EVENT: usize = 256 * 1024;
 
 /// Splits a stream into whole events.
--- a/lib/src/gateway/wire/listen.rs
+++ b/lib/src/gateway/wire/listen.rs
@@ -5,8 +5,8 @@
     tokio::net::{TcpListener, TcpStream},
 };
 
-/// Pause after a connection couldn't be accepted, for example for lack of descriptors: short against
-/// any deadline, long enough not to spin. Chosen, not measured.
+/// Pause after a connection couldn't be accepted, for example for lack of descriptors: short against any deadline, long
+/// enough not to spin.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Passes each connection to `handle`; logs a failure to accept one as `event`, and goes on.
--- a/lib/src/pipeline/api/body.rs
+++ b/lib/src/pipeline/api/body.rs
@@ -17,7 +17,7 @@
     futures_util::TryStreamExt,
 };
 
-/// Largest body that is read at all, in bytes; settings can only allow less. Chosen, not measured.
+/// Largest body that is read at all, in bytes; settings can only allow less.
 pub const BODY_CAP: usize = 16 * 1024 * 1024;
 
 /// Cap of `dropshot` itself, in bytes: above ours, since its refusal doesn't say what is wrong.
--- a/lib/src/pipeline/api/context.rs
+++ b/lib/src/pipeline/api/context.rs
@@ -21,7 +21,7 @@
     tokio::sync::{OwnedSemaphorePermit, Semaphore},
 };
 
-/// Wait suggested to callers that a full daemon refuses. Chosen, not measured.
+/// Wait suggested to callers that a full daemon refuses.
 const BUSY_WAIT: Millis = Millis(1_000);
 
 /// Limits of the interface, from the daemon's settings.
--- a/lib/src/pipeline/api/headers.rs
+++ b/lib/src/pipeline/api/headers.rs
@@ -27,7 +27,7 @@
     std::{fmt::Display, str::FromStr},
 };
 
-/// Longest time left that a caller may name: one hour. Chosen, not measured.
+/// Longest time left that a caller may name: one hour.
 const MAX_DEADLINE: Millis = Millis(3_600_000);
 
 /// Header with the customer; only callers use it, so it isn't among the endpoints' headers.
--- a/lib/src/pipeline/api/status_client.rs
+++ b/lib/src/pipeline/api/status_client.rs
@@ -18,10 +18,10 @@
     thiserror::Error,
 };
 
-/// Largest status report accepted: 4 MiB. Chosen, not measured.
+/// Largest status report accepted: 4 MiB.
 const MAX_STATUS: ByteSize = ByteSize(4 << 20);
 
-/// Longest wait for a whole report. Chosen, not measured.
+/// Longest wait for a whole report.
 const STATUS_TIMEOUT: Millis = Millis(5_000);
 
 /// Reports why a daemon's status can't be read; each text begins with the URI that was read.
--- a/lib/src/pipeline/config_service.rs
+++ b/lib/src/pipeline/config_service.rs
@@ -31,16 +31,16 @@
     xxhash_rust::xxh3::Xxh3,
 };
 
-/// Largest value that the service holds. Chosen, not measured.
+/// Largest value that the service holds.
 const VALUE_SIZE: ByteSize = ByteSize(1 << 20);
 
-/// Longest time for one read; the service answers in milliseconds. Chosen, not measured.
+/// Longest time for one read; the service answers in milliseconds.
 const READ_TIMEOUT: Millis = Millis(2_000);
 
-/// Longest name of a value, in bytes. Chosen, not measured.
+/// Longest name of a value, in bytes.
 const MAX_VALUE_NAME: usize = 256;
 
-/// Most values that one tree may span. Chosen, not measured.
+/// Most values that one tree may span.
 const MAX_VALUES: usize = 64;
 
 /// A tree can't be read.
--- a/lib/src/pipeline/daemon_settings.rs
+++ b/lib/src/pipeline/daemon_settings.rs
@@ -16,28 +16,28 @@
     std::net::SocketAddr,
 };
 
-/// Default cost of a call into another data centre. Chosen, not measured.
+/// Default cost of a call into another data centre.
 const DEFAULT_HOP: Millis = Millis(1);
 
-/// Default time between two reads of an endpoint's load. Chosen, not measured.
+/// Default time between two reads of an endpoint's load.
 const DEFAULT_LOAD_INTERVAL: Millis = Millis(100);
 
-/// Default time between two reads of the tree. Chosen, not measured.
+/// Default time between two reads of the tree.
 const DEFAULT_POLL: Millis = Millis(1_000);
 
-/// Default of the most requests in flight. Chosen, not measured.
+/// Default of the most requests in flight.
 const DEFAULT_REQUESTS: Count = Count(2_000);
 
-/// Default size of all headers of a request. Chosen, not measured.
+/// Default size of all headers of a request.
 const DEFAULT_HEADERS: ByteSize = ByteSize(16 * 1024);
 
-/// Default time for a request's body to arrive. Chosen, not measured.
+/// Default time for a request's body to arrive.
 const DEFAULT_RECEIVE: Millis = Millis(5_000);
 
-/// Default time that the balancer has to notice a stop. Chosen, not measured.
+/// Default time that the balancer has to notice a stop.
 const DEFAULT_GRACE: Millis = Millis(5_000);
 
-/// Default share of new traces that is kept. Chosen, not measured.
+/// Default share of new traces that is kept.
 const DEFAULT_SAMPLE: Share = Share(0.01);
 
 /// Checked settings of one daemon.
--- a/lib/src/pipeline/decision/admit.rs
+++ b/lib/src/pipeline/decision/admit.rs
@@ -25,8 +25,7 @@
     std::sync::Arc,
 };
 
-/// Endpoints looked at to estimate a stage that isn't sent yet. Chosen, not measured: as many as a
-/// choice looks at in the own data centre.
+/// Endpoints looked at to estimate a stage that isn't sent yet. As many as a choice looks at in the own data centre.
 const ESTIMATE_SAMPLE: usize = 4;
 
 impl Core {
--- a/lib/src/pipeline/decision/average.rs
+++ b/lib/src/pipeline/decision/average.rs
@@ -13,7 +13,7 @@
 
 use crate::shared::units::WorkMillis;
 
-/// Weight of a new observation. Chosen, not measured.
+/// Weight of a new observation.
 pub const GAIN: f64 = 0.1;
 
 /// Observations after which an average counts as settled: from then on each weighs [`GAIN`].
--- a/lib/src/pipeline/decision/call_costs.rs
+++ b/lib/src/pipeline/decision/call_costs.rs
@@ -25,14 +25,14 @@
     shared::{ids::MemberSerial, units::WorkMillis},
 };
 
-/// First guess of a plain call, until calls have been observed; a larger `floor` takes its place.
-/// Chosen, not measured: it is gone with the first call.
+/// First guess of a plain call, until calls have been observed; a larger `floor` takes its place. It is gone with the
+/// first call.
 const CALL_GUESS: WorkMillis = WorkMillis(5.0);
 
-/// First guess of one token of a generation. Chosen, not measured.
+/// First guess of one token of a generation.
 const TOKEN_GUESS: WorkMillis = WorkMillis(5.0);
 
-/// First guess of one byte of a prompt. Chosen, not measured.
+/// First guess of one byte of a prompt.
 const BYTE_GUESS: WorkMillis = WorkMillis(0.005);
 
 /// Size of one call: all that determines its work.
--- a/lib/src/pipeline/decision/estimate.rs
+++ b/lib/src/pipeline/decision/estimate.rs
@@ -31,36 +31,35 @@
     std::collections::VecDeque,
 };
 
-/// Age beyond which a report counts as missing. Chosen, not measured.
+/// Age beyond which a report counts as missing.
 pub const STALE_AFTER: Millis = Millis(2_000);
 
-/// Most own sends remembered since a report: a bound on memory. Chosen, not measured.
+/// Most own sends remembered since a report: a bound on memory.
 const MAX_SENDS: usize = 256;
 
-/// Largest backlog that a report is believed to have: ten minutes. Chosen, not measured.
+/// Largest backlog that a report is believed to have: ten minutes.
 const MAX_BACKLOG: WorkMillis = WorkMillis(600_000.0);
 
-/// Largest number of slots that a report is believed to have. Chosen, not measured.
+/// Largest number of slots that a report is believed to have.
 const MAX_SLOTS: u32 = 4_096;
 
-/// Time after which half of a correction is forgotten when nothing is observed: an endpoint that
-/// isn't chosen any more would never show that it is well again. Chosen, not measured.
+/// Time after which half of a correction is forgotten when nothing is observed: an endpoint that isn't chosen any more
+/// would never show that it is well again.
 const CORRECTION_HALF_LIFE: Millis = Millis(5_000);
 
-/// Calls that went as expected, as a prior against chance. Chosen, not measured.
+/// Calls that went as expected, as a prior against chance.
 const PRIOR_CALLS: f64 = 4.0;
 
-/// Multiple of its estimate after which a call in flight counts as overdue. Chosen, not measured.
+/// Multiple of its estimate after which a call in flight counts as overdue.
 const OVERDUE_FACTOR: f64 = 2.0;
 
-/// Bounds of the correction by observed times. Chosen, not measured.
+/// Bounds of the correction by observed times.
 pub const CORRECTION: CorrectionRange = CorrectionRange {
     least: 0.25,
     most: 8.0,
 };
 
 /// Part of the queue's time that counts while slots are free: ties go to the emptier endpoint.
-/// Chosen, not measured.
 pub const FREE_SLOT_WEIGHT: f64 = 0.1;
 
 /// Bounds of a factor.
--- a/lib/src/pipeline/decision/fair.rs
+++ b/lib/src/pipeline/decision/fair.rs
@@ -14,9 +14,6 @@
 //! enough for all others, so it can only take what they leave. A queue that is being worked off is
 //! no reason to refuse anybody: hence the look at what is asked for now.
 //!
-//! The measurements: `docs/MEASUREMENTS.md`, "Customers under overload" and "After a burst", made
-//! with the figures below; each of them is chosen, not measured on its own.
-//!
 //! `test_policy_pins.rs` (`fair_rooms`) pins the rule.
 
 use {
--- a/lib/src/pipeline/decision/limit.rs
+++ b/lib/src/pipeline/decision/limit.rs
@@ -8,18 +8,17 @@
 //! isn't queued.
 //!
 //! The reason: a queue would only hide the limit from the customer, and take the daemon's memory.
-//! All figures are chosen, not measured. `test_policy_pins.rs` (`customer_limits`) pins the rule.
+//! `test_policy_pins.rs` (`customer_limits`) pins the rule.
 
 use crate::{
     settings::values::Settings,
     shared::units::{Millis, Rate, Time},
 };
 
-/// Seconds of its rate that a customer may use at once. Chosen, not measured.
+/// Seconds of its rate that a customer may use at once.
 pub const BURST_SECONDS: f64 = 1.0;
 
-/// Wait suggested to a customer with too many requests in flight. Chosen, not measured: when one of
-/// them ends isn't estimated.
+/// Wait suggested to a customer with too many requests in flight. When one of them ends isn't estimated.
 const CONCURRENCY_WAIT: Millis = Millis(100);
 
 /// Price of one request, in tokens of the bucket.
--- a/lib/src/pipeline/decision/policy_estimated.rs
+++ b/lib/src/pipeline/decision/policy_estimated.rs
@@ -35,11 +35,11 @@
     rand::{RngExt, rngs::SmallRng},
 };
 
-/// Endpoints of the own data centre looked at for one choice. Chosen, not measured.
+/// Endpoints of the own data centre looked at for one choice.
 pub const LOCAL_SAMPLE: usize = 4;
 
-/// Endpoints of other data centres looked at for one choice; [`LOCAL_SAMPLE`] more if the own data
-/// centre has none that wasn't tried. Chosen, not measured.
+/// Endpoints of other data centres looked at for one choice; [`LOCAL_SAMPLE`] more if the own data centre has none that
+/// wasn't tried.
 pub const REMOTE_SAMPLE: usize = 2;
 
 /// Chooses the endpoint that would finish first, among a few sampled ones.
--- a/lib/src/pipeline/decision/prefix.rs
+++ b/lib/src/pipeline/decision/prefix.rs
@@ -29,18 +29,17 @@
 /// (`docs/PROTOCOLS.md`).
 pub const BLOCK: usize = 512;
 
-/// Most blocks of a prompt that are kept apart (32 KB): a bound on the cost of a prompt. Chosen,
-/// not measured.
+/// Most blocks of a prompt that are kept apart (32 KB): a bound on the cost of a prompt.
 const MAX_BLOCKS: usize = 64;
 
 /// Blocks remembered in one generation of beliefs; there are two. A bound on memory;
 /// `bounded_memory` in `test_prefix.rs` holds it.
 const GENERATION: usize = 8_192;
 
-/// Engines remembered for one block. Chosen, not measured.
+/// Engines remembered for one block.
 pub const HOLDERS: usize = 4;
 
-/// Age after which a belief no longer counts. Chosen, not measured.
+/// Age after which a belief no longer counts.
 pub const FORGET_AFTER: Millis = Millis(60_000);
 
 /// Hashes of a prompt's blocks; each one covers the whole beginning up to its block.
--- a/lib/src/pipeline/decision/retry.rs
+++ b/lib/src/pipeline/decision/retry.rs
@@ -25,8 +25,7 @@
     shared::units::{Count, Millis, Share},
 };
 
-/// Retries that a quiet service may make before any traffic has paid for them, and the most that a
-/// budget can hold. Chosen, not measured.
+/// Retries that a quiet service may make before any traffic has paid for them, and the most that a budget can hold.
 const RESERVE: f64 = 10.0;
 
 /// Price of one retry or hedge, in retries.
--- a/lib/src/pipeline/decision/retry_after.rs
+++ b/lib/src/pipeline/decision/retry_after.rs
@@ -6,22 +6,21 @@
 //! The rule: the caller may come back when a usual call would be finished, within [`SHORTEST`] and
 //! [`LONGEST`]; after [`UNKNOWN`] if nothing can be estimated.
 //!
-//! The reason: by then an endpoint has room, if nobody else takes it; the bounds keep callers from
-//! coming back at once, and from staying away because of one absurd estimate. All figures are
-//! chosen, not measured; `test_retry_after.rs` pins them.
+//! The reason: by then an endpoint has room, if nobody else takes it; the bounds keep callers from coming back at
+//! once, and from staying away because of one absurd estimate. Tests: `lib/tests/test_retry_after.rs`.
 
 use crate::shared::units::{Millis, WorkMillis};
 
-/// Shortest wait. Chosen, not measured.
+/// Shortest wait.
 pub const SHORTEST: Millis = Millis(50);
 
-/// Longest wait. Chosen, not measured.
+/// Longest wait.
 pub const LONGEST: Millis = Millis(5_000);
 
-/// Wait for a pool without an endpoint that may get work, or without any. Chosen, not measured.
+/// Wait for a pool without an endpoint that may get work, or without any.
 pub const UNKNOWN: Millis = Millis(1_000);
 
-/// Endpoints looked at for the earliest finish. Chosen, not measured: a bound on the cost.
+/// Endpoints looked at for the earliest finish. A bound on the cost.
 pub const SAMPLE: usize = 8;
 
 /// Returns how long a caller should wait, by the earliest finish of a usual call.
--- a/lib/src/pipeline/endpoints/dispatch.rs
+++ b/lib/src/pipeline/endpoints/dispatch.rs
@@ -17,10 +17,10 @@
     std::net::SocketAddr,
 };
 
-/// Largest load report. Chosen, not measured: far above its five numbers.
+/// Largest load report. Far above its five numbers.
 const LOAD_SIZE: ByteSize = ByteSize(4096);
 
-/// Largest reply with cache events. Chosen, not measured.
+/// Largest reply with cache events.
 const EVENTS_SIZE: ByteSize = ByteSize(256 * 1024);
 
 impl Transport for HttpTransport {
--- a/lib/src/pipeline/endpoints/engine_client.rs
+++ b/lib/src/pipeline/endpoints/engine_client.rs
@@ -24,10 +24,10 @@
     std::time::Duration,
 };
 
-/// Longest silence within a stream; an engine sends tokens far more often. Chosen, not measured.
+/// Longest silence within a stream; an engine sends tokens far more often.
 const SILENCE_LIMIT: Duration = Duration::from_secs(10);
 
-/// Longest time to send an engine a cancel message. Chosen, not measured.
+/// Longest time to send an engine a cancel message.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Runs one generation and passes each token to `sink`; returns the attempt's end.
--- a/lib/src/pipeline/endpoints/http_transport.rs
+++ b/lib/src/pipeline/endpoints/http_transport.rs
@@ -24,17 +24,17 @@
     std::time::Duration,
 };
 
-/// Longest time to set up a connection. Chosen, not measured.
+/// Longest time to set up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Idle time after which a pooled connection is closed; shorter than servers' usual ones, so that
-/// a call rarely meets a connection that its endpoint is closing. Chosen, not measured.
+/// Idle time after which a pooled connection is closed; shorter than servers' usual ones, so that a call rarely meets a
+/// connection that its endpoint is closing.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Most idle connections kept for one endpoint. Chosen, not measured.
+/// Most idle connections kept for one endpoint.
 const IDLE_CONNECTIONS: usize = 64;
 
-/// Longest time to read a report of an endpoint. Chosen, not measured.
+/// Longest time to read a report of an endpoint.
 const REPORT_TIMEOUT: Millis = Millis(500);
 
 /// Calls endpoints over HTTP/1.1.
--- a/lib/src/pipeline/metrics.rs
+++ b/lib/src/pipeline/metrics.rs
@@ -24,13 +24,13 @@
 /// Media type of the text form.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
-/// Upper bound of the request time's first bucket, in seconds. Chosen, not measured.
+/// Upper bound of the request time's first bucket, in seconds.
 const FIRST_BUCKET: f64 = 0.002;
 
-/// Factor from each bucket's bound to the next. Chosen, not measured.
+/// Factor from each bucket's bound to the next.
 const BUCKET_FACTOR: f64 = 2.0;
 
-/// Number of buckets: the last bound is 16.384 s. Chosen, not measured.
+/// Number of buckets: the last bound is 16.384 s.
 const BUCKETS: u16 = 14;
 
 /// Milliseconds in a second, the base unit of times in OpenMetrics.
--- a/lib/src/pipeline/trace.rs
+++ b/lib/src/pipeline/trace.rs
@@ -32,13 +32,13 @@
     tokio::sync::mpsc,
 };
 
-/// Ended spans that wait for export; more are dropped and counted. Chosen, not measured.
+/// Ended spans that wait for export; more are dropped and counted.
 const QUEUE: usize = 2_048;
 
-/// Most spans of one export. Chosen, not measured.
+/// Most spans of one export.
 const BATCH: usize = 256;
 
-/// Longest time that one export may take. Chosen, not measured.
+/// Longest time that one export may take.
 const EXPORT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Version of the `traceparent` that is written (W3C Trace Context, as the formats below).
--- a/lib/src/report/reader.rs
+++ b/lib/src/report/reader.rs
@@ -11,11 +11,11 @@
 /// Name of a route or data centre that the log doesn't tell.
 const UNKNOWN: &str = "-";
 
-/// Time after which a request without an end is forgotten, in milliseconds: its host was killed, or lines
-/// were dropped. Chosen, not measured, well above any deadline.
+/// Time after which a request without an end is forgotten, in milliseconds: its host was killed, or lines were dropped.
+/// Well above any deadline.
 const FORGET_MS: u64 = 120_000;
 
-/// Requests in flight from which on old ones are looked for. Chosen, not measured.
+/// Requests in flight from which on old ones are looked for.
 const SWEEP_ABOVE: usize = 10_000;
 
 const MS_PER_SECOND: u64 = 1_000;
--- a/lib/src/report/spread.rs
+++ b/lib/src/report/spread.rs
@@ -2,7 +2,7 @@
 
 use serde::{Serialize, Serializer, ser::SerializeStruct};
 
-/// Ratio of the bounds of a bucket. Chosen, not measured: a quantile is right to 5 in 100.
+/// Ratio of the bounds of a bucket. A quantile is right to 5 in 100.
 const RATIO: f64 = 1.05;
 
 /// Buckets: they reach 17 minutes.
--- a/lib/src/settings/document/parse.rs
+++ b/lib/src/settings/document/parse.rs
@@ -16,9 +16,8 @@
     std::collections::BTreeSet,
 };
 
-/// Most levels of nesting accepted; deeper input is refused before it is parsed, because the
-/// parser calls itself once a level. Chosen, not measured; `test_settings_tree::damaged_text`
-/// goes beyond it.
+/// Most levels of nesting accepted; deeper input is refused before it is parsed, because the parser calls itself once a
+/// level. `test_settings_tree::damaged_text` goes beyond it.
 const MAX_DEPTH: usize = 64;
 
 /// Only comments and trailing commas go beyond plain JSON.
--- a/lib/src/settings/values/mod.rs
+++ b/lib/src/settings/values/mod.rs
@@ -97,7 +97,7 @@
     };
 }
 
-// Every default is chosen, not measured; users' trees override those that matter to them.
+// Users' trees override the defaults that matter to them.
 settings! {
     /// Time within which a request must be answered whole.
     Request deadline: Millis = "4s";
--- a/lib/src/shared/health.rs
+++ b/lib/src/shared/health.rs
@@ -16,7 +16,7 @@
 
 use crate::shared::units::{Millis, Share, Time};
 
-/// Failures in a row after which an endpoint is ejected. Chosen, not measured.
+/// Failures in a row after which an endpoint is ejected.
 const EJECT_AFTER: u32 = 3;
 
 /// Share of recent calls that fail above which an endpoint is ejected even if some succeed. The
@@ -24,27 +24,27 @@
 /// "Faults at 0.8 of capacity"); the figure itself is chosen.
 const EJECT_RATE: Share = Share(0.25);
 
-/// Weight of one call in the share of recent calls that failed. Chosen, not measured.
+/// Weight of one call in the share of recent calls that failed.
 const RATE_GAIN: f64 = 0.1;
 
-/// Calls since the last ejection that the share has to rest on. Chosen, not measured.
+/// Calls since the last ejection that the share has to rest on.
 const RATE_CALLS: u32 = 10;
 
-/// First time of ejection; each further ejection doubles it. Chosen, not measured.
+/// First time of ejection; each further ejection doubles it.
 const FIRST_EJECTION: Millis = Millis(500);
 
-/// Longest time of ejection. Chosen, not measured.
+/// Longest time of ejection.
 const LONGEST_EJECTION: Millis = Millis(16_000);
 
 /// Doublings beyond which the time of ejection no longer grows: keeps the shift within its type,
 /// and is above what [`LONGEST_EJECTION`] allows.
 const MOST_DOUBLINGS: u32 = 10;
 
-/// Successes in a row after which past ejections are forgotten. Chosen, not measured.
+/// Successes in a row after which past ejections are forgotten.
 const FORGET_AFTER: u32 = 20;
 
-/// Largest share of a pool that may be out of service through ejection. Chosen, not measured: with
-/// more out, the rest would be overloaded, and the cause is more likely a common one.
+/// Largest share of a pool that may be out of service through ejection. With more out, the rest would be overloaded,
+/// and the cause is more likely a common one.
 const MAX_EJECTED: Share = Share(0.5);
 
 /// Returns whether a pool of `endpoints` may eject one more while `out` of them are out of service.
--- a/lib/src/shared/ids.rs
+++ b/lib/src/shared/ids.rs
@@ -11,10 +11,10 @@
     uuid::Uuid,
 };
 
-/// Longest accepted name, in bytes. Chosen, not measured.
+/// Longest accepted name, in bytes.
 const MAX_NAME_LENGTH: usize = 64;
 
-/// Longest accepted idempotency key, in bytes. Chosen, not measured.
+/// Longest accepted idempotency key, in bytes.
 const MAX_KEY_LENGTH: usize = 128;
 
 /// Reports a text that isn't a valid identifier.
--- a/lib/src/shared/sse.rs
+++ b/lib/src/shared/sse.rs
@@ -8,7 +8,7 @@
     thiserror::Error,
 };
 
-/// Longest event accepted from an engine, in bytes. Chosen, not measured.
+/// Longest event accepted from an engine, in bytes.
 const MAX_EVENT: usize = 64 * 1024;
 
 /// Blank line that ends an event.
--- a/lib/src/shared/units/count.rs
+++ b/lib/src/shared/units/count.rs
@@ -12,7 +12,7 @@
 impl Count {
     const EXPECTED: &'static str = "a whole number from 1 to 1000000";
 
-    /// Largest count that settings accept. Chosen, not measured.
+    /// Largest count that settings accept.
     const MAX: u32 = 1_000_000;
 }
 
--- a/lib/src/shared/units/size.rs
+++ b/lib/src/shared/units/size.rs
@@ -17,7 +17,7 @@
 impl ByteSize {
     const EXPECTED: &'static str = "a size such as \"512B\", \"64KB\" or \"1MB\"";
 
-    /// Largest size that settings accept: one gigabyte. Chosen, not measured.
+    /// Largest size that settings accept: one gigabyte.
     pub const MAX: ByteSize = ByteSize(GB);
 }
 
--- a/lib/src/shared/units/time.rs
+++ b/lib/src/shared/units/time.rs
@@ -24,7 +24,7 @@
 impl Millis {
     const EXPECTED: &'static str = "a duration such as \"250ms\", \"4s\" or \"2m\"";
 
-    /// Longest duration that settings accept: one day. Chosen, not measured.
+    /// Longest duration that settings accept: one day.
     pub const MAX: Millis = Millis(24 * MILLIS_PER_HOUR);
 
     /// Returns the duration for the standard library and `tokio`.
--- a/lib/src/timeline/mod.rs
+++ b/lib/src/timeline/mod.rs
@@ -17,8 +17,7 @@
     std::{collections::BTreeSet, fmt, ops::RangeInclusive},
 };
 
-/// Time before a request's first step from which observations are shown, in milliseconds. ChosenEntry,
-/// not measured.
+/// Time before a request's first step from which observations are shown, in milliseconds.
 const BEFORE_MS: u64 = 2_000;
 
 /// Beginnings of the names of events that are observations.
--- a/lib/testutils/src/core_run/mod.rs
+++ b/lib/testutils/src/core_run/mod.rs
@@ -36,13 +36,13 @@
 /// Tokens of every generation in a run.
 pub const TOKENS: u32 = 4;
 
-/// Longest service time that is drawn, in microseconds; chosen, not measured.
+/// Longest service time that is drawn, in microseconds.
 const MAX_SERVICE: u64 = 400_000;
 
-/// Longest time between two arrivals, in microseconds; chosen, not measured.
+/// Longest time between two arrivals, in microseconds.
 const MAX_GAP: u64 = 50_000;
 
-/// Seed of the core's own choices; chosen, not measured.
+/// Seed of the core's own choices.
 const CORE_SEED: u64 = 7;
 
 /// Backlogs of load reports, in milliseconds: plausible ones and ones that no endpoint should send.
--- a/lib/testutils/src/endpoint.rs
+++ b/lib/testutils/src/endpoint.rs
@@ -27,10 +27,10 @@
     },
 };
 
-/// Bytes of a reply that is larger than any limit; chosen, not measured.
+/// Bytes of a reply that is larger than any limit.
 const TOO_MUCH: usize = 32 << 20;
 
-/// Age of the reports that a stand-in gives, as real ones lag; chosen, not measured.
+/// Age of the reports that a stand-in gives, as real ones lag.
 const REPORT_LAG: Millis = Millis(50);
 
 /// One run of work at an endpoint.
--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -31,7 +31,7 @@
     tokio::{sync::mpsc, time::Instant},
 };
 
-/// Events that may wait for a slow reader; chosen, not measured.
+/// Events that may wait for a slow reader.
 const QUEUE: usize = 16;
 
 /// An engine's times and batch.
--- a/lib/testutils/src/fixture.rs
+++ b/lib/testutils/src/fixture.rs
@@ -23,7 +23,7 @@
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
-/// Longest wait for something that has to happen; chosen, not measured: far above what it takes.
+/// Longest wait for something that has to happen: far above what it takes.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Model that the fixture's engines serve.
--- a/lib/testutils/src/http_client.rs
+++ b/lib/testutils/src/http_client.rs
@@ -12,7 +12,7 @@
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Longest wait of a caller; chosen, not measured: far above every deadline in tests.
+/// Longest wait of a caller: far above every deadline in tests.
 const PATIENCE: Duration = Duration::from_secs(60);
 
 /// One call of the interface.
--- a/lib/testutils/src/prefix_cache.rs
+++ b/lib/testutils/src/prefix_cache.rs
@@ -9,16 +9,16 @@
     tokio::time::Instant,
 };
 
-/// Time after which a change is reported; chosen, not measured.
+/// Time after which a change is reported.
 const LAG: Duration = Duration::from_millis(100);
 
-/// Changes that are kept, so that a reader who asks too late finds a gap; chosen, not measured.
+/// Changes that are kept, so that a reader who asks too late finds a gap.
 const LOG: usize = 2_048;
 
-/// Most changes reported at once; chosen, not measured.
+/// Most changes reported at once.
 const BATCH: usize = 512;
 
-/// One change of this many is never reported; chosen, not measured.
+/// One change of this many is never reported.
 const LOST_OF: u64 = 50;
 
 /// One change of the cache.
