soak: a replica that names a low rate, from seed 4000 on

What all daemons together send it in any 4 s is held against the rate, with an allowance for each start of a daemon, which sends until it is told.

--- /dev/null
+++ b/daemon/tests/soak/need.rs
@@ -0,0 +1,76 @@
+//! A replica that names a low rate for the rest of a run, and what it gets then.
+
+use {
+    super::{stand_in::replica::Replica, trouble::World},
+    rand::{RngExt, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+/// Rates that a replica may name, in requests a second.
+const RATES: [f64; 3] = [1.0, 2.0, 6.0];
+
+/// Longest time to the moment at which it begins to, in milliseconds.
+const BEGINS_MS: u64 = 500;
+
+/// Time after that from which on the bound holds, and the window in which requests are counted.
+const SETTLED: Duration = Duration::from_millis(1_500);
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests that a daemon may send it from its start until it is told, for each start in the run: it serves eight callers.
+const UNTOLD: usize = 16;
+
+/// A replica that names a rate.
+#[derive(Debug)]
+pub struct InNeed {
+    replica: Replica,
+    rate: f64,
+    began: Instant,
+}
+
+/// Makes a replica name a rate.
+pub async fn begin(world: World, mut rng: SmallRng) -> InNeed {
+    let wait = Duration::from_millis(rng.random_range(0..BEGINS_MS));
+    tokio::time::sleep(wait).await;
+    let rate = RATES[rng.random_range(0..RATES.len())];
+    let replica = {
+        let members = world.members.borrow();
+        members[rng.random_range(0..members.len())].replica.clone()
+    };
+    replica.set_limit(Some(&rate.to_string()));
+    InNeed {
+        replica,
+        rate,
+        began: Instant::now(),
+    }
+}
+
+impl InNeed {
+    /// Checks that all daemons together kept to the rate, and ends the need.
+    pub fn check(&self, world: &World) {
+        self.replica.set_limit(None);
+        let settled = self.began + SETTLED;
+        let arrivals = self.replica.arrivals();
+        let counted: Vec<Instant> = arrivals.into_iter().filter(|at| *at >= settled).collect();
+        let in_window = |from: Instant| {
+            let inside = counted
+                .iter()
+                .filter(|at| **at >= from && **at < from + WINDOW);
+            inside.count()
+        };
+        let most = counted.iter().map(|at| in_window(*at)).max();
+        let most = most.unwrap_or_default();
+        let starts = world.starts.get();
+        let allowed = (self.rate * WINDOW.as_secs_f64() * 1.5 + 5.0) as usize;
+        println!(
+            "{most} requests in 4 s at a replica that names {} a second, {} in all, allowed {allowed}, {starts} starts",
+            self.rate,
+            counted.len()
+        );
+        if most > allowed + UNTOLD * starts {
+            world.find(format!(
+                "{most} requests in 4 s at a replica that names {} a second",
+                self.rate
+            ));
+        }
+    }
+}
--- a/daemon/tests/soak/trouble.rs
+++ b/daemon/tests/soak/trouble.rs
@@ -32,6 +32,8 @@
     pub evacuates: bool,
     /// Times that a daemon started and can't have been told at once what others know.
     pub forgotten: Rc<std::cell::Cell<usize>>,
+    /// Times that a daemon started again.
+    pub starts: Rc<std::cell::Cell<usize>>,
 }
 
 /// Time in which a daemon is told what others know, where links aren't harmed. Chosen, not measured: some heartbeats.
@@ -190,6 +192,7 @@
     /// Starts a daemon again.
     fn restart(&self, number: usize) {
         self.daemons.borrow_mut()[number].restart();
+        self.starts.set(self.starts.get() + 1);
         let world = self.clone();
         tokio::task::spawn_local(async move {
             if world.is_left_alone(number).await {
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -17,6 +17,7 @@
     pub mod checks;
     pub mod fleet;
     pub mod harm;
+    pub mod need;
     pub mod proxy;
     pub mod trouble;
 }
@@ -28,7 +29,7 @@
         caller::{Kind, Outcomes, run_caller, send_once},
         checks::check,
         fleet::{Daemon, Member, start_daemons, start_members},
-        harm,
+        harm, need,
         stand_in::{site::table_of_kinds, store::StandInStore},
         trouble::World,
     },
@@ -43,8 +44,9 @@
     tokio::task::LocalSet,
 };
 
-/// Seeds of the short series: without and with harm to links, with evacuations, and with harmful requests.
-const SHORT: [u64; 8] = [2, 3, 1_000, 1_001, 2_000, 2_002, 3_001, 3_002];
+/// Seeds of the short series: without and with harm to links, with evacuations, with harmful requests, and with a replica
+/// in need.
+const SHORT: [u64; 10] = [2, 3, 1_000, 1_001, 2_000, 2_002, 3_001, 3_002, 4_001, 4_003];
 
 /// Seeds from this one on also harm the links between daemons, and let tables grow large. Those before keep
 /// the events with which they once failed.
@@ -56,6 +58,9 @@
 /// Seeds from this one on also have a request that ends each replica that begins to run it, and comes again and again.
 const HARMFUL_FROM: u64 = 3_000;
 
+/// Seeds from this one on also have a replica that names a low rate.
+const NEED_FROM: u64 = 4_000;
+
 /// Seeds that failed once, with what they showed.
 const REGRESSIONS: [(u64, &str); 6] = [
     (
@@ -164,6 +169,7 @@
         harms_links: seed >= LINKS_FROM && !planned,
         evacuates: seed >= EVACUATIONS_FROM && !planned,
         forgotten: Rc::default(),
+        starts: Rc::default(),
     };
     if !until_settled(&world).await {
         return vec!["the daemons never served".into()];
@@ -192,6 +198,10 @@
         let rng = SmallRng::seed_from_u64(seed << 1);
         tokio::task::spawn_local(harm::run(world.clone(), rng))
     });
+    let in_need = (seed >= NEED_FROM).then(|| {
+        let rng = SmallRng::seed_from_u64(seed << 2);
+        tokio::task::spawn_local(need::begin(world.clone(), rng))
+    });
     let version_check = tokio::task::spawn_local(check_versions(world.clone()));
     let end = tokio::time::Instant::now() + Duration::from_secs(seconds());
     while tokio::time::Instant::now() < end {
@@ -204,6 +214,9 @@
     for caller in callers {
         caller.await.unwrap();
     }
+    if let Some(in_need) = in_need {
+        in_need.await.unwrap().check(&world);
+    }
     if let Some(harm) = link_harm {
         harm.abort();
     }
