rates: few requests wait for a permit; one for which there is a permit counts half its time

Where only an endpoint is left that names a rate, every request waited for a permit as long as one was to be expected within a quarter of its objective, although one of them gets it: the others were refused late for nothing. Now so many wait in a daemon as may get a permit in that time, those that are more urgent before others; the rest is refused at once.

A permit also halves the time at an engine, but for what would be read again there: between engines that are equal, the one for which there is a permit goes first.

--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -20,7 +20,7 @@
         shared::{
             health::can_spare,
             ids::{DataCentreId, EndpointId, ServiceId},
-            units::{Millis, Time, WorkMillis},
+            units::{Millis, Rate, Time, WorkMillis},
         },
     },
     foldhash::HashMap,
@@ -226,6 +226,13 @@
         is_due
     }
 
+    /// Returns what the endpoints of a service that name a rate take together.
+    pub(crate) fn named_rate(&self, service: &ServiceId) -> Rate {
+        let limited = self.limited(service);
+        let rates = limited.filter_map(|member| self.rates.rate(member.life));
+        Rate(rates.map(|rate| rate.0).sum())
+    }
+
     /// Returns the time after which a permit for an endpoint of a service may be expected; nothing where that isn't
     /// known.
     pub(crate) fn permit_wait(&self, now: Time, service: &ServiceId) -> Option<Millis> {
--- a/lib/src/gateway/routing/permits.rs
+++ b/lib/src/gateway/routing/permits.rs
@@ -13,7 +13,7 @@
             rules::{
                 eligibility::{Exclusion, LeftOut},
                 endpoint_choice::EndpointChoice,
-                endpoint_rate::{CLAIM_RENEWAL, longest_wait},
+                endpoint_rate::{CLAIM_RENEWAL, longest_wait, may_wait},
             },
             stages::stage_results::Results,
             state::Gateway,
@@ -24,8 +24,63 @@
         },
     },
     foldhash::HashMap,
+    std::cell::RefCell,
 };
 
+/// The requests of this daemon that wait for permits: the urgencies of those for each service, in no order.
+#[derive(Debug, Default)]
+pub(crate) struct PermitQueue(RefCell<HashMap<ServiceId, Vec<u32>>>);
+
+impl PermitQueue {
+    /// Adds a request, until its place is dropped.
+    fn join(&self, call: &ForwardedCall) -> WaitingPlace<'_> {
+        let mut waiting = self.0.borrow_mut();
+        let urgencies = waiting.entry(call.service.clone()).or_default();
+        urgencies.push(call.urgency);
+        WaitingPlace {
+            queue: self,
+            service: call.service.clone(),
+            urgency: call.urgency,
+        }
+    }
+}
+
+/// The place of a request that waits for a permit.
+struct WaitingPlace<'a> {
+    queue: &'a PermitQueue,
+    service: ServiceId,
+    urgency: u32,
+}
+
+impl WaitingPlace<'_> {
+    /// Returns the number of requests that are no less urgent, this one included.
+    fn ahead(&self) -> usize {
+        let waiting = self.queue.0.borrow();
+        let urgencies = waiting.get(&self.service).into_iter().flatten();
+        urgencies
+            .filter(|urgency| **urgency <= self.urgency)
+            .count()
+    }
+}
+
+impl Drop for WaitingPlace<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.queue.0.borrow_mut();
+        let Some(urgencies) = waiting.get_mut(&self.service) else {
+            return;
+        };
+        if let Some(place) = urgencies
+            .iter()
+            .position(|urgency| *urgency == self.urgency)
+        {
+            urgencies.swap_remove(place);
+        }
+        if urgencies.is_empty() {
+            waiting.remove(&self.service);
+        }
+    }
+}
+
 /// Urgency of calls of pieces: whatever request they are for, its stages come first.
 const PIECES: u32 = 0;
 
@@ -42,9 +97,9 @@
         tried: &[EndpointId],
         results: Option<&Results<D>>,
     ) -> Result<EndpointChoice, LeftOut> {
-        let end = call
-            .deadline
-            .min(self.now() + longest_wait(call.route.objective));
+        let longest = longest_wait(call.route.objective);
+        let end = call.deadline.min(self.now() + longest);
+        let mut place = None;
         loop {
             // Permits that come from here on wake it.
             let permits = self.permits.notified();
@@ -60,6 +115,11 @@
             if choice.is_ok() || !self.is_permit_near(call, end) {
                 return choice;
             }
+            let place = place.get_or_insert_with(|| self.permit_queue.join(call));
+            let rate = self.state.borrow().endpoints.named_rate(&call.service);
+            if !may_wait(place.ahead(), rate, longest) {
+                return choice;
+            }
             // A claim that isn't renewed ends.
             let renewal = self.now() + CLAIM_RENEWAL;
             let is_over = self.before(end.min(renewal), permits).await.is_none();
--- a/lib/src/gateway/rules/endpoint_choice.rs
+++ b/lib/src/gateway/rules/endpoint_choice.rs
@@ -44,7 +44,8 @@
 /// equal load.
 const CROWDING: f64 = 0.5;
 
-/// Factor on the time of a plain call for which there is a permit: a permit that isn't used is lost.
+/// Factor on the time at an endpoint for which there is a permit: a permit that isn't used is lost. What is read again
+/// there isn't any cheaper.
 const PERMITTED: f64 = 0.5;
 
 /// Cost of each shared token of a prompt that has to be read again, in milliseconds beside the time it
@@ -259,11 +260,8 @@
     let slots = slots(candidate);
     let queued = (outstanding + 1.0 - slots).max(0.0) / slots;
     let crowding = CROWDING * outstanding / slots;
-    let factor = match candidate.limit {
-        NamedLimit::None => 1.0,
-        NamedLimit::Permitted | NamedLimit::LookDue => PERMITTED,
-    };
-    WorkMillis(candidate.call_time.0 * (1.0 + queued + crowding) * factor)
+    let time = candidate.call_time.0 * (1.0 + queued + crowding);
+    WorkMillis(time * permit_factor(candidate))
 }
 
 /// Estimates the time to the first event of a generation.
@@ -272,7 +270,14 @@
     let waiting = candidate.waiting_tokens + f64::from(uncached);
     let overfull = (outstanding + 1.0 - slots(candidate)).max(0.0) * OVERFULL_MS;
     let ms = waiting / TOKENS_PER_MS + outstanding * GENERATION_MS + overfull;
-    WorkMillis(ms * candidate.pace)
+    WorkMillis(ms * candidate.pace * permit_factor(candidate))
+}
+
+fn permit_factor(candidate: &EndpointCandidate<'_>) -> f64 {
+    match candidate.limit {
+        NamedLimit::None => 1.0,
+        NamedLimit::Permitted | NamedLimit::LookDue => PERMITTED,
+    }
 }
 
 fn slots(candidate: &EndpointCandidate<'_>) -> f64 {
--- a/lib/src/gateway/rules/endpoint_rate.rs
+++ b/lib/src/gateway/rules/endpoint_rate.rs
@@ -95,6 +95,13 @@
     Millis(objective.0 / WAIT_PART).max(SHORTEST_WAIT)
 }
 
+/// Returns whether a request waits for a permit, as one of so many in this daemon that are no less urgent, it included:
+/// those that can't all get one in `wait` are refused at once.
+pub fn may_wait(waiting: usize, named: Rate, wait: Millis) -> bool {
+    let expected = Tokens::of(kept_rate(named), wait).0.ceil();
+    waiting as f64 <= expected.max(1.0)
+}
+
 /// Returns whether news that an endpoint names no rate any more stands against what is known since `known`.
 pub fn may_end(known: Time, news: Time) -> bool {
     news >= known + END_MARGIN
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -21,7 +21,7 @@
                 part_batches::PartBatches,
             },
             quarantine::store::Quarantine,
-            routing::endpoint_states::EndpointStates,
+            routing::{endpoint_states::EndpointStates, permits::PermitQueue},
             rules::{catch_up::BehindSince, coordinator, retry_budget::WindowBudget},
             serving::{metrics::GatewayMetrics, reload::Reload, settings::GatewaySettings},
             stages::{queues::Planning, workload::Workload},
@@ -210,6 +210,8 @@
     pub(crate) rate_news: Notify,
     /// Wakes the requests that wait for a permit.
     pub(crate) permits: Notify,
+    /// The requests that wait for permits.
+    pub(crate) permit_queue: PermitQueue,
     /// Random number that distinguishes this life of the process from others.
     pub run: u64,
     clock: Clock,
@@ -247,6 +249,7 @@
             quarantine_news: Notify::new(),
             rate_news: Notify::new(),
             permits: Notify::new(),
+            permit_queue: PermitQueue::default(),
             run,
             clock: Clock::default(),
             dialect: PhantomData,
