rates: names that stand once, the queue of waiting requests in a module of its own

Types and constants that had the names of others are told apart; what judges the reply of a resumed stream is a function of its own.

--- a/lib/src/gateway/peers/rate_news.rs
+++ b/lib/src/gateway/peers/rate_news.rs
@@ -16,7 +16,7 @@
             },
             rates::{
                 note::{PermitNote, RateNote},
-                store::{Answer, EndpointRates, RateMessages},
+                store::{EndpointRates, PermitAnswer, RateMessages},
             },
             routing::named_rates::RateSource,
             rules::{coordinator::Coordinator, gossip::HEARTBEAT},
@@ -30,10 +30,10 @@
 };
 
 /// Notes that one datagram holds: one takes up to 33 bytes, and 1,400 are sent whole by any network.
-const DATAGRAM_NOTES: usize = 36;
+const RATE_NOTES: usize = 36;
 
 /// Time for which claims are gathered before they are sent.
-const NEWS_DELAY: Millis = Millis(2);
+const CLAIM_DELAY: Millis = Millis(2);
 
 /// Tells others what is new, for good.
 pub(crate) async fn run_rate_news<D: Dialect>(gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
@@ -46,7 +46,7 @@
             let news = gateway.rate_news.notified();
             let _ = tokio::time::timeout(HEARTBEAT.to_duration(), news).await;
         }
-        tokio::time::sleep(NEWS_DELAY.to_duration()).await;
+        tokio::time::sleep(CLAIM_DELAY.to_duration()).await;
         send(&gateway, &socket);
     }
 }
@@ -67,8 +67,8 @@
         self.0.entry(to).or_default().notes.push(note);
     }
 
-    fn add_answers(&mut self, answers: Vec<Answer>) {
-        for Answer { to, note } in answers {
+    fn add_answers(&mut self, answers: Vec<PermitAnswer>) {
+        for PermitAnswer { to, note } in answers {
             self.0.entry(to).or_default().permits.push(note);
         }
     }
@@ -134,8 +134,8 @@
 }
 
 fn send_parcel(socket: &UdpSocket, from: SocketAddr, to: SocketAddr, parcel: &Parcel) {
-    let notes = parcel.notes.chunks(DATAGRAM_NOTES);
-    let permits = parcel.permits.chunks(DATAGRAM_NOTES);
+    let notes = parcel.notes.chunks(RATE_NOTES);
+    let permits = parcel.permits.chunks(RATE_NOTES);
     let notes = notes.map(|part| (part.to_vec(), Vec::new()));
     let permits = permits.map(|part| (Vec::new(), part.to_vec()));
     for (notes, permits) in notes.chain(permits) {
@@ -154,7 +154,7 @@
     gateway: &Gateway<D>,
     notes: &[RateNote],
     from: SocketAddr,
-) -> Vec<Answer> {
+) -> Vec<PermitAnswer> {
     let now = gateway.now();
     let mut state = gateway.state.borrow_mut();
     let rates = &mut state.endpoints.rates;
--- a/lib/src/gateway/rates/mod.rs
+++ b/lib/src/gateway/rates/mod.rs
@@ -5,5 +5,6 @@
 //! `peers::rate_news`.
 
 pub mod note;
+pub(crate) mod permit_queue;
 mod record;
 pub mod store;
--- /dev/null
+++ b/lib/src/gateway/rates/permit_queue.rs
@@ -0,0 +1,61 @@
+//! The requests of this daemon that wait for permits.
+//!
+//! Owns the urgency of each. How many may wait is a matter of
+//! [`rules::endpoint_rate`](crate::gateway::rules::endpoint_rate).
+
+use {crate::shared::ids::ServiceId, foldhash::HashMap, std::cell::RefCell};
+
+/// The requests of this daemon that wait for permits: the urgencies of those for each service, in no order.
+#[derive(Debug, Default)]
+pub(crate) struct PermitQueue(RefCell<HashMap<ServiceId, Vec<u32>>>);
+
+impl PermitQueue {
+    /// Adds a request, until its place is dropped.
+    pub(crate) fn join(&self, service: &ServiceId, urgency: u32) -> WaitingPlace<'_> {
+        let mut waiting = self.0.borrow_mut();
+        let urgencies = waiting.entry(service.clone()).or_default();
+        urgencies.push(urgency);
+        WaitingPlace {
+            queue: self,
+            service: service.clone(),
+            urgency,
+        }
+    }
+}
+
+/// The place of a request that waits for a permit.
+#[derive(Debug)]
+pub(crate) struct WaitingPlace<'a> {
+    queue: &'a PermitQueue,
+    service: ServiceId,
+    urgency: u32,
+}
+
+impl WaitingPlace<'_> {
+    /// Returns the number of requests that are no less urgent, this one included.
+    pub(crate) fn ahead(&self) -> usize {
+        let waiting = self.queue.0.borrow();
+        let urgencies = waiting.get(&self.service).into_iter().flatten();
+        urgencies
+            .filter(|urgency| **urgency <= self.urgency)
+            .count()
+    }
+}
+
+impl Drop for WaitingPlace<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.queue.0.borrow_mut();
+        let Some(urgencies) = waiting.get_mut(&self.service) else {
+            return;
+        };
+        if let Some(place) = urgencies
+            .iter()
+            .position(|urgency| *urgency == self.urgency)
+        {
+            urgencies.swap_remove(place);
+        }
+        if urgencies.is_empty() {
+            waiting.remove(&self.service);
+        }
+    }
+}
--- a/lib/src/gateway/rates/record.rs
+++ b/lib/src/gateway/rates/record.rs
@@ -8,7 +8,8 @@
         rules::{
             endpoint_choice::NamedLimit,
             endpoint_rate::{
-                CLAIM_LIFE, CLAIM_RENEWAL, Claim, Permit, Pool, Share, is_look_due, may_end,
+                CLAIM_LIFE, CLAIM_RENEWAL, Claim, Permit, PermitPool, RateShare, is_look_due,
+                may_end,
             },
             gossip::HEARTBEAT,
         },
@@ -23,7 +24,7 @@
 const REPORT_PAUSE: Millis = Millis(500);
 
 /// Times that others are told at once of a change, a heartbeat apart.
-const TELLINGS: u32 = 3;
+const RATE_TELLINGS: u32 = 3;
 
 /// Time between two tellings later on, for daemons that have just started.
 const RETELL: Millis = Millis(1_000);
@@ -71,7 +72,7 @@
 }
 
 #[derive(Debug)]
-pub(super) struct Record {
+pub(super) struct RateRecord {
     pub(super) service: ServiceId,
     news: RateNews,
     /// Since when this daemon knows that the endpoint names a rate.
@@ -80,30 +81,30 @@
     pub(super) reported: bool,
     tellings: u32,
     told: Option<Time>,
-    share: Share,
+    share: RateShare,
     handed: Option<Time>,
     want: Option<Want>,
     permits: Vec<Permit>,
     /// When the first permit may be expected, as the coordinator told.
     expected: Option<Time>,
-    pub(super) pool: Pool,
+    pub(super) pool: PermitPool,
 }
 
-impl Record {
+impl RateRecord {
     pub(super) fn new(now: Time, service: ServiceId, news: RateNews) -> Self {
         Self {
             service,
             news,
             since: now,
             reported: false,
-            tellings: TELLINGS,
+            tellings: RATE_TELLINGS,
             told: None,
-            share: Share::new(now),
+            share: RateShare::new(now),
             handed: None,
             want: None,
             permits: Vec::new(),
             expected: None,
-            pool: Pool::default(),
+            pool: PermitPool::default(),
         }
     }
 
@@ -135,7 +136,7 @@
             (Some(old), Some(rate)) if old != rate => RateChange::Changed(rate),
             _ => return None,
         };
-        self.tellings = TELLINGS;
+        self.tellings = RATE_TELLINGS;
         if !matches!(change, RateChange::Changed(_)) {
             self.begin(now);
         }
@@ -145,11 +146,11 @@
     /// Starts anew with what depends on whether the endpoint names a rate.
     fn begin(&mut self, now: Time) {
         self.since = now;
-        self.share = Share::new(now);
+        self.share = RateShare::new(now);
         self.want = None;
         self.permits.clear();
         self.expected = None;
-        self.pool = Pool::default();
+        self.pool = PermitPool::default();
     }
 
     /// Returns whether a request of some urgency may be sent there.
@@ -237,7 +238,7 @@
             return None;
         }
         let pause = if self.tellings > 0 { HEARTBEAT } else { RETELL };
-        let is_first = self.tellings == TELLINGS;
+        let is_first = self.tellings == RATE_TELLINGS;
         let told = |told| now.since(told) >= pause.to_duration();
         if !is_first && !self.told.is_none_or(told) {
             return None;
--- a/lib/src/gateway/rates/store.rs
+++ b/lib/src/gateway/rates/store.rs
@@ -11,7 +11,7 @@
             hashes::LifeHash,
             rates::{
                 note::{PermitNote, RateNote},
-                record::{RateNews, Record},
+                record::{RateNews, RateRecord},
             },
             rules::endpoint_choice::NamedLimit,
         },
@@ -46,7 +46,7 @@
 
 /// Permits, or the time to the next one, for one daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Answer {
+pub struct PermitAnswer {
     /// The daemon.
     pub to: SocketAddr,
     /// What it gets.
@@ -56,7 +56,7 @@
 /// The endpoints that name a rate, or did so.
 #[derive(Debug, Default)]
 pub struct EndpointRates {
-    records: HashMap<LifeHash, Record>,
+    records: HashMap<LifeHash, RateRecord>,
 }
 
 impl EndpointRates {
@@ -121,7 +121,7 @@
             return record.update(now, news);
         }
         let rate = news.rate?;
-        let record = Record::new(now, service.clone(), news);
+        let record = RateRecord::new(now, service.clone(), news);
         self.records.insert(life, record);
         Some(RateChange::Began(rate))
     }
@@ -191,7 +191,12 @@
 
     /// Takes a daemon's report as the coordinator, and returns who gets permits now; the daemon itself is answered in any
     /// case if it wants some.
-    pub fn take_report(&mut self, now: Time, from: SocketAddr, note: &RateNote) -> Vec<Answer> {
+    pub fn take_report(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        note: &RateNote,
+    ) -> Vec<PermitAnswer> {
         let life = note.endpoint;
         let Some(record) = self.records.get_mut(&life) else {
             return Vec::new();
@@ -212,7 +217,7 @@
         while let Some(address) = pool.grant(now) {
             *granted.entry(address).or_default() += 1;
         }
-        let answers = granted.into_iter().map(|(to, permits)| Answer {
+        let answers = granted.into_iter().map(|(to, permits)| PermitAnswer {
             to,
             note: PermitNote {
                 endpoint: life,
--- a/lib/src/gateway/routing/permits.rs
+++ b/lib/src/gateway/routing/permits.rs
@@ -24,65 +24,10 @@
         },
     },
     foldhash::HashMap,
-    std::cell::RefCell,
 };
 
-/// The requests of this daemon that wait for permits: the urgencies of those for each service, in no order.
-#[derive(Debug, Default)]
-pub(crate) struct PermitQueue(RefCell<HashMap<ServiceId, Vec<u32>>>);
-
-impl PermitQueue {
-    /// Adds a request, until its place is dropped.
-    fn join(&self, call: &ForwardedCall) -> WaitingPlace<'_> {
-        let mut waiting = self.0.borrow_mut();
-        let urgencies = waiting.entry(call.service.clone()).or_default();
-        urgencies.push(call.urgency);
-        WaitingPlace {
-            queue: self,
-            service: call.service.clone(),
-            urgency: call.urgency,
-        }
-    }
-}
-
-/// The place of a request that waits for a permit.
-struct WaitingPlace<'a> {
-    queue: &'a PermitQueue,
-    service: ServiceId,
-    urgency: u32,
-}
-
-impl WaitingPlace<'_> {
-    /// Returns the number of requests that are no less urgent, this one included.
-    fn ahead(&self) -> usize {
-        let waiting = self.queue.0.borrow();
-        let urgencies = waiting.get(&self.service).into_iter().flatten();
-        urgencies
-            .filter(|urgency| **urgency <= self.urgency)
-            .count()
-    }
-}
-
-impl Drop for WaitingPlace<'_> {
-    fn drop(&mut self) {
-        let mut waiting = self.queue.0.borrow_mut();
-        let Some(urgencies) = waiting.get_mut(&self.service) else {
-            return;
-        };
-        if let Some(place) = urgencies
-            .iter()
-            .position(|urgency| *urgency == self.urgency)
-        {
-            urgencies.swap_remove(place);
-        }
-        if urgencies.is_empty() {
-            waiting.remove(&self.service);
-        }
-    }
-}
-
 /// Urgency of calls of pieces: whatever request they are for, its stages come first.
-const PIECES: u32 = 0;
+const PIECES_URGENCY: u32 = 0;
 
 impl<D: Dialect> Gateway<D> {
     /// Chooses an endpoint for a request, other than those in `tried`; where only endpoints are left that name a rate,
@@ -115,7 +60,8 @@
             if choice.is_ok() || !self.is_permit_near(call, end) {
                 return choice;
             }
-            let place = place.get_or_insert_with(|| self.permit_queue.join(call));
+            let place =
+                place.get_or_insert_with(|| self.permit_queue.join(&call.service, call.urgency));
             let rate = self.state.borrow().endpoints.named_rate(&call.service);
             if !may_wait(place.ahead(), rate, longest) {
                 return choice;
@@ -182,7 +128,7 @@
         let mut allowed = HashMap::default();
         let mut is_due = false;
         for service in &services {
-            is_due |= state.endpoints.turned_away(now, service, PIECES);
+            is_due |= state.endpoints.turned_away(now, service, PIECES_URGENCY);
             allowed.extend(state.endpoints.permits(now, service));
         }
         drop(state);
@@ -196,6 +142,6 @@
     pub(crate) fn call_sent(&self, endpoint: &EndpointEntry) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        state.endpoints.use_permit(now, endpoint, PIECES);
+        state.endpoints.use_permit(now, endpoint, PIECES_URGENCY);
     }
 }
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -7,6 +7,7 @@
     crate::{
         gateway::{
             dialect::Dialect,
+            directory::catalogue::EndpointEntry,
             routing::{
                 attempt::StreamSource,
                 call::ForwardedCall,
@@ -27,10 +28,10 @@
                 reply::StreamPart,
             },
         },
-        shared::ids::EndpointId,
+        shared::{ids::EndpointId, units::Time},
     },
     bytes::Bytes,
-    http::{Request, Response},
+    http::{Request, Response, response},
     http_body_util::Full,
     hyper::body::Incoming,
     std::rc::Rc,
@@ -208,12 +209,7 @@
             Exchange::CallerLeft => return Err(SourceError::CallerLeft),
         };
         let (head, body) = response.into_parts();
-        let facts = D::read_reply(&head);
-        self.gateway
-            .record_reply(&guard.choice.entry, head.status, &facts, sent);
-        let kind = self.call.route.kind;
-        let verdict = judge_resumed_head(self.call.id(), kind, head.status, &facts);
-        if let Err(outcome) = verdict {
+        if let Err(outcome) = self.judge(&guard.choice.entry, &head, sent) {
             guard.end(outcome);
             return Err(SourceError::Failed);
         }
@@ -225,6 +221,21 @@
         })
     }
 
+    /// Records what the head of a reply says, and returns whether it continues the stream, else the outcome for its
+    /// endpoint.
+    fn judge(
+        &self,
+        endpoint: &EndpointEntry,
+        head: &response::Parts,
+        sent: Time,
+    ) -> Result<(), EndpointOutcome> {
+        let facts = D::read_reply(head);
+        self.gateway
+            .record_reply(endpoint, head.status, &facts, sent);
+        let kind = self.call.route.kind;
+        judge_resumed_head(self.call.id(), kind, head.status, &facts)
+    }
+
     /// Sends a request and waits for the head of its reply, as long as the caller and the deadline
     /// allow.
     async fn exchange(
--- a/lib/src/gateway/rules/endpoint_rate.rs
+++ b/lib/src/gateway/rules/endpoint_rate.rs
@@ -16,7 +16,7 @@
 use {
     crate::shared::units::{Millis, Rate, Time},
     serde::{Deserialize, Serialize},
-    std::{cmp::Reverse, net::SocketAddr},
+    std::{cmp::Reverse, net::SocketAddr, time::Duration},
 };
 
 /// Rate that an endpoint gets whatever it names, so that somebody notices when it takes more again.
@@ -39,7 +39,7 @@
 const PERMITS_KEPT: f64 = 4.0;
 
 /// Time for which a permit is kept for requests as urgent as the one for which it was given.
-const RESERVED: Millis = Millis(300);
+const PERMIT_RESERVED: Millis = Millis(300);
 
 /// Time for which a claim counts. It outlives its requests by as much, and may get a permit that nobody uses.
 pub const CLAIM_LIFE: Millis = Millis(150);
@@ -53,7 +53,7 @@
 /// Part of a request's objective for which it may wait for a permit, and the least such wait: some round trips
 /// to the coordinator.
 const WAIT_PART: u64 = 4;
-const SHORTEST_WAIT: Millis = Millis(50);
+const SHORTEST_PERMIT_WAIT: Millis = Millis(50);
 
 /// Time by which news that an endpoint names no rate has to be later than what is known: the age of news grows by its
 /// way, and an endpoint in need has to be spared first.
@@ -63,9 +63,6 @@
 /// permit, so that the end of its need is noticed also where others would be chosen.
 const UNHEARD: Millis = Millis(2_000);
 
-/// Milliseconds of a second.
-const SECOND_MS: f64 = 1e3;
-
 /// A number of requests, parts of one included.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
 pub struct Tokens(pub f64);
@@ -75,7 +72,7 @@
     pub const ONE: Self = Self(1.0);
 
     fn of(rate: Rate, time: Millis) -> Self {
-        Self(rate.0 * time.0 as f64 / SECOND_MS)
+        Self(rate.0 * time.to_duration().as_secs_f64())
     }
 }
 
@@ -84,15 +81,20 @@
     Rate(named.0.max(LEAST_RATE.0))
 }
 
+/// Returns the time in which so many requests come at the rate that an endpoint gets.
+fn time_of(tokens: Tokens, named: Rate) -> Millis {
+    let time = Duration::from_secs_f64(tokens.0 / kept_rate(named).0);
+    Millis(time.as_millis() as u64)
+}
+
 /// Returns the time for which a permit may be used.
 pub fn permit_life(named: Rate) -> Millis {
-    let ms = PERMITS_KEPT / kept_rate(named).0 * SECOND_MS;
-    Millis(ms as u64).clamp(SHORTEST_PERMIT, LONGEST_PERMIT)
+    time_of(Tokens(PERMITS_KEPT), named).clamp(SHORTEST_PERMIT, LONGEST_PERMIT)
 }
 
 /// Returns the time for which a request with that objective may wait for a permit.
 pub fn longest_wait(objective: Millis) -> Millis {
-    Millis(objective.0 / WAIT_PART).max(SHORTEST_WAIT)
+    Millis(objective.0 / WAIT_PART).max(SHORTEST_PERMIT_WAIT)
 }
 
 /// Returns whether a request waits for a permit, as one of so many in this daemon that are no less urgent, it included:
@@ -114,12 +116,12 @@
 
 /// A daemon's share of a rate, as far as it wasn't handed on.
 #[derive(Debug, Clone, Copy)]
-pub struct Share {
+pub struct RateShare {
     tokens: Tokens,
     counted: Time,
 }
 
-impl Share {
+impl RateShare {
     /// Starts with nothing.
     pub fn new(now: Time) -> Self {
         Self {
@@ -166,7 +168,7 @@
     pub fn new(now: Time, named: Rate, claim: Claim) -> Self {
         Self {
             until: now + permit_life(named),
-            reserved_until: now + RESERVED,
+            reserved_until: now + PERMIT_RESERVED,
             claim,
         }
     }
@@ -201,7 +203,7 @@
 
 /// What the daemons handed to a coordinator, and who wants to send.
 #[derive(Debug, Clone, Default)]
-pub struct Pool {
+pub struct PermitPool {
     tokens: Tokens,
     /// What may still be taken, and when that was last counted.
     room: Tokens,
@@ -209,7 +211,7 @@
     claimants: Vec<Claimant>,
 }
 
-impl Pool {
+impl PermitPool {
     /// Adds what a daemon hands on.
     pub fn deposit(&mut self, now: Time, named: Rate, tokens: Tokens) {
         self.count_room(now, named);
@@ -271,7 +273,7 @@
         let open = others.filter_map(|one| one.open_claim(now));
         let ahead = open.filter(|claim| *claim <= mine).count();
         let missing = ahead as f64 + Tokens::ONE.0 - self.tokens.0;
-        Millis((missing.max(0.0) / kept_rate(named).0 * SECOND_MS) as u64)
+        time_of(Tokens(missing.max(0.0)), named)
     }
 
     /// Forgets who hasn't wanted anything for a while.
--- a/lib/tests/rates/mod.rs
+++ b/lib/tests/rates/mod.rs
@@ -11,7 +11,7 @@
             hashes::LifeHash,
             rates::{
                 note::RateNote,
-                store::{Answer, EndpointRates, SeenRate},
+                store::{EndpointRates, PermitAnswer, SeenRate},
             },
             rules::cold_share::ColdShare,
         },
@@ -117,7 +117,7 @@
 
 enum Content {
     Note(usize, RateNote),
-    Answer(Answer),
+    Answer(PermitAnswer),
 }
 
 struct Message {
--- a/lib/tests/test_endpoint_rate.rs
+++ b/lib/tests/test_endpoint_rate.rs
@@ -7,7 +7,7 @@
 use {
     hazelyoke_lib::{
         gateway::rules::endpoint_rate::{
-            Claim, LEAST_RATE, Permit, Pool, Share, Tokens, kept_rate,
+            Claim, LEAST_RATE, Permit, PermitPool, RateShare, Tokens, kept_rate,
         },
         shared::units::{Millis, Rate, Time},
     },
@@ -146,7 +146,7 @@
 /// The most urgent daemon goes first; of equal ones, the one that has waited longest for a permit.
 #[test]
 fn order_of_claims() {
-    let mut pool = Pool::default();
+    let mut pool = PermitPool::default();
     pool.deposit(NOW, Rate(20.0), Tokens(4.0));
     pool.claim(NOW, address(1), Claim(5));
     pool.claim(NOW, address(2), Claim(1));
@@ -162,13 +162,13 @@
 /// What isn't used is lost, so that nothing is saved up for later.
 #[test]
 fn nothing_saved_up() {
-    let mut pool = Pool::default();
+    let mut pool = PermitPool::default();
     pool.deposit(NOW, RATE, Tokens(50.0));
     pool.claim(NOW, address(1), Claim(0));
     assert_eq!(pool.grant(NOW), Some(address(1)));
     pool.claim(NOW, address(1), Claim(0));
     assert_eq!(pool.grant(NOW), None);
-    let mut share = Share::new(NOW);
+    let mut share = RateShare::new(NOW);
     share.count(NOW + Millis(60_000), RATE, 4);
     assert_eq!(share.take(), Tokens(0.5));
     assert_eq!(share.take(), Tokens(0.0));
@@ -196,7 +196,7 @@
 /// The wait grows with those that go first, not with those that are less urgent.
 #[test]
 fn wait_for_permit() {
-    let mut pool = Pool::default();
+    let mut pool = PermitPool::default();
     pool.claim(NOW, address(1), Claim(5));
     pool.claim(NOW, address(2), Claim(1));
     assert_eq!(pool.wait(NOW, RATE, address(1)), Millis(1_000));
