--- a/daemon/src/log_lines.rs
+++ b/daemon/src/log_lines.rs
@@ -58,9 +58,8 @@
     }
 }
 
-/// Writes a line without building a map of its fields first, and nothing strips colours from it: with both, 5,000 requests
-/// took 6.3 s of processor, 2.5 s of them for lines; now 3.4 to 4.1 s (test `unread_log`, unoptimised build, daemon and test
-/// together, one run and two).
+/// Writes a line without building a map of its fields first, and nothing strips colours from it: lines would take a
+/// large part of the processor.
 fn write_line(formatter: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
     let mut line = Vec::with_capacity(USUAL_LINE);
     let mut serializer = Serializer::new(&mut line);
--- a/lib/src/gateway/directory/contact.rs
+++ b/lib/src/gateway/directory/contact.rs
@@ -44,9 +44,9 @@
         self.begun[topic as usize]
     }
 
-    /// Returns the time since the directory last answered for every topic; nothing if there is a
-    /// topic for which it never did. An answer that is on its way counts: without it, 15 daemons called 20 times
-    /// while their reader received a table for 1.8 s, and 5 times with it (test `answer_on_its_way`, three runs each).
+    /// Returns the time since the directory last answered for every topic; nothing if there is a topic for which it
+    /// never did. An answer that is on its way counts: without it, others call while their reader receives a large
+    /// table.
     pub(crate) fn read_age(&self, now: Time) -> Option<Millis> {
         let answers = self.topics.iter().zip(self.begun);
         let times = answers.map(|(last, begun)| if begun { last.map(|_| now) } else { *last });
--- a/lib/src/gateway/directory/coverage.rs
+++ b/lib/src/gateway/directory/coverage.rs
@@ -21,9 +21,8 @@
 };
 
 impl GatewayState {
-    /// Returns this daemon as a reader of the directory. Every fleet looks small to a daemon that has just
-    /// started; one that took its fleet for small read on and on meanwhile (test `start_calls`, 60 daemons:
-    /// 261 calls in place of at most 240). Only one that has nobody to meet may.
+    /// Returns this daemon as a reader of the directory. Every fleet looks small to a daemon that has just started;
+    /// one that took its fleet for small would read on and on meanwhile. Only one that has nobody to meet may.
     pub(crate) fn reader(&self, now: Time) -> Reader {
         Reader {
             small_fleet: self.peers.is_small()
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -141,9 +141,8 @@
         }
     }
 
-    /// Ends when a call for changes waits for nothing any more, since others read the directory for this daemon. Without
-    /// it, a daemon that had stood in for the reader got the next table from the directory as well, 0.57 MB (test
-    /// `small_change`, 3 of 144 runs beside 22 of its own).
+    /// Ends when a call for changes waits for nothing any more, since others read the directory for this daemon.
+    /// Without it, a daemon that stood in for the reader gets the next table from the directory as well.
     async fn relieved(&self) {
         if self.since.is_none() {
             // A whole list is wanted whoever reads.
--- a/lib/src/gateway/directory/outage.rs
+++ b/lib/src/gateway/directory/outage.rs
@@ -34,9 +34,9 @@
         }
     }
 
-    /// Records an outage for a daemon that doesn't read, if those live that should: the directory hasn't
-    /// answered any of them for too long. Without it, a daemon that reads only after the outage takes
-    /// endpoints for gone whose entries lapsed meanwhile (test `lapsed_unread`, 3 of 3 runs).
+    /// Records an outage for a daemon that doesn't read, if those live that should: the directory hasn't answered any
+    /// of them for too long. Without it, a daemon that reads only after the outage takes endpoints for gone whose
+    /// entries lapsed meanwhile.
     pub(crate) fn note_outage(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
--- a/lib/src/gateway/peers/catch_up.rs
+++ b/lib/src/gateway/peers/catch_up.rs
@@ -74,8 +74,7 @@
     let now = gateway.now();
     let covered = gateway.read_duty() != ReadDuty::Read;
     let state = gateway.state.borrow();
-    // A whole list that comes from the directory needn't come from a peer as well: 299 daemons that started together
-    // received 535 lists of 3,005 endpoints (one play).
+    // A whole list that comes from the directory needn't come from a peer as well.
     if !state.has_list && state.contact.is_begun(Topic::Endpoints) {
         return None;
     }
--- a/lib/src/gateway/peers/heartbeats.rs
+++ b/lib/src/gateway/peers/heartbeats.rs
@@ -62,9 +62,8 @@
     }
 }
 
-/// Announces at once that this daemon may coordinate services now. With its next heartbeat, up to 200 ms later, others
-/// that start at the same time would take themselves for the coordinator meanwhile: four of 15 daemons did so 0.8 s
-/// after their start (one traced run).
+/// Announces at once that this daemon may coordinate services now. With its next heartbeat, up to 200 ms later,
+/// others that start at the same time would take themselves for the coordinator meanwhile.
 pub async fn announce_settled<D: Dialect>(gateway: Rc<Gateway<D>>) {
     for wait in [SETTLED, YIELD] {
         let end = Time::default() + wait;
--- a/lib/src/gateway/peers/link_socket.rs
+++ b/lib/src/gateway/peers/link_socket.rs
@@ -16,9 +16,8 @@
 /// Longest time to connect, and again to upgrade the connection, at the first try.
 pub(crate) const LINK_LIMIT: Duration = Duration::from_millis(300);
 
-/// The same at the second and last try. A daemon to which hundreds open links at once is slow to answer, and lives:
-/// with one try, each of 295 daemons took its coordinator for lost in the first second after they had started together,
-/// 749 times in all (one play). A daemon that is really lost is noticed by its heartbeats, which ends the link.
+/// The same at the second and last try: a daemon to which hundreds open links at once is slow to answer, and lives.
+/// One that is really lost is noticed by its heartbeats, which ends the link.
 pub(crate) const PATIENT_LIMIT: Duration = Duration::from_millis(900);
 
 /// Longest pause between the two tries, of which a random part is waited.
--- a/lib/src/gateway/rules/admission.rs
+++ b/lib/src/gateway/rules/admission.rs
@@ -11,8 +11,6 @@
 //! that time and its own fit into its objective, less `RANK_MARGIN` for each rank.
 //!
 //! Work that was begun and isn't finished in time takes the place of work that could have been.
-//! Admission by what all daemons have outstanding was worth 0.640 -> 0.681; all figures below are
-//! rows of `docs/MEASUREMENTS.md`, "On the users' platform", where no other source is named.
 //! `test_stage_admission` pins the rule.
 
 use crate::{
--- a/lib/src/gateway/rules/call_spacing.rs
+++ b/lib/src/gateway/rules/call_spacing.rs
@@ -20,9 +20,8 @@
 /// them.
 const FREE_PART: f64 = 0.5;
 
-/// Part of an even share of the round that passes between two calls. In virtual time (100 jobs of four pieces a
-/// second, 15 endpoints, three seeds) 99 of 100 jobs took up to 605 ms with 0, 538 with 0.8 and 510 with 1; mean
-/// worth of four days of a deployment of 59 daemons, one play each: 0.686 with 0, 0.699 with 0.8, 0.696 with 1.
+/// Part of an even share of the round that passes between two calls: more of it would hold calls that are nearly
+/// full.
 const EVENNESS: f64 = 0.8;
 
 /// Weight of a new call in the usual time. Some ten calls, half a second of one data centre at load.
--- a/lib/src/gateway/rules/coordinator.rs
+++ b/lib/src/gateway/rules/coordinator.rs
@@ -31,9 +31,8 @@
 /// Time after its start within which a daemon receives heartbeats of the others. Three heartbeats.
 pub const SETTLED: Millis = Millis(600);
 
-/// Time after its start for which a daemon leaves coordinating to one with more capacity that has just started too.
-/// Without it, 42 to 80 of 295 daemons that had started within 0.5 s of each other planned the calls of the same
-/// service for 3 s, of which 11,126 of 28,431 found their endpoint full (one play). Daemons that start together are
+/// Time after its start for which a daemon leaves coordinating to one with more capacity that has just started too:
+/// dozens of a fleet that starts at once would plan the calls of the same service. Daemons that start together are
 /// ready within a second of each other.
 pub const YIELD: Millis = Millis(2_000);
 
--- a/lib/src/gateway/rules/directory_reads.rs
+++ b/lib/src/gateway/rules/directory_reads.rs
@@ -14,10 +14,9 @@
 //! pause doubles from a first one to a longest one, shortened by a random part; after an answer that
 //! didn't begin in time, so does the time that the next one has.
 //!
-//! Reason: each daemon of a fleet of 80 that read for itself cost 0.187 of a day's worth in calls
-//! of the directory, few readers 0.018 (`docs/MEASUREMENTS.md`, "The second milestone"). A directory
-//! that fails for all is called by all unless they take turns: the cost of an outage would grow with the
-//! fleet.
+//! Reason: calls of the directory cost, each daemon that reads for itself makes as many as one that reads for all,
+//! and a directory that fails for all is called by all unless they take turns: the cost of an outage would grow with
+//! the fleet.
 //!
 //! The constants name their own sources; tests: `lib/tests/test_directory_reads.rs`.
 
@@ -45,23 +44,19 @@
 /// Part of a pause that a daemon waits, drawn at random, so that daemons that failed together don't call together.
 pub const PAUSE_PARTS: Range<f64> = 0.5..1.0;
 
-/// Pause between two calls for changes of endpoints while the directory is steady: entries that
-/// endpoints write again and again would answer every call at once. `docs/MEASUREMENTS.md`, "The
-/// second milestone", the row about calls 0.3 s apart.
+/// Pause between two calls for changes of endpoints while the directory is steady: entries that endpoints write again
+/// and again would answer every call at once.
 const ENDPOINTS_PAUSE: Millis = Millis(300);
 
 /// Time between two checks of whether peers still read the directory for this daemon.
 pub const COVER_CHECK: Millis = Millis(100);
 
-/// Calls a second that the daemons of a larger fleet make together to find out whether the directory answers again.
-/// Five calls in 0.3 s all fail in 1 of 250 cases where the directory refuses a third of the daemons, and an outage of
-/// 5 s costs 75 calls (both worked out). With 30, 295 daemons that waited for their first table for some seconds made
-/// 3,626 calls on a quiet day (one play).
+/// Calls a second that the daemons of a larger fleet make together to find out whether the directory answers again:
+/// enough that one of them soon succeeds where it refuses some of the daemons.
 pub const FLEET_CALLS: f64 = 15.0;
 
-/// Least time from noticing that all reads are out of date to a call: what peers have sent meanwhile is received first.
-/// Without it, 15 daemons that had stood still for 0.2 s all read a table of 0.57 MB (test `small_change`, 5 of 10
-/// runs). Half of a heartbeat.
+/// Least time from noticing that all reads are out of date to a call: what peers have sent meanwhile is received
+/// first. Half of a heartbeat.
 const TURN_DELAY: Millis = Millis(100);
 
 /// Part of the time between two turns that has passed at least before a daemon's next one.
@@ -159,8 +154,8 @@
 }
 
 /// Returns whether so much time between two checks ([`COVER_CHECK`]) means that this daemon stood still: what it
-/// knows of the others' reads is as old, so that its turn is drawn anew. Without it, daemons that were busy with a new
-/// table of 0.57 MB read it once more from the directory (test `small_change` beside load, 3 of 20 runs).
+/// knows of the others' reads is as old, so that its turn is drawn anew. Without it, daemons that are busy with a
+/// large table read it once more.
 pub fn stood_still(gap: Duration) -> bool {
     gap > COVER_CHECK.to_duration() * 2
 }
--- a/lib/src/gateway/rules/endpoint_choice.rs
+++ b/lib/src/gateway/rules/endpoint_choice.rs
@@ -48,9 +48,8 @@
 /// there isn't any cheaper.
 const PERMITTED: f64 = 0.5;
 
-/// Cost of each shared token of a prompt that has to be read again, in milliseconds beside the time it
-/// takes: reading it is a price of its own, and it displaces what others may still need. MEASUREMENTS.md,
-/// "The second milestone": 0.15 was kept against 0.06 and 0.3.
+/// Cost of each shared token of a prompt that has to be read again, in milliseconds beside the time it takes: reading
+/// it is a price of its own, and it displaces what others may still need.
 const SHARED_TOKEN_MS: f64 = 0.15;
 
 /// Cost of a call into another data centre, in milliseconds: about the way there and back.
@@ -148,8 +147,7 @@
 impl EndpointChoice {
     /// Returns the other endpoints that could take the request if this one doesn't answer in time: those that were
     /// compared, and those that have only no room just now. One that refuses connections or is ejected isn't among
-    /// them while this one isn't: counted on, it cost a caller the answer of a slow endpoint (test `other_ended`, 3 of 3
-    /// runs).
+    /// them while this one isn't: counted on, it costs a caller the answer of a slow endpoint.
     pub fn alternatives(&self) -> usize {
         let soon = [Exclusion::Cold, Exclusion::Full].map(|reason| self.left_out.of(reason));
         self.candidates.saturating_sub(1) + soon.iter().sum::<usize>()
--- a/lib/src/gateway/rules/endpoint_rate.rs
+++ b/lib/src/gateway/rules/endpoint_rate.rs
@@ -7,7 +7,7 @@
 //! Rule: the rate is divided evenly among the daemons, and each hands its share, as it comes with time, to the
 //! coordinator of the endpoint's service. The coordinator gives permits for whole requests to those that want to send:
 //! the most urgent first, then whoever has waited longest for one. Without a permit nothing is sent there. What isn't
-//! used is lost: a share beyond [`SHARE_KEPT`], what is beyond [`POOL_KEPT`] at the coordinator, a permit after its
+//! used is lost: a share beyond `SHARE_KEPT`, what is beyond `POOL_KEPT` at the coordinator, a permit after its
 //! [`permit_life`].
 //!
 //! Reason: the sum of all shares is the rate, whatever daemons know of each other, so that two coordinators have what is
--- a/lib/src/gateway/rules/gossip.rs
+++ b/lib/src/gateway/rules/gossip.rs
@@ -17,9 +17,7 @@
 //! that should receive all of its heartbeats, so that its silence means something. A heartbeat fits into
 //! one datagram that no network splits.
 //!
-//! Measured: heartbeats to all 80 daemons against coordinators in `docs/MEASUREMENTS.md`, section
-//! "The second milestone: the grown sites"; tests `received_heartbeats` and
-//! `heartbeat_size`.
+//! Tests: `received_heartbeats`, `heartbeat_size`.
 //!
 //! The only types from outside of the rules are a load and a daemon as heartbeats carry them, plain values.
 
--- a/lib/src/gateway/rules/piece_order.rs
+++ b/lib/src/gateway/rules/piece_order.rs
@@ -11,10 +11,9 @@
 //! `RANK_STEP` for each rank, `LATE_STEP` for those past their objective, and `AWAY_STEP` for those
 //! whose home is elsewhere. The endpoints that are free share what waits.
 //!
-//! A result that crosses between data centres costs money and time, an idle endpoint only time. A
-//! late job has lost most of its worth, so that it goes last. Figures: `docs/MEASUREMENTS.md`, "On
-//! the users' platform" and "The second milestone". `large_result_home`
-//! and its neighbours in `test_batch_queue`, and `test_stage_rules`, pin the rule.
+//! A result that crosses between data centres costs money and time, an idle endpoint only time. A late job has lost
+//! most of its worth, so that it goes last. `large_result_home` and its neighbours in `test_batch_queue`, and
+//! `test_stage_rules`, pin the rule.
 //!
 //! Of `stages`, the rule uses the id of jobs only, which is a plain number.
 
--- a/lib/src/gateway/rules/piece_retry.rs
+++ b/lib/src/gateway/rules/piece_retry.rs
@@ -8,10 +8,8 @@
 //! pieces waits. Each send after the first one also needs a unit of the service's budget
 //! (`rules::retry_budget`); without it the piece waits until the budget has one.
 //!
-//! Pieces may run any number of times, so that only cost bounds their retries. That a retry waits
-//! for the budget instead of failing its job was worth 0.681 -> 0.714 together with a change of
-//! early release (`docs/MEASUREMENTS.md`, "On the users' platform"). `jobs_end_once`
-//! and `test_stage_rules` pin the rule.
+//! Pieces may run any number of times, so that only cost bounds their retries: a retry waits for the budget instead
+//! of failing its job. `jobs_end_once` and `test_stage_rules` pin the rule.
 
 use crate::shared::units::{Millis, Time, WorkMillis};
 
--- a/lib/src/gateway/rules/result_room.rs
+++ b/lib/src/gateway/rules/result_room.rs
@@ -14,10 +14,8 @@
 //! Where results are large, room bounds the calls of a stage: with 11 results to an endpoint and the
 //! request's inputs kept until its first event, calls held 6.3 of 8 pieces while 35 waited.
 //!
-//! Sizes of results are known only about, so that an endpoint that is filled to the brim refuses
-//! results. All figures come from `docs/MEASUREMENTS.md`, "On the users' platform", except
-//! `SHORTAGE`. `result_room`,
-//! `early_input_release` and `test_stage_rules` pin the rule.
+//! Sizes of results are known only about, so that an endpoint that is filled to the brim refuses results.
+//! `result_room`, `early_input_release` and `test_stage_rules` pin the rule.
 
 use crate::shared::units::{ByteSize, Millis, Time};
 
--- a/lib/src/gateway/rules/retry_after.rs
+++ b/lib/src/gateway/rules/retry_after.rs
@@ -38,9 +38,8 @@
 /// Share of the allowed time down to which the expected time should fall before the caller comes back.
 const FREE_SHARE: f64 = 0.9;
 
-/// Shortest wait after a refused admission, in milliseconds: an overload outlasts the queue that it shows in,
-/// and a caller that returns into it is refused again. With 1,500 in place of 300, callers that ended
-/// refused fell from 6.1 to 4.3 in 100 on days with trouble (means of five days, one and three scores).
+/// Shortest wait after a refused admission, in milliseconds: an overload outlasts the queue that it shows in, and a
+/// caller that returns into it is refused again.
 const SHORTEST_AFTER_ADMISSION_MS: f64 = 1_500.0;
 
 /// Longest such wait, in milliseconds.
--- a/lib/src/gateway/rules/stage_objective.rs
+++ b/lib/src/gateway/rules/stage_objective.rs
@@ -3,11 +3,9 @@
 //! Inputs: the request's objective (a time), the number of stages that come after the stage along
 //! the longest way, and the time that the request itself needs (milliseconds).
 //!
-//! `LATER_STAGE` is kept for each later stage, and the request's own time. Waiting pieces are ordered
-//! by this time (`rules::piece_order`): without it, first stages would go after last ones of requests
-//! that are less pressed. That the own time is kept changed no worth by itself, and was "needed for
-//! order" (`docs/MEASUREMENTS.md`, "On the users' platform": 0.048 -> 0.046). `test_stage_rules`
-//! pins the rule.
+//! `LATER_STAGE` is kept for each later stage, and the request's own time. Waiting pieces are ordered by this time
+//! (`rules::piece_order`): without it, first stages would go after last ones of requests that are less pressed.
+//! `test_stage_rules` pins the rule.
 
 use crate::shared::units::{Millis, Time};
 
--- a/lib/src/gateway/rules/suspect_entry.rs
+++ b/lib/src/gateway/rules/suspect_entry.rs
@@ -24,8 +24,7 @@
 const OUTAGE: Millis = Millis(1_500);
 
 /// Time without a failed read after which the directory counts as steady for a daemon, and within which it must have
-/// answered. Without it, a daemon whose own connections had been reset used an endpoint 2,070 ms after it had left, of
-/// 2,000 ms allowed (one play).
+/// answered: a daemon whose own connections were reset would use an endpoint after it has left.
 const STEADY: Millis = Millis(3_000);
 
 /// Shortest time for which a suspect endpoint is used.
@@ -75,9 +74,8 @@
     }
 }
 
-/// Returns whether another daemon's read of this age still speaks for the directory: that of a daemon which
-/// has left the reading to others since then doesn't, however well it went (test `lapsed_unread`, 3 of 6
-/// runs without this bound).
+/// Returns whether another daemon's read of this age still speaks for the directory: that of a daemon which has left
+/// the reading to others since then doesn't, however well it went.
 pub fn is_current(read_age: Millis) -> bool {
     read_age < STEADY
 }
--- a/lib/src/gateway/rules/worker_pace.rs
+++ b/lib/src/gateway/rules/worker_pace.rs
@@ -9,9 +9,8 @@
 //! may take it. One that refused or broke off a call is passed over for `PASSED_OVER`, one without
 //! room for a result for `FULL_PASSED_OVER`.
 //!
-//! A call to a slow endpoint delays each request with a piece in it. Passing a full endpoint over for 60 ms, together
-//! with no longer counting half of its room as taken, was worth -0.177 -> 0.317 (`docs/MEASUREMENTS.md`, "On the users'
-//! platform"); the `test_stage_rules` pins the rule.
+//! A call to a slow endpoint delays each request with a piece in it, and a full endpoint refuses the next call as
+//! well. `test_stage_rules` pins the rule.
 
 use {
     crate::shared::units::{Millis, Time, WorkMillis},
@@ -35,8 +34,7 @@
 /// Time for which an endpoint is passed over that refused or broke off a call, or wasn't reached.
 const PASSED_OVER: Millis = Millis(300);
 
-/// Time for which an endpoint without room for a result is passed over (`docs/MEASUREMENTS.md`,
-/// "On the users' platform").
+/// Time for which an endpoint without room for a result is passed over.
 const FULL_PASSED_OVER: Millis = Millis(60);
 
 /// Time of calls as a multiple of what was expected; more is slower.
--- a/lib/src/gateway/wire/egress.rs
+++ b/lib/src/gateway/wire/egress.rs
@@ -1,9 +1,8 @@
 //! Sends one request to one endpoint, on a connection of its own, and opens streams to other daemons.
 //!
-//! A connection serves one request, so that no late or extra answer can be taken for another
-//! request's, and no idle connection closes under a request that must not be sent twice. The price of
-//! new connections is in `docs/MEASUREMENTS.md`, "On the users' platform". It owns nothing beyond a
-//! connection, and relies on `hyper` for HTTP/1.1.
+//! A connection serves one request, so that no late or extra answer can be taken for another request's, and no idle
+//! connection closes under a request that must not be sent twice. It owns nothing beyond a connection, and relies on
+//! `hyper` for HTTP/1.1.
 
 use {
     bytes::Bytes,
--- a/lib/src/shared/health.rs
+++ b/lib/src/shared/health.rs
@@ -9,19 +9,16 @@
 //! is over, one call at a time probes it: a success returns it to service, a failure ejects it for
 //! twice as long.
 //!
-//! The reason: an endpoint that fails now and then never fails often enough in a row, yet uses up
-//! the retry budget; and a pool that ejects everybody serves nobody. Runs with faults are in
-//! `docs/MEASUREMENTS.md` ("Faults at 0.8 of capacity"); `test_health.rs` and
-//! `test_decision_pins.rs` pin the rule. Both daemons use it.
+//! The reason: an endpoint that fails now and then never fails often enough in a row, yet uses up the retry budget;
+//! and a pool that ejects everybody serves nobody. `test_health.rs` and `test_decision_pins.rs` pin the rule. Both
+//! daemons use it.
 
 use crate::shared::units::{Millis, Share, Time};
 
 /// Failures in a row after which an endpoint is ejected.
 const EJECT_AFTER: u32 = 3;
 
-/// Share of recent calls that fail above which an endpoint is ejected even if some succeed. The
-/// rule by rate brought 30% garbage from one retriever to 100% attained (`docs/MEASUREMENTS.md`,
-/// "Faults at 0.8 of capacity"); the figure itself is chosen.
+/// Share of recent calls that fail above which an endpoint is ejected even if some succeed.
 const EJECT_RATE: Share = Share(0.25);
 
 /// Weight of one call in the share of recent calls that failed.
