rates: a rate counts as others are told it

A rate with more than three digits after the point, such as a third, changed each time that a daemon heard of it what it had told others itself, and each change was told to all at once. Rates are rounded down to thousandths where a reply is read (test `same_rate_told`).

--- a/lib/src/gateway/rates/note.rs
+++ b/lib/src/gateway/rates/note.rs
@@ -90,6 +90,11 @@
     (rate.0 * MILLI) as u32
 }
 
+/// Returns a rate as others learn it, so that what they tell of it is no change.
+pub(crate) fn as_told(rate: Rate) -> Rate {
+    Rate(f64::from(rate_to_wire(rate)) / MILLI)
+}
+
 /// Writes tokens, rounded down.
 pub(crate) fn tokens_to_wire(tokens: Tokens) -> u32 {
     (tokens.0 * MICRO) as u32
--- a/lib/src/gateway/rates/store.rs
+++ b/lib/src/gateway/rates/store.rs
@@ -10,7 +10,7 @@
             dialect::NamedRate,
             hashes::LifeHash,
             rates::{
-                note::{PermitNote, RateNote},
+                note::{PermitNote, RateNote, as_told},
                 record::{RateNews, RateRecord},
             },
             rules::endpoint_choice::NamedLimit,
@@ -90,7 +90,7 @@
         service: &ServiceId,
         seen: SeenRate,
     ) -> Option<RateChange> {
-        let rate = seen.named.map(|named| named.rate);
+        let rate = seen.named.map(|named| as_told(named.rate));
         if rate.is_none() {
             let record = self.records.get(&life)?;
             record.rate()?;
--- a/lib/tests/test_endpoint_rate.rs
+++ b/lib/tests/test_endpoint_rate.rs
@@ -6,10 +6,21 @@
 
 use {
     hazelyoke_lib::{
-        gateway::rules::endpoint_rate::{
-            Claim, LEAST_RATE, Permit, PermitPool, RateShare, Tokens, kept_rate,
+        gateway::{
+            dialect::NamedRate,
+            hashes::LifeHash,
+            rates::{
+                note::RateNote,
+                store::{EndpointRates, RateChange, SeenRate},
+            },
+            rules::endpoint_rate::{
+                Claim, LEAST_RATE, Permit, PermitPool, RateShare, Tokens, kept_rate,
+            },
+        },
+        shared::{
+            ids::ServiceId,
+            units::{Millis, Rate, Time},
         },
-        shared::units::{Millis, Rate, Time},
     },
     hazelyoke_testutils::draws::Draws,
     rates::{Counted, Demand, Model, Plan, Trouble, TroubleKind, Way, allowed},
@@ -202,3 +213,54 @@
     assert_eq!(pool.wait(NOW, RATE, address(1)), Millis(1_000));
     assert_eq!(pool.wait(NOW, RATE, address(2)), Millis(500));
 }
+
+fn seen(rate: Option<f64>, sent: Time) -> SeenRate {
+    let named = rate.map(|rate| NamedRate {
+        rate: Rate(rate),
+        clear: true,
+    });
+    SeenRate { named, sent }
+}
+
+/// What others tell of a rate is no other rate than the one that they were told, whatever its digits.
+#[test]
+fn same_rate_told() {
+    let service: ServiceId = "s".parse().unwrap();
+    let life = LifeHash(7);
+    let mut rates = EndpointRates::default();
+    let began = rates.observe(NOW, life, &service, seen(Some(0.333_333), NOW));
+    assert!(matches!(began, Some(RateChange::Began(_))));
+    let messages = rates.messages(NOW, Some(6));
+    let told = messages[0].telling.unwrap();
+    let later = NOW + Millis(50);
+    let newer = RateNote { age_ms: 0, ..told };
+    assert_eq!(rates.merge(later, &service, &newer), None);
+    let again = rates.observe(later, life, &service, seen(Some(0.333_333), later));
+    assert_eq!(again, None);
+}
+
+/// A reply without a rate ends it only if its request was sent once the rate was known; older news of it brings it back
+/// neither here nor where the end was told.
+#[test]
+fn end_of_rate() {
+    let service: ServiceId = "s".parse().unwrap();
+    let life = LifeHash(7);
+    let mut rates = EndpointRates::default();
+    rates.observe(NOW, life, &service, seen(Some(2.0), NOW));
+    let named = rates.messages(NOW, Some(6))[0].telling.unwrap();
+    let later = NOW + Millis(500);
+    assert_eq!(rates.observe(later, life, &service, seen(None, NOW)), None);
+    assert!(!rates.may_send(later, life, 0));
+    let sent = NOW + Millis(100);
+    let ended = rates.observe(later, life, &service, seen(None, sent));
+    assert_eq!(ended, Some(RateChange::Ended));
+    assert!(rates.may_send(later, life, 0));
+    let older = RateNote {
+        age_ms: 700,
+        ..named
+    };
+    assert_eq!(rates.merge(later, &service, &older), None);
+    assert_eq!(rates.limited(), 0);
+    rates.forget(life);
+    assert!(!rates.knows(life));
+}
