rates: a permit is kept for the urgent for half of its life

Traced: each daemon had less than one urgent request a second, a permit was kept for them for 0.3 s of its 2, and the next best request took it. It is kept for half of its life now.

--- a/lib/src/gateway/rules/endpoint_rate.rs
+++ b/lib/src/gateway/rules/endpoint_rate.rs
@@ -38,8 +38,8 @@
 const LONGEST_PERMIT: Millis = Millis(2_000);
 const PERMITS_KEPT: f64 = 4.0;
 
-/// Time for which a permit is kept for requests as urgent as the one for which it was given.
-const PERMIT_RESERVED: Millis = Millis(300);
+/// Part of its life, as a divisor, for which a permit is kept for requests as urgent as the one for which it was given.
+const PERMIT_RESERVED: u64 = 2;
 
 /// Time for which a claim counts. It outlives its requests by as much, and may get a permit that nobody uses.
 pub const CLAIM_LIFE: Millis = Millis(150);
@@ -166,9 +166,10 @@
 impl Permit {
     /// Gives a permit for a claim.
     pub fn new(now: Time, named: Rate, claim: Claim) -> Self {
+        let life = permit_life(named);
         Self {
-            until: now + permit_life(named),
-            reserved_until: now + PERMIT_RESERVED,
+            until: now + life,
+            reserved_until: now + Millis(life.0 / PERMIT_RESERVED),
             claim,
         }
     }
