--- a/lib/tests/test_endpoint_rate.rs
+++ b/lib/tests/test_endpoint_rate.rs
@@ -119,7 +119,8 @@
 ];
 
 /// Daemons that are cut off one way, stand still, start anew, or take themselves for the coordinator, the coordinator
-/// among them: the bound holds in any window. All are counted, also those in trouble.
+/// among them: the bound holds in any window. All are counted, also those in trouble, but for what a daemon that has just
+/// started sends before it is told.
 #[test]
 fn drawn_troubles() {
     for seed in 0..200 {
