endpoint choice: an endpoint of the own region first, by the measured way to others

Cause: the endpoint that holds a shared part of a prompt was drawn from all endpoints, and the way to another region counted as the 1 ms to another data centre.

Change: regions come from the settings, the way there and back is the least time in which a connection there came up (rules/distance). The way counts in the choice, inputs between regions count 1 s a MB, and each region has its own endpoint for a shared part. An installation of one region, or a data centre that isn't known, decides as before: pins of choices unchanged.

--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -107,7 +107,10 @@
 ) -> AttemptOutcome<D> {
     let guard = AttemptGuard::new(gateway, call, prepared.choice);
     let connection = match egress::connect(guard.choice.entry.address, CONNECT_LIMIT).await {
-        Ok(connection) => connection,
+        Ok(connection) => {
+            guard.connected();
+            connection
+        }
         Err(error) => {
             let reason = record_unconnected(gateway, &error, progress);
             return end_not_run(call, guard, reason, progress);
--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -14,6 +14,7 @@
                 eligibility::{RequestStanding, Standing},
                 endpoint_choice::{EndpointCandidate, EndpointChoice, NamedLimit, Placement},
                 endpoint_pace::{CallTime, EnginePace},
+                homes::RegionHash,
                 reply_proof::EndpointOutcome,
                 set_aside,
             },
@@ -44,6 +45,8 @@
     pub(crate) hash: EndpointHash,
     /// Hash of this life, as rates are exchanged by it.
     pub(crate) life: LifeHash,
+    /// Region of its data centre; nothing if that isn't known or there is no other one.
+    pub(crate) region: Option<RegionHash>,
     /// Requests in flight from this daemon.
     pub running: u32,
     /// Prompt tokens that this daemon sent and that aren't read yet.
@@ -73,6 +76,7 @@
             cold: ColdState::new(now, entry.cold),
             hash: endpoint_hash(&entry.id),
             life: life_hash(&entry),
+            region: None,
             entry,
             running: 0,
             prefill: 0.0,
@@ -162,12 +166,14 @@
         reachable && healthy && !self.has_ended
     }
 
-    /// Describes the endpoint to the choice; `limit` says whether it names the rate that it takes.
+    /// Describes the endpoint to the choice; `limit` says whether it names the rate that it takes, `way` is the way to
+    /// its region and back if that is another one.
     pub(crate) fn candidate(
         &self,
         now: Time,
         placement: &Placement<'_>,
         limit: NamedLimit,
+        way: Option<WorkMillis>,
     ) -> EndpointCandidate<'_> {
         let cached_tokens = if placement.affinity {
             self.sent_parts.cached_tokens(now, placement.prompt)
@@ -188,6 +194,8 @@
             pace: self.pace.at(now),
             cached_tokens,
             limit,
+            region: self.region,
+            way,
         }
     }
 
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -12,8 +12,10 @@
             rates::store::EndpointRates,
             routing::endpoint_state::{EndpointState, PeerLoad},
             rules::{
+                distance::{RegionWay, are_apart},
                 eligibility::{Exclusion, LeftOut, Places},
                 endpoint_choice::{self, EndpointChoice, Placement},
+                homes::{RegionHash, Regions},
                 reply_proof::EndpointOutcome,
             },
         },
@@ -36,6 +38,12 @@
     evacuated: BTreeSet<DataCentreHash>,
     /// The rates that endpoints name.
     pub(crate) rates: EndpointRates,
+    /// The regions of data centres.
+    regions: Regions,
+    /// The region of this daemon; nothing if it isn't known or there is no other one.
+    home: Option<RegionHash>,
+    /// The ways to other regions.
+    ways: HashMap<RegionHash, RegionWay>,
 }
 
 impl EndpointStates {
@@ -51,13 +59,36 @@
         }
     }
 
+    /// Sets the regions of data centres, and the data centre of this daemon.
+    pub fn set_regions(&mut self, here: &DataCentreId, regions: &Regions) {
+        self.home = regions.region(here);
+        for member in self.members.values_mut() {
+            member.region = regions.region(&member.entry.data_centre);
+        }
+        self.regions = regions.clone();
+    }
+
+    /// Returns the region of this daemon; nothing if it isn't known or there is no other one.
+    pub fn home(&self) -> Option<RegionHash> {
+        self.home
+    }
+
+    /// Returns the way to a region and back; nothing for this daemon's own one.
+    pub fn way(&self, now: Time, region: Option<RegionHash>) -> Option<WorkMillis> {
+        let region = region.filter(|_| are_apart(self.home, region))?;
+        let way = self.ways.get(&region).copied().unwrap_or_default();
+        Some(way.time(now))
+    }
+
     fn add(&mut self, now: Time, entry: Arc<EndpointEntry>) {
         let id = entry.id.clone();
         let ids = self.services.entry(entry.service.clone()).or_default();
         ids.push(id.clone());
         let place = data_centre_hash(&entry.data_centre);
         let evacuated = self.evacuated.contains(&place);
-        let member = EndpointState::new(now, entry, evacuated);
+        let region = self.regions.region(&entry.data_centre);
+        let mut member = EndpointState::new(now, entry, evacuated);
+        member.region = region;
         self.members.insert(id, member);
     }
 
@@ -105,6 +136,25 @@
         self.service(id).filter(|member| member.is_open())
     }
 
+    /// Returns the open endpoints of a service whose calls this daemon may plan: those of its region, and any where
+    /// there is none.
+    pub fn planned(&self, id: &ServiceId) -> Vec<&EndpointState> {
+        let near = |member: &&EndpointState| !are_apart(self.home, member.region);
+        let planned: Vec<&EndpointState> = self.open(id).filter(near).collect();
+        if planned.is_empty() {
+            return self.open(id).collect();
+        }
+        planned
+    }
+
+    /// Returns the region of the endpoint of a service at an address.
+    pub fn region_at(&self, id: &ServiceId, address: SocketAddr) -> Option<RegionHash> {
+        let mut members = self.service(id);
+        members
+            .find(|member| member.entry.address == address)?
+            .region
+    }
+
     /// Checks that a service has an endpoint in `places` that may get new work at all.
     ///
     /// # Errors
@@ -166,7 +216,8 @@
                 Some(reason) => left_out.count(reason),
                 None => {
                     let limit = self.rates.limit(now, member.life);
-                    candidates.push(member.candidate(now, placement, limit));
+                    let way = self.way(now, member.region);
+                    candidates.push(member.candidate(now, placement, limit, way));
                 }
             }
         }
@@ -301,6 +352,14 @@
         member.is_some_and(|member| member.refused(now))
     }
 
+    /// Records that a connection to an endpoint came up after a time.
+    pub fn connected(&mut self, now: Time, entry: &EndpointEntry, took: WorkMillis) {
+        let region = self.of_life(entry).and_then(|member| member.region);
+        if let Some(region) = region.filter(|_| are_apart(self.home, region)) {
+            self.ways.entry(region).or_default().record(now, took);
+        }
+    }
+
     /// Records that an endpoint accepted a connection.
     pub(crate) fn accepted(&mut self, entry: &EndpointEntry) {
         if let Some(member) = self.of_life(entry) {
--- a/lib/src/gateway/routing/guards.rs
+++ b/lib/src/gateway/routing/guards.rs
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Records that the attempt's connection came up.
+    pub(crate) fn connected(&self) {
+        let now = self.gateway.now();
+        let mut state = self.gateway.state.borrow_mut();
+        let took = self.took();
+        state.endpoints.connected(now, &self.choice.entry, took);
+    }
+
     /// Ends the attempt with its outcome for the endpoint.
     pub(crate) fn end(mut self, outcome: EndpointOutcome) {
         self.settle(outcome);
--- a/lib/src/gateway/rules/endpoint_choice.rs
+++ b/lib/src/gateway/rules/endpoint_choice.rs
@@ -3,15 +3,17 @@
 //! **Inputs.** The candidates: endpoints of the service that may get the request
 //! ([`eligibility`](crate::gateway::rules::eligibility)) and haven't been tried for it. Of each: requests in flight, slots, the usual time of
 //! a call (ms), prompt tokens waiting to be read, pace and cached tokens. Of the request: its prompt
-//! (tokens), and the size of its inputs by data centre (bytes).
+//! (tokens), and the size of its inputs by data centre (bytes). The region of each place, and the way there and back to
+//! another one (ms).
 //!
 //! **Rule.** Available candidates go first; the others are considered only where none is available. The
 //! candidate with the least expected time wins, but for one that is to be asked whether it still names a rate. For a plain call that is its usual time, more where
 //! calls have to queue. For a prompt it is the time to read what waits there and isn't cached, more for
-//! requests in flight, times the endpoint's pace. Both add the cost of inputs in another data centre.
+//! requests in flight, times the endpoint's pace. Both add the cost of the way, and of inputs in another data centre
+//! or region.
 //!
 //! **Reason.** A request should begin where it begins soonest. Daemons share no state, so all prefer the
-//! same endpoint for a shared part of a prompt, chosen by rendezvous hashing: it is then read once.
+//! same endpoint for a shared part of a prompt, chosen by rendezvous hashing: it is then read once in each region.
 
 use {
     crate::{
@@ -20,8 +22,10 @@
             directory::catalogue::EndpointEntry,
             rules::{
                 cold_share::ColdShare,
+                distance::are_apart,
                 eligibility::{Exclusion, LeftOut, Places},
                 engine_pace::TOKENS_PER_MS,
+                homes::RegionHash,
             },
         },
         shared::{
@@ -58,6 +62,10 @@
 /// Cost of each megabyte of inputs from another data centre, in milliseconds.
 const INPUT_MB_MS: f64 = 100.0;
 
+/// Cost of each megabyte of inputs from another region, in milliseconds: the way between regions is narrow, and all
+/// hosts share it.
+const FAR_INPUT_MB_MS: f64 = 1_000.0;
+
 /// Bytes of a megabyte.
 const MB: f64 = 1e6;
 
@@ -66,6 +74,8 @@
 pub struct InputLocation {
     /// Data centre of the endpoint that holds them.
     pub data_centre: DataCentreId,
+    /// Its region.
+    pub region: Option<RegionHash>,
     /// Their size.
     pub size: ByteSize,
 }
@@ -114,6 +124,10 @@
     pub cached_tokens: u32,
     /// Whether it names the rate that it takes.
     pub limit: NamedLimit,
+    /// Its region.
+    pub region: Option<RegionHash>,
+    /// Way there and back if it is in another region.
+    pub way: Option<WorkMillis>,
 }
 
 /// Whether an endpoint that may get a request names the rate that it takes.
@@ -172,7 +186,7 @@
         .iter()
         .filter(|candidate| candidate.available || !any_available)
         .collect();
-    let preferred = preferred_endpoint(&compared, placement.prompt);
+    let preferred = preferred_endpoint(&in_region(&compared), placement.prompt);
     let (best, estimate) = compared
         .iter()
         .map(|candidate| {
@@ -199,7 +213,20 @@
     candidate.limit == NamedLimit::LookDue
 }
 
-/// Returns the endpoint that all daemons prefer for the longest shared beginning of a prompt, by
+/// Returns the candidates in the region of the request's daemon; all if there is none.
+fn in_region<'a, 'c>(candidates: &[&'c EndpointCandidate<'a>]) -> Vec<&'c EndpointCandidate<'a>> {
+    let near = candidates
+        .iter()
+        .filter(|candidate| candidate.way.is_none());
+    let near: Vec<&EndpointCandidate<'_>> = near.copied().collect();
+    if near.is_empty() {
+        candidates.to_vec()
+    } else {
+        near
+    }
+}
+
+/// Returns the endpoint that all daemons of a region prefer for the longest shared beginning of a prompt, by
 /// rendezvous hashing; `None` where the prompt has no shared part. A cold endpoint holds nothing, so that
 /// it is preferred only where all are cold.
 fn preferred_endpoint<'a>(
@@ -295,12 +322,20 @@
     placement: &Placement<'_>,
 ) -> WorkMillis {
     let there = &candidate.entry.data_centre;
-    let remote: u64 = placement
-        .inputs
-        .iter()
-        .filter(|input| input.data_centre != *there)
-        .map(|input| input.size.0)
-        .sum();
-    let hop = if there == here { 0.0 } else { HOP_MS };
-    WorkMillis(hop + remote as f64 / MB * INPUT_MB_MS)
+    let hop = match candidate.way {
+        Some(way) => way.0,
+        None if there == here => 0.0,
+        None => HOP_MS,
+    };
+    let mut crossing = 0;
+    let mut far = 0;
+    for input in placement.inputs {
+        if are_apart(input.region, candidate.region) {
+            far += input.size.0;
+        } else if input.data_centre != *there {
+            crossing += input.size.0;
+        }
+    }
+    let crossing = crossing as f64 / MB * INPUT_MB_MS;
+    WorkMillis(hop + crossing + far as f64 / MB * FAR_INPUT_MB_MS)
 }
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -16,6 +16,7 @@
 pub mod connections;
 pub mod coordinator;
 pub mod directory_reads;
+pub mod distance;
 pub mod eligibility;
 pub mod endpoint_choice;
 pub mod endpoint_pace;
--- a/lib/src/gateway/stages/stage_results.rs
+++ b/lib/src/gateway/stages/stage_results.rs
@@ -91,6 +91,7 @@
                 if let Some(member) = member {
                     locations.push(InputLocation {
                         data_centre: member.entry.data_centre.clone(),
+                        region: member.region,
                         size: stage.size,
                     });
                 }
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -232,9 +232,12 @@
         };
         let peers = Peers::new(me, &settings.seeds);
         let catalogue = Catalogue::new(settings.bounds.suspect_time());
+        let mut state = GatewayState::new(peers, catalogue);
+        let here = &settings.data_centre;
+        state.endpoints.set_regions(here, &settings.regions);
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
-            state: RefCell::new(GatewayState::new(peers, catalogue)),
+            state: RefCell::new(state),
             links: Links::default(),
             metrics: GatewayMetrics::default(),
             stopping: Cell::new(false),
@@ -272,6 +275,8 @@
             state
                 .catalogue
                 .set_suspect_time(settings.bounds.suspect_time());
+            let here = &settings.data_centre;
+            state.endpoints.set_regions(here, &settings.regions);
         }
         *self.settings.borrow_mut() = settings;
         // The queues of stages take their part of a new retry budget.
--- a/lib/tests/test_fleet_choice.rs
+++ b/lib/tests/test_fleet_choice.rs
@@ -207,6 +207,7 @@
     let prompt = Prompt::default();
     let inputs = [InputLocation {
         data_centre: "far".parse().unwrap(),
+        region: None,
         size: ByteSize(1_000_000),
     }];
     let placement = Placement {
--- a/lib/tests/test_fleet_pins.rs
+++ b/lib/tests/test_fleet_pins.rs
@@ -133,6 +133,7 @@
                 let name = *self.draws.pick(&CENTRES);
                 InputLocation {
                     data_centre: centre(name),
+                    region: None,
                     size: ByteSize(self.draws.below(900_000)),
                 }
             })
--- a/lib/tests/test_stage_home.rs
+++ b/lib/tests/test_stage_home.rs
@@ -17,6 +17,7 @@
 fn inputs(located: &[(&str, u64)]) -> Vec<InputLocation> {
     let input = |(name, size): &(&str, u64)| InputLocation {
         data_centre: centre(name),
+        region: None,
         size: ByteSize(*size),
     };
     located.iter().map(input).collect()
