--- a/lib/src/gateway/peers/heartbeats.rs
+++ b/lib/src/gateway/peers/heartbeats.rs
@@ -9,17 +9,17 @@
             dialect::Dialect,
             peers::{
                 changes::apply_changes,
-                message::{Datagram, LoadDigest, PROTOCOL},
+                message::{Datagram, LoadDigest, PROTOCOL, RegionReport},
                 sockets::send_datagram,
             },
             rules::{
                 coordinator::{SETTLED, YIELD},
-                gossip::{DIGEST_LOADS, HEARTBEAT},
+                gossip::{self, DIGEST_LOADS, FAR_NOTES, HEARTBEAT},
                 pause::{CLOCK_LOOK, PauseDetector},
             },
             state::Gateway,
         },
-        shared::units::Time,
+        shared::{ids::ServiceId, units::Time},
     },
     std::{net::SocketAddr, rc::Rc},
     tokio::{
@@ -46,6 +46,7 @@
         }
         send_heartbeat(&gateway, &socket, now);
         send_load_digest(&gateway, &socket);
+        send_far_services(&gateway, &socket, now);
         gateway.state.borrow_mut().update_peer_loads(now);
         gateway.apply_timeouts();
     }
@@ -87,7 +88,7 @@
     send_datagram(socket, &datagram, outgoing.targets.into_iter());
 }
 
-/// Sends everybody what is in flight at the endpoints that this daemon coordinates; needed only
+/// Sends everybody of this region what is in flight at the endpoints that this daemon coordinates; needed only
 /// where not every daemon receives the heartbeats of every other one.
 fn send_load_digest<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket) {
     let now = gateway.now();
@@ -97,7 +98,7 @@
         return;
     }
     let loads = state.next_digest(now, ready);
-    let everybody: Vec<SocketAddr> = state.peers.addresses().collect();
+    let everybody: Vec<SocketAddr> = state.peers.near_addresses().collect();
     drop(state);
     for part in loads.chunks(DIGEST_LOADS) {
         gateway.state.borrow_mut().load_sums.merge(now, part);
@@ -109,3 +110,28 @@
         send_datagram(socket, &datagram, everybody.iter().copied());
     }
 }
+
+/// Tells this region how the services that this daemon coordinates stand in other ones.
+fn send_far_services<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket, now: Time) {
+    let ready = gateway.may_coordinate();
+    let mut state = gateway.state.borrow_mut();
+    if !ready || !gossip::is_far_due(state.peers.last_sequence()) {
+        return;
+    }
+    let services: Vec<ServiceId> = state.planning.services().cloned().collect();
+    let notes = state.peers.far_notes(now, &services, ready);
+    state.peers.merge_far_services(now, &notes);
+    let everybody: Vec<SocketAddr> = state.peers.near_addresses().collect();
+    drop(state);
+    for part in notes.chunks(FAR_NOTES) {
+        let report = RegionReport {
+            protocol: PROTOCOL,
+            notes: part.to_vec(),
+        };
+        send_datagram(
+            socket,
+            &Datagram::Regions(report),
+            everybody.iter().copied(),
+        );
+    }
+}
--- a/lib/src/gateway/peers/membership.rs
+++ b/lib/src/gateway/peers/membership.rs
@@ -13,6 +13,7 @@
     crate::{
         gateway::{
             peers::{
+                far_services::FarServices,
                 message::{BacklogNote, Heartbeat, PeerNote},
                 peer_change::PeerChange,
                 record::{Peer, ReceivedHeartbeat},
@@ -20,6 +21,7 @@
             rules::{
                 coordinator,
                 gossip::{self, WatchPlace},
+                homes::RegionHash,
                 liveness::{self, Listening},
                 pause::Standstills,
             },
@@ -41,6 +43,8 @@
     pub host: HostId,
     /// Data centre.
     pub data_centre: DataCentreId,
+    /// Its region; nothing if that isn't known or there is no other one.
+    pub region: Option<RegionHash>,
     /// Address for other daemons.
     pub address: SocketAddr,
     /// Number drawn at the start of the process, to tell it from the one before.
@@ -77,6 +81,8 @@
     pub(super) reads: bool,
     /// The outstanding work that the last heartbeat reported.
     pub(super) reported_backlogs: Vec<BacklogNote>,
+    /// How services stand in other regions, as coordinators of this one tell it.
+    pub(super) far_services: FarServices,
 }
 
 impl Peers {
@@ -98,6 +104,7 @@
             coordinates_since: None,
             reads: false,
             reported_backlogs: Vec::new(),
+            far_services: FarServices::default(),
         };
         peers.set_seeds(seeds);
         peers
@@ -109,6 +116,14 @@
         self.seeds = others.copied().collect();
     }
 
+    /// Sets the region of this daemon's data centre.
+    pub fn set_region(&mut self, region: Option<RegionHash>) {
+        self.me.region = region;
+        for peer in self.known.values_mut() {
+            peer.set_region(region, peer.region);
+        }
+    }
+
     /// Returns whether the fleet is so small that every heartbeat goes to everybody.
     pub fn is_small(&self) -> bool {
         gossip::is_small_fleet(self.known.len())
@@ -125,6 +140,7 @@
             return Vec::new();
         }
         let (address, host) = (heartbeat.address, heartbeat.host.clone());
+        let home = self.me.region;
         self.heard = now;
         let peer = self.peer(now, address);
         if peer.is_outdated(&heartbeat) {
@@ -138,6 +154,7 @@
         peer.last_sign = Some(now);
         peer.phase = heartbeat.phase;
         peer.capacity = heartbeat.capacity;
+        peer.set_region(home, heartbeat.region);
         peer.last_heartbeat = Some(ReceivedHeartbeat { at: now, heartbeat });
         peer.alive = true;
         peer.refute(now);
@@ -176,8 +193,10 @@
         note: &PeerNote,
         listening: Listening,
     ) -> Option<PeerChange> {
+        let home = self.me.region;
         let peer = self.known.get_mut(&note.address)?;
         let sign = liveness::sign_time(now, note.age());
+        peer.set_region(home, note.region.or(peer.region));
         if note.suspect {
             merge_suspicion(now, peer, sign);
             return None;
@@ -236,21 +255,21 @@
             return;
         }
         let watched = gossip::watched(self.place, &self.watch_places());
-        // Everybody sends a coordinator each heartbeat.
+        // Everybody of its region sends a coordinator each heartbeat.
         let coordinates = self.coordinates();
         for (address, peer) in &mut self.known {
-            peer.expected = coordinates || watched.contains(address);
+            peer.expected = (coordinates && !peer.is_far) || watched.contains(address);
             peer.judge_silence(now, self.awake);
         }
     }
 
-    /// Returns the places of the daemons that watch each other, in no order. Suspects are left out, so that
+    /// Returns the places of the daemons of this region, which watch each other, in no order. Suspects are left out, so that
     /// whoever is watched by them alone has other watchers within a second, not only once they are lost.
     pub(super) fn watch_places(&self) -> Vec<WatchPlace> {
         let watching = self
             .known
             .values()
-            .filter(|peer| peer.alive && peer.suspect.is_none());
+            .filter(|peer| peer.alive && !peer.is_far && peer.suspect.is_none());
         watching.map(|peer| peer.place).collect()
     }
 
--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -6,7 +6,7 @@
 //! Daemons share no clock, so that every time in a message is relative to when it was sent.
 
 pub use crate::gateway::peers::notes::{
-    BacklogNote, LoadNote, PeerNote, Phase, QueueNote, WorkNote,
+    BacklogNote, FarNote, LoadNote, PeerNote, Phase, QueueNote, WorkNote,
 };
 
 use {
@@ -19,6 +19,7 @@
             quarantine::note::EvidenceNote,
             rates::note::{PermitNote, RateNote},
             request_digest::RequestDigest,
+            rules::homes::RegionHash,
             stages::job::{JobEnd, PieceInput, ResultHandle},
             table::Version,
             table_parts::{PartHash, PartList},
@@ -71,6 +72,9 @@
     /// Data centre.
     #[serde(rename = "d")]
     pub data_centre: DataCentreId,
+    /// Its region; nothing if that isn't known, or the installation has one region.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<RegionHash>,
     /// Phase of its life.
     #[serde(rename = "p")]
     pub phase: Phase,
@@ -180,6 +184,17 @@
     pub permits: Vec<PermitNote>,
 }
 
+/// How stage services stand in other regions, from a coordinator to its own region; one datagram holds a part of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegionReport {
+    /// Version of the messages.
+    #[serde(rename = "v")]
+    pub protocol: u16,
+    /// What the coordinators there report.
+    #[serde(rename = "n")]
+    pub notes: Vec<FarNote>,
+}
+
 /// A datagram between daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -198,6 +213,9 @@
     /// Endpoints that name a rate. A daemon of a release that doesn't know it ignores it.
     #[serde(rename = "e")]
     Rates(RateReport),
+    /// Services in other regions. A daemon of a release that doesn't know it ignores it.
+    #[serde(rename = "g")]
+    Regions(RegionReport),
 }
 
 impl Datagram {
@@ -209,6 +227,7 @@
             Self::Roster(roster) => roster.protocol,
             Self::Quarantine(report) => report.protocol,
             Self::Rates(report) => report.protocol,
+            Self::Regions(report) => report.protocol,
         }
     }
 }
--- a/lib/src/gateway/peers/mod.rs
+++ b/lib/src/gateway/peers/mod.rs
@@ -8,6 +8,8 @@
 
 pub mod catch_up;
 pub(crate) mod changes;
+pub mod far_reports;
+pub mod far_services;
 pub mod heartbeats;
 pub(crate) mod job_message;
 pub mod link_server;
--- a/lib/src/gateway/peers/notes.rs
+++ b/lib/src/gateway/peers/notes.rs
@@ -7,7 +7,7 @@
     crate::{
         gateway::{
             hashes::{EndpointHash, ServiceHash},
-            rules::backlog::Backlog,
+            rules::{backlog::Backlog, homes::RegionHash},
         },
         shared::units::Capacity,
     },
@@ -44,6 +44,9 @@
     /// Set if it should have been heard since then.
     #[serde(rename = "s", default, skip_serializing_if = "is_false")]
     pub suspect: bool,
+    /// Its region; nothing if that isn't known, or the installation has one region.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<RegionHash>,
 }
 
 /// Returns whether a mark isn't set, so that it can be left out.
@@ -90,6 +93,41 @@
     }
 }
 
+/// How a stage service stands in a region, as its coordinator there reports it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(
+    into = "(RegionHash, ServiceHash, u32, Backlog)",
+    from = "(RegionHash, ServiceHash, u32, Backlog)"
+)]
+pub struct FarNote {
+    /// The region.
+    pub region: RegionHash,
+    /// The service.
+    pub service: ServiceHash,
+    /// Endpoints that accept calls.
+    pub endpoints: u32,
+    /// Outstanding pieces of the region's daemons.
+    pub backlog: Backlog,
+}
+
+impl From<FarNote> for (RegionHash, ServiceHash, u32, Backlog) {
+    fn from(note: FarNote) -> Self {
+        (note.region, note.service, note.endpoints, note.backlog)
+    }
+}
+
+impl From<(RegionHash, ServiceHash, u32, Backlog)> for FarNote {
+    fn from(note: (RegionHash, ServiceHash, u32, Backlog)) -> Self {
+        let (region, service, endpoints, backlog) = note;
+        Self {
+            region,
+            service,
+            endpoints,
+            backlog,
+        }
+    }
+}
+
 /// State of a stage service, as the daemon reports that plans its calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -12,13 +12,15 @@
             },
             rules::{
                 coordinator::{self, Coordinator},
-                gossip, liveness,
+                gossip,
+                homes::RegionHash,
+                liveness,
             },
         },
-        shared::units::Time,
+        shared::{ids::ServiceId, units::Time},
     },
     rand::seq::SliceRandom,
-    std::{mem, net::SocketAddr},
+    std::{collections::BTreeSet, mem, net::SocketAddr},
 };
 
 /// A heartbeat, and the daemons that get it.
@@ -58,7 +60,7 @@
             .map(|since| self.standstills.excused(since, now))
             .is_some_and(|since| self.reads_first(now, since, &report));
         let asked = self.ask(now);
-        let targets = self.targets(&coordinators, &asked);
+        let targets = self.targets(now, &report.services, &coordinators, &asked);
         let peers = self.named_peers(now, asked.len());
         self.reported_backlogs.clone_from(&report.backlogs);
         let heartbeat = Heartbeat {
@@ -68,6 +70,7 @@
             sequence: self.sequence,
             address: self.me.address,
             data_centre: self.me.data_centre.clone(),
+            region: self.me.region,
             phase: report.phase,
             table: report.table,
             fingerprint: report.fingerprint,
@@ -81,7 +84,11 @@
             joining: self.is_joining(now),
             peers,
             asked,
-            loads: gossip::largest_loads(report.loads, report.evacuations.len()),
+            loads: gossip::largest_loads(
+                report.loads,
+                report.evacuations.len(),
+                self.me.region.is_some(),
+            ),
             evacuations: reported(report.evacuations),
             queues: report.queues,
             work: report.work,
@@ -125,11 +132,18 @@
     }
 
     /// Draws the daemons that get a heartbeat.
-    fn targets(&mut self, coordinators: &[Coordinator], asked: &[SocketAddr]) -> Vec<SocketAddr> {
-        let known = self.known.keys().copied().collect();
-        let watchers = gossip::watchers(self.place, &self.watch_places());
-        let mut targets =
-            gossip::draw_targets(known, watchers, self.broadcasts_left, &mut self.rng);
+    fn targets(
+        &mut self,
+        now: Time,
+        services: &[ServiceId],
+        coordinators: &[Coordinator],
+        asked: &[SocketAddr],
+    ) -> Vec<SocketAddr> {
+        let mut targets = self.near_targets();
+        if self.broadcasts_left > 0 {
+            let far = self.far_coordinators(now, services);
+            gossip::add_targets(&mut targets, far.into_iter());
+        }
         let questioners = mem::take(&mut self.questioners);
         let coordinators = coordinators.iter().filter_map(|one| match one {
             Coordinator::Peer(address) => Some(*address),
@@ -142,6 +156,34 @@
         targets
     }
 
+    /// Draws the daemons of this region that get a heartbeat whatever their part; all in a small fleet.
+    fn near_targets(&mut self) -> Vec<SocketAddr> {
+        if self.is_small() {
+            return gossip::draw_targets(self.addresses().collect(), Vec::new(), 0, &mut self.rng);
+        }
+        let near = self.near_addresses().collect();
+        let watchers = gossip::watchers(self.place, &self.watch_places());
+        gossip::draw_targets(near, watchers, self.broadcasts_left, &mut self.rng)
+    }
+
+    /// Returns the regions of other daemons that differ from this one's.
+    pub(super) fn far_regions(&self) -> BTreeSet<RegionHash> {
+        let far = self.known.values().filter(|peer| peer.is_far);
+        far.filter_map(|peer| peer.region).collect()
+    }
+
+    /// Returns the daemons that coordinate services in other regions.
+    fn far_coordinators(&self, now: Time, services: &[ServiceId]) -> Vec<SocketAddr> {
+        let mut coordinators = Vec::new();
+        for region in self.far_regions() {
+            let there = services
+                .iter()
+                .filter_map(|service| self.far_coordinator(now, service, region, &[]));
+            gossip::add_targets(&mut coordinators, there);
+        }
+        coordinators
+    }
+
     /// Draws daemons that get something beside heartbeats, whatever their part: all in a small fleet.
     pub fn draw_any(&mut self) -> Vec<SocketAddr> {
         let known = self.known.keys().copied().collect();
--- a/lib/src/gateway/peers/queries.rs
+++ b/lib/src/gateway/peers/queries.rs
@@ -11,6 +11,7 @@
             rules::{
                 catch_up::{self, Offer, TableOffer},
                 coordinator::{self, Coordinator, DaemonCandidate},
+                homes::RegionHash,
                 suspect_entry,
             },
             table::Version,
@@ -36,6 +37,17 @@
         living.chain([self.me.address])
     }
 
+    /// Returns the addresses of the other daemons of this region that are known, alive or not.
+    pub fn near_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        let near = self.known.iter().filter(|(_, peer)| !peer.is_far);
+        near.map(|(address, _)| *address)
+    }
+
+    /// Returns the number of this daemon's last heartbeat.
+    pub(super) fn last_sequence(&self) -> u64 {
+        self.sequence
+    }
+
     /// Returns this daemon's own address for others.
     pub fn own_address(&self) -> SocketAddr {
         self.me.address
@@ -56,9 +68,10 @@
         1 + self.known.len()
     }
 
-    /// Returns whether a living daemon has more capacity than this one, and isn't stopping.
+    /// Returns whether a living daemon of this region has more capacity than this one, and isn't stopping.
     pub fn has_stronger(&self) -> bool {
-        let mut living = self.known.values().filter(|peer| peer.alive);
+        let near = self.known.values().filter(|peer| !peer.is_far);
+        let mut living = near.filter(|peer| peer.alive);
         living.any(|peer| peer.capacity > self.me.capacity && peer.phase != Phase::Stopping)
     }
 
@@ -67,6 +80,13 @@
         self.received().map(|last| &last.heartbeat)
     }
 
+    /// Returns the last heartbeats that were received here of living daemons of this region.
+    pub fn near_heartbeats(&self) -> impl Iterator<Item = &Heartbeat> {
+        let near = self.known.values().filter(|peer| !peer.is_far);
+        let living = near.filter(|peer| peer.alive);
+        living.filter_map(|peer| Some(&peer.last_heartbeat.as_ref()?.heartbeat))
+    }
+
     /// Returns whether any daemon has read the directory without a failure for a while, so that a
     /// failure here is this daemon's own.
     pub fn has_steady_peer(&self, now: Time) -> bool {
@@ -86,11 +106,19 @@
             .min()
     }
 
-    /// Returns the substitutes that read the directory, and the ages of their reads.
+    /// Returns the daemons whose reads of the directory coordinators of this region pass on, and the ages of these
+    /// reads: substitutes, and readers of other regions, whose heartbeats few daemons here receive.
     pub fn substitute_reads(&self, now: Time) -> impl Iterator<Item = (SocketAddr, Millis)> {
-        self.received()
-            .filter(|last| !last.heartbeat.broadcasts)
-            .filter_map(move |last| Some((last.heartbeat.address, last.read_age(now)?)))
+        let living = self.known.values().filter(|peer| peer.alive);
+        living.filter_map(move |peer| {
+            let last = peer.last_heartbeat.as_ref()?;
+            let is_passed_on = peer.is_far && last.heartbeat.read_by.is_some();
+            let is_heard = last.heartbeat.broadcasts && !peer.is_far;
+            if is_passed_on || is_heard {
+                return None;
+            }
+            Some((last.heartbeat.address, last.read_age(now)?))
+        })
     }
 
     /// Returns the tables that other daemons report.
@@ -130,7 +158,7 @@
         })
     }
 
-    /// Returns the coordinator of a service. `ready` is set if this daemon may coordinate;
+    /// Returns the coordinator of a service in this region. `ready` is set if this daemon may coordinate;
     /// daemons in `except` already failed for the job at hand.
     pub fn coordinator(
         &self,
@@ -140,11 +168,29 @@
         except: &[SocketAddr],
     ) -> Coordinator {
         let me = self.candidate();
-        let peers = self
+        let near = self.known.iter().filter(|(_, peer)| !peer.is_far);
+        let peers = near.map(|(address, peer)| peer.standing(*address));
+        coordinator::coordinator(now, service, me, ready, peers, except)
+    }
+
+    /// Returns the coordinator of a service in another region; nothing if no daemon there can be it.
+    pub fn far_coordinator(
+        &self,
+        now: Time,
+        service: &ServiceId,
+        region: RegionHash,
+        except: &[SocketAddr],
+    ) -> Option<SocketAddr> {
+        let there = self
             .known
             .iter()
-            .map(|(address, peer)| peer.standing(*address));
-        coordinator::coordinator(now, service, me, ready, peers, except)
+            .filter(|(_, peer)| peer.is_far && peer.region == Some(region));
+        let peers = there.map(|(address, peer)| peer.standing(*address));
+        let me = self.candidate();
+        match coordinator::coordinator(now, service, me, false, peers, except) {
+            Coordinator::Peer(address) => Some(address),
+            Coordinator::Me => None,
+        }
     }
 
     /// Returns this daemon as one that may coordinate.
--- a/lib/src/gateway/peers/receive.rs
+++ b/lib/src/gateway/peers/receive.rs
@@ -64,6 +64,11 @@
         }
         Datagram::Quarantine(report) => gateway.merge_quarantine(&report.notes, from),
         Datagram::Rates(report) => receive_rates(gateway, socket, &report, from),
+        Datagram::Regions(report) => gateway
+            .state
+            .borrow_mut()
+            .peers
+            .merge_far_services(now, &report.notes),
     }
 }
 
--- a/lib/src/gateway/peers/record.rs
+++ b/lib/src/gateway/peers/record.rs
@@ -6,7 +6,9 @@
             peers::message::{Heartbeat, PeerNote, Phase},
             rules::{
                 coordinator::{DaemonCandidate, PeerStanding},
+                distance::are_apart,
                 gossip::WatchPlace,
+                homes::RegionHash,
                 liveness::{self, LifeSigns},
             },
         },
@@ -39,6 +41,10 @@
 pub(crate) struct Peer {
     /// Its place among those that watch each other.
     pub(crate) place: WatchPlace,
+    /// Its region, once that is known.
+    pub(crate) region: Option<RegionHash>,
+    /// It is in another region than this daemon.
+    pub(crate) is_far: bool,
     /// When a heartbeat or gossip last gave its address.
     pub(crate) last_mention: Time,
     /// Last sign of life, received here or by a third daemon.
@@ -67,6 +73,8 @@
     pub(crate) fn new(now: Time, address: SocketAddr) -> Self {
         Self {
             place: WatchPlace::new(address),
+            region: None,
+            is_far: false,
             last_mention: now,
             last_sign: None,
             last_heartbeat: None,
@@ -83,6 +91,12 @@
         }
     }
 
+    /// Sets its region; `home` is that of this daemon.
+    pub(crate) fn set_region(&mut self, home: Option<RegionHash>, region: Option<RegionHash>) {
+        self.region = region;
+        self.is_far = are_apart(home, region);
+    }
+
     /// Records a sign of life that is recent enough to refute a suspicion.
     pub(crate) fn refute(&mut self, now: Time) {
         if self.suspect.take().is_some() {
@@ -151,7 +165,8 @@
         LifeSigns {
             heartbeat: last.map(|last| last.at),
             sign: self.last_sign,
-            broadcasts: last.is_some_and(|last| last.heartbeat.broadcasts),
+            // Those of another region send this one few of their heartbeats.
+            broadcasts: !self.is_far && last.is_some_and(|last| last.heartbeat.broadcasts),
             alive: self.alive,
             suspect: self.suspect,
         }
@@ -178,6 +193,7 @@
             phase: self.phase,
             capacity: self.capacity,
             suspect: self.suspect.is_some(),
+            region: self.region,
         })
     }
 }
--- a/lib/src/gateway/peers/reports.rs
+++ b/lib/src/gateway/peers/reports.rs
@@ -1,6 +1,6 @@
 //! Sums of the loads and the outstanding work that other daemons report.
 //!
-//! Only heartbeats of daemons that are alive count.
+//! Only heartbeats of daemons count that are alive, and of this region: each region has coordinators of its own.
 
 use {
     crate::gateway::{
@@ -17,7 +17,10 @@
     /// Sums up what other daemons have in flight, by endpoint, as their heartbeats report it here.
     pub fn reported_loads(&self) -> HashMap<EndpointHash, PeerLoad> {
         let mut sums: HashMap<EndpointHash, PeerLoad> = HashMap::default();
-        for load in self.heartbeats().flat_map(|heartbeat| &heartbeat.loads) {
+        for load in self
+            .near_heartbeats()
+            .flat_map(|heartbeat| &heartbeat.loads)
+        {
             let sum = sums.entry(load.endpoint).or_default();
             sum.running += load.running;
             sum.prefill += f64::from(load.prefill);
@@ -28,7 +31,9 @@
     /// Returns the number of a service's endpoints that accept calls, as its coordinator reports;
     /// nothing if nobody reports it.
     pub fn available_endpoints(&self, service: ServiceHash) -> Option<usize> {
-        let notes = self.heartbeats().flat_map(|heartbeat| &heartbeat.queues);
+        let notes = self
+            .near_heartbeats()
+            .flat_map(|heartbeat| &heartbeat.queues);
         notes
             .filter(|note| note.service == service)
             .map(|note| note.endpoints as usize)
@@ -38,14 +43,16 @@
     /// Returns whether any daemon reports that a service's endpoints are short of room for
     /// results.
     pub fn is_short_of_room(&self, service: ServiceHash) -> bool {
-        let mut notes = self.heartbeats().flat_map(|heartbeat| &heartbeat.queues);
+        let mut notes = self
+            .near_heartbeats()
+            .flat_map(|heartbeat| &heartbeat.queues);
         notes.any(|note| note.service == service && note.short)
     }
 
     /// Returns the outstanding pieces of a service at other daemons, as their heartbeats report it
     /// here.
     pub fn reported_backlog(&self, service: ServiceHash) -> Backlog {
-        let reports = self.heartbeats();
+        let reports = self.near_heartbeats();
         reports.fold(Backlog::default(), |sum, heartbeat| {
             sum.plus(&own_backlog(heartbeat, service))
         })
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -24,6 +24,7 @@
                 attempt_timeout::{AttemptPlan, attempt_timeout},
                 eligibility::LeftOut,
                 endpoint_choice::EndpointChoice,
+                homes::RegionHash,
                 outcome::UnansweredEnd,
                 reply_proof::{NotRunReason, is_endpoint_failure},
                 retry::{self, AfterFailure, AttemptFailure, RetryReason},
@@ -102,6 +103,7 @@
         gateway,
         call,
         progress: RequestProgress::default(),
+        region: None,
         results: None,
     };
     let ended = tokio::select! {
@@ -119,14 +121,16 @@
     gateway: &'a Rc<Gateway<D>>,
     call: &'a Rc<ForwardedCall>,
     progress: RequestProgress,
+    /// Region where its stages run; nothing for this daemon's own.
+    region: Option<RegionHash>,
     /// Results of the stages, which the request takes as its inputs.
     results: Option<Results<D>>,
 }
 
 impl<D: Dialect> RequestRun<'_, D> {
     async fn answer(&mut self, in_flight: RequestGuard<D>) -> Result<Response<ReplyBody>, Problem> {
-        check_admission(self.gateway, self.call)?;
-        self.results = run_stages(self.gateway, self.call).await?;
+        self.region = check_admission(self.gateway, self.call)?;
+        self.results = run_stages(self.gateway, self.call, self.region).await?;
         loop {
             if self.is_quarantined() {
                 return self.end_unanswered(QUARANTINED);
@@ -224,7 +228,7 @@
                 }
                 // What is left of the old results is released before new ones need the room.
                 drop(self.results.take());
-                self.results = run_stages(self.gateway, self.call).await?;
+                self.results = run_stages(self.gateway, self.call, self.region).await?;
                 self.progress.tried.clear();
                 Ok(true)
             }
@@ -305,6 +309,7 @@
             call: self.call.clone(),
             tried: std::mem::take(&mut self.progress.tried),
             sent: self.progress.history.sent(),
+            region: self.region,
             results: self.results.take(),
             _in_flight: in_flight,
         };
--- a/lib/src/gateway/routing/outbound.rs
+++ b/lib/src/gateway/routing/outbound.rs
@@ -6,7 +6,7 @@
             dialect::{Dialect, Outbound},
             routing::call::ForwardedCall,
             rules::{
-                eligibility::LeftOut,
+                eligibility::{LeftOut, Places},
                 endpoint_choice::{EndpointChoice, Placement},
             },
             stages::stage_results::Results,
@@ -30,6 +30,17 @@
     call: &ForwardedCall,
     tried: &[EndpointId],
     results: Option<&Results<D>>,
+) -> Result<EndpointChoice, LeftOut> {
+    choose_endpoint_in(gateway, call, &call.places, tried, results)
+}
+
+/// Chooses an endpoint for a request as [`choose_endpoint`] does, among those in some data centres.
+pub(crate) fn choose_endpoint_in<D: Dialect>(
+    gateway: &Gateway<D>,
+    call: &ForwardedCall,
+    places: &Places,
+    tried: &[EndpointId],
+    results: Option<&Results<D>>,
 ) -> Result<EndpointChoice, LeftOut> {
     // A request without stages takes no results, wherever they are.
     let inputs = results.map(Results::input_locations).unwrap_or_default();
@@ -39,7 +50,7 @@
         tried,
         inputs: &inputs,
         connection_limit: gateway.connections_each(&call.service),
-        places: &call.places,
+        places,
         cold_share: gateway.cold_share(&call.service),
         cold_start: gateway.cold_start(&call.service),
         urgency: call.urgency,
--- /dev/null
+++ b/lib/src/gateway/routing/region_choice.rs
@@ -0,0 +1,110 @@
+//! Decides in which region the stages of a request run.
+//!
+//! Gathers what [`rules::request_region`](crate::gateway::rules::request_region) decides on. Relies on `stage_load` for
+//! how the services of the stages stand.
+
+use crate::{
+    gateway::{
+        dialect::Dialect,
+        routing::{call::ForwardedCall, stage_load::admit},
+        rules::{
+            eligibility::Places,
+            homes::RegionHash,
+            request_region::{self, RegionDecision},
+        },
+        stages::{chain_request::ChainRequest, job::piece_count},
+        state::Gateway,
+        table::RouteStage,
+    },
+    shared::ids::ServiceId,
+};
+
+/// Decides where the stages of a request run, if it is admitted.
+pub(crate) fn choose_region<D: Dialect>(
+    gateway: &Gateway<D>,
+    call: &ForwardedCall,
+) -> RegionDecision {
+    let home = gateway.state.borrow().endpoints.home();
+    let others = gateway.settings().regions.others(home);
+    let own = decide_in(gateway, call, None);
+    let others = others
+        .into_iter()
+        .filter_map(|region| decide_in(gateway, call, Some(region)));
+    request_region::choose(own, others).unwrap_or_else(|| RegionDecision {
+        region: None,
+        decision: admit(gateway, &stages_of(call)),
+    })
+}
+
+/// Decides whether a request is admitted in another region, or in this daemon's own; nothing where it can't run.
+fn decide_in<D: Dialect>(
+    gateway: &Gateway<D>,
+    call: &ForwardedCall,
+    region: Option<RegionHash>,
+) -> Option<RegionDecision> {
+    let places = places_in(gateway, call, region)?;
+    let request = stages_of(call).within(places).coordinated_in(region);
+    if let Some(region) = region {
+        let now = gateway.now();
+        let state = gateway.state.borrow();
+        for stage in needed_stages(call) {
+            state.peers.far_service(now, &stage.service, region)?;
+        }
+    }
+    let decision = admit(gateway, &request);
+    Some(RegionDecision { region, decision })
+}
+
+/// Returns the data centres of another region, or of this daemon's own, where a request may run; nothing where a
+/// service that it needs has no endpoint there.
+fn places_in<D: Dialect>(
+    gateway: &Gateway<D>,
+    call: &ForwardedCall,
+    region: Option<RegionHash>,
+) -> Option<Places> {
+    let state = gateway.state.borrow();
+    let region = region.or(state.endpoints.home());
+    let inside = gateway.settings().regions.within(&call.places, region);
+    let has_all = |service| state.endpoints.any_open(service, &inside).is_ok();
+    needed_services(call).all(has_all).then_some(inside)
+}
+
+/// Returns a request as its stages need to know it that run in another region, or in this daemon's own. Where that
+/// one lacks endpoints, they may run anywhere.
+pub(crate) fn stages_in<D: Dialect>(
+    gateway: &Gateway<D>,
+    call: &ForwardedCall,
+    region: Option<RegionHash>,
+) -> ChainRequest {
+    let request = stages_of(call).coordinated_in(region);
+    match places_in(gateway, call, region) {
+        Some(places) => request.within(places),
+        None => request,
+    }
+}
+
+/// Returns the stages of a request that have pieces.
+pub(crate) fn needed_stages(call: &ForwardedCall) -> impl Iterator<Item = &RouteStage> {
+    let stages = call.route.stages.iter().enumerate();
+    let needed = stages.filter(|(place, _)| piece_count(&call.inbound.pieces, *place) > 0);
+    needed.map(|(_, stage)| stage)
+}
+
+/// Returns the services that a request needs.
+pub(crate) fn needed_services(call: &ForwardedCall) -> impl Iterator<Item = &ServiceId> {
+    let stages = needed_stages(call).map(|stage| &stage.service);
+    stages.chain([&call.service])
+}
+
+/// Returns a request as its stages need to know it.
+fn stages_of(call: &ForwardedCall) -> ChainRequest {
+    ChainRequest::new(
+        &call.inbound,
+        &call.route,
+        call.deadline.min(call.give_up()),
+        call.arrived + call.route.objective,
+        call.urgency,
+    )
+    .identified(call.digest)
+    .within(call.places.clone())
+}
--- /dev/null
+++ b/lib/src/gateway/routing/stage_load.rs
@@ -0,0 +1,161 @@
+//! Gathers how the services of a request's stages stand, for its admission.
+//!
+//! Relies on the planning and the peers for what waits, and on the list of endpoints; the rule is
+//! [`rules::admission`](crate::gateway::rules::admission).
+
+use crate::{
+    gateway::{
+        dialect::Dialect,
+        hashes::service_hash,
+        rules::{
+            admission::{
+                self, AdmissionDecision, AdmissionRequest, CountSources, PieceCount, PlannedStage,
+                StageService,
+            },
+            backlog::{Backlog, Band},
+            call_timing::CallCost,
+            homes::RegionHash,
+            piece_order::due,
+        },
+        stages::{chain_request::ChainRequest, workload::PieceRank},
+        state::{Gateway, GatewayState},
+        table::{BatchLimits, RouteStage},
+    },
+    shared::{
+        ids::ServiceId,
+        units::{ByteSize, Time, WorkMillis},
+    },
+};
+
+/// Decides whether a request with stages is admitted.
+pub(crate) fn admit<D: Dialect>(gateway: &Gateway<D>, request: &ChainRequest) -> AdmissionDecision {
+    let route = &request.route;
+    let now = gateway.now();
+    let way = gateway.state.borrow().endpoints.way(now, request.region);
+    let stages = (0..route.stages.len()).map(|place| planned_stage(gateway, request, place));
+    admission::decide(&AdmissionRequest {
+        stages: stages.collect(),
+        objective: route.objective,
+        rank: route.rank,
+        tokens: request.tokens,
+        way: way.unwrap_or(WorkMillis(0.0)),
+    })
+}
+
+/// Gathers how the service of a stage stands, and what goes ahead of the stage's pieces there.
+fn planned_stage<D: Dialect>(
+    gateway: &Gateway<D>,
+    request: &ChainRequest,
+    place: usize,
+) -> PlannedStage {
+    let stage = &request.route.stages[place];
+    let now = gateway.now();
+    let backlog = backlog(&gateway.state.borrow(), now, &stage.service, request.region);
+    let PieceRank { objective, rank } = request.piece_rank(place);
+    let band = Band::of(now, due(now, objective, rank));
+    PlannedStage {
+        service: stage_service(gateway, request, stage, backlog.total()),
+        ahead: PieceCount(f64::from(backlog.ahead(band))),
+        pieces: request.count(place),
+        after: stage.after.clone(),
+    }
+}
+
+/// Gathers how the service of a stage stands.
+fn stage_service<D: Dialect>(
+    gateway: &Gateway<D>,
+    request: &ChainRequest,
+    stage: &RouteStage,
+    outstanding: u32,
+) -> StageService {
+    let now = gateway.now();
+    let service = &stage.service;
+    let limits = gateway
+        .published()
+        .and_then(|published| published.table.service(service)?.batch);
+    let stated = limits.map_or(StatedLimits::NONE, |limits| {
+        StatedLimits::new(&limits, stage.result)
+    });
+    let state = gateway.state.borrow();
+    StageService {
+        endpoints: endpoint_counts(&state, now, service, request).believed(),
+        batch: stated.batch,
+        cost: stated.cost,
+        room: stated.room,
+        outstanding: PieceCount(f64::from(outstanding)),
+    }
+}
+
+/// Limits of a stage's service as the table states them.
+struct StatedLimits {
+    batch: usize,
+    cost: CallCost,
+    /// Results of the stage that an endpoint has room for.
+    room: PieceCount,
+}
+
+impl StatedLimits {
+    /// A service that runs no pieces costs no time, so that no request is refused for its load: the
+    /// stage itself will fail.
+    const NONE: Self = Self {
+        batch: 1,
+        cost: CallCost {
+            fixed: WorkMillis(0.0),
+            piece: WorkMillis(0.0),
+        },
+        room: PieceCount(f64::MAX),
+    };
+
+    fn new(limits: &BatchLimits, result: ByteSize) -> Self {
+        // A stage without a stated size of results counts as one of tiny results.
+        let results = limits.room.0 as f64 / result.0.max(1) as f64;
+        Self {
+            batch: limits.pieces,
+            cost: limits.call_cost(),
+            room: PieceCount(results),
+        }
+    }
+}
+
+/// Gathers the endpoints of a service that get calls, from all who know something of it.
+fn endpoint_counts(
+    state: &GatewayState,
+    now: Time,
+    service: &ServiceId,
+    request: &ChainRequest,
+) -> CountSources {
+    let open = state.endpoints.open(service);
+    let listed = open.filter(|member| request.places.allow(&member.entry.data_centre));
+    if let Some(region) = request.region {
+        let far = state.peers.far_service(now, service, region);
+        return CountSources {
+            own_queue: None,
+            peers: far.map(|far| far.endpoints),
+            listed: listed.count(),
+        };
+    }
+    CountSources {
+        own_queue: state.planning.available_endpoints(now, service),
+        peers: state.peers.available_endpoints(service_hash(service)),
+        listed: listed.count(),
+    }
+}
+
+/// Adds up the outstanding pieces of a service: those of this daemon's requests, which it counts
+/// itself, and those of all others of its region, as they or the service's coordinator report them; or those of
+/// another region, as its coordinator reports them.
+fn backlog(
+    state: &GatewayState,
+    now: Time,
+    service: &ServiceId,
+    region: Option<RegionHash>,
+) -> Backlog {
+    if let Some(region) = region {
+        let far = state.peers.far_service(now, service, region);
+        return far.map(|far| far.backlog).unwrap_or_default();
+    }
+    // Counted as ready: a daemon that would be the coordinator itself adds up the others' reports.
+    let coordinator = state.peers.coordinator(now, service, true, &[]);
+    let elsewhere = state.peers.backlog(service_hash(service), coordinator);
+    state.workload.backlog(now, service).plus(&elsewhere)
+}
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -17,6 +17,7 @@
             },
             rules::{
                 endpoint_choice::EndpointChoice,
+                homes::RegionHash,
                 reply_proof::{EndpointOutcome, judge_resumed_head},
                 resume::may_resume,
                 retry::RetryReason,
@@ -49,6 +50,8 @@
     pub(crate) tried: Vec<EndpointId>,
     /// Attempts that were sent so far.
     pub(crate) sent: u32,
+    /// Other region where its stages run; nothing for this daemon's own.
+    pub(crate) region: Option<RegionHash>,
     /// Results of its stages, until an endpoint has taken them.
     pub(crate) results: Option<Results<D>>,
     /// Counts the request in flight until its stream ends.
@@ -105,7 +108,7 @@
         // the caller waits: they may take seconds. If they fail, `stage.ended` says why, and the stream
         // breaks off for its own reason.
         let results = tokio::select! {
-            results = run_stages(&request.gateway, &request.call) => results,
+            results = run_stages(&request.gateway, &request.call, request.region) => results,
             () = sink.closed() => return ResumeEnd::CallerLeft,
         };
         let Ok(results) = results else {
--- a/lib/src/gateway/rules/admission.rs
+++ b/lib/src/gateway/rules/admission.rs
@@ -2,8 +2,8 @@
 //!
 //! Inputs: for each stage its pieces and how its service stands (`StageService`: endpoints, cost of
 //! a call in milliseconds, room in results, outstanding pieces of all daemons), how many of those go
-//! ahead of the stage's own, the request's objective (milliseconds), its route's rank, and the tokens of
-//! its prompt.
+//! ahead of the stage's own, the request's objective (milliseconds), its route's rank, the tokens of
+//! its prompt, and the way to the region where it would run (milliseconds).
 //!
 //! The outstanding pieces of a service that go ahead (`rules::backlog`), over its throughput, and the wait
 //! for the first call that ends say when a new piece would begin; with the time of a call at the present
@@ -145,6 +145,9 @@
     pub rank: u32,
     /// Tokens of its prompt.
     pub tokens: u32,
+    /// Way there and back to the region where it would run, for each stage and for the request itself; none for the
+    /// own region.
+    pub way: WorkMillis,
 }
 
 /// The decision about a request.
@@ -169,8 +172,8 @@
     WorkMillis(OWN.0 + f64::from(tokens) / TOKENS_PER_MS)
 }
 
-/// Estimates the time to the end of all stages.
-pub fn stages_time(stages: &[PlannedStage]) -> WorkMillis {
+/// Estimates the time to the end of all stages, each of which waits for a way there and back.
+pub fn stages_time(stages: &[PlannedStage], way: WorkMillis) -> WorkMillis {
     let mut ends = Vec::with_capacity(stages.len());
     for stage in stages {
         // A checked table names earlier stages only, so that each of them has an end here.
@@ -186,7 +189,7 @@
         let service = &stage.service;
         let queued = service.busy_wait().0 + stage.ahead.0 / service.pieces_per_ms();
         let call = service.usual_call(f64::from(stage.pieces));
-        ends.push(queued.max(before) + call.0);
+        ends.push(queued.max(before) + call.0 + way.0);
     }
     WorkMillis(ends.into_iter().fold(0.0, f64::max))
 }
@@ -194,7 +197,7 @@
 /// Decides whether a request is admitted.
 pub fn decide(request: &AdmissionRequest) -> AdmissionDecision {
     let own = own_time(request.tokens).0.min(MOST_OWN.0);
-    let expected_ms = stages_time(&request.stages).0 + own;
+    let expected_ms = stages_time(&request.stages, request.way).0 + request.way.0 + own;
     let expected = WorkMillis(expected_ms);
     let objective = request.objective.0 as f64;
     let allowed = objective * (MARGIN - RANK_MARGIN * f64::from(request.rank));
--- a/lib/src/gateway/rules/gossip.rs
+++ b/lib/src/gateway/rules/gossip.rs
@@ -9,7 +9,8 @@
 //! sends to everybody; any other sends to the [`WATCHERS`] living daemons that come next in an order by
 //! hash, to [`DRAWN`] daemons drawn anew each time, to the coordinators, to those that asked it for a
 //! heartbeat or told it that it is suspect, to those that it asks itself, and to seeds that aren't
-//! alive. A heartbeat names [`NAMED`] daemons: suspects first, then living ones that others take for
+//! alive. Watchers and drawn daemons are of its own region, everybody means all of it, and of another one coordinators
+//! alone get the heartbeats of a coordinator; with one in [`FAR_EVERY`] it tells its region what they report. A heartbeat names [`NAMED`] daemons: suspects first, then living ones that others take for
 //! suspect, then other living ones, drawn anew each time; and the [`LOADS`] largest loads.
 //!
 //! Reason: what one daemon sends and receives doesn't grow with the fleet, coordinators alone
@@ -53,6 +54,17 @@
 /// load 10 or more.
 const LOADS_PER_EVACUATED: usize = 2;
 
+/// Loads that a heartbeat leaves out where it names regions: those of its sender and of the daemons in it take up to 8
+/// bytes each.
+const LOADS_FOR_REGIONS: usize = 9;
+
+/// With one heartbeat in so many a coordinator tells its region how its services stand in other ones. What daemons
+/// decide by it may be a second old.
+const FAR_EVERY: u64 = 5;
+
+/// Services of other regions in one datagram.
+pub const FAR_NOTES: usize = 12;
+
 /// Daemons that a heartbeat asks in the room of one that it names.
 const ASKED_PER_NAMED: usize = 2;
 
@@ -234,9 +246,20 @@
 }
 
 /// Returns the loads that a heartbeat carries: those with the most prompt tokens, and of equal
-/// ones those with the most requests; fewer where it names evacuated data centres.
-pub fn largest_loads(mut loads: Vec<LoadNote>, evacuated: usize) -> Vec<LoadNote> {
+/// ones those with the most requests; fewer where it names evacuated data centres or regions.
+pub fn largest_loads(
+    mut loads: Vec<LoadNote>,
+    evacuated: usize,
+    names_regions: bool,
+) -> Vec<LoadNote> {
+    let regions = if names_regions { LOADS_FOR_REGIONS } else { 0 };
+    let others = evacuated * LOADS_PER_EVACUATED + regions;
     loads.sort_unstable_by_key(|load| Reverse((load.prefill, load.running)));
-    loads.truncate(LOADS.saturating_sub(evacuated * LOADS_PER_EVACUATED));
+    loads.truncate(LOADS.saturating_sub(others));
     loads
 }
+
+/// Returns whether other regions are told of with the heartbeat of a number.
+pub fn is_far_due(sequence: u64) -> bool {
+    sequence.is_multiple_of(FAR_EVERY)
+}
--- a/lib/src/gateway/stages/chain.rs
+++ b/lib/src/gateway/stages/chain.rs
@@ -176,7 +176,7 @@
     let service = request.route.stages[stage].service.clone();
     let job = request.job(stage, start.input, start.home);
     let begun = gateway.now();
-    let end = run_by_coordinator(gateway, &service, job).await;
+    let end = run_by_coordinator(gateway, &service, request.region, job).await;
     let elapsed = gateway.now().since(begun);
     gateway.metrics.stage(elapsed);
     log_end(request, stage, &service, &end, elapsed);
--- a/lib/src/gateway/stages/chain_request.rs
+++ b/lib/src/gateway/stages/chain_request.rs
@@ -7,7 +7,9 @@
         gateway::{
             dialect::Inbound,
             request_digest::RequestDigest,
-            rules::{admission, eligibility::Places, stage_objective::stage_objective},
+            rules::{
+                admission, eligibility::Places, homes::RegionHash, stage_objective::stage_objective,
+            },
             stages::{
                 job::{PieceInput, StageJob, piece_count},
                 workload::PieceRank,
@@ -49,6 +51,8 @@
     pub home: Option<DataCentreId>,
     /// Data centres where it and its stages may run.
     pub places: Places,
+    /// Region whose coordinators run its stages; nothing for that of its daemon.
+    pub region: Option<RegionHash>,
 }
 
 impl ChainRequest {
@@ -74,6 +78,7 @@
             own_time: Millis(admission::own_time(inbound.prompt.tokens_in).0 as u64),
             home: None,
             places: Places::Anywhere,
+            region: None,
         }
     }
 
@@ -91,6 +96,13 @@
         self
     }
 
+    /// Sets the region whose coordinators run its stages.
+    #[must_use]
+    pub fn coordinated_in(mut self, region: Option<RegionHash>) -> Self {
+        self.region = region;
+        self
+    }
+
     /// Sets where the request will probably be served.
     #[must_use]
     pub fn near(mut self, home: Option<DataCentreId>) -> Self {
--- a/lib/src/gateway/stages/queues.rs
+++ b/lib/src/gateway/stages/queues.rs
@@ -93,12 +93,9 @@
                 BatchQueue::new(*limits, WindowBudget::new(budget, Time::default()))
             });
             queue.set_limits(*limits, budget, daemons);
-            let open: Vec<_> = endpoints
-                .service(service)
-                .filter(|member| member.is_open())
-                .map(|member| member.entry.clone())
-                .collect();
-            queue.set_endpoints(&open);
+            let planned = endpoints.planned(service).into_iter();
+            let entries: Vec<_> = planned.map(|member| member.entry.clone()).collect();
+            queue.set_endpoints(&entries);
         }
     }
 
--- a/lib/src/gateway/stages/release.rs
+++ b/lib/src/gateway/stages/release.rs
@@ -10,7 +10,7 @@
             dialect::Dialect,
             hashes::service_hash,
             peers::message::LinkRequest,
-            rules::coordinator::Coordinator,
+            rules::{coordinator::Coordinator, distance::are_apart, homes::RegionHash},
             stages::{
                 endpoint_post::{Post, post},
                 job::ResultHandle,
@@ -28,22 +28,59 @@
 /// Time for which results are gathered before their release is sent.
 const GATHER: Duration = Duration::from_millis(15);
 
-/// Reports to the coordinator of a service that results are no longer needed.
+/// Reports to the coordinators of a service that results are no longer needed.
 pub(crate) fn release<D: Dialect>(
     gateway: &Gateway<D>,
     service: &ServiceId,
     handles: Vec<ResultHandle>,
 ) {
-    if handles.is_empty() {
-        return;
+    for (region, handles) in by_region(gateway, service, handles) {
+        release_in(gateway, service, region, handles);
+    }
+}
+
+/// Groups results by the other regions where they are kept; nothing stands for this daemon's own.
+fn by_region<D: Dialect>(
+    gateway: &Gateway<D>,
+    service: &ServiceId,
+    handles: Vec<ResultHandle>,
+) -> BTreeMap<Option<RegionHash>, Vec<ResultHandle>> {
+    let state = gateway.state.borrow();
+    let endpoints = &state.endpoints;
+    let mut by_region: BTreeMap<Option<RegionHash>, Vec<ResultHandle>> = BTreeMap::new();
+    if endpoints.home().is_none() && !handles.is_empty() {
+        by_region.insert(None, handles);
+        return by_region;
+    }
+    for handle in handles {
+        let region = handle
+            .address()
+            .and_then(|at| endpoints.region_at(service, at));
+        let far = region.filter(|_| are_apart(endpoints.home(), region));
+        by_region.entry(far).or_default().push(handle);
     }
+    by_region
+}
+
+/// Reports to the coordinator of a service in a region that results are no longer needed. Where there is none,
+/// endpoints drop them in time.
+fn release_in<D: Dialect>(
+    gateway: &Gateway<D>,
+    service: &ServiceId,
+    region: Option<RegionHash>,
+    handles: Vec<ResultHandle>,
+) {
     let ready = gateway.may_coordinate();
     let now = gateway.now();
-    let coordinator = gateway
-        .state
-        .borrow()
-        .peers
-        .coordinator(now, service, ready, &[]);
+    let state = gateway.state.borrow();
+    let coordinator = match region {
+        None => state.peers.coordinator(now, service, ready, &[]),
+        Some(region) => match state.peers.far_coordinator(now, service, region, &[]) {
+            Some(peer) => Coordinator::Peer(peer),
+            None => return,
+        },
+    };
+    drop(state);
     match coordinator {
         Coordinator::Me => gateway
             .state
--- a/lib/src/gateway/stages/work_claim.rs
+++ b/lib/src/gateway/stages/work_claim.rs
@@ -1,4 +1,5 @@
-//! Counts the pieces of one request as outstanding until their stages are complete.
+//! Counts the pieces of one request as outstanding until their stages are complete. Those of a request that runs in
+//! another region aren't ahead of anything in this one.
 //!
 //! Owns the request's part of this daemon's workload; what is left is subtracted when it is dropped.
 
@@ -38,7 +39,10 @@
             let claim = StageClaim {
                 service: stage.service.clone(),
                 rank: request.piece_rank(place),
-                pieces: request.count(place),
+                pieces: match request.region {
+                    Some(_) => 0,
+                    None => request.count(place),
+                },
             };
             state.workload.add(&claim.service, claim.rank, claim.pieces);
             stages.push(claim);
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -226,6 +226,7 @@
         let me = Identity {
             host: settings.host.clone(),
             data_centre: settings.data_centre.clone(),
+            region: settings.regions.region(&settings.data_centre),
             address: settings.peer,
             run,
             capacity: settings.capacity,
@@ -277,6 +278,7 @@
                 .set_suspect_time(settings.bounds.suspect_time());
             let here = &settings.data_centre;
             state.endpoints.set_regions(here, &settings.regions);
+            state.peers.set_region(settings.regions.region(here));
         }
         *self.settings.borrow_mut() = settings;
         // The queues of stages take their part of a new retry budget.
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -9,12 +9,12 @@
             directory::evacuations::Evacuations,
             peers::{
                 membership::{Identity, Peers},
-                message::{Heartbeat, Phase},
+                message::{Heartbeat, Phase, encode},
                 outgoing::OutgoingHeartbeat,
                 peer_change::PeerChange,
                 self_report::SelfReport,
             },
-            rules::{coordinator::Coordinator, gossip::HEARTBEAT},
+            rules::{coordinator::Coordinator, gossip::HEARTBEAT, homes::RegionHash},
         },
         shared::{
             ids::ServiceId,
@@ -63,6 +63,20 @@
     }
 }
 
+/// Datagrams, and their bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    pub datagrams: usize,
+    pub bytes: usize,
+}
+
+impl Traffic {
+    fn add(&mut self, bytes: usize) {
+        self.datagrams += 1;
+        self.bytes += bytes;
+    }
+}
+
 /// A fleet of which some hosts are down, and whose datagrams go where they should or nowhere.
 pub struct Fleet {
     pub daemons: Vec<Peers>,
@@ -72,6 +86,10 @@
     pub received: Vec<usize>,
     /// Times that a living daemon was taken for lost.
     pub false_losses: usize,
+    /// Regions of the daemons, by turns.
+    regions: usize,
+    /// What was sent to daemons of another region.
+    pub crossed: Traffic,
     /// The phase that each daemon reports.
     pub phases: Vec<Phase>,
     report: SelfReport,
@@ -80,12 +98,18 @@
 impl Fleet {
     /// Starts a fleet of which each daemon sends the same report.
     pub fn new(seed: u64, daemons: usize, report: SelfReport) -> Self {
+        Self::in_regions(seed, daemons, 1, report)
+    }
+
+    /// Starts a fleet whose daemons are in so many regions by turns.
+    pub fn in_regions(seed: u64, daemons: usize, regions: usize, report: SelfReport) -> Self {
         let seeds = SEEDS.map(address);
         let members = (0..daemons)
             .map(|number| {
                 let me = Identity {
                     host: format!("h{number}").parse().unwrap(),
                     data_centre: "z".parse().unwrap(),
+                    region: (regions > 1).then(|| RegionHash((number % regions) as u32)),
                     address: address(number),
                     run: seed * 10_000 + number as u64,
                     capacity: capacity(number),
@@ -99,6 +123,8 @@
             now: Time(0),
             received: vec![0; daemons],
             false_losses: 0,
+            regions,
+            crossed: Traffic::default(),
             phases: vec![Phase::Ready; daemons],
             report,
         }
@@ -131,11 +157,15 @@
         targets: &[SocketAddr],
         lost: &mut impl FnMut(usize, usize) -> bool,
     ) {
+        let bytes = encode(heartbeat).len();
         for target in targets {
             let receiver = number(*target);
             if self.down.get(receiver).is_none_or(|down| *down) {
                 continue;
             }
+            if self.region(sender) != self.region(receiver) {
+                self.crossed.add(bytes);
+            }
             if !lost(sender, receiver) {
                 self.received[receiver] += 1;
                 self.daemons[receiver].receive_heartbeat(self.now, heartbeat.clone());
@@ -147,6 +177,11 @@
         }
     }
 
+    /// The number of a daemon's region.
+    pub fn region(&self, daemon: usize) -> usize {
+        daemon % self.regions
+    }
+
     pub fn rounds(&mut self, count: usize) {
         for _ in 0..count {
             self.round(|_, _| false);
--- a/lib/tests/test_coordinator_rule.rs
+++ b/lib/tests/test_coordinator_rule.rs
@@ -42,6 +42,7 @@
     let me = Identity {
         host: format!("h{number}").parse().unwrap(),
         data_centre: "z".parse().unwrap(),
+        region: None,
         address: address(number),
         run: 1,
         capacity: capacity(number),
@@ -57,6 +58,7 @@
         sequence: 1,
         address: address(number),
         data_centre: "z".parse().unwrap(),
+        region: None,
         phase,
         table: 0,
         fingerprint: 0,
--- a/lib/tests/test_decision_pins.rs
+++ b/lib/tests/test_decision_pins.rs
@@ -129,6 +129,7 @@
                 (900, 9, 64),
             ] {
                 let request = AdmissionRequest {
+                    way: WorkMillis(0.0),
                     stages: stages(shape, outstanding),
                     objective: Millis(objective),
                     rank,
@@ -240,6 +241,7 @@
     let me = Identity {
         host: "h".parse().unwrap(),
         data_centre: "z".parse().unwrap(),
+        region: None,
         address: address.parse().unwrap(),
         run: 1,
         capacity: Capacity::from_cores(cores),
--- a/lib/tests/test_gossip_rule.rs
+++ b/lib/tests/test_gossip_rule.rs
@@ -34,6 +34,7 @@
     let me = Identity {
         host: format!("h{number}").parse().unwrap(),
         data_centre: "z".parse().unwrap(),
+        region: None,
         address: address(number),
         run: u64::from(number),
         capacity,
--- a/lib/tests/test_large_fleet.rs
+++ b/lib/tests/test_large_fleet.rs
@@ -261,6 +261,7 @@
     let me = Identity {
         host: "new".parse().unwrap(),
         data_centre: "z".parse().unwrap(),
+        region: None,
         address: address(200),
         run: 1,
         capacity: WEAK,
--- a/lib/tests/test_liveness_rule.rs
+++ b/lib/tests/test_liveness_rule.rs
@@ -28,6 +28,7 @@
     let me = Identity {
         host: "h0".parse().unwrap(),
         data_centre: "z".parse().unwrap(),
+        region: None,
         address: address(0),
         run: 1,
         capacity: Capacity(250),
@@ -43,6 +44,7 @@
         sequence,
         address: address(number),
         data_centre: "z".parse().unwrap(),
+        region: None,
         phase: Phase::Ready,
         table: 0,
         fingerprint: 0,
@@ -71,6 +73,7 @@
         phase: Phase::Ready,
         capacity: Capacity(250),
         suspect: false,
+        region: None,
     }
 }
 
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -14,17 +14,22 @@
             },
             hashes::{EndpointHash, LifeHash, ServiceHash},
             peers::message::{
-                BacklogNote, Datagram, Frame, Heartbeat, JobOrder, LinkReply, LinkRequest,
+                BacklogNote, Datagram, FarNote, Frame, Heartbeat, JobOrder, LinkReply, LinkRequest,
                 LoadDigest, LoadNote, PROTOCOL, PeerNote, Phase, QuarantineReport, QueueNote,
-                RateReport, Roster, WorkNote, decode, encode,
+                RateReport, RegionReport, Roster, WorkNote, decode, encode,
             },
             quarantine::note::{EndedNote, EvidenceNote},
             rates::note::{PermitNote, RateNote},
-            rules::{backlog::Backlog, endpoint_rate::Claim},
+            rules::{
+                backlog::{Backlog, Band},
+                endpoint_rate::Claim,
+                gossip::FAR_NOTES,
+                homes::RegionHash,
+            },
             stages::job::{JobEnd, PieceInput, ResultHandle},
             table_parts::{PartHash, PartList, PartMark},
         },
-        shared::units::{Capacity, Millis},
+        shared::units::{Capacity, Millis, Time},
     },
     serde::{Serialize, de::DeserializeOwned},
     std::fmt::{Debug, Write as _},
@@ -65,6 +70,7 @@
             phase: Phase::Starting,
             capacity: Capacity(250),
             suspect: false,
+            region: None,
         },
         PeerNote {
             address: "[fd00::1:2]:7002".parse().unwrap(),
@@ -72,6 +78,7 @@
             phase: Phase::Stopping,
             capacity: Capacity(64_000),
             suspect: false,
+            region: None,
         },
     ]
 }
@@ -112,6 +119,7 @@
         sequence: 65_537,
         address: "10.1.2.4:7003".parse().unwrap(),
         data_centre: "north".parse().unwrap(),
+        region: None,
         phase,
         table: 41,
         fingerprint: u64::MAX - 1,
@@ -320,6 +328,53 @@
     insta::assert_snapshot!(lines.0);
 }
 
+/// Regions, which the release before doesn't know: it leaves out the fields, and ignores the datagram.
+#[test]
+fn region_bytes() {
+    let mut lines = Lines::default();
+    let mut beat = heartbeat(Phase::Ready, None);
+    beat.region = Some(RegionHash(0xdead_beef));
+    for note in &mut beat.peers {
+        note.region = Some(RegionHash(7));
+    }
+    lines.add("heartbeat", &Datagram::Heartbeat(Box::new(beat)));
+    let mut backlog = Backlog::default();
+    backlog.add(Band::of(Time(0), Time(900_000)), 70_000);
+    let note = FarNote {
+        region: RegionHash(7),
+        service: ServiceHash(u32::MAX),
+        endpoints: 9,
+        backlog,
+    };
+    let report = RegionReport {
+        protocol: PROTOCOL,
+        notes: vec![note],
+    };
+    lines.add("regions", &Datagram::Regions(report));
+    insta::assert_snapshot!(lines.0);
+}
+
+/// A report of as many services as one datagram holds fits into it.
+#[test]
+fn region_report_size() {
+    let mut backlog = Backlog::default();
+    for span in 0..9_000 {
+        backlog.add(Band::of(Time(0), Time(0) + Millis(span)), 9);
+    }
+    let note = FarNote {
+        region: RegionHash(u32::MAX),
+        service: ServiceHash(u32::MAX),
+        endpoints: 70_000,
+        backlog,
+    };
+    let report = Datagram::Regions(RegionReport {
+        protocol: PROTOCOL,
+        notes: vec![note; FAR_NOTES],
+    });
+    let bytes = encode(&report).len();
+    assert!(bytes <= 1_400, "{bytes} bytes");
+}
+
 /// Tables in parts, which the release before doesn't know: nobody sends them to a daemon whose heartbeats
 /// lack the table's revision.
 #[test]
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -21,6 +21,7 @@
                 backlog::{Backlog, Band},
                 coordinator::Coordinator,
                 gossip::{ASKED, NAMED},
+                homes::RegionHash,
             },
             stages::job::{JobEnd, PieceInput, ResultHandle},
         },
@@ -42,6 +43,7 @@
     let me = Identity {
         host: format!("h{number}").parse().unwrap(),
         data_centre: "z".parse().unwrap(),
+        region: None,
         address: address(number),
         run,
         capacity: Capacity(250),
@@ -302,6 +304,27 @@
     assert!(bytes.len() <= 1_400, "{} bytes", bytes.len());
 }
 
+/// So does one in an installation of several regions, which names that of each daemon.
+#[test]
+fn regions_size() {
+    let mut me = peers(1, 1, &[]);
+    let region = Some(RegionHash(u32::MAX));
+    me.set_region(region);
+    for n in 2..=250 {
+        let mut other = peers(n, u64::from(n), &[]);
+        other.set_region(region);
+        me.receive_heartbeat(Time(0), beat(&mut other, Time(0)));
+    }
+    let heartbeat = me.heartbeat(Time(0), full_report()).heartbeat;
+    assert!(heartbeat.peers.iter().all(|note| note.region == region));
+    let fullest = Heartbeat {
+        read_by: Some(address(250)),
+        ..heartbeat
+    };
+    let bytes = encode(&fullest).len();
+    assert!(bytes <= 1_400, "{bytes} bytes");
+}
+
 /// So does one that names as many evacuated data centres as it may, with everything else; with more of them
 /// it names none, since a report that lacks some would take these back.
 #[test]
--- /dev/null
+++ b/lib/tests/test_regions.rs
@@ -0,0 +1,207 @@
+//! Daemons of two regions, between which the way is long and narrow.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod fleet;
+
+use {
+    fleet::{Fleet, Traffic, plain_report, services},
+    hazelyoke_lib::{
+        gateway::{
+            hashes::service_hash,
+            peers::{
+                message::{BacklogNote, FarNote, QueueNote},
+                self_report::SelfReport,
+            },
+            rules::{backlog::Backlog, coordinator::Coordinator, homes::RegionHash},
+        },
+        shared::units::Time,
+    },
+};
+
+const REGIONS: usize = 2;
+
+/// Heartbeats in a second.
+const ROUNDS_EACH: usize = 5;
+
+fn new_fleet(seed: u64, daemons: usize) -> Fleet {
+    Fleet::in_regions(seed, daemons, REGIONS, plain_report(Some(40)))
+}
+
+/// All daemons of a region agree on its coordinators, which are in it.
+fn assert_own_coordinators(fleet: &Fleet) {
+    for service in services() {
+        for region in 0..REGIONS {
+            let living = fleet.living().into_iter();
+            let there: Vec<usize> = living
+                .filter(|daemon| fleet.region(*daemon) == region)
+                .collect();
+            let first = fleet.coordinator(there[0], &service);
+            assert_eq!(fleet.region(first), region, "{service}");
+            assert!(!fleet.down[first], "{service}");
+            for daemon in there {
+                assert_eq!(
+                    fleet.coordinator(daemon, &service),
+                    first,
+                    "{service} at {daemon}"
+                );
+            }
+        }
+    }
+}
+
+/// What crosses between the regions in a second.
+fn crossing(fleet: &mut Fleet) -> Traffic {
+    fleet.crossed = Traffic::default();
+    let seconds = 2;
+    fleet.rounds(seconds * ROUNDS_EACH);
+    Traffic {
+        datagrams: fleet.crossed.datagrams / seconds,
+        bytes: fleet.crossed.bytes / seconds,
+    }
+}
+
+/// One coordinator for both regions made each stage wait for the way there and back, and its results cross. Each region
+/// has its own, and knows that of the other one.
+#[test]
+fn own_coordinators() {
+    for seed in 1..=4 {
+        let mut fleet = new_fleet(seed, 60);
+        fleet.rounds(25);
+        assert_own_coordinators(&fleet);
+        for service in services() {
+            let there = fleet.coordinator(1, &service);
+            let told = fleet.daemons[0].far_coordinator(fleet.now, &service, RegionHash(1), &[]);
+            assert_eq!(told, Some(fleet::address(there)));
+        }
+    }
+}
+
+/// Every daemon knows nearly all others, also of the other region, and takes none for lost.
+#[test]
+fn calm_regions() {
+    for daemons in [20, 60, 120] {
+        let mut fleet = new_fleet(3, daemons);
+        fleet.rounds(50);
+        fleet.false_losses = 0;
+        fleet.rounds(50);
+        for daemon in 0..daemons {
+            let known = fleet.daemons[daemon].daemons();
+            assert!(
+                known * 100 >= daemons * 97,
+                "{known} of {daemons} at {daemon}"
+            );
+        }
+        assert_eq!(fleet.false_losses, 0, "{daemons}");
+    }
+}
+
+/// Heartbeats between regions grew with the fleet, and took half of a way of 60 Mbit/s with the digests of loads. Only
+/// coordinators send them now, to coordinators.
+#[test]
+fn narrow_way() {
+    let crossings = [60, 240].map(|daemons| {
+        let mut fleet = new_fleet(5, daemons);
+        fleet.rounds(25);
+        crossing(&mut fleet)
+    });
+    for traffic in crossings {
+        assert!(
+            traffic.datagrams <= 2 * 25 * ROUNDS_EACH + 10,
+            "{traffic:?}"
+        );
+        assert!(traffic.bytes <= 250_000, "{traffic:?}");
+    }
+}
+
+/// Regions that lose each other go on with their own coordinators, and find each other again.
+#[test]
+fn cut_regions() {
+    let mut fleet = new_fleet(7, 60);
+    fleet.rounds(40);
+    for _ in 0..60 {
+        fleet.round(|sender, receiver| sender % REGIONS != receiver % REGIONS);
+    }
+    assert_own_coordinators(&fleet);
+    assert!(fleet.daemons[0].daemons() <= 31, "the others are lost");
+    fleet.rounds(25);
+    assert_own_coordinators(&fleet);
+    for daemon in 0..60 {
+        assert!(fleet.daemons[daemon].daemons() >= 58, "at {daemon}");
+    }
+}
+
+/// A coordinator that is lost in one region is replaced there, and the other region learns of the next one.
+#[test]
+fn far_replacement() {
+    let mut fleet = new_fleet(9, 60);
+    fleet.rounds(40);
+    let service = &services()[2];
+    let lost = fleet.coordinator(1, service);
+    fleet.down[lost] = true;
+    fleet.rounds(40);
+    assert_own_coordinators(&fleet);
+    let next = fleet.coordinator(1, service);
+    let here = fleet.coordinator(0, service);
+    let told = fleet.daemons[here].far_coordinator(fleet.now, service, RegionHash(1), &[]);
+    assert_eq!(told, Some(fleet::address(next)));
+}
+
+/// A coordinator knows how its service stands in the other region by the heartbeats of the coordinator there, and
+/// tells its region. What it told long ago isn't believed.
+#[test]
+fn told_services() {
+    let service = services()[0].clone();
+    let hash = service_hash(&service);
+    let report = SelfReport {
+        queues: vec![QueueNote {
+            service: hash,
+            endpoints: 7,
+            short: false,
+            outstanding: 90,
+        }],
+        backlogs: vec![BacklogNote {
+            service: hash,
+            own: Backlog::unordered(3),
+            all: Some(Backlog::unordered(90)),
+        }],
+        ..plain_report(Some(40))
+    };
+    let mut fleet = Fleet::in_regions(2, 60, REGIONS, report);
+    fleet.rounds(40);
+    let (now, there) = (fleet.now, RegionHash(1));
+    let Coordinator::Me =
+        fleet.daemons[fleet.coordinator(0, &service)].coordinator(now, &service, true, &[])
+    else {
+        panic!("the coordinator knows that it is one");
+    };
+    let coordinator = fleet.coordinator(0, &service);
+    let notes = fleet.daemons[coordinator].far_notes(now, std::slice::from_ref(&service), true);
+    let expected = FarNote {
+        region: there,
+        service: hash,
+        endpoints: 7,
+        backlog: Backlog::unordered(90),
+    };
+    assert_eq!(notes, [expected]);
+    let mut daemons = 0..60;
+    let other = daemons
+        .find(|daemon| {
+            fleet.region(*daemon) == 0
+                && fleet.daemons[*daemon]
+                    .far_service(now, &service, there)
+                    .is_none()
+        })
+        .unwrap();
+    let daemon = &mut fleet.daemons[other];
+    assert!(
+        daemon
+            .far_notes(now, std::slice::from_ref(&service), true)
+            .is_empty()
+    );
+    daemon.merge_far_services(now, &notes);
+    let told = daemon.far_service(now, &service, there).unwrap();
+    assert_eq!((told.endpoints, told.backlog.total()), (7, 90));
+    let later = Time(now.0 + 4_000_000);
+    assert_eq!(daemon.far_service(later, &service, there), None);
+}
--- /dev/null
+++ b/lib/tests/test_request_region.rs
@@ -0,0 +1,65 @@
+//! In which region the stages of a request run.
+
+use hazelyoke_lib::{
+    gateway::rules::{
+        admission::AdmissionDecision,
+        homes::RegionHash,
+        request_region::{RegionDecision, choose},
+    },
+    shared::units::{Millis, WorkMillis},
+};
+
+const OWN: Option<RegionHash> = None;
+
+fn region(number: u32) -> Option<RegionHash> {
+    Some(RegionHash(number))
+}
+
+fn admitted(region: Option<RegionHash>, expected: f64) -> RegionDecision {
+    RegionDecision {
+        region,
+        decision: AdmissionDecision::Admit {
+            expected: WorkMillis(expected),
+        },
+    }
+}
+
+fn refused(region: Option<RegionHash>, expected: f64) -> RegionDecision {
+    RegionDecision {
+        region,
+        decision: AdmissionDecision::Refuse {
+            expected: WorkMillis(expected),
+            retry_after: Millis(1_500),
+        },
+    }
+}
+
+/// A request that is in time in its own region stays, also where it would end sooner in another one.
+#[test]
+fn own_region_suffices() {
+    let others = [admitted(region(1), 100.0)];
+    let chosen = choose(Some(admitted(OWN, 700.0)), others.into_iter());
+    assert_eq!(chosen, Some(admitted(OWN, 700.0)));
+}
+
+/// A request that would be refused runs where it is in time and ends first.
+#[test]
+fn spill_in_time() {
+    let others = [
+        refused(region(1), 900.0),
+        admitted(region(2), 600.0),
+        admitted(region(3), 500.0),
+    ];
+    let chosen = choose(Some(refused(OWN, 820.0)), others.into_iter());
+    assert_eq!(chosen, Some(admitted(region(3), 500.0)));
+}
+
+/// Where it is in time nowhere, the caller hears of its own region.
+#[test]
+fn refused_everywhere() {
+    let others = || [refused(region(1), 900.0)].into_iter();
+    let own = refused(OWN, 1_500.0);
+    assert_eq!(choose(Some(own), others()), Some(own));
+    assert_eq!(choose(None, others()), Some(refused(region(1), 900.0)));
+    assert_eq!(choose(None, [].into_iter()), None);
+}
--- a/lib/tests/test_retry_hints.rs
+++ b/lib/tests/test_retry_hints.rs
@@ -77,6 +77,7 @@
     };
     let decision = |objective, rank| {
         admission::decide(&AdmissionRequest {
+            way: WorkMillis(0.0),
             stages: vec![PlannedStage {
                 service,
                 ahead: PieceCount(400.0),
--- a/lib/tests/test_stage_admission.rs
+++ b/lib/tests/test_stage_admission.rs
@@ -11,6 +11,8 @@
     shared::units::{Millis, WorkMillis},
 };
 
+const NO_WAY: WorkMillis = WorkMillis(0.0);
+
 fn service(outstanding: f64) -> StageService {
     StageService {
         endpoints: 4,
@@ -35,6 +37,7 @@
 
 fn request(stages: Vec<PlannedStage>) -> AdmissionRequest {
     AdmissionRequest {
+        way: NO_WAY,
         stages,
         objective: Millis(1_000),
         rank: 0,
@@ -46,20 +49,20 @@
 #[test]
 fn idle_chain() {
     let stages = [stage(0.0, 1, &[]), stage(0.0, 2, &[0])];
-    assert_eq!(stages_time(&stages), WorkMillis(250.0 + 260.0));
+    assert_eq!(stages_time(&stages, NO_WAY), WorkMillis(250.0 + 260.0));
 }
 
 /// Stages side by side are expected to take as long as the longest of them.
 #[test]
 fn parallel_stages() {
     let stages = [stage(0.0, 1, &[]), stage(0.0, 5, &[])];
-    assert_eq!(stages_time(&stages), WorkMillis(290.0));
+    assert_eq!(stages_time(&stages, NO_WAY), WorkMillis(290.0));
 }
 
 #[test]
 fn stage_without_pieces() {
     let stages = [stage(900.0, 0, &[]), stage(0.0, 1, &[0])];
-    assert_eq!(stages_time(&stages), WorkMillis(250.0));
+    assert_eq!(stages_time(&stages, NO_WAY), WorkMillis(250.0));
 }
 
 #[test]
@@ -87,7 +90,7 @@
 fn monotonic_expectation() {
     let mut last = WorkMillis(0.0);
     for outstanding in 0..200 {
-        let expected = stages_time(&[stage(f64::from(outstanding) * 5.0, 2, &[])]);
+        let expected = stages_time(&[stage(f64::from(outstanding) * 5.0, 2, &[])], NO_WAY);
         assert!(expected >= last);
         last = expected;
     }
