directory: turns are even from the first call of a process on

Callers: in a fleet of 985 daemons none was ready when traffic began, 24 s after the start; each request was refused until 40 s after it.

Cause: the directory had no configuration yet when all started, and refused. A call that failed leaves half of a round of turns to the others, 33 s at 985 daemons (985 at 15 calls a second, times 0.5); all daemons had made their first call at once, so that nobody looked for half a minute. Logs: "there is no configuration yet" 0.02 s after the start, the first table at 32.5 s.

Change: after the first call of a process the turn is drawn over the whole round. Turns of a fleet that starts at once, or after all were killed, are then even, 15 a second, whatever its size.

Virtual time, 30 to 2,000 daemons: the next call 0.7 s after the publication at most, 45 calls a second at most (fleet_starts_empty; with the former rule the next call at 985 is 33 s away).

--- a/lib/src/gateway/directory/coverage.rs
+++ b/lib/src/gateway/directory/coverage.rs
@@ -11,7 +11,7 @@
         rules::{
             coordinator::is_settled,
             directory_reads::{
-                COVER_CHECK, PeerKnowledge, ReadDuty, Reader, first_turn, next_turn, read_duty,
+                COVER_CHECK, LastCall, PeerKnowledge, ReadDuty, Reader, next_turn, read_duty,
                 stood_still,
             },
         },
@@ -96,9 +96,12 @@
     }
 }
 
-/// Waits until this daemon reads the directory or has to look for it. `failed` is set after a call that failed:
-/// others have their turn before the next one.
-pub(crate) async fn wait_for_duty<D: Dialect>(gateway: &Gateway<D>, topic: Topic, failed: bool) {
+/// Waits until this daemon reads the directory or has to look for it.
+pub(crate) async fn wait_for_duty<D: Dialect>(
+    gateway: &Gateway<D>,
+    topic: Topic,
+    last_call: LastCall,
+) {
     let mut last = ReadDuty::Read;
     let mut turn = None;
     let mut looked = gateway.now();
@@ -117,7 +120,7 @@
             }
             ReadDuty::Probe => {
                 gateway.note_outage();
-                let drawn = *turn.get_or_insert_with(|| Turn::draw(gateway.now(), failed));
+                let drawn = *turn.get_or_insert_with(|| Turn::draw(gateway.now(), last_call));
                 if drawn.has_come(gateway) && probes(gateway, topic) {
                     break;
                 }
@@ -148,16 +151,15 @@
     /// When it was drawn.
     drawn: Time,
     fraction: f64,
-    /// Set after a call that failed.
-    failed: bool,
+    last_call: LastCall,
 }
 
 impl Turn {
-    fn draw(now: Time, failed: bool) -> Self {
+    fn draw(now: Time, last_call: LastCall) -> Self {
         Self {
             drawn: now,
             fraction: rand::random(),
-            failed,
+            last_call,
         }
     }
 
@@ -165,11 +167,7 @@
     /// know them while it waits.
     fn has_come<D: Dialect>(self, gateway: &Gateway<D>) -> bool {
         let daemons = gateway.state.borrow().peers.daemons();
-        let pause = if self.failed {
-            next_turn(daemons, self.fraction)
-        } else {
-            first_turn(daemons, self.fraction)
-        };
+        let pause = next_turn(daemons, self.last_call, self.fraction);
         gateway.now().since(self.drawn) >= pause
     }
 }
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -14,7 +14,7 @@
             source::{Directory, DirectoryError, Item, ItemKey, Items, ReadProgress, Topic},
         },
         rules::directory_reads::{
-            AnswerLimit, Backoff, COVER_CHECK, PAUSE_PARTS, ReadDuty, pause_after_answer,
+            AnswerLimit, Backoff, COVER_CHECK, LastCall, PAUSE_PARTS, ReadDuty, pause_after_answer,
             topic_wait,
         },
         serving::metrics::TableSource,
@@ -43,7 +43,7 @@
         since: None,
         must_list: false,
         called: false,
-        failed: false,
+        last_call: None,
         backoff: Backoff::default(),
         limit: AnswerLimit::default(),
     };
@@ -73,8 +73,8 @@
     must_list: bool,
     /// A call was made: the first one of a process waits for nobody.
     called: bool,
-    /// The last call failed.
-    failed: bool,
+    /// What the last call came to; nothing before the first one has ended.
+    last_call: Option<LastCall>,
     backoff: Backoff,
     limit: AnswerLimit,
 }
@@ -89,7 +89,8 @@
             self.skip_known_table();
             return self.usual_wait();
         }
-        wait_for_duty(&self.gateway, self.topic, self.failed).await;
+        let last_call = self.last_call.unwrap_or(LastCall::Answered);
+        wait_for_duty(&self.gateway, self.topic, last_call).await;
         let known = self.gateway.known_revision(self.topic);
         self.since = self.since.map(|since| known.max(since));
         self.skip_known_table();
@@ -190,7 +191,7 @@
     async fn apply_items(&mut self, items: Items) {
         self.gateway.directory_answered(self.topic);
         self.gateway.probe_answered();
-        self.failed = false;
+        self.last_call = Some(LastCall::Answered);
         let whole = self.since.is_none();
         self.must_list = false;
         self.since = Some(items.revision);
@@ -210,7 +211,7 @@
     async fn back_off(&mut self, error: &DirectoryError, took: Duration) {
         let took_ms = took.as_millis() as u64;
         log::info!(topic:? = self.topic, took_ms, error:% = error; "directory.read_failed");
-        self.failed = true;
+        self.last_call = Some(LastCall::after_failure(self.last_call));
         self.gateway.end_substitution();
         self.gateway.directory_failed(&error.to_string());
         let part = rand::random_range(PAUSE_PARTS);
--- a/lib/src/gateway/rules/directory_reads.rs
+++ b/lib/src/gateway/rules/directory_reads.rs
@@ -9,7 +9,8 @@
 //! last read, or its own, isn't older than one call's wait and a little, and while it doesn't lag
 //! behind them. Once nobody's read is so recent, daemons call one after the other, each at a time that
 //! it draws, so that all of them together make [`FLEET_CALLS`] a second, whatever the fleet; the first
-//! that is answered reads on as a substitute, until a coordinator reads again. A call waits for half of
+//! that is answered reads on as a substitute, until a coordinator reads again. Calls that failed are followed by others'
+//! turns first, but for the first one of a process, which a fleet that starts at once makes at once. A call waits for half of
 //! the shorter of the two times, so that a silent connection is noticed in time. After a failure the
 //! pause doubles from a first one to a longest one, shortened by a random part; after an answer that
 //! didn't begin in time, so does the time that the next one has.
@@ -142,15 +143,37 @@
     }
 }
 
-/// Returns the time from the moment at which nobody's read is recent any more to a daemon's first call;
-/// `fraction` is random, from 0 up to 1. It is even over the fleet: [`FLEET_CALLS`] a second.
-pub fn first_turn(daemons: usize, fraction: f64) -> Duration {
-    TURN_DELAY.to_duration() + turn_interval(daemons).mul_f64(fraction)
+/// What a daemon's last call came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LastCall {
+    /// It was answered, or there was none.
+    Answered,
+    /// It was the first one of the process, and failed. A fleet that starts at once makes these calls at once.
+    FirstFailed,
+    /// It failed.
+    Failed,
+}
+
+impl LastCall {
+    /// Returns what the last call came to after one more that failed; `before` is nothing for the first one of the
+    /// process.
+    pub fn after_failure(before: Option<Self>) -> Self {
+        match before {
+            None => Self::FirstFailed,
+            Some(_) => Self::Failed,
+        }
+    }
 }
 
-/// Returns the time from a call that failed to the same daemon's next one.
-pub fn next_turn(daemons: usize, fraction: f64) -> Duration {
-    TURN_DELAY.to_duration() + turn_interval(daemons).mul_f64(NEXT_TURN + fraction)
+/// Returns the time to a daemon's next call in its turn: from the moment at which nobody's read is recent any more, or
+/// from a call that failed; `fraction` is random, from 0 up to 1. The turns of a fleet are even from the first one on:
+/// [`FLEET_CALLS`] a second.
+pub fn next_turn(daemons: usize, last: LastCall, fraction: f64) -> Duration {
+    let part = match last {
+        LastCall::Answered | LastCall::FirstFailed => fraction,
+        LastCall::Failed => NEXT_TURN + fraction,
+    };
+    TURN_DELAY.to_duration() + turn_interval(daemons).mul_f64(part)
 }
 
 /// Returns whether so much time between two checks ([`COVER_CHECK`]) means that this daemon stood still: what it
--- a/lib/tests/test_directory_reads.rs
+++ b/lib/tests/test_directory_reads.rs
@@ -5,8 +5,8 @@
         gateway::{
             directory::source::Topic,
             rules::directory_reads::{
-                AnswerLimit, Backoff, COVER_CHECK, PAUSE_PARTS, PeerKnowledge, ReadDuty, Reader,
-                ReportedRead, call_wait, first_turn, next_turn, pause_after_answer, read_duty,
+                AnswerLimit, Backoff, COVER_CHECK, LastCall, PAUSE_PARTS, PeerKnowledge, ReadDuty,
+                Reader, ReportedRead, call_wait, next_turn, pause_after_answer, read_duty,
                 reported_read, stood_still, topic_wait,
             },
         },
@@ -64,11 +64,11 @@
     let outage = Duration::from_secs(5);
     (0..daemons)
         .map(|_| {
-            let mut at = first_turn(daemons, rng.random());
+            let mut at = next_turn(daemons, LastCall::Answered, rng.random());
             let mut calls = 0;
             while at < outage {
                 calls += 1;
-                at += next_turn(daemons, rng.random());
+                at += next_turn(daemons, LastCall::Failed, rng.random());
             }
             calls
         })
@@ -84,12 +84,51 @@
     }
 }
 
+/// Times of the calls that a fleet makes that starts at once, in order: all make the first one at the start, when there
+/// is no configuration yet, and it fails.
+fn calls_after_start(daemons: usize) -> Vec<Duration> {
+    let mut rng = SmallRng::seed_from_u64(daemons as u64);
+    let mut calls = Vec::new();
+    for _ in 0..daemons {
+        let mut last = LastCall::after_failure(None);
+        let mut at = Duration::ZERO;
+        while at < Duration::from_secs(30) {
+            at += next_turn(daemons, last, rng.random());
+            last = LastCall::after_failure(Some(last));
+            calls.push(at);
+        }
+    }
+    calls.sort_unstable();
+    calls
+}
+
+/// A fleet of 985 started with a directory that had no configuration yet. All asked at once, and each then left half a
+/// minute to the others' turns, so that nobody looked: the first table came after 32.5 s ("there is no configuration
+/// yet" 0.02 s after the start, then silence), and each request was refused until then. Turns are even from the first
+/// call on now, whatever the fleet.
+#[test]
+fn fleet_starts_empty() {
+    for daemons in [30, 300, 985, 2_000] {
+        let calls = calls_after_start(daemons);
+        for published in 1..20 {
+            let published = Duration::from_millis(published * 500);
+            let next = calls.iter().find(|at| **at >= published).unwrap();
+            let took = *next - published;
+            assert!(took < Duration::from_millis(700), "{took:?} at {daemons}");
+            let second = calls.iter().filter(|at| **at >= published);
+            let second = second.filter(|at| **at < published + Duration::from_secs(1));
+            assert!(second.count() <= 45, "{daemons}");
+        }
+    }
+}
+
 /// A daemon that looks for the directory leaves what peers have just sent time to be received.
 #[test]
 fn earliest_turn() {
     for daemons in [13, 295] {
-        assert_eq!(first_turn(daemons, 0.0), Duration::from_millis(100));
-        assert!(next_turn(daemons, 0.0) > first_turn(daemons, 0.45));
+        let first = |fraction| next_turn(daemons, LastCall::Answered, fraction);
+        assert_eq!(first(0.0), Duration::from_millis(100));
+        assert!(next_turn(daemons, LastCall::Failed, 0.0) > first(0.45));
     }
 }
 
