regions: operators see them in status and metrics

hazelyoke status names each region with its living daemons and the way there and back; hazelyoke_requests_elsewhere_total counts requests whose stages run in another one.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -64,6 +64,12 @@
     if !status.evacuated.is_empty() {
         println!("evacuated: {}", status.evacuated.join(", "));
     }
+    for region in &status.regions {
+        println!(
+            "region {}: {} daemons, {:.0} ms there and back",
+            region.region, region.daemons, region.way_ms
+        );
+    }
     if !status.quarantined.is_empty() {
         println!("quarantined: {}", status.quarantined.join(", "));
     }
--- a/lib/src/gateway/peers/queries.rs
+++ b/lib/src/gateway/peers/queries.rs
@@ -64,6 +64,13 @@
         1 + self.known.values().filter(|peer| peer.alive).count()
     }
 
+    /// Returns the number of daemons that are alive in a region, this one included.
+    pub fn daemons_in(&self, region: Option<RegionHash>) -> usize {
+        let living = self.known.values().filter(|peer| peer.alive);
+        let there = living.filter(|peer| peer.region == region);
+        there.count() + usize::from(self.me.region == region)
+    }
+
     /// Returns the number of daemons that are known, alive or not, this one included.
     pub fn known_daemons(&self) -> usize {
         1 + self.known.len()
--- a/lib/src/gateway/routing/stages.rs
+++ b/lib/src/gateway/routing/stages.rs
@@ -51,6 +51,9 @@
                 elsewhere = region.is_some();
                 "request.admitted"
             );
+            if region.is_some() {
+                gateway.metrics.elsewhere();
+            }
             Ok(region)
         }
         AdmissionDecision::Refuse {
--- a/lib/src/gateway/serving/metrics.rs
+++ b/lib/src/gateway/serving/metrics.rs
@@ -91,6 +91,7 @@
     directory_failures: Counter,
     entries_refused: Counter,
     evacuations: Gauge,
+    elsewhere: Counter,
     /// What endpoints did that ended.
     pub(crate) endpoints: EndpointMetrics,
     pieces: Family<KindLabels, Counter>,
@@ -130,6 +131,7 @@
             directory_failures: Counter::default(),
             entries_refused: Counter::default(),
             evacuations: Gauge::default(),
+            elsewhere: Counter::default(),
             endpoints: EndpointMetrics::default(),
             pieces: Family::default(),
             calls: Counter::default(),
@@ -183,6 +185,11 @@
             "Data centres that are evacuated",
             self.evacuations.clone(),
         );
+        registry.register(
+            "requests_elsewhere",
+            "Requests whose stages run in another region",
+            self.elsewhere.clone(),
+        );
         self.endpoints.register(registry);
         registry.register("pieces", "Pieces sent to endpoints", self.pieces.clone());
         registry.register("calls", "Calls of pieces", self.calls.clone());
@@ -344,6 +351,11 @@
         self.evacuations.set(data_centres as i64);
     }
 
+    /// Counts a request whose stages run in another region.
+    pub fn elsewhere(&self) {
+        self.elsewhere.inc();
+    }
+
     /// Returns how many connections endpoints refused.
     pub fn refused_connects(&self) -> u64 {
         self.endpoints.refused_connects()
--- a/lib/src/gateway/serving/status.rs
+++ b/lib/src/gateway/serving/status.rs
@@ -8,10 +8,12 @@
         gateway::{
             dialect::Dialect,
             peers::message::Phase,
+            rules::homes::region_hash,
             state::{Gateway, GatewayState},
         },
         shared::{
-            status::{EndpointStatus, StatusBody},
+            ids::RegionId,
+            status::{EndpointStatus, RegionStatus, StatusBody},
             units::Time,
         },
     },
@@ -73,6 +75,7 @@
         host: gateway.settings().host.to_string(),
         ready: phase == Phase::Ready,
         evacuated: evacuated(state),
+        regions: regions(gateway, state),
         quarantined: quarantined(state, gateway.now()),
         version: state.published.as_ref().map_or(0, |p| p.table.version),
         in_flight: gateway.in_flight.get() as u64,
@@ -91,6 +94,29 @@
     places.map(|place| state.data_centre_name(place)).collect()
 }
 
+/// Returns the regions, the daemon's own first; none if the installation has one alone.
+fn regions<D: Dialect>(gateway: &Gateway<D>, state: &GatewayState) -> Vec<RegionStatus> {
+    let home = state.endpoints.home();
+    if home.is_none() {
+        return Vec::new();
+    }
+    let now = gateway.now();
+    let settings = gateway.settings();
+    let mut names: Vec<&RegionId> = settings.regions.0.values().collect();
+    names.sort_unstable();
+    names.dedup();
+    names.sort_by_key(|name| Some(region_hash(name)) != home);
+    let statuses = names.into_iter().map(|name| {
+        let region = Some(region_hash(name));
+        RegionStatus {
+            region: name.to_string(),
+            daemons: state.peers.daemons_in(region),
+            way_ms: state.endpoints.way(now, region).map_or(0.0, |way| way.0),
+        }
+    });
+    statuses.collect()
+}
+
 fn quarantined(state: &GatewayState, now: Time) -> Vec<String> {
     let digests = state.quarantine.digests(now);
     let mut names: Vec<String> = digests.map(|digest| digest.to_string()).collect();
--- a/lib/src/pipeline/status_view.rs
+++ b/lib/src/pipeline/status_view.rs
@@ -15,6 +15,7 @@
         ready,
         version: snapshot.tree.version.0,
         evacuated: Vec::new(),
+        regions: Vec::new(),
         quarantined: Vec::new(),
         in_flight: snapshot.in_flight as u64,
         answered: counters.answered,
--- a/lib/src/shared/status.rs
+++ b/lib/src/shared/status.rs
@@ -22,6 +22,9 @@
     /// Data centres that are evacuated, by name.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub evacuated: Vec<String>,
+    /// Regions of the installation, this daemon's own first; none if it has one alone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub regions: Vec<RegionStatus>,
     /// Digests of the requests that are refused because endpoints ended under them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub quarantined: Vec<String>,
@@ -41,6 +44,17 @@
     pub endpoints: Vec<EndpointStatus>,
 }
 
+/// One region as a daemon sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct RegionStatus {
+    /// Its name.
+    pub region: String,
+    /// Daemons alive there, as far as this one knows.
+    pub daemons: usize,
+    /// Way there and back in milliseconds, as connections show it; 0 for the daemon's own.
+    pub way_ms: f64,
+}
+
 /// Count of one kind of problem.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct ProblemCount {
