streams: less of a reply is read ahead of a slow caller

Callers: 500 callers that stopped reading streams took 201 MB of a daemon with events of 16 kB, 451 MB with 64 kB; the smallest hosts have 120 MB, and a daemon that is ended for its memory cuts all its callers.

Cause: up to eight chunks of a stream waited for its reader, each as large as what a connection reads ahead, 400 kB at most.

Change: one chunk waits, and a connection to an endpoint reads 32 kB ahead. What is ahead stays with the endpoint, whose connection is full, until the request's time is over.

Whole replies of up to 8 MB are read whole before they are passed on, and aren't bounded together: left open.

--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -23,8 +23,8 @@
     tokio::sync::mpsc,
 };
 
-/// Chunks of a stream that may wait for its reader.
-const QUEUE: usize = 8;
+/// Chunks of a stream that may wait for its reader. They may be large, and many readers may be slow.
+const QUEUE: usize = 1;
 
 struct StreamRelay<D: Dialect> {
     request: StreamedRequest<D>,
--- a/lib/src/gateway/wire/egress.rs
+++ b/lib/src/gateway/wire/egress.rs
@@ -30,6 +30,9 @@
 /// lost packet.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
 
+/// Bytes of a reply that a connection reads ahead: a head, or what comes while the caller doesn't read.
+const REPLY_BUFFER: usize = 32 * 1024;
+
 /// Why a request got no reply.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -86,6 +89,7 @@
         .await
         .map_err(SendError::NotSent)?;
     let (sender, connection) = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(REPLY_BUFFER)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| SendError::NotSent(io::Error::other(error)))?;
