planning: endpoints aren't looked at while no piece waits, nor limits while none names a rate

Each daemon looks at its queues forty times a second, and each look went through all endpoints of all stages twice, whether it coordinates or not: at 3,261 of them some 260,000 entries a second in each of 985 daemons (worked out). Decisions stay as they are: pins of stages and plans unchanged.

--- a/lib/src/gateway/stages/batch_plan.rs
+++ b/lib/src/gateway/stages/batch_plan.rs
@@ -58,11 +58,16 @@
         self.requeue_overdue(now);
         self.held_until = None;
         let mut calls = Vec::new();
+        // Most daemons of a large fleet have no jobs, and as many endpoints in their lists as the others.
+        let waiting = self.waiting();
+        if waiting == 0 {
+            return calls;
+        }
         let free = self.free_endpoints(now);
         if free.is_empty() {
             return calls;
         }
-        let mut round = PlanRound::new(free, self.workers.counts(), self.waiting());
+        let mut round = PlanRound::new(free, self.workers.counts(), waiting);
         while !round.free.is_empty() && round.waiting > 0 {
             let Some(call) = self.plan_next(now, &mut round) else {
                 break;
--- a/lib/src/gateway/stages/queues.rs
+++ b/lib/src/gateway/stages/queues.rs
@@ -36,6 +36,8 @@
     last_job: u64,
     /// Times that the queues were told which endpoints they may call.
     syncs: u64,
+    /// Endpoints name a rate, as of the last look.
+    has_limited: bool,
 }
 
 /// A job that hasn't ended, and where its end is awaited.
@@ -150,6 +152,10 @@
 
     /// Sets the calls that endpoints may get that name the rate that they take; others may get any.
     pub(crate) fn allow(&mut self, calls: &HashMap<EndpointLife, usize>) {
+        let had_limited = std::mem::replace(&mut self.has_limited, !calls.is_empty());
+        if !had_limited && calls.is_empty() {
+            return;
+        }
         for queue in self.queues.values_mut() {
             queue.workers.allow(calls);
         }
