peers: a request for changes that waits keeps a daemon of a large fleet from the directory

Change: in fleets over sixty the time counts anew when a daemon is asked; one that doesn't answer is given up after 1.5 s as before. Smaller fleets as before.

--- a/lib/src/gateway/peers/catch_up.rs
+++ b/lib/src/gateway/peers/catch_up.rs
@@ -60,6 +60,7 @@
         ListFetch::Changes(known) => LinkRequest::Changes(known),
     };
     let source = format!("peer {}", newer.peer);
+    note_asked(gateway);
     match fetch(gateway, newer.peer, request).await {
         Some(LinkReply::Endpoints { revision, entries }) => {
             gateway.replace_endpoints(revision, entries, &source);
@@ -75,6 +76,16 @@
     }
 }
 
+/// Records that a daemon is asked. In a large fleet it may take its time to answer; one that doesn't read the directory
+/// for that waits until the request's time is over.
+fn note_asked<D: Dialect>(gateway: &Gateway<D>) {
+    let now = gateway.now();
+    let mut state = gateway.state.borrow_mut();
+    if fetch_turn::is_spread(state.peers.daemons()) {
+        state.behind_since = state.behind_since.after_changes(now);
+    }
+}
+
 /// Returns the newer list of endpoints that should be fetched now, if there is one.
 fn newer_list<D: Dialect>(gateway: &Gateway<D>) -> Option<NewerList> {
     let now = gateway.now();
--- a/lib/src/gateway/rules/fetch_turn.rs
+++ b/lib/src/gateway/rules/fetch_turn.rs
@@ -8,8 +8,8 @@
 //! all, and counts as one of the fleet.
 //!
 //! Reason: what one daemon tells everybody, all want at the same moment, from the only one that has it. Asked by
-//! [`ASKERS`] for each daemon that has it, those can answer, and each that has got it is asked next: news reaches a
-//! thousand daemons in three heartbeats, and no daemon is asked by more of a larger fleet.
+//! [`ASKERS`] for each daemon that has it, those can answer, and each that has got it is asked next: the time until
+//! everybody has it grows with the logarithm of the fleet, and no daemon is asked by more of a larger one.
 //!
 //! Tests: `lib/tests/test_fetch_turn.rs`.
 
@@ -89,7 +89,7 @@
 /// Returns which daemons are asked; `fraction` is random, from 0 up to 1. One that sends to everybody is known to all, so
 /// that it is asked by its part among those that have it, not by everybody who hears of few others.
 pub fn sources(holders: Holders, daemons: usize, fraction: f64) -> Sources {
-    if daemons <= AT_ONCE {
+    if !is_spread(daemons) {
         return Sources::Any;
     }
     let broadcasting = holders.broadcasting_part(daemons) / holders.part(daemons);
@@ -114,6 +114,11 @@
     holders.part(daemons) * ASKERS as f64
 }
 
+/// Returns whether news takes several steps to reach a fleet of so many daemons.
+pub fn is_spread(daemons: usize) -> bool {
+    daemons > AT_ONCE
+}
+
 /// Returns the time by which news that somebody has may take longer to come here than in a small fleet.
 pub fn spread_time(daemons: usize) -> Millis {
     let mut steps = 0;
