--- a/lib/src/gateway/rules/distance.rs
+++ b/lib/src/gateway/rules/distance.rs
@@ -4,8 +4,8 @@
 //! times that connections to a region took to come up, in milliseconds.
 //!
 //! Rule: two places are apart if both regions are known and differ. The way to another region and back takes the
-//! least time in which a connection there came up within the last one or two spans of [`WINDOW`], and
-//! [`UNKNOWN_WAY`] where none did.
+//! least time in which a connection there came up within the last one or two spans of `WINDOW`, and
+//! `UNKNOWN_WAY` where none did.
 //!
 //! Reason: a connection comes up after one way there and back, and after whatever its peer and the network add; the
 //! least time is the way alone. Between data centres of one region the way is short against all that is decided by
--- a/lib/src/gateway/rules/reported_pace.rs
+++ b/lib/src/gateway/rules/reported_pace.rs
@@ -2,7 +2,7 @@
 //!
 //! Inputs: the pace that an endpoint reported with its last reply, in hundredths of the usual time, and when.
 //!
-//! Rule: what it reported counts for [`BELIEVED`], then work takes the usual time again.
+//! Rule: what it reported counts for `BELIEVED`, then work takes the usual time again.
 //!
 //! Reason: such an endpoint shares its host with others, whose load changes many times a second. A report that is
 //! older says as little as none, and an endpoint that was slow would never be tried again.
