--- a/lib/src/gateway/rules/gossip.rs
+++ b/lib/src/gateway/rules/gossip.rs
@@ -9,9 +9,10 @@
 //! sends to everybody; any other sends to the [`WATCHERS`] living daemons that come next in an order by
 //! hash, to [`DRAWN`] daemons drawn anew each time, to the coordinators, to those that asked it for a
 //! heartbeat or told it that it is suspect, to those that it asks itself, and to seeds that aren't
-//! alive. Watchers and drawn daemons are of its own region, everybody means all of it, and of another one coordinators
-//! alone get the heartbeats of a coordinator; with one in `FAR_EVERY` it tells its region what they report. A heartbeat names [`NAMED`] daemons: suspects first, then living ones that others take for
-//! suspect, then other living ones, drawn anew each time; and the [`LOADS`] largest loads.
+//! alive. Watchers and drawn daemons are of its own region, and everybody means all of it; of other regions, those that
+//! coordinate there alone get the heartbeats of a coordinator, and with one in `FAR_EVERY` it tells its region what they
+//! report. A heartbeat names [`NAMED`] daemons: suspects first, then living ones that others take for suspect, then other
+//! living ones, drawn anew each time; and the [`LOADS`] largest loads.
 //!
 //! Reason: what one daemon sends and receives doesn't grow with the fleet, coordinators alone
 //! receive everything, and gossip still reaches everybody within seconds. Each daemon is watched by some
