--- a/daemon/tests/test_slow_readers.rs
+++ b/daemon/tests/test_slow_readers.rs
@@ -8,7 +8,9 @@
 mod process;
 
 use {
+    futures_util::future::join_all,
     process::{Limits, Process, USUAL, start},
+    serde_json::{Value, json},
     stand_in::{
         client,
         replica::{Act, Replica},
@@ -35,6 +37,18 @@
 /// Room for bytes that a caller hasn't read, in its host.
 const UNREAD: u32 = 8_192;
 
+/// A table whose streams last as long as the test, and whose engines take all callers.
+fn table() -> Value {
+    let mut table = table_of_kinds(1);
+    for route in table["routes"].as_array_mut().unwrap() {
+        route["timeoutMs"] = json!(15_000);
+    }
+    for service in table["services"].as_array_mut().unwrap() {
+        service["maxConnections"] = json!(2 * CALLERS);
+    }
+    table
+}
+
 /// Returns the memory that a process takes, in kB.
 fn memory_kb(process: &Process) -> u64 {
     let status = fs::read_to_string(format!("/proc/{}/status", process.child.id())).unwrap();
@@ -50,7 +64,7 @@
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(UNREAD).unwrap();
     let mut stream = socket.connect(listen).await.unwrap();
-    let text = client::kept_request("/s/1", &format!("{number:08}"), Duration::from_secs(10));
+    let text = client::kept_request("/s/1", &format!("{number:08}"), Duration::from_secs(14));
     stream.write_all(text.as_bytes()).await.unwrap();
     let mut head = [0; 12];
     stream.read_exact(&mut head).await.unwrap();
@@ -64,7 +78,7 @@
 fn callers_stop() {
     run(async {
         let store = StandInStore::start().await;
-        store.publish(&table_of_kinds(1));
+        store.publish(&table());
         let engine = Replica::start(&store, "i-llm", "llm").await;
         engine.set_usual(Act::Endless(EVENT));
         let _plain = Replica::start(&store, "i-plain", "plain").await;
@@ -73,11 +87,9 @@
             ..USUAL
         };
         let process = start("slow", &store, limits).await;
-        let mut callers = Vec::new();
-        for number in 0..CALLERS {
-            callers.push(begin(process.listen, number).await);
-        }
-        for round in 0..10 {
+        let begun = (0..CALLERS).map(|number| begin(process.listen, number));
+        let mut callers = join_all(begun).await;
+        for round in 0..5 {
             let text = client::request("POST", "/r/1", &format!("p{round}"), &[], "b");
             let answer = client::send(process.listen, &text).await;
             assert_eq!(answer.status, 200);
