choice: each daemon has an order of its own among equal endpoints

Cause: daemons that make a call in some seconds know nothing of each other's; of endpoints whose expected time is the same, all chose the first of the list.

Change: among equal ones the order follows from a hash of the endpoint and of the daemon's run.

--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -55,6 +55,8 @@
     pub peers: PeerLoad,
     /// Load that it reported with its last reply, and when.
     pub reported_load: Option<(Time, ReplyLoad)>,
+    /// Its place among equal ones, of this daemon's own.
+    pub(crate) order: u64,
     /// It has reported a pace that can't be one.
     is_unclear: bool,
     /// Its data centre is evacuated.
@@ -84,6 +86,7 @@
             prefill: 0.0,
             peers: PeerLoad::default(),
             reported_load: None,
+            order: 0,
             is_unclear: false,
             health: Health::default(),
             unreachable_until: None,
@@ -205,6 +208,7 @@
             pace: self.pace.at(now),
             cached_tokens,
             limit,
+            order: self.order,
             region: self.region,
             way,
         }
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -27,6 +27,7 @@
     },
     foldhash::HashMap,
     std::{collections::BTreeSet, mem, net::SocketAddr, sync::Arc},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// The endpoints of all services.
@@ -44,6 +45,8 @@
     home: Option<RegionHash>,
     /// The ways to other regions.
     ways: HashMap<RegionHash, RegionWay>,
+    /// Number from which this daemon's order of equal endpoints follows; nothing for the order of their entries.
+    seed: Option<u64>,
 }
 
 impl EndpointStates {
@@ -59,6 +62,11 @@
         }
     }
 
+    /// Sets the number from which this daemon's order of equal endpoints follows, before it knows any.
+    pub fn set_seed(&mut self, seed: u64) {
+        self.seed = Some(seed);
+    }
+
     /// Sets the regions of data centres, and the data centre of this daemon.
     pub fn set_regions(&mut self, here: &DataCentreId, regions: &Regions) {
         self.home = regions.region(here);
@@ -89,6 +97,9 @@
         let region = self.regions.region(&entry.data_centre);
         let mut member = EndpointState::new(now, entry, evacuated);
         member.region = region;
+        if let Some(seed) = self.seed {
+            member.order = xxh3_64_with_seed(id.as_str().as_bytes(), seed);
+        }
         self.members.insert(id, member);
     }
 
--- a/lib/src/gateway/rules/endpoint_choice.rs
+++ b/lib/src/gateway/rules/endpoint_choice.rs
@@ -13,7 +13,8 @@
 //! or region.
 //!
 //! **Reason.** A request should begin where it begins soonest. Daemons share no state, so all prefer the
-//! same endpoint for a shared part of a prompt, chosen by rendezvous hashing: it is then read once in each region.
+//! same endpoint for a shared part of a prompt, chosen by rendezvous hashing: it is then read once in each region. Of
+//! endpoints that are equal otherwise, each daemon has an order of its own, so that a fleet doesn't choose the same one.
 
 use {
     crate::{
@@ -126,6 +127,8 @@
     pub cached_tokens: u32,
     /// Whether it names the rate that it takes.
     pub limit: NamedLimit,
+    /// Its place among equal ones, of this daemon's own; the least goes first.
+    pub order: u64,
     /// Its region.
     pub region: Option<RegionHash>,
     /// Way there and back if it is in another region.
@@ -199,7 +202,8 @@
         })
         .min_by(|(a, at_a), (b, at_b)| {
             let look_first = is_look_due(b).cmp(&is_look_due(a));
-            look_first.then(at_a.time.0.total_cmp(&at_b.time.0))
+            let soonest = at_a.time.0.total_cmp(&at_b.time.0);
+            look_first.then(soonest).then(a.order.cmp(&b.order))
         })?;
     Some(EndpointChoice {
         entry: best.entry.clone(),
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -237,6 +237,7 @@
         let mut state = GatewayState::new(peers, catalogue);
         let here = &settings.data_centre;
         state.endpoints.set_regions(here, &settings.regions);
+        state.endpoints.set_seed(run);
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             state: RefCell::new(state),
--- a/lib/tests/test_fleet_choice.rs
+++ b/lib/tests/test_fleet_choice.rs
@@ -272,3 +272,36 @@
     assert!(choose(&endpoints, &plain(&Prompt::default())).is_some());
     assert!(!endpoints.reopen_replaced(NOW + Millis(6_000)));
 }
+
+/// Of 162 equal endpoints, 110 got nothing on a day of 985 daemons with some calls each, and the busiest eleven times the
+/// mean: all daemons chose the same first ones. Each daemon has an order of its own.
+#[test]
+fn equal_endpoints() {
+    const DAEMONS: u64 = 400;
+    let prompt = Prompt::default();
+    let mut calls = [0_u64; 50];
+    for seed in 1..=DAEMONS {
+        let mut states = EndpointStates::default();
+        states.set_seed(seed);
+        for number in 1..=50 {
+            states.upsert(NOW, entry(number, "near", false));
+        }
+        for _ in 0..3 {
+            let choice = choose(&states, &plain(&prompt)).unwrap();
+            let number: usize = choice.entry.id.as_str()[1..].parse().unwrap();
+            calls[number - 1] += 1;
+            states.sent(NOW, &choice.entry, &prompt, 0);
+            states.ended(
+                NOW,
+                &choice.entry,
+                EndpointOutcome::Served(Some(WorkMillis(20.0))),
+            );
+        }
+    }
+    let mean = DAEMONS * 3 / 50;
+    let (least, most) = (calls.iter().min().unwrap(), calls.iter().max().unwrap());
+    assert!(
+        *least > 0 && *most < 3 * mean,
+        "{least} to {most}, mean {mean}"
+    );
+}
