directory: changes of a long list are kept while they are fewer than its entries

Cause: 512 changes were kept, whatever the list. While 9,999 endpoints start, who lacks more is sent the whole list, again and again: up to 1.2 MB in place of what is new.

Change: as many changes are kept as the list has entries, at least 512, so that it holds at any size. 1,500 of 10,000 changes are sent as such, and were the whole list before (long_list_changes).

--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -223,7 +223,8 @@
     fn apply(&mut self, entry: EndpointEntry) -> Option<EndpointChange> {
         let old = self.entries.get(&entry.id).cloned();
         if old.as_ref().is_none_or(|old| old.revision < entry.revision) {
-            self.log.record(entry.revision, &entry.id);
+            let entries = self.entries.len();
+            self.log.record(entry.revision, &entry.id, entries);
         }
         if old.as_ref().is_some_and(|old| !entry.supersedes(old)) {
             return None;
@@ -252,7 +253,7 @@
         if known.is_some_and(|entry| entry.revision > revision) {
             return None;
         }
-        self.log.record(revision, id);
+        self.log.record(revision, id, self.entries.len());
         self.vanish(now, id, is_outage)
     }
 
@@ -299,7 +300,7 @@
             }
         }
         for id in &missing {
-            self.log.record(revision, id);
+            self.log.record(revision, id, self.entries.len());
             changes.extend(self.vanish(now, id, is_outage));
         }
         if self.log.is_unstarted() {
--- a/lib/src/gateway/directory/change_log.rs
+++ b/lib/src/gateway/directory/change_log.rs
@@ -4,7 +4,8 @@
 
 use {crate::shared::ids::EndpointId, foldhash::HashMap, std::collections::VecDeque};
 
-/// Most changes that are remembered.
+/// Changes that are remembered of a short list; of a longer one, as many as it has entries: who lacks more is sent the
+/// whole list, which is then no longer than its changes.
 const CHANGES_KEPT: usize = 512;
 
 /// One change of an endpoint's entry.
@@ -54,14 +55,15 @@
         self.last
     }
 
-    /// Records a change; the oldest one is forgotten when there are too many.
-    pub(crate) fn record(&mut self, revision: u64, id: &EndpointId) {
+    /// Records a change of a list of so many entries; the oldest ones are forgotten when there are too many.
+    pub(crate) fn record(&mut self, revision: u64, id: &EndpointId, entries: usize) {
         self.last = self.last.max(revision);
         self.changes.push_back(Change {
             revision,
             id: id.clone(),
         });
-        if self.changes.len() > CHANGES_KEPT
+        let kept = CHANGES_KEPT.max(entries);
+        while self.changes.len() > kept
             && let Some(forgotten) = self.changes.pop_front()
         {
             self.complete_from = self.complete_from.max(forgotten.revision);
--- a/lib/tests/test_catalogue.rs
+++ b/lib/tests/test_catalogue.rs
@@ -222,6 +222,22 @@
     });
 }
 
+/// While 9,999 endpoints start, a daemon lacks more than 512 changes half a second after the last ones came, and was sent
+/// the whole list again and again: at 985 daemons the requests for lists took up to 1.3 s, and those who waited read the
+/// directory as well. Changes are kept as long as they are fewer than the entries.
+#[test]
+fn long_list_changes() {
+    let mut catalogue = catalogue();
+    catalogue.replace(Time(0), 1, Vec::new(), false);
+    for number in 2..10_000 {
+        catalogue.upsert(entry(&format!("e{number}"), number, false));
+        catalogue.advance_to(number);
+    }
+    let lacking = 1_500;
+    let changes = catalogue.changes_since(9_999 - lacking).unwrap();
+    assert_eq!(changes.entries.len() as u64, lacking);
+}
+
 /// Changes older than the kept history aren't returned.
 #[test]
 fn forgotten_changes() {
