directory: the rest of a long list is left to others of a large fleet

Cause (worked out, and by the calls of joining daemons): each daemon reads the whole list of endpoints at its start, 60 pages at 300 hosts, 200 at 985: 18,000 and 197,000 calls of a store that takes 6,000 and 16,000 a second, and refuses the rest, when a fleet starts anew beside endpoints that live.

Change: a daemon reads four pages at once and serves by them; then it waits until it knows its fleet, 0.6 s after its start, and in one of more than sixty leaves the rest to those whose turn it is and asks them. Lists of four pages, small fleets and readers as before.

--- a/lib/src/gateway/directory/coverage.rs
+++ b/lib/src/gateway/directory/coverage.rs
@@ -14,6 +14,7 @@
                 COVER_CHECK, LastCall, PeerKnowledge, ReadDuty, Reader, next_turn, read_duty,
                 stood_still,
             },
+            fetch_turn::is_spread,
         },
         state::{Gateway, GatewayState},
     },
@@ -63,6 +64,18 @@
         read_duty(state.reader(now), peers, state.substitutes, wait)
     }
 
+    /// Returns whether this daemon has run long enough to know its fleet, or knows already that it is a large one.
+    pub(crate) fn knows_fleet(&self) -> bool {
+        let state = self.state.borrow();
+        let peers = &state.peers;
+        is_settled(peers.ran(self.now())) || peers.is_alone() || is_spread(peers.daemons())
+    }
+
+    /// Returns whether this daemon knows so many others that news takes several steps to reach them.
+    pub(crate) fn is_spread(&self) -> bool {
+        is_spread(self.state.borrow().peers.daemons())
+    }
+
     /// Returns whether peers read the directory for this daemon just now.
     pub fn is_covered(&self) -> bool {
         self.read_duty() == ReadDuty::Leave
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -14,8 +14,8 @@
             source::{Directory, DirectoryError, Item, ItemKey, Items, ReadProgress, Topic},
         },
         rules::directory_reads::{
-            AnswerLimit, Backoff, COVER_CHECK, LastCall, PAUSE_PARTS, ReadDuty, pause_after_answer,
-            topic_wait,
+            AnswerLimit, Backoff, COVER_CHECK, LastCall, PAGES_EACH, PAUSE_PARTS, ReadDuty,
+            pause_after_answer, topic_wait,
         },
         serving::metrics::TableSource,
         state::Gateway,
@@ -44,6 +44,7 @@
         must_list: false,
         called: false,
         last_call: None,
+        in_turn: false,
         backoff: Backoff::default(),
         limit: AnswerLimit::default(),
     };
@@ -75,6 +76,8 @@
     called: bool,
     /// What the last call came to; nothing before the first one has ended.
     last_call: Option<LastCall>,
+    /// The present call is made in this daemon's turn.
+    in_turn: bool,
     backoff: Backoff,
     limit: AnswerLimit,
 }
@@ -87,8 +90,10 @@
         self.called = true;
         if is_first || self.gateway.read_duty() == ReadDuty::Read {
             self.skip_known_table();
+            self.in_turn = false;
             return self.usual_wait();
         }
+        self.in_turn = true;
         let last_call = self.last_call.unwrap_or(LastCall::Answered);
         wait_for_duty(&self.gateway, self.topic, last_call).await;
         let known = self.gateway.known_revision(self.topic);
@@ -184,6 +189,10 @@
                 self.must_list = true;
                 self.since = None;
             }
+            Err(DirectoryError::Left) => {
+                log::info!(topic:? = self.topic; "directory.left");
+                self.last_call = Some(LastCall::FirstFailed);
+            }
             Err(error) => self.back_off(&error, took).await,
         }
     }
@@ -228,6 +237,18 @@
         state.contact.record_begin(self.topic);
     }
 
+    /// Waits until this daemon knows its fleet. In a large one few read a long list, in their turn; the others get it
+    /// from them.
+    async fn goes_on(&self, pages: usize) -> bool {
+        if self.in_turn || pages < PAGES_EACH || self.gateway.read_duty() == ReadDuty::Read {
+            return true;
+        }
+        while !self.gateway.knows_fleet() {
+            tokio::time::sleep(COVER_CHECK.to_duration()).await;
+        }
+        !self.gateway.is_spread()
+    }
+
     /// Uses the endpoints of a first list that is still on its way.
     fn part(&self, items: &[Item]) {
         if self.topic == Topic::Endpoints {
--- a/lib/src/gateway/directory/source.rs
+++ b/lib/src/gateway/directory/source.rs
@@ -4,7 +4,10 @@
 use {
     crate::shared::ids::DataCentreId,
     bytes::Bytes,
-    std::{future::Future, time::Duration},
+    std::{
+        future::{self, Future},
+        time::Duration,
+    },
     thiserror::Error,
 };
 
@@ -67,6 +70,9 @@
     /// There was no usable answer; the connection can't be used any more.
     #[error("the directory didn't answer: {0}")]
     Unreachable(String),
+    /// The rest of a list wasn't read: other daemons of the fleet read it.
+    #[error("the rest of the list is left to others")]
+    Left,
 }
 
 /// Hears how a read of the directory goes on.
@@ -76,6 +82,11 @@
 
     /// A part of a topic has come, and more follows.
     fn part(&self, _items: &[Item]) {}
+
+    /// Returns whether the rest of a topic is to be read after so many pages, once that is known.
+    fn goes_on(&self, _pages: usize) -> impl Future<Output = bool> {
+        future::ready(true)
+    }
 }
 
 /// For readers that only want the answer.
--- a/lib/src/gateway/rules/directory_reads.rs
+++ b/lib/src/gateway/rules/directory_reads.rs
@@ -56,6 +56,10 @@
 /// enough that one of them soon succeeds where it refuses some of the daemons.
 pub const FLEET_CALLS: f64 = 15.0;
 
+/// Pages of a list that each daemon of a large fleet reads at its start; of a longer one the rest is read by few, in their
+/// turns. A fleet that starts at once makes this number of calls for each daemon.
+pub const PAGES_EACH: usize = 4;
+
 /// Least time from noticing that all reads are out of date to a call: what peers have sent meanwhile is received
 /// first. Half of a heartbeat.
 const TURN_DELAY: Millis = Millis(100);
