replies: what an endpoint says of leaving and of rest is decoded, logged and counted

Decoded at the edge (`Server-Leaving`, `Retry-After` of a reply), recorded for each life of an endpoint and logged once: `endpoint.leaving`, `endpoint.resting`, `endpoint.notice_unclear`; `hazelyoke_endpoint_notices_total{kind}`. No decision reads them yet.

--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -163,6 +163,30 @@
     pub clear: bool,
 }
 
+/// What an endpoint says with a reply of whether it leaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LeaveNotice {
+    /// Nothing, or that it doesn't.
+    #[default]
+    None,
+    /// Something that can't be read. An endpoint that stays has no reason to say anything.
+    Unclear,
+    /// It leaves.
+    Leaves,
+}
+
+/// Time after which a reply asks to come back.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ReplyWait {
+    /// It names none.
+    #[default]
+    None,
+    /// It names one that can't be read.
+    Unclear,
+    /// This time.
+    Named(Millis),
+}
+
 /// The head of a reply, as far as it matters here.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ReplyFacts {
@@ -176,6 +200,10 @@
     pub load: Option<ReplyLoad>,
     /// Rate that the endpoint names, if it names any.
     pub rate: Option<NamedRate>,
+    /// Whether the endpoint says that it leaves.
+    pub leave: LeaveNotice,
+    /// Time after which it asks to come back.
+    pub wait: ReplyWait,
 }
 
 /// The spelling of one installation. It translates and decides nothing.
--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -124,14 +124,18 @@
         self.sync_planning();
     }
 
-    /// Removes suspect endpoints whose time is over, and opens those again that were set aside.
+    /// Removes suspect endpoints whose time is over, and opens those again that were set aside or rested.
     pub fn apply_timeouts(&self) {
         let now = self.now();
         let changes = self.state.borrow_mut().catalogue.expire_suspects(now);
         for change in changes {
             self.apply_change(&change, SUSPECT_TIME_OVER);
         }
-        if self.state.borrow_mut().endpoints.reopen_replaced(now) {
+        let mut state = self.state.borrow_mut();
+        let reopened = state.endpoints.reopen_replaced(now);
+        let rested = state.endpoints.end_rests(now);
+        drop(state);
+        if reopened || rested {
             self.sync_planning();
         }
     }
--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -275,5 +275,6 @@
         // A failure of a part of the endpoint may lack what the rest of it names.
         let served = facts.signed && status.is_success();
         self.record_rate(endpoint, facts.rate, served, sent);
+        self.record_notices(endpoint, status, facts);
     }
 }
--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -8,6 +8,7 @@
             hashes::{EndpointHash, LifeHash, endpoint_hash, life_hash},
             routing::{
                 cold_state::{ColdState, Coldness},
+                endpoint_notices::EndpointNotices,
                 sent_parts::SentParts,
             },
             rules::{
@@ -57,6 +58,8 @@
     pub reported_load: Option<(Time, ReplyLoad)>,
     /// Its place among equal ones, of this daemon's own.
     pub(crate) order: u64,
+    /// What it has said of the service that it will give.
+    pub(crate) notices: EndpointNotices,
     /// It has reported a pace that can't be one.
     is_unclear: bool,
     /// Its data centre is evacuated.
@@ -87,6 +90,7 @@
             peers: PeerLoad::default(),
             reported_load: None,
             order: 0,
+            notices: EndpointNotices::default(),
             is_unclear: false,
             health: Health::default(),
             unreachable_until: None,
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -391,6 +391,31 @@
         member.is_some_and(|member| member.record_load(now, load))
     }
 
+    /// Records that an endpoint says that it leaves; returns whether that is new.
+    pub(crate) fn record_leave(&mut self, entry: &EndpointEntry) -> bool {
+        let member = self.of_life(entry);
+        member.is_some_and(|member| member.notices.record_leave())
+    }
+
+    /// Records that an endpoint wants nothing until a time; returns whether a rest begins with it.
+    pub(crate) fn record_rest(&mut self, entry: &EndpointEntry, until: Time) -> bool {
+        let member = self.of_life(entry);
+        member.is_some_and(|member| member.notices.record_rest(until))
+    }
+
+    /// Records that an endpoint says something that can't be read; returns whether that is new.
+    pub(crate) fn record_unclear(&mut self, entry: &EndpointEntry) -> bool {
+        let member = self.of_life(entry);
+        member.is_some_and(|member| member.notices.record_unclear())
+    }
+
+    /// Ends the rests whose time is over; returns whether there were any.
+    pub(crate) fn end_rests(&mut self, now: Time) -> bool {
+        let members = self.members.values_mut();
+        let ended = members.filter_map(|member| member.notices.end_rest(now).then_some(()));
+        ended.count() > 0
+    }
+
     /// Sets the load that other daemons put on each endpoint; one that isn't named has none.
     pub fn set_peer_loads(&mut self, loads: &HashMap<EndpointHash, PeerLoad>) {
         for member in self.members.values_mut() {
--- a/lib/src/gateway/routing/named_rates.rs
+++ b/lib/src/gateway/routing/named_rates.rs
@@ -37,17 +37,18 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Records what an endpoint's reply to a call of pieces that was sent at `sent` says of its rate.
-    pub(crate) fn record_call_rate(
+    /// Records what an endpoint reports of itself with its reply to a call of pieces that was sent at `sent`.
+    pub(crate) fn record_call_reply(
         &self,
         endpoint: &EndpointEntry,
         status: StatusCode,
         facts: &ReplyFacts,
         sent: Time,
     ) {
-        // What another endpoint at the same address takes is of no use for this one.
+        // What another endpoint at the same address says of itself is of no use for this one.
         if status != StatusCode::MISDIRECTED_REQUEST {
             self.record_rate(endpoint, facts.rate, status == StatusCode::OK, sent);
+            self.record_notices(endpoint, status, facts);
         }
     }
 
--- /dev/null
+++ b/lib/src/gateway/routing/reply_notices.rs
@@ -0,0 +1,60 @@
+//! Records what endpoints say in their replies of the service that they will give, and logs what is new.
+
+use {
+    crate::{
+        gateway::{
+            dialect::{Dialect, LeaveNotice, ReplyFacts, ReplyWait},
+            directory::catalogue::EndpointEntry,
+            rules::endpoint_rest::asked_rest,
+            state::Gateway,
+        },
+        shared::units::Millis,
+    },
+    http::StatusCode,
+};
+
+impl<D: Dialect> Gateway<D> {
+    /// Records what a reply says of whether its endpoint leaves, and whether it wants nothing for a while.
+    pub(crate) fn record_notices(
+        &self,
+        endpoint: &EndpointEntry,
+        status: StatusCode,
+        facts: &ReplyFacts,
+    ) {
+        if facts.leave != LeaveNotice::None {
+            self.record_leave(endpoint);
+        }
+        if let Some(rest) = asked_rest(status, facts.wait) {
+            self.record_rest(endpoint, rest);
+        }
+        if facts.leave == LeaveNotice::Unclear || facts.wait == ReplyWait::Unclear {
+            self.record_unclear(endpoint);
+        }
+    }
+
+    fn record_leave(&self, endpoint: &EndpointEntry) {
+        let is_new = self.state.borrow_mut().endpoints.record_leave(endpoint);
+        if is_new {
+            log::info!(endpoint:% = endpoint.id; "endpoint.leaving");
+            self.metrics.endpoints.leaving();
+        }
+    }
+
+    fn record_rest(&self, endpoint: &EndpointEntry, rest: Millis) {
+        let until = self.now() + rest;
+        let mut state = self.state.borrow_mut();
+        let is_new = state.endpoints.record_rest(endpoint, until);
+        drop(state);
+        if is_new {
+            log::info!(endpoint:% = endpoint.id, rest_ms = rest.0; "endpoint.resting");
+            self.metrics.endpoints.resting();
+        }
+    }
+
+    fn record_unclear(&self, endpoint: &EndpointEntry) {
+        let is_new = self.state.borrow_mut().endpoints.record_unclear(endpoint);
+        if is_new {
+            log::warn!(endpoint:% = endpoint.id; "endpoint.notice_unclear");
+        }
+    }
+}
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -21,6 +21,7 @@
 pub mod endpoint_choice;
 pub mod endpoint_pace;
 pub mod endpoint_rate;
+pub mod endpoint_rest;
 pub mod engine_pace;
 pub mod fetch_turn;
 pub mod gossip;
--- a/lib/src/gateway/serving/endpoint_metrics.rs
+++ b/lib/src/gateway/serving/endpoint_metrics.rs
@@ -12,6 +12,10 @@
 const REFUSED: &str = "refused";
 const SILENT: &str = "silent";
 
+/// Values of the label `kind` of what endpoints say of the service that they will give.
+const LEAVING: &str = "leaving";
+const RESTING: &str = "resting";
+
 /// Counters of endpoints that ended.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointMetrics {
@@ -19,6 +23,7 @@
     connects_failed: Family<KindLabels, Counter>,
     quarantined: Gauge,
     limited: Gauge,
+    notices: Family<KindLabels, Counter>,
 }
 
 impl EndpointMetrics {
@@ -44,6 +49,11 @@
             "Endpoints that name the rate that they take",
             self.limited.clone(),
         );
+        registry.register(
+            "endpoint_notices",
+            "Endpoints that said in a reply that they leave, or began a rest",
+            self.notices.clone(),
+        );
     }
 
     /// Counts an attempt that broke off because its endpoint ended.
@@ -71,6 +81,20 @@
         self.limited.set(endpoints as i64);
     }
 
+    /// Counts an endpoint that said that it leaves.
+    pub(crate) fn leaving(&self) {
+        self.notices
+            .get_or_create(&KindLabels { kind: LEAVING })
+            .inc();
+    }
+
+    /// Counts an endpoint that asked for rest.
+    pub(crate) fn resting(&self) {
+        self.notices
+            .get_or_create(&KindLabels { kind: RESTING })
+            .inc();
+    }
+
     fn connect_counter(&self, refused: bool) -> Counter {
         let kind = if refused { REFUSED } else { SILENT };
         let counter = self.connects_failed.get_or_create(&KindLabels { kind });
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -129,7 +129,7 @@
     .await;
     match reply {
         Ok(reply) => {
-            gateway.record_call_rate(&call.entry, reply.status, &reply.facts, sent);
+            gateway.record_call_reply(&call.entry, reply.status, &reply.facts, sent);
             read_end::<D>(&reply, call.pieces.len())
         }
         Err(SendError::NotSent(_)) => CallEnd::Refused,
--- a/lib/tests/test_reply_proof.rs
+++ b/lib/tests/test_reply_proof.rs
@@ -26,8 +26,7 @@
         request: request.map(String::from),
         signed,
         not_run,
-        load: None,
-        rate: None,
+        ..ReplyFacts::default()
     }
 }
 
