replies: an endpoint that says in a reply that it leaves gets nothing more from this daemon

Callers saw nothing of it yet: their requests went to an endpoint that was about to end, seconds after it had said so, and are cut where it ends before they do.

Cause: what endpoints say of themselves counted only where the directory published it. The directory was silent for 13 s, and its entry of the leaving endpoint said `ready`; nothing read the replies.

Change: the notice belongs to one life of the endpoint and is one of the reasons that `eligibility` asks for, so that whole requests, retries, resumed streams, calls of pieces and admission heed it alike. Any reply but a 421 tells it: a refusal, a failure, the head of a stream, an answer to a call of pieces whose body breaks off, an answer to a release. An entry that says `ready` doesn't end it, nor one that vanishes and comes back in the same life; another start does. An endpoint that leaves isn't looked for any more after it has ended. Other daemons aren't told: only those that passed on a reply are bound, each is told with its first reply, and the endpoint serves what it gets until it ends.

--- a/lib/src/gateway/routing/endpoint_check.rs
+++ b/lib/src/gateway/routing/endpoint_check.rs
@@ -53,14 +53,15 @@
         }
     }
 
-    /// Looks now and then whether an endpoint that ended accepts connections again, until its list lacks this life.
+    /// Looks now and then whether an endpoint that ended accepts connections again, as long as this life may get work
+    /// again.
     pub(crate) fn watch_ended(self: &Rc<Self>, entry: Arc<EndpointEntry>) {
         let gateway = self.clone();
         tokio::task::spawn_local(async move {
             let mut pause = FIRST_LOOK;
             loop {
                 tokio::time::sleep(pause).await;
-                if !gateway.state.borrow().endpoints.has_life(&entry) {
+                if !gateway.state.borrow().endpoints.may_return(&entry) {
                     return;
                 }
                 if check(entry.address).await == EndpointCheck::Alive {
--- a/lib/src/gateway/routing/endpoint_notices.rs
+++ b/lib/src/gateway/routing/endpoint_notices.rs
@@ -1,8 +1,15 @@
-//! What one endpoint has told this daemon, in its replies, of the service that it will give.
+//! What endpoints have told this daemon, in their replies, of the service that they will give.
 //!
-//! Owns the notices of one life of an endpoint. `reply_notices` records them.
+//! Owns the notices of each life of an endpoint, also while it has no entry in the list. `reply_notices` records them.
 
-use crate::shared::units::Time;
+use {
+    crate::{gateway::directory::catalogue::EndpointLife, shared::units::Time},
+    foldhash::HashMap,
+    std::collections::VecDeque,
+};
+
+/// Most lives without an entry whose notices are remembered.
+const REMEMBERED: usize = 1_000;
 
 /// The notices of one life of an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -16,6 +23,11 @@
 }
 
 impl EndpointNotices {
+    /// Returns whether it said that it leaves.
+    pub(crate) fn leaves(&self) -> bool {
+        self.leaves
+    }
+
     /// Records that it leaves; returns whether that is new.
     pub(crate) fn record_leave(&mut self) -> bool {
         !std::mem::replace(&mut self.leaves, true)
@@ -43,3 +55,43 @@
         is_over
     }
 }
+
+/// Notices of endpoints whose entries have vanished. An entry may lapse and come back while its endpoint lives, and what
+/// the endpoint said before stands.
+#[derive(Debug, Default)]
+pub(crate) struct RememberedNotices {
+    notices: HashMap<EndpointLife, EndpointNotices>,
+    /// The lives in the order in which they were first remembered.
+    order: VecDeque<EndpointLife>,
+}
+
+impl RememberedNotices {
+    /// Remembers the notices of a life, if there are any.
+    pub(crate) fn keep(&mut self, life: EndpointLife, notices: EndpointNotices) {
+        if notices != EndpointNotices::default() {
+            *self.entry(life) = notices;
+        }
+    }
+
+    /// Returns the notices of a life without an entry, for more to be recorded.
+    pub(crate) fn entry(&mut self, life: EndpointLife) -> &mut EndpointNotices {
+        if !self.notices.contains_key(&life) {
+            self.order.push_back(life.clone());
+        }
+        if self.order.len() > REMEMBERED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.notices.remove(&oldest);
+        }
+        self.notices.entry(life).or_default()
+    }
+
+    /// Returns the notices of a life whose entry has come back, and forgets them here.
+    pub(crate) fn take(&mut self, life: &EndpointLife) -> EndpointNotices {
+        let Some(notices) = self.notices.remove(life) else {
+            return EndpointNotices::default();
+        };
+        self.order.retain(|other| other != life);
+        notices
+    }
+}
--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -105,7 +105,7 @@
     /// Returns what speaks against giving the endpoint new work.
     pub fn standing(&self) -> Standing {
         Standing {
-            draining: self.entry.draining,
+            draining: self.entry.draining || self.notices.leaves(),
             evacuated: self.evacuated,
             replaced: self.replaced.is_some(),
         }
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -10,7 +10,10 @@
             directory::catalogue::{EndpointEntry, EndpointLife},
             hashes::{DataCentreHash, EndpointHash, LifeHash, data_centre_hash},
             rates::store::EndpointRates,
-            routing::endpoint_state::{EndpointState, PeerLoad},
+            routing::{
+                endpoint_notices::{EndpointNotices, RememberedNotices},
+                endpoint_state::{EndpointState, PeerLoad},
+            },
             rules::{
                 distance::{RegionWay, are_apart},
                 eligibility::{Exclusion, LeftOut, Places},
@@ -39,6 +42,8 @@
     evacuated: BTreeSet<DataCentreHash>,
     /// The rates that endpoints name.
     pub(crate) rates: EndpointRates,
+    /// What endpoints without an entry have said of the service that they will give.
+    remembered: RememberedNotices,
     /// The regions of data centres.
     regions: Regions,
     /// The region of this daemon; nothing if it isn't known or there is no other one.
@@ -95,8 +100,10 @@
         let place = data_centre_hash(&entry.data_centre);
         let evacuated = self.evacuated.contains(&place);
         let region = self.regions.region(&entry.data_centre);
+        let notices = self.remembered.take(&entry.life());
         let mut member = EndpointState::new(now, entry, evacuated);
         member.region = region;
+        member.notices = notices;
         if let Some(seed) = self.seed {
             member.order = xxh3_64_with_seed(id.as_str().as_bytes(), seed);
         }
@@ -116,12 +123,13 @@
         mem::replace(&mut self.evacuated, data_centres)
     }
 
-    /// Removes an endpoint with all that is known of it.
+    /// Removes an endpoint with all that is known of it, but for what it said of the service that it will give.
     pub fn remove(&mut self, id: &EndpointId) {
         let Some(member) = self.members.remove(id) else {
             return;
         };
         self.rates.forget(member.life);
+        self.remembered.keep(member.entry.life(), member.notices);
         if let Some(ids) = self.services.get_mut(&member.entry.service) {
             ids.retain(|other| other != id);
         }
@@ -158,12 +166,24 @@
         planned
     }
 
+    /// Returns the endpoint of a service at an address.
+    fn at(&self, id: &ServiceId, address: SocketAddr) -> Option<&EndpointState> {
+        let mut members = self.service(id);
+        members.find(|member| member.entry.address == address)
+    }
+
     /// Returns the region of the endpoint of a service at an address.
     pub fn region_at(&self, id: &ServiceId, address: SocketAddr) -> Option<RegionHash> {
-        let mut members = self.service(id);
-        members
-            .find(|member| member.entry.address == address)?
-            .region
+        self.at(id, address)?.region
+    }
+
+    /// Returns the entry of the endpoint of a service at an address.
+    pub(crate) fn entry_at(
+        &self,
+        id: &ServiceId,
+        address: SocketAddr,
+    ) -> Option<Arc<EndpointEntry>> {
+        Some(self.at(id, address)?.entry.clone())
     }
 
     /// Checks that a service has an endpoint in `places` that may get new work at all.
@@ -380,8 +400,19 @@
 
     /// Returns whether the list has the life that an entry is about.
     pub(crate) fn has_life(&self, entry: &EndpointEntry) -> bool {
-        let member = self.members.get(&entry.id);
-        member.is_some_and(|member| member.entry.born == entry.born)
+        self.life(entry).is_some()
+    }
+
+    /// Returns whether the life that an entry is about may get work again: the list has it, and it hasn't said that it
+    /// leaves.
+    pub(crate) fn may_return(&self, entry: &EndpointEntry) -> bool {
+        let member = self.life(entry);
+        member.is_some_and(|member| !member.notices.leaves())
+    }
+
+    fn life(&self, entry: &EndpointEntry) -> Option<&EndpointState> {
+        let member = self.members.get(&entry.id)?;
+        (member.entry.born == entry.born).then_some(member)
     }
 
     /// Records the load that an endpoint reported with a reply; returns whether that says for the first time what can't
@@ -391,22 +422,27 @@
         member.is_some_and(|member| member.record_load(now, load))
     }
 
+    /// Returns the notices of the life that an entry is about, which the list may lack by now.
+    fn notices(&mut self, entry: &EndpointEntry) -> &mut EndpointNotices {
+        match self.members.get_mut(&entry.id) {
+            Some(member) if member.entry.born == entry.born => &mut member.notices,
+            _ => self.remembered.entry(entry.life()),
+        }
+    }
+
     /// Records that an endpoint says that it leaves; returns whether that is new.
     pub(crate) fn record_leave(&mut self, entry: &EndpointEntry) -> bool {
-        let member = self.of_life(entry);
-        member.is_some_and(|member| member.notices.record_leave())
+        self.notices(entry).record_leave()
     }
 
     /// Records that an endpoint wants nothing until a time; returns whether a rest begins with it.
     pub(crate) fn record_rest(&mut self, entry: &EndpointEntry, until: Time) -> bool {
-        let member = self.of_life(entry);
-        member.is_some_and(|member| member.notices.record_rest(until))
+        self.notices(entry).record_rest(until)
     }
 
     /// Records that an endpoint says something that can't be read; returns whether that is new.
     pub(crate) fn record_unclear(&mut self, entry: &EndpointEntry) -> bool {
-        let member = self.of_life(entry);
-        member.is_some_and(|member| member.notices.record_unclear())
+        self.notices(entry).record_unclear()
     }
 
     /// Ends the rests whose time is over; returns whether there were any.
--- a/lib/src/gateway/routing/reply_notices.rs
+++ b/lib/src/gateway/routing/reply_notices.rs
@@ -37,6 +37,7 @@
         if is_new {
             log::info!(endpoint:% = endpoint.id; "endpoint.leaving");
             self.metrics.endpoints.leaving();
+            self.sync_planning();
         }
     }
 
--- a/lib/src/gateway/rules/eligibility.rs
+++ b/lib/src/gateway/rules/eligibility.rs
@@ -63,7 +63,7 @@
 /// Reason for which an endpoint gets nothing new.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Exclusion {
-    /// It announced that it is leaving.
+    /// It announced that it is leaving, in its entry or in a reply.
     Draining,
     /// Its data centre is evacuated.
     Evacuated,
@@ -108,7 +108,7 @@
 /// What speaks against an endpoint whatever the request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Standing {
-    /// It announced that it is leaving.
+    /// It announced that it is leaving, in its entry or in a reply.
     pub draining: bool,
     /// Its data centre is evacuated.
     pub evacuated: bool,
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         gateway::{
-            dialect::Dialect,
+            dialect::{Dialect, ReplyFacts},
             request_digest::RequestDigest,
             rules::call_timing::answer_limit,
             stages::{
@@ -119,19 +119,18 @@
 
 async fn send_call<D: Dialect>(gateway: &Gateway<D>, call: &BatchCall, body: Bytes) -> CallEnd {
     let sent = gateway.now();
-    let reply = post::<D>(Post {
+    let message = Post {
         address: call.entry.address,
         path: D::PIECES_PATH,
         endpoint: Some(&call.entry.id),
         body,
         limit: answer_limit(call.expected),
-    })
-    .await;
-    match reply {
-        Ok(reply) => {
-            gateway.record_call_reply(&call.entry, reply.status, &reply.facts, sent);
-            read_end::<D>(&reply, call.pieces.len())
-        }
+    };
+    let record = |status, facts: &ReplyFacts| {
+        gateway.record_call_reply(&call.entry, status, facts, sent);
+    };
+    match post::<D>(message, record).await {
+        Ok(reply) => read_end::<D>(&reply, call.pieces.len()),
         Err(SendError::NotSent(_)) => CallEnd::Refused,
         Err(SendError::TimedOut) => CallEnd::Broken,
         Err(SendError::MaybeSent(_) | SendError::Broken(_)) => {
--- a/lib/src/gateway/stages/endpoint_post.rs
+++ b/lib/src/gateway/stages/endpoint_post.rs
@@ -34,12 +34,10 @@
 /// The whole answer to a post.
 pub(super) struct Reply {
     pub(super) status: StatusCode,
-    /// What its head says.
-    pub(super) facts: ReplyFacts,
     pub(super) body: Bytes,
 }
 
-/// Posts a body.
+/// Posts a body; `record` takes the head of the answer as soon as it is there, whether the rest comes or not.
 ///
 /// # Errors
 ///
@@ -48,19 +46,22 @@
 /// # Panics
 ///
 /// Panics if the path isn't that of a URL; paths are constants of the dialect.
-pub(super) async fn post<D: Dialect>(post: Post<'_>) -> Result<Reply, SendError> {
+pub(super) async fn post<D: Dialect>(
+    post: Post<'_>,
+    record: impl FnOnce(StatusCode, &ReplyFacts),
+) -> Result<Reply, SendError> {
     let connection = egress::connect(post.address, CONNECT_LIMIT).await?;
     let limit = post.limit;
     let request = request_of::<D>(post);
     let exchange = async {
         let (response, _guard) = connection.send(request).await?;
         let (head, body) = response.into_parts();
-        let (status, facts) = (head.status, D::read_reply(&head));
+        let status = head.status;
+        record(status, &D::read_reply(&head));
         let body = Limited::new(body, ANSWER_SIZE);
         match body.collect().await {
             Ok(collected) => Ok(Reply {
                 status,
-                facts,
                 body: collected.to_bytes(),
             }),
             Err(error) => Err(SendError::Broken(error.to_string())),
--- a/lib/src/gateway/stages/release.rs
+++ b/lib/src/gateway/stages/release.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         gateway::{
-            dialect::Dialect,
+            dialect::{Dialect, ReplyFacts},
             hashes::service_hash,
             peers::message::LinkRequest,
             rules::{coordinator::Coordinator, distance::are_apart, homes::RegionHash},
@@ -198,14 +198,20 @@
     address: SocketAddr,
     handles: &[ResultHandle],
 ) {
-    let reply = post::<D>(Post {
+    let message = Post {
         address,
         path: D::RELEASE_PATH,
         endpoint: None,
         body: D::write_release(handles),
         limit: CONNECT_LIMIT,
-    })
-    .await;
+    };
+    let entry = gateway.state.borrow().endpoints.entry_at(service, address);
+    let record = |status, facts: &ReplyFacts| {
+        if let Some(entry) = &entry {
+            gateway.record_notices(entry, status, facts);
+        }
+    };
+    let reply = post::<D>(message, record).await;
     if !reply.is_ok_and(|reply| reply.status == StatusCode::OK) {
         return;
     }
