replies: an endpoint that turned a request away and asks for rest gets nothing from this daemon meanwhile

Callers were refused although others could have served them: an endpoint that turns everything away looks idle and was chosen first, and the retry that followed took the budget which another request lacked.

The longest of several counts. Rest is a reason that `eligibility` knows, so that whole requests, retries, resumed streams, calls of pieces and admission heed it alike; releases of results wait, and an endpoint that ended isn't looked for. It is no fault: no failure counts against an endpoint at rest, and the pool spares fewer others. After the rest it gets one request until it takes one. No probe is sent in the rest. Where all endpoints rest, requests and jobs that can't be served in time are refused at once, and the caller is told when the first one has rested.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -131,13 +131,10 @@
         for change in changes {
             self.apply_change(&change, SUSPECT_TIME_OVER);
         }
-        let mut state = self.state.borrow_mut();
-        let reopened = state.endpoints.reopen_replaced(now);
-        let rested = state.endpoints.end_rests(now);
-        drop(state);
-        if reopened || rested {
+        if self.state.borrow_mut().endpoints.reopen_replaced(now) {
             self.sync_planning();
         }
+        self.end_rests();
     }
 
     /// Records that all changes up to a revision were applied.
--- a/lib/src/gateway/routing/endpoint_check.rs
+++ b/lib/src/gateway/routing/endpoint_check.rs
@@ -64,6 +64,9 @@
                 if !gateway.state.borrow().endpoints.may_return(&entry) {
                     return;
                 }
+                if gateway.state.borrow().endpoints.is_resting(&entry) {
+                    continue;
+                }
                 if check(entry.address).await == EndpointCheck::Alive {
                     gateway.state.borrow_mut().endpoints.accepted(&entry);
                     return;
--- a/lib/src/gateway/routing/endpoint_notices.rs
+++ b/lib/src/gateway/routing/endpoint_notices.rs
@@ -18,6 +18,8 @@
     leaves: bool,
     /// End of the time in which it wants nothing.
     rest: Option<Time>,
+    /// Its rest is over, and no reply has shown yet that it takes requests again.
+    is_trial: bool,
     /// It said something that can't be read.
     unclear: bool,
 }
@@ -28,6 +30,21 @@
         self.leaves
     }
 
+    /// Returns the end of the time in which it wants nothing.
+    pub(crate) fn rest(&self) -> Option<Time> {
+        self.rest
+    }
+
+    /// Returns whether its rest is over, and it hasn't been seen to take requests again.
+    pub(crate) fn is_trial(&self) -> bool {
+        self.is_trial
+    }
+
+    /// Records a reply that asks for no rest.
+    pub(crate) fn end_trial(&mut self) {
+        self.is_trial = false;
+    }
+
     /// Records that it leaves; returns whether that is new.
     pub(crate) fn record_leave(&mut self) -> bool {
         !std::mem::replace(&mut self.leaves, true)
@@ -51,6 +68,7 @@
         let is_over = self.rest.is_some_and(|until| until <= now);
         if is_over {
             self.rest = None;
+            self.is_trial = true;
         }
         is_over
     }
--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -108,6 +108,7 @@
             draining: self.entry.draining || self.notices.leaves(),
             evacuated: self.evacuated,
             replaced: self.replaced.is_some(),
+            resting: self.notices.rest().is_some(),
         }
     }
 
@@ -172,8 +173,12 @@
         self.running + self.peers.running
     }
 
-    /// Returns whether the endpoint is healthy and could be reached lately.
+    /// Returns whether the endpoint is healthy, could be reached lately and doesn't rest. After a rest it gets one request
+    /// at a time until it takes one.
     pub(crate) fn is_available(&self, now: Time) -> bool {
+        if self.notices.rest().is_some() || (self.notices.is_trial() && self.running > 0) {
+            return false;
+        }
         let reachable = self.unreachable_until.is_none_or(|until| until <= now);
         let healthy = match self.health.state(now) {
             HealthState::Healthy => true,
@@ -246,6 +251,8 @@
                 self.served(now, call_time);
                 false
             }
+            // A refusal that asks for rest is no fault, however it is marked.
+            EndpointOutcome::Failed if self.notices.rest().is_some() => false,
             EndpointOutcome::Failed => self.health.failed(now, may_eject),
             EndpointOutcome::Unreachable => {
                 self.cold.presume(now);
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -44,6 +44,8 @@
     pub(crate) rates: EndpointRates,
     /// What endpoints without an entry have said of the service that they will give.
     remembered: RememberedNotices,
+    /// When the first rest ends; nothing while no endpoint rests.
+    first_rest: Option<Time>,
     /// The regions of data centres.
     regions: Regions,
     /// The region of this daemon; nothing if it isn't known or there is no other one.
@@ -104,6 +106,7 @@
         let mut member = EndpointState::new(now, entry, evacuated);
         member.region = region;
         member.notices = notices;
+        self.first_rest = self.first_rest.into_iter().chain(notices.rest()).min();
         if let Some(seed) = self.seed {
             member.order = xxh3_64_with_seed(id.as_str().as_bytes(), seed);
         }
@@ -436,20 +439,57 @@
     }
 
     /// Records that an endpoint wants nothing until a time; returns whether a rest begins with it.
-    pub(crate) fn record_rest(&mut self, entry: &EndpointEntry, until: Time) -> bool {
+    pub fn record_rest(&mut self, entry: &EndpointEntry, until: Time) -> bool {
+        self.first_rest = self.first_rest.into_iter().chain([until]).min();
         self.notices(entry).record_rest(until)
     }
 
+    /// Records that an endpoint answered without asking for rest.
+    pub(crate) fn end_trial(&mut self, entry: &EndpointEntry) {
+        if let Some(member) = self.of_life(entry) {
+            member.notices.end_trial();
+        }
+    }
+
+    /// Returns whether an endpoint wants nothing just now.
+    pub(crate) fn is_resting(&self, entry: &EndpointEntry) -> bool {
+        let member = self.life(entry);
+        member.is_some_and(|member| member.standing().resting)
+    }
+
+    /// Returns when the first endpoint of a service in `places` has rested; nothing where one takes requests now, or where
+    /// none rests.
+    pub fn rest_end(&self, id: &ServiceId, places: &Places) -> Option<Time> {
+        let near = |member: &&EndpointState| places.allow(&member.entry.data_centre);
+        if self.open(id).any(|member| near(&member)) {
+            return None;
+        }
+        let members = self.service(id).filter(near);
+        let resting =
+            members.filter(|member| member.standing().exclusion() == Some(Exclusion::Resting));
+        resting.filter_map(|member| member.notices.rest()).min()
+    }
+
     /// Records that an endpoint says something that can't be read; returns whether that is new.
     pub(crate) fn record_unclear(&mut self, entry: &EndpointEntry) -> bool {
         self.notices(entry).record_unclear()
     }
 
     /// Ends the rests whose time is over; returns whether there were any.
-    pub(crate) fn end_rests(&mut self, now: Time) -> bool {
-        let members = self.members.values_mut();
-        let ended = members.filter_map(|member| member.notices.end_rest(now).then_some(()));
-        ended.count() > 0
+    pub fn end_rests(&mut self, now: Time) -> bool {
+        if self.first_rest.is_none_or(|first| now < first) {
+            return false;
+        }
+        let mut ended = false;
+        for member in self.members.values_mut() {
+            ended |= member.notices.end_rest(now);
+        }
+        let rests = self
+            .members
+            .values()
+            .filter_map(|member| member.notices.rest());
+        self.first_rest = rests.min();
+        ended
     }
 
     /// Sets the load that other daemons put on each endpoint; one that isn't named has none.
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -285,14 +285,19 @@
         })
     }
 
-    /// Returns the time after which the caller may come back, by the permits that are to be expected, or by the loads
-    /// that the service's endpoints reported last.
+    /// Returns the time after which the caller may come back, by the permits that are to be expected, by the endpoint that
+    /// has rested first, or by the loads that the service's endpoints reported last.
     fn retry_after(&self) -> Millis {
         if let Some(wait) = self.gateway.permit_wait(&self.call.service) {
             return retry_after::after_permits(wait);
         }
+        let now = self.gateway.now();
         let state = self.gateway.state.borrow();
-        let members = state.endpoints.open(&self.call.service);
+        let (service, places) = (&self.call.service, &self.call.places);
+        if let Some(rested) = state.endpoints.rest_end(service, places) {
+            return retry_after::after_rest(now, rested);
+        }
+        let members = state.endpoints.open(service);
         retry_after::after_attempts(members.filter_map(|member| Some(member.reported_load?.1)))
     }
 
--- a/lib/src/gateway/routing/permits.rs
+++ b/lib/src/gateway/routing/permits.rs
@@ -48,6 +48,7 @@
         loop {
             // Permits that come from here on wake it.
             let permits = self.permits.notified();
+            self.end_rests();
             let choice = choose_endpoint(self, call, tried, results);
             let left_out = match &choice {
                 Ok(choice) => choice.left_out,
--- a/lib/src/gateway/routing/reply_notices.rs
+++ b/lib/src/gateway/routing/reply_notices.rs
@@ -24,14 +24,23 @@
         if facts.leave != LeaveNotice::None {
             self.record_leave(endpoint);
         }
-        if let Some(rest) = asked_rest(status, facts.wait) {
-            self.record_rest(endpoint, rest);
+        match asked_rest(status, facts.wait) {
+            Some(rest) => self.record_rest(endpoint, rest),
+            None => self.state.borrow_mut().endpoints.end_trial(endpoint),
         }
         if facts.leave == LeaveNotice::Unclear || facts.wait == ReplyWait::Unclear {
             self.record_unclear(endpoint);
         }
     }
 
+    /// Opens endpoints again whose rest is over.
+    pub(crate) fn end_rests(&self) {
+        let now = self.now();
+        if self.state.borrow_mut().endpoints.end_rests(now) {
+            self.sync_planning();
+        }
+    }
+
     fn record_leave(&self, endpoint: &EndpointEntry) {
         let is_new = self.state.borrow_mut().endpoints.record_leave(endpoint);
         if is_new {
@@ -49,6 +58,7 @@
         if is_new {
             log::info!(endpoint:% = endpoint.id, rest_ms = rest.0; "endpoint.resting");
             self.metrics.endpoints.resting();
+            self.sync_planning();
         }
     }
 
--- a/lib/src/gateway/routing/stages.rs
+++ b/lib/src/gateway/routing/stages.rs
@@ -16,7 +16,7 @@
                 admission::AdmissionDecision,
                 homes::RegionHash,
                 request_region::RegionDecision,
-                retry_after::{NO_ENDPOINT, STAGE_FAILED, after_permits},
+                retry_after::{NO_ENDPOINT, STAGE_FAILED, after_permits, after_rest},
             },
             stages::{
                 chain::{self, ChainError},
@@ -71,11 +71,15 @@
 /// Refuses a request at once while its service, or that of a stage that it needs, has no endpoint that may
 /// get work.
 fn check_endpoints<D: Dialect>(gateway: &Gateway<D>, call: &ForwardedCall) -> Result<(), Problem> {
-    let state = gateway.state.borrow();
+    gateway.end_rests();
+    let now = gateway.now();
+    let endpoints = &gateway.state.borrow().endpoints;
     for service in needed_services(call) {
-        if let Err(left_out) = state.endpoints.any_open(service, &call.places) {
+        if let Err(left_out) = endpoints.any_open(service, &call.places) {
             let detail = format!("no endpoint of {service} may get work; left out: {left_out}");
-            return Err(Problem::not_run(Code::NoEndpoint, detail).retry_after(NO_ENDPOINT));
+            let rested = endpoints.rest_end(service, &call.places);
+            let wait = rested.map_or(NO_ENDPOINT, |rested| after_rest(now, rested));
+            return Err(Problem::not_run(Code::NoEndpoint, detail).retry_after(wait));
         }
     }
     Ok(())
--- a/lib/src/gateway/rules/eligibility.rs
+++ b/lib/src/gateway/rules/eligibility.rs
@@ -1,7 +1,7 @@
 //! May an endpoint get this request or piece now, and if not, why?
 //!
 //! Inputs: what the directory and operators say of the endpoint (leaving, evacuated), what it said
-//! itself (it answered as another one), where it stands and where the request may run, and how much of what
+//! itself (it leaves, it answered as another one, it wants rest), where it stands and where the request may run, and how much of what
 //! it bears this daemon has used (connections, its share of a cold endpoint, its permits for one that names a rate).
 //!
 //! Rule: one reason against it is enough; the one that lasts longest is named. Health isn't among them:
@@ -71,6 +71,8 @@
     Away,
     /// It answered as another endpoint, or as leaving.
     Replaced,
+    /// It turned a request away, and wants nothing from this daemon for a while.
+    Resting,
     /// It is cold, and this daemon has sent it its share.
     Cold,
     /// It names the rate that it takes, and this daemon has no permit to send it one more.
@@ -81,11 +83,12 @@
 
 impl Exclusion {
     /// All reasons, in the order in which they are named.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Draining,
         Self::Evacuated,
         Self::Away,
         Self::Replaced,
+        Self::Resting,
         Self::Cold,
         Self::Limited,
         Self::Full,
@@ -98,6 +101,7 @@
             Self::Evacuated => "evacuated",
             Self::Away => "away",
             Self::Replaced => "replaced",
+            Self::Resting => "resting",
             Self::Cold => "cold",
             Self::Limited => "limited",
             Self::Full => "full",
@@ -114,6 +118,8 @@
     pub evacuated: bool,
     /// It answered as another endpoint, or as leaving.
     pub replaced: bool,
+    /// It turned a request away, and wants nothing from this daemon for a while.
+    pub resting: bool,
 }
 
 impl Standing {
@@ -123,6 +129,7 @@
             (self.draining, Exclusion::Draining),
             (self.evacuated, Exclusion::Evacuated),
             (self.replaced, Exclusion::Replaced),
+            (self.resting, Exclusion::Resting),
         ];
         first(&reasons)
     }
--- a/lib/src/gateway/rules/retry_after.rs
+++ b/lib/src/gateway/rules/retry_after.rs
@@ -3,7 +3,8 @@
 //! Inputs: the loads that endpoints reported with their replies, or the time that the request was
 //! expected to take and the time that was allowed, in milliseconds. Result: a wait in milliseconds.
 //!
-//! Rule: after failed attempts the wait grows with the longest queue among the service's endpoints.
+//! Rule: after failed attempts the wait grows with the longest queue among the service's endpoints. Where all of them
+//! rest it is the time until the first one takes requests again.
 //! After a refused admission it is the time by which the expected time exceeds most of the allowed
 //! time. Both are bounded. The other refusals have a fixed wait.
 //!
@@ -12,7 +13,7 @@
 
 use crate::{
     gateway::dialect::ReplyLoad,
-    shared::units::{Millis, WorkMillis},
+    shared::units::{Millis, Time, WorkMillis},
 };
 
 /// Wait while the daemon has no table yet.
@@ -60,6 +61,12 @@
     wait.clamp(SHORTEST_AFTER_ATTEMPTS, LONGEST_AFTER_PERMITS)
 }
 
+/// Returns the wait of a caller whose request finds endpoints that rest alone, the first of them until `rested`.
+pub fn after_rest(now: Time, rested: Time) -> Millis {
+    let wait = rested.since(now).as_micros().div_ceil(1_000);
+    Millis(wait as u64).max(SHORTEST_AFTER_ATTEMPTS)
+}
+
 /// Returns the wait after a request was refused because it was expected to take longer than allowed.
 pub fn after_admission(expected: WorkMillis, allowed: WorkMillis) -> Millis {
     let wait = (expected.0 - allowed.0 * FREE_SHARE)
--- a/lib/src/gateway/stages/batch_plan.rs
+++ b/lib/src/gateway/stages/batch_plan.rs
@@ -280,10 +280,11 @@
     /// Ends jobs with waiting pieces that no call can complete in time.
     fn end_hopeless(&mut self, now: Time) {
         let call = self.limits.call_cost().fixed;
+        let begin = self.rested.map_or(now, |rested| rested.max(now));
         let hopeless: Vec<JobId> = self
             .jobs
             .iter()
-            .filter(|(_, state)| state.waiting() > 0 && is_hopeless(now, state.deadline(), call))
+            .filter(|(_, state)| state.waiting() > 0 && is_hopeless(begin, state.deadline(), call))
             .map(|(id, _)| *id)
             .collect();
         for id in hopeless {
--- a/lib/src/gateway/stages/batch_queue.rs
+++ b/lib/src/gateway/stages/batch_queue.rs
@@ -52,6 +52,8 @@
     pub(super) held_until: Option<Time>,
     /// Jobs that were put in order so far, each time counted.
     pub(super) ordered: u64,
+    /// When the first endpoint has rested, while all of them rest.
+    pub(super) rested: Option<Time>,
     /// When a call was last kept small for lack of room for results.
     pub(super) short_at: Option<Time>,
 }
@@ -81,6 +83,7 @@
             spacing: HashMap::default(),
             held_until: None,
             ordered: 0,
+            rested: None,
             short_at: None,
         }
     }
@@ -107,6 +110,11 @@
         self.workers.set(open);
     }
 
+    /// Sets when the first endpoint has rested, while all of them rest.
+    pub fn set_rested(&mut self, rested: Option<Time>) {
+        self.rested = rested;
+    }
+
     /// Queues a job; each of its pieces counts for the budget of retries.
     pub fn add(&mut self, now: Time, id: JobId, job: StageJob) {
         for _ in 0..job.pieces {
--- a/lib/src/gateway/stages/queues.rs
+++ b/lib/src/gateway/stages/queues.rs
@@ -11,7 +11,10 @@
             peers::message::QueueNote,
             request_digest::RequestDigest,
             routing::endpoint_states::EndpointStates,
-            rules::retry_budget::{BudgetLimits, WindowBudget},
+            rules::{
+                eligibility::Places,
+                retry_budget::{BudgetLimits, WindowBudget},
+            },
             stages::{
                 batch_call::{BatchCall, CallEnd, CallId},
                 batch_queue::{BatchQueue, EndedJob},
@@ -98,6 +101,7 @@
             let planned = endpoints.planned(service).into_iter();
             let entries: Vec<_> = planned.map(|member| member.entry.clone()).collect();
             queue.set_endpoints(&entries);
+            queue.set_rested(endpoints.rest_end(service, &Places::Anywhere));
         }
     }
 
--- a/lib/src/gateway/stages/release.rs
+++ b/lib/src/gateway/stages/release.rs
@@ -168,6 +168,11 @@
         let releases = gateway.state.borrow_mut().planning.take_releases();
         for (service, handles) in releases {
             for (address, handles) in by_address(handles) {
+                if is_resting(&gateway, &service, address) {
+                    let mut state = gateway.state.borrow_mut();
+                    state.planning.release(&service, handles);
+                    continue;
+                }
                 let gateway = gateway.clone();
                 let service = service.clone();
                 tokio::task::spawn_local(async move {
@@ -178,6 +183,13 @@
     }
 }
 
+/// Returns whether the endpoint of a service at an address wants nothing just now, so that releases wait.
+fn is_resting<D: Dialect>(gateway: &Gateway<D>, service: &ServiceId, address: SocketAddr) -> bool {
+    let endpoints = &gateway.state.borrow().endpoints;
+    let entry = endpoints.entry_at(service, address);
+    entry.is_some_and(|entry| endpoints.is_resting(&entry))
+}
+
 /// Groups results by the addresses of the endpoints that keep them; a handle without an address
 /// names no endpoint that could drop its result.
 fn by_address(handles: Vec<ResultHandle>) -> HashMap<SocketAddr, Vec<ResultHandle>> {
--- a/lib/tests/test_batch_queue.rs
+++ b/lib/tests/test_batch_queue.rs
@@ -489,3 +489,16 @@
     assert!(queue.plan(now + Millis(5)).is_empty());
     assert_eq!(queue.plan(now + Millis(11)).len(), 1);
 }
+
+/// Jobs that no endpoint can run before it has rested end at once; the others wait for it.
+#[test]
+fn endpoints_at_rest() {
+    let now = start();
+    let mut queue = queue(LIMITS, 0);
+    queue.set_rested(Some(now + Millis(9_900)));
+    queue.add(now, JobId(1), job("a", 1, now));
+    queue.add(now, JobId(2), job("b", 1, now + Millis(1_000)));
+    assert!(queue.plan(now).is_empty());
+    let ended: Vec<JobId> = queue.take_ended().iter().map(|ended| ended.id).collect();
+    assert_eq!(ended, [JobId(1)]);
+}
--- a/lib/tests/test_eligibility.rs
+++ b/lib/tests/test_eligibility.rs
@@ -107,7 +107,16 @@
         draining,
         evacuated,
         replaced,
+        resting: true,
     };
+    let resting = RequestStanding {
+        standing: standing(false, false, false),
+        away: false,
+        cold: true,
+        limited: true,
+        full: true,
+    };
+    assert_eq!(resting.exclusion(), Some(Exclusion::Resting));
     for (standing, reason) in [
         (
             RequestStanding {
--- a/lib/tests/test_endpoint_rest.rs
+++ b/lib/tests/test_endpoint_rest.rs
@@ -2,10 +2,19 @@
 
 use {
     hazelyoke_lib::{
-        gateway::{dialect::ReplyWait, rules::endpoint_rest::asked_rest},
-        shared::units::Millis,
+        gateway::{
+            dialect::ReplyWait,
+            directory::catalogue::EndpointEntry,
+            routing::endpoint_states::EndpointStates,
+            rules::{eligibility::Places, endpoint_rest::asked_rest},
+        },
+        shared::{
+            ids::ServiceId,
+            units::{Millis, Time},
+        },
     },
     http::StatusCode,
+    std::sync::Arc,
 };
 
 /// A refusal that names a time asks for rest; a time that can't be read, or is beyond reason, for a bounded one.
@@ -33,3 +42,66 @@
         assert_eq!(asked_rest(status, named(3_000)), None, "{status}");
     }
 }
+
+const START: Time = Time(10_000_000);
+
+fn after(ms: u64) -> Time {
+    START + Millis(ms)
+}
+
+fn entry(id: &str) -> EndpointEntry {
+    EndpointEntry {
+        id: id.parse().expect("an id"),
+        service: "s".parse().expect("a service"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "here".parse().expect("a data centre"),
+        slots: 4,
+        draining: false,
+        cold: Millis(0),
+        born: None,
+        revision: 10,
+    }
+}
+
+fn service() -> ServiceId {
+    "s".parse().expect("a service")
+}
+
+/// A later refusal that asks for less doesn't take back what was asked for before; one that asks for more counts.
+#[test]
+fn longest_counts() {
+    let mut states = EndpointStates::default();
+    let entry = entry("a");
+    states.upsert(START, Arc::new(entry.clone()));
+    assert!(states.record_rest(&entry, after(3_000)));
+    assert!(!states.record_rest(&entry, after(1_000)));
+    assert!(!states.end_rests(after(2_999)));
+    assert!(states.any_open(&service(), &Places::Anywhere).is_err());
+    assert!(!states.record_rest(&entry, after(4_000)));
+    assert!(!states.end_rests(after(3_999)));
+    assert!(states.end_rests(after(4_000)));
+    assert!(states.any_open(&service(), &Places::Anywhere).is_ok());
+    assert!(!states.end_rests(after(5_000)));
+}
+
+/// The first rest that ends is told where nobody else takes requests. A rest outlasts an entry that lapses.
+#[test]
+fn first_rested() {
+    let mut states = EndpointStates::default();
+    let entries = [entry("a"), entry("b"), entry("c")];
+    for entry in &entries {
+        states.upsert(START, Arc::new(entry.clone()));
+    }
+    let rested = |states: &EndpointStates| states.rest_end(&service(), &Places::Anywhere);
+    states.record_rest(&entries[0], after(3_000));
+    states.record_rest(&entries[1], after(2_000));
+    assert_eq!(rested(&states), None);
+    states.remove(&entries[2].id);
+    assert_eq!(rested(&states), Some(after(2_000)));
+    states.remove(&entries[1].id);
+    assert_eq!(rested(&states), Some(after(3_000)));
+    states.upsert(after(500), Arc::new(entries[1].clone()));
+    assert_eq!(rested(&states), Some(after(2_000)));
+    assert!(states.end_rests(after(2_000)));
+    assert_eq!(rested(&states), None);
+}
