directory: the era that it names is decoded, and a change of it logged

`Store-Era` is decoded at the edge and belongs to what a read returns; a daemon that reads another era than before logs `directory.restored` with the revision that it knew and the one now. Nothing else reads it yet.

--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -11,6 +11,7 @@
         directory::{
             catalogue::EndpointEntry,
             coverage::wait_for_duty,
+            revision::Era,
             source::{Directory, DirectoryError, Item, ItemKey, Items, ReadProgress, Topic},
         },
         rules::directory_reads::{
@@ -41,6 +42,7 @@
         directory,
         topic,
         since: None,
+        era: None,
         must_list: false,
         called: false,
         last_call: None,
@@ -69,6 +71,8 @@
     topic: Topic,
     /// Revision up to which all changes are known; nothing before the first list.
     since: Option<u64>,
+    /// Era of the last answer.
+    era: Option<Era>,
     /// History was gone, so that the topic has to be read whole whatever other daemons know: they may
     /// have missed the same change.
     must_list: bool,
@@ -203,6 +207,7 @@
         self.last_call = Some(LastCall::Answered);
         let whole = self.since.is_none();
         self.must_list = false;
+        self.note_era(&items);
         self.since = Some(items.revision);
         match self.topic {
             Topic::Operator => apply_operator(&self.gateway, &items, whole),
@@ -217,6 +222,15 @@
         }
     }
 
+    /// Logs that the directory is in another era than before.
+    fn note_era(&mut self, items: &Items) {
+        let before = self.era.replace(items.era);
+        if before.is_some_and(|before| before != items.era) {
+            let (era, since) = (items.era, self.since.unwrap_or_default());
+            log::warn!(topic:? = self.topic, era:%, since, revision = items.revision; "directory.restored");
+        }
+    }
+
     async fn back_off(&mut self, error: &DirectoryError, took: Duration) {
         let took_ms = took.as_millis() as u64;
         log::info!(topic:? = self.topic, took_ms, error:% = error; "directory.read_failed");
--- a/lib/src/gateway/directory/mod.rs
+++ b/lib/src/gateway/directory/mod.rs
@@ -16,4 +16,5 @@
 pub mod follow;
 pub(crate) mod outage;
 pub(crate) mod refused_entries;
+pub mod revision;
 pub mod source;
--- a/lib/src/gateway/directory/source.rs
+++ b/lib/src/gateway/directory/source.rs
@@ -2,7 +2,7 @@
 //! implements. It can only be read.
 
 use {
-    crate::shared::ids::DataCentreId,
+    crate::{gateway::directory::revision::Era, shared::ids::DataCentreId},
     bytes::Bytes,
     std::{
         future::{self, Future},
@@ -50,6 +50,8 @@
     pub items: Vec<Item>,
     /// Revision of the directory.
     pub revision: u64,
+    /// Its era.
+    pub era: Era,
 }
 
 /// Number of topics.
