--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -7,7 +7,8 @@
 use {
     crate::{
         gateway::{
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
+            revision::Revision,
             stages::job::{PieceEnd, PieceTask, ResultHandle},
             table::Table,
         },
@@ -261,5 +262,9 @@
     /// # Errors
     ///
     /// Returns what is wrong with it.
-    fn read_endpoint(id: &str, revision: u64, bytes: &[u8]) -> Result<EndpointEntry, FormError>;
+    fn read_endpoint(
+        id: &str,
+        revision: Revision,
+        bytes: &[u8],
+    ) -> Result<EndpointEntry, FormError>;
 }
--- a/lib/src/gateway/directory/adopt_table.rs
+++ b/lib/src/gateway/directory/adopt_table.rs
@@ -7,6 +7,7 @@
     crate::{
         gateway::{
             dialect::Dialect,
+            revision::Revision,
             state::{Gateway, PublishedTable},
             table::{Table, Version},
         },
@@ -82,7 +83,7 @@
     }
 
     /// Records that there is no table newer than the one in force up to a revision of the directory.
-    pub(crate) fn table_is_newest(&self, revision: u64) {
+    pub(crate) fn table_is_newest(&self, revision: Revision) {
         let mut state = self.state.borrow_mut();
         state.table_read = state.table_read.max(revision);
     }
--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -9,9 +9,11 @@
         gateway::{
             dialect::Dialect,
             directory::{
-                catalogue::{EndpointChange, EndpointChanges, EndpointEntry},
+                catalogue::EndpointChange,
+                endpoint_entry::{EndpointChanges, EndpointEntry, EndpointList},
                 source::Topic,
             },
+            revision::Revision,
             rules::suspect_entry::is_outage,
             state::{Gateway, GatewayState},
         },
@@ -23,6 +25,9 @@
 /// Source that the log names when an endpoint is removed because it was suspect for long enough.
 const SUSPECT_TIME_OVER: &str = "doubt over";
 
+/// Source that the log names when an endpoint is added because an entry that an older copy listed has lasted.
+const ENTRY_LASTS: &str = "entry lasts";
+
 impl GatewayState {
     /// Returns whether entries that vanish now may have lapsed although their endpoints live.
     fn is_outage(&self, now: Time) -> bool {
@@ -35,10 +40,11 @@
     pub fn upsert_endpoint(&self, entry: EndpointEntry, source: &str) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let change = state.catalogue.upsert(entry.clone());
-        let known = state.catalogue.get(&entry.id);
-        if known.is_some_and(|known| **known == entry) {
-            state.endpoints.upsert(now, Arc::new(entry));
+        let (id, revision) = (entry.id.clone(), entry.revision);
+        let change = state.catalogue.upsert(entry);
+        let known = state.catalogue.get(&id).cloned();
+        if let Some(known) = known.filter(|known| known.revision == revision) {
+            state.endpoints.upsert(now, known);
         }
         drop(state);
         if let Some(change) = change {
@@ -48,7 +54,13 @@
 
     /// Applies that an entry vanished at a revision; `suspect` says that the daemon that noticed it
     /// takes the endpoint for suspect.
-    pub fn remove_endpoint(&self, id: &EndpointId, revision: u64, suspect: bool, source: &str) {
+    pub fn remove_endpoint(
+        &self,
+        id: &EndpointId,
+        revision: Revision,
+        suspect: bool,
+        source: &str,
+    ) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let is_outage = suspect || state.is_outage(now);
@@ -61,6 +73,10 @@
 
     /// Applies the changes that a peer knows.
     pub fn apply_changes(&self, changes: EndpointChanges, source: &str) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.catalogue.begin_era(now, changes.revision);
+        drop(state);
         for entry in changes.entries {
             self.upsert_endpoint(entry, source);
         }
@@ -87,13 +103,13 @@
         self.sync_planning();
     }
 
-    /// Applies a whole list of endpoints as of a revision.
-    pub fn replace_endpoints(&self, revision: u64, list: Vec<EndpointEntry>, source: &str) {
+    /// Applies a whole list of endpoints.
+    pub fn replace_endpoints(&self, list: EndpointList, source: &str) {
+        let (revision, entries) = (list.revision, list.entries.len());
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let is_outage = state.is_outage(now);
-        let entries = list.len();
-        let changes = state.catalogue.replace(now, revision, list, is_outage);
+        let changes = state.catalogue.replace(now, list, is_outage);
         let is_first = !state.has_list;
         let GatewayState {
             catalogue,
@@ -109,7 +125,7 @@
         }
         state.has_list = true;
         drop(state);
-        log::info!(revision, entries, changes = changes.len(), source; "endpoints.listed");
+        log::info!(revision:%, entries, changes = changes.len(), source; "endpoints.listed");
         if is_first {
             // Others choose a coordinator among those that are ready.
             self.announcement.notify_one();
@@ -131,20 +147,37 @@
         for change in changes {
             self.apply_change(&change, SUSPECT_TIME_OVER);
         }
+        self.readmit_endpoints(now);
+        self.expire_held_orders();
         if self.state.borrow_mut().endpoints.reopen_replaced(now) {
             self.sync_planning();
         }
         self.end_rests();
     }
 
+    /// Adds endpoints that had departed and whose entries have lasted since the directory came back from an older copy.
+    fn readmit_endpoints(&self, now: Time) {
+        let mut state = self.state.borrow_mut();
+        let changes = state.catalogue.readmit(now);
+        for change in &changes {
+            if let EndpointChange::Added(entry) = change {
+                state.endpoints.upsert(now, entry.clone());
+            }
+        }
+        drop(state);
+        for change in changes {
+            self.apply_change(&change, ENTRY_LASTS);
+        }
+    }
+
     /// Records that all changes up to a revision were applied.
-    pub fn advance_revision(&self, revision: u64) {
+    pub fn advance_revision(&self, revision: Revision) {
         self.state.borrow_mut().catalogue.advance_to(revision);
     }
 
     /// Returns the revision from which on changes of a topic are to be read, as far as peers have
     /// brought this daemon.
-    pub fn known_revision(&self, topic: Topic) -> u64 {
+    pub fn known_revision(&self, topic: Topic) -> Revision {
         match topic {
             Topic::Operator => self.state.borrow().operator_until(),
             Topic::Endpoints => self.state.borrow().catalogue.revision(),
@@ -172,7 +205,7 @@
         endpoint:% = entry.id,
         service:% = entry.service,
         address:% = entry.address,
-        revision = entry.revision,
+        revision:% = entry.revision,
         source;
         "{event}"
     );
--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -6,105 +6,24 @@
 
 use {
     crate::{
-        gateway::{directory::change_log::ChangeLog, rules::suspect_entry::is_suspect},
+        gateway::{
+            directory::{
+                change_log::ChangeLog,
+                departed::Departed,
+                endpoint_entry::{EndpointChanges, EndpointEntry, EndpointList, GoneEndpoint},
+            },
+            revision::Revision,
+            rules::suspect_entry::is_suspect,
+        },
         shared::{
-            ids::{DataCentreId, EndpointId, ServiceId},
+            ids::EndpointId,
             units::{Millis, Time},
         },
     },
     foldhash::{HashMap, HashSet},
-    serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc},
+    std::sync::Arc,
 };
 
-/// When an endpoint started, as it states it itself: Unix time in milliseconds. Two starts under one id
-/// differ in it; the later one has the larger value.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Born(pub u64);
-
-/// One life of an endpoint: from one start of its process to the next.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct EndpointLife {
-    /// The endpoint.
-    pub id: EndpointId,
-    /// Its start; nothing where endpoints don't state it, and have a new id at each start.
-    pub born: Option<Born>,
-}
-
-/// One endpoint as the directory publishes it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointEntry {
-    /// Its id.
-    pub id: EndpointId,
-    /// Its service.
-    pub service: ServiceId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Data centre it stands in.
-    pub data_centre: DataCentreId,
-    /// Requests that it runs at the same time.
-    pub slots: u32,
-    /// It announced that it is leaving.
-    pub draining: bool,
-    /// Time for which it was still cold when the entry was written: it holds nothing, is slow, and bears few
-    /// requests a second.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    pub cold: Millis,
-    /// Its start.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub born: Option<Born>,
-    /// Revision of the entry in the directory.
-    pub revision: u64,
-}
-
-fn is_zero(time: &Millis) -> bool {
-    time.0 == 0
-}
-
-impl EndpointEntry {
-    /// Returns the life that the entry is about.
-    pub fn life(&self) -> EndpointLife {
-        EndpointLife {
-            id: self.id.clone(),
-            born: self.born,
-        }
-    }
-
-    /// Returns whether this entry stands against another one of the same endpoint: it is of a later life, or
-    /// of the same one and not older. What an earlier life wrote last may arrive after the first entry of the
-    /// next one, with a later revision.
-    pub fn supersedes(&self, other: &Self) -> bool {
-        match (self.born, other.born) {
-            (Some(mine), Some(theirs)) if mine != theirs => mine > theirs,
-            _ => self.revision >= other.revision,
-        }
-    }
-}
-
-/// Changes of the list of endpoints after a revision, as daemons exchange them.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointChanges {
-    /// Revision of the last change.
-    pub revision: u64,
-    /// Entries that are new or changed.
-    pub entries: Vec<EndpointEntry>,
-    /// Entries that vanished.
-    pub gone: Vec<GoneEndpoint>,
-}
-
-/// An entry that vanished from the directory.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GoneEndpoint {
-    /// The endpoint.
-    pub id: EndpointId,
-    /// Revision at which it vanished.
-    pub revision: u64,
-    /// Its entry may have lapsed although the endpoint lives; daemons exchange it as `doubted`.
-    #[serde(rename = "doubted")]
-    pub suspect: bool,
-}
-
 /// A change that a catalogue has applied.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointChange {
@@ -132,12 +51,16 @@
 pub struct Catalogue {
     /// Time for which suspect endpoints are used.
     suspect_time: Millis,
+    /// Time after which the entry of an endpoint that doesn't write it any more has lapsed for certain.
+    lapse_time: Millis,
     /// Revision up to which all changes were applied.
-    revision: u64,
+    revision: Revision,
     log: ChangeLog,
     entries: HashMap<EndpointId, Arc<EndpointEntry>>,
     /// Endpoints without an entry that may yet be alive, with the time until which they are used.
     suspects: HashMap<EndpointId, Time>,
+    /// Endpoints whose entries vanished for good.
+    departed: Departed,
 }
 
 impl Catalogue {
@@ -146,10 +69,12 @@
     pub fn new(suspect_time: Millis) -> Self {
         Self {
             suspect_time,
-            revision: 0,
+            lapse_time: suspect_time,
+            revision: Revision::default(),
             log: ChangeLog::default(),
             entries: HashMap::default(),
             suspects: HashMap::default(),
+            departed: Departed::default(),
         }
     }
 
@@ -158,19 +83,24 @@
         self.suspect_time = time;
     }
 
+    /// Sets the time after which the entry of an endpoint that doesn't write it any more has lapsed for certain.
+    pub fn set_lapse_time(&mut self, time: Millis) {
+        self.lapse_time = time;
+    }
+
     /// Returns the revision up to which all changes were applied.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
     /// Returns the revision of the last change of an endpoint, which others are told: a list that only counts as newer
     /// would be fetched by everybody.
-    pub fn changed(&self) -> u64 {
+    pub fn changed(&self) -> Revision {
         self.log.last()
     }
 
     /// Returns the changes after a revision; nothing if too many were forgotten since.
-    pub fn changes_since(&self, revision: u64) -> Option<EndpointChanges> {
+    pub fn changes_since(&self, revision: Revision) -> Option<EndpointChanges> {
         let mut entries = Vec::new();
         let mut gone = Vec::new();
         for (id, revision) in self.log.since(revision)? {
@@ -185,7 +115,7 @@
             }
         }
         Some(EndpointChanges {
-            revision: self.log.last(),
+            revision: self.log.complete_to(),
             entries,
             gone,
         })
@@ -201,6 +131,16 @@
         self.entries.get(id)
     }
 
+    /// Returns the list as other daemons are told it.
+    pub fn list(&self) -> EndpointList {
+        let entries = self.entries.values();
+        EndpointList {
+            revision: self.revision,
+            entries: entries.map(|entry| (**entry).clone()).collect(),
+            suspects: self.suspects.keys().cloned().collect(),
+        }
+    }
+
     /// Returns the number of endpoints without an entry that are still used.
     pub fn suspects(&self) -> usize {
         self.suspects.len()
@@ -211,6 +151,7 @@
         if self.is_removed(&entry) {
             return None;
         }
+        let entry = self.departed.hold(entry)?;
         self.apply(entry)
     }
 
@@ -222,33 +163,50 @@
 
     fn apply(&mut self, entry: EndpointEntry) -> Option<EndpointChange> {
         let old = self.entries.get(&entry.id).cloned();
-        if old.as_ref().is_none_or(|old| old.revision < entry.revision) {
+        if old.as_ref().is_none_or(|old| is_change(old, &entry)) {
             let entries = self.entries.len();
             self.log.record(entry.revision, &entry.id, entries);
         }
         if old.as_ref().is_some_and(|old| !entry.supersedes(old)) {
             return None;
         }
-        let entry = Arc::new(entry);
+        let entry = Arc::new(match &old {
+            Some(old) => after(old, entry),
+            None => entry,
+        });
         self.suspects.remove(&entry.id);
         self.entries.insert(entry.id.clone(), entry.clone());
         match old {
-            None => Some(EndpointChange::Added(entry)),
+            None => {
+                self.departed.forget(&entry.id);
+                Some(EndpointChange::Added(entry))
+            }
             Some(old) if old.born != entry.born => Some(EndpointChange::Restarted(entry)),
             Some(old) if entry.draining && !old.draining => Some(EndpointChange::Draining(entry)),
             Some(_) => None,
         }
     }
 
+    /// Prepares for what is known as of a revision, if that is of a later era: an endpoint that had departed counts as back
+    /// only if its entry lasts. Returns whether it is.
+    pub fn begin_era(&mut self, now: Time, revision: Revision) -> bool {
+        let is_later = !self.log.is_unstarted() && revision.era > self.revision.era;
+        if is_later {
+            self.departed.hold_all(now + self.lapse_time, revision);
+        }
+        is_later
+    }
+
     /// Records that an entry vanished at `revision`; in an outage of the directory it may have lapsed
     /// although its endpoint lives.
     pub fn remove(
         &mut self,
         now: Time,
         id: &EndpointId,
-        revision: u64,
+        revision: Revision,
         is_outage: bool,
     ) -> Option<EndpointChange> {
+        self.departed.end_hold(id);
         let known = self.entries.get(id);
         if known.is_some_and(|entry| entry.revision > revision) {
             return None;
@@ -268,24 +226,45 @@
         }
         self.suspects.remove(id);
         self.entries.remove(id);
+        if !is_outage || entry.draining {
+            self.departed.record(id);
+        }
         Some(EndpointChange::Gone(entry))
     }
 
     /// Records that all changes up to a revision were applied.
-    pub fn advance_to(&mut self, revision: u64) {
+    pub fn advance_to(&mut self, revision: Revision) {
+        if revision.era > self.revision.era && !self.log.is_unstarted() {
+            // Others may know more of the earlier era than what this daemon came from.
+            self.log.skip(self.revision, revision);
+        }
         self.revision = self.revision.max(revision);
     }
 
     /// Applies a whole list as of `revision`: entries that it lacks have vanished, unless they are newer
     /// than the list. One that is older than what is known adds no endpoint that was removed since.
+    ///
+    /// In the first list of a later era, which comes from an older copy, what is missing may only not have been written
+    /// again yet.
+    ///
+    /// Suspects of another daemon are suspects here as well; one that this daemon has already seen vanish isn't used again.
     pub fn replace(
         &mut self,
         now: Time,
-        revision: u64,
-        list: Vec<EndpointEntry>,
+        list: EndpointList,
         is_outage: bool,
     ) -> Vec<EndpointChange> {
-        let listed: HashSet<EndpointId> = list.iter().map(|entry| entry.id.clone()).collect();
+        let EndpointList {
+            revision,
+            entries,
+            suspects,
+        } = list;
+        let is_first = self.log.is_unstarted();
+        let suspects: HashSet<EndpointId> = suspects.into_iter().collect();
+        let is_outage = self.begin_era(now, revision) || is_outage;
+        let ids = entries.iter().map(|entry| &entry.id);
+        let listed = ids.filter(|id| !suspects.contains(id));
+        let listed: HashSet<EndpointId> = listed.cloned().collect();
         let missing: Vec<EndpointId> = self
             .entries
             .values()
@@ -294,24 +273,40 @@
             .collect();
         let is_older = revision < self.revision;
         let mut changes = Vec::new();
-        for entry in list {
-            if !(is_older && self.is_removed(&entry)) {
+        for entry in entries {
+            let is_gone = is_older && self.is_removed(&entry);
+            if is_gone || (suspects.contains(&entry.id) && !is_first) {
+                continue;
+            }
+            if let Some(entry) = self.departed.hold(entry) {
                 changes.extend(self.apply(entry));
             }
         }
+        self.departed.retain_listed(&listed);
         for id in &missing {
             self.log.record(revision, id, self.entries.len());
-            changes.extend(self.vanish(now, id, is_outage));
+            changes.extend(self.vanish(now, id, is_outage || suspects.contains(id)));
+        }
+        if is_first {
+            let suspects = suspects.iter();
+            changes.extend(suspects.filter_map(|id| self.vanish(now, id, true)));
         }
         if self.log.is_unstarted() {
             self.log.start(revision);
         } else {
             self.log.skip(self.revision, revision);
         }
-        self.advance_to(revision);
+        self.revision = self.revision.max(revision);
         changes
     }
 
+    /// Adds the endpoints that had departed and whose entries have lasted in a later era.
+    pub fn readmit(&mut self, now: Time) -> Vec<EndpointChange> {
+        let lasting = self.departed.take_lasting(now);
+        let changes = lasting.into_iter().filter_map(|entry| self.apply(entry));
+        changes.collect()
+    }
+
     /// Removes the suspect endpoints whose time is over.
     pub fn expire_suspects(&mut self, now: Time) -> Vec<EndpointChange> {
         let due: Vec<EndpointId> = self
@@ -320,9 +315,13 @@
             .filter(|(_, until)| **until <= now)
             .map(|(id, _)| id.clone())
             .collect();
-        due.iter()
-            .filter_map(|id| self.vanish(now, id, false))
-            .collect()
+        due.iter().filter_map(|id| self.expire(id)).collect()
+    }
+
+    fn expire(&mut self, id: &EndpointId) -> Option<EndpointChange> {
+        self.suspects.remove(id);
+        let entry = self.entries.remove(id)?;
+        Some(EndpointChange::Gone(entry))
     }
 
     /// Starts the time of all suspects anew, since their entries can't be written while the directory
@@ -334,3 +333,19 @@
         }
     }
 }
+
+/// Returns whether an entry is a change to another one of the same endpoint. One that only has another revision in a later
+/// era isn't: it was written before.
+fn is_change(old: &EndpointEntry, entry: &EndpointEntry) -> bool {
+    let is_same = entry.revision.era > old.revision.era && entry.says_same(old);
+    old.revision < entry.revision && !is_same
+}
+
+/// Returns the entry that follows another one of the same endpoint. One that leaves doesn't stay after all in the same life;
+/// an older copy of the directory may say so.
+fn after(old: &EndpointEntry, entry: EndpointEntry) -> EndpointEntry {
+    EndpointEntry {
+        draining: entry.draining || (old.draining && old.born == entry.born),
+        ..entry
+    }
+}
--- a/lib/src/gateway/directory/change_log.rs
+++ b/lib/src/gateway/directory/change_log.rs
@@ -2,7 +2,11 @@
 //!
 //! Owns the order of changes, and the spans of revisions of which some may be missing.
 
-use {crate::shared::ids::EndpointId, foldhash::HashMap, std::collections::VecDeque};
+use {
+    crate::{gateway::revision::Revision, shared::ids::EndpointId},
+    foldhash::HashMap,
+    std::collections::VecDeque,
+};
 
 /// Changes that are remembered of a short list; of a longer one, as many as it has entries: who lacks more is sent the
 /// whole list, which is then no longer than its changes.
@@ -12,7 +16,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Change {
     /// Revision of the directory.
-    revision: u64,
+    revision: Revision,
     id: EndpointId,
 }
 
@@ -23,8 +27,8 @@
 /// endpoint that came and went unseen here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Gap {
-    from: u64,
-    to: u64,
+    from: Revision,
+    to: Revision,
 }
 
 /// Changes in the order in which they were recorded.
@@ -32,9 +36,9 @@
 pub(crate) struct ChangeLog {
     changes: VecDeque<Change>,
     /// Revision of the last change.
-    last: u64,
+    last: Revision,
     /// Revision after which no change is missing; the largest number before the first list.
-    complete_from: u64,
+    complete_from: Revision,
     gaps: VecDeque<Gap>,
 }
 
@@ -42,8 +46,8 @@
     fn default() -> Self {
         Self {
             changes: VecDeque::new(),
-            last: 0,
-            complete_from: u64::MAX,
+            last: Revision::default(),
+            complete_from: Revision::MAX,
             gaps: VecDeque::new(),
         }
     }
@@ -51,12 +55,18 @@
 
 impl ChangeLog {
     /// Returns the revision of the last change.
-    pub(crate) fn last(&self) -> u64 {
+    pub(crate) fn last(&self) -> Revision {
         self.last
     }
 
+    /// Returns the revision up to which the changes are complete.
+    pub(crate) fn complete_to(&self) -> Revision {
+        let gap = self.gaps.back().map(|gap| gap.to);
+        self.last.max(gap.unwrap_or_default())
+    }
+
     /// Records a change of a list of so many entries; the oldest ones are forgotten when there are too many.
-    pub(crate) fn record(&mut self, revision: u64, id: &EndpointId, entries: usize) {
+    pub(crate) fn record(&mut self, revision: Revision, id: &EndpointId, entries: usize) {
         self.last = self.last.max(revision);
         self.changes.push_back(Change {
             revision,
@@ -72,20 +82,22 @@
 
     /// Starts from the first whole list, as of `revision`. The revisions at which entries vanished before aren't known,
     /// so that only later changes are.
-    pub(crate) fn start(&mut self, revision: u64) {
+    pub(crate) fn start(&mut self, revision: Revision) {
         self.complete_from = revision;
     }
 
     /// Returns whether there was no whole list yet.
     pub(crate) fn is_unstarted(&self) -> bool {
-        self.complete_from == u64::MAX
+        self.complete_from == Revision::MAX
     }
 
     /// Records that a whole list brought the changes between two revisions.
-    pub(crate) fn skip(&mut self, from: u64, to: u64) {
-        if to <= from + 1 {
+    pub(crate) fn skip(&mut self, from: Revision, to: Revision) {
+        if to.follows(from) {
             return;
         }
+        // Others are to learn of a later era even where nothing has changed with it.
+        self.last = self.last.max(Revision::new(to.era, 0));
         self.gaps.push_back(Gap { from, to });
         if self.gaps.len() > GAPS_KEPT
             && let Some(forgotten) = self.gaps.pop_front()
@@ -94,14 +106,14 @@
         }
     }
 
-    fn is_in_gap(&self, revision: u64) -> bool {
+    fn is_in_gap(&self, revision: Revision) -> bool {
         let mut gaps = self.gaps.iter();
         gaps.any(|gap| gap.from < revision && revision < gap.to)
     }
 
     /// Returns the revision of the last change of each endpoint that changed after `revision`;
     /// nothing if changes since then may be missing.
-    pub(crate) fn since(&self, revision: u64) -> Option<HashMap<&EndpointId, u64>> {
+    pub(crate) fn since(&self, revision: Revision) -> Option<HashMap<&EndpointId, Revision>> {
         if revision < self.complete_from || self.is_in_gap(revision) {
             return None;
         }
--- a/lib/src/gateway/directory/evacuate.rs
+++ b/lib/src/gateway/directory/evacuate.rs
@@ -4,18 +4,24 @@
 //! is the rule [`eligibility`](crate::gateway::rules::eligibility).
 
 use {
-    crate::gateway::{
-        dialect::Dialect,
-        directory::{
-            evacuations::{EvacuationOrder, Evacuations},
-            source::{Item, ItemKey, Items},
+    crate::{
+        gateway::{
+            dialect::Dialect,
+            directory::{
+                evacuations::{EvacuationOrder, Evacuations},
+                source::{Item, ItemKey, Items},
+            },
+            hashes::{DataCentreHash, data_centre_hash},
+            state::{Gateway, GatewayState},
         },
-        hashes::{DataCentreHash, data_centre_hash},
-        state::{Gateway, GatewayState},
+        shared::units::Millis,
     },
     std::{collections::BTreeSet, fmt::Display},
 };
 
+/// Time for which an order stands that a directory lacks which came back from an older copy. Operators write it again.
+const REWRITING: Millis = Millis(10_000);
+
 impl GatewayState {
     /// Returns the name of a data centre, as the endpoints there give it; its hash where there is none.
     pub(crate) fn data_centre_name(&self, hash: DataCentreHash) -> String {
@@ -47,6 +53,23 @@
         self.set_evacuations(merged, source);
     }
 
+    /// Drops orders of an earlier era of the directory that weren't written again in time.
+    pub(crate) fn expire_held_orders(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if !state.evacuations.has_held() {
+            state.held_orders = None;
+            return;
+        }
+        let since = *state.held_orders.get_or_insert(now);
+        if now.since(since) < REWRITING.to_duration() {
+            return;
+        }
+        let left = state.evacuations.clone().without_held();
+        drop(state);
+        self.set_evacuations(left, "not written again");
+    }
+
     fn set_evacuations(&self, next: Evacuations, source: impl Display) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
@@ -60,11 +83,11 @@
         let before = state.endpoints.set_evacuated(now, after.clone());
         for place in after.difference(&before) {
             let name = state.data_centre_name(*place);
-            log::warn!(data_centre = name.as_str(), revision = until, source:%; "evacuation.began");
+            log::warn!(data_centre = name.as_str(), revision:% = until, source:%; "evacuation.began");
         }
         for place in before.difference(&after) {
             let name = state.data_centre_name(*place);
-            log::warn!(data_centre = name.as_str(), revision = until, source:%; "evacuation.ended");
+            log::warn!(data_centre = name.as_str(), revision:% = until, source:%; "evacuation.ended");
         }
         drop(state);
         self.metrics.evacuated(after.len());
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -9,11 +9,11 @@
     crate::gateway::{
         dialect::{Dialect, FormError},
         directory::{
-            catalogue::EndpointEntry,
             coverage::wait_for_duty,
-            revision::Era,
+            endpoint_entry::{EndpointEntry, EndpointList},
             source::{Directory, DirectoryError, Item, ItemKey, Items, ReadProgress, Topic},
         },
+        revision::{Era, Revision},
         rules::directory_reads::{
             AnswerLimit, Backoff, COVER_CHECK, LastCall, PAGES_EACH, PAUSE_PARTS, ReadDuty,
             pause_after_answer, topic_wait,
@@ -42,8 +42,8 @@
         directory,
         topic,
         since: None,
-        era: None,
         must_list: false,
+        era: Era::default(),
         called: false,
         last_call: None,
         in_turn: false,
@@ -52,6 +52,7 @@
     };
     loop {
         let wait = follower.wait_for_turn().await;
+        follower.look_for_era();
         let began = follower.gateway.now();
         let read = follower.read(wait).await;
         follower.end_read();
@@ -70,12 +71,12 @@
     directory: Rc<S>,
     topic: Topic,
     /// Revision up to which all changes are known; nothing before the first list.
-    since: Option<u64>,
-    /// Era of the last answer.
-    era: Option<Era>,
+    since: Option<Revision>,
     /// History was gone, so that the topic has to be read whole whatever other daemons know: they may
     /// have missed the same change.
     must_list: bool,
+    /// Latest era for which it was looked whether the directory has begun it.
+    era: Era,
     /// A call was made: the first one of a process waits for nobody.
     called: bool,
     /// What the last call came to; nothing before the first one has ended.
@@ -117,7 +118,7 @@
     /// again, which takes 1 s of a link of 10 Mbit/s for a table of 0.96 MB.
     fn skip_known_table(&mut self) {
         let known = self.gateway.known_revision(self.topic);
-        if self.topic == Topic::Operator && known > 0 && !self.must_list {
+        if self.topic == Topic::Operator && known > Revision::default() && !self.must_list {
             self.since = Some(self.since.map_or(known, |since| known.max(since)));
         }
     }
@@ -139,7 +140,7 @@
     /// Ends when a call isn't worth waiting for: another daemon has brought a table, which is probably
     /// what the call would return; or the directory has answered for the table again, while the
     /// connection of a call for endpoints, made while it was silent, may stay silent. A table on its way
-    /// isn't given up for that. And when others read for this daemon again.
+    /// isn't given up for that. And when others read for this daemon again, or the directory has begun another era.
     async fn superseded(&self) {
         let superseded = match self.topic {
             Topic::Operator => &self.gateway.table_changed,
@@ -148,6 +149,7 @@
         tokio::select! {
             () = superseded.notified() => {}
             () = self.relieved() => {}
+            () = self.heard_of_era() => {}
         }
     }
 
@@ -186,12 +188,18 @@
 
     /// Applies what a call returned after a time, and pauses until the next one is due.
     async fn apply(&mut self, read: Result<Items, DirectoryError>, took: Duration) {
-        match read {
+        match read.and_then(|items| self.check_era(items)) {
             Ok(items) => self.apply_items(items).await,
             Err(DirectoryError::Compacted) => {
                 log::info!(topic:? = self.topic; "directory.compacted");
-                self.must_list = true;
-                self.since = None;
+                self.list_anew();
+            }
+            Err(DirectoryError::Restored { era, revision }) => {
+                let since = self.since.unwrap_or_default();
+                log::warn!(topic:? = self.topic, era:%, since:%, revision:%; "directory.restored");
+                self.era = self.era.max(era);
+                self.gateway.hear_era(era);
+                self.list_anew();
             }
             Err(DirectoryError::Left) => {
                 log::info!(topic:? = self.topic; "directory.left");
@@ -207,8 +215,8 @@
         self.last_call = Some(LastCall::Answered);
         let whole = self.since.is_none();
         self.must_list = false;
-        self.note_era(&items);
         self.since = Some(items.revision);
+        self.gateway.hear_era(items.revision.era);
         match self.topic {
             Topic::Operator => apply_operator(&self.gateway, &items, whole),
             Topic::Endpoints if whole => apply_list(&self.gateway, &items),
@@ -222,15 +230,72 @@
         }
     }
 
-    /// Logs that the directory is in another era than before.
-    fn note_era(&mut self, items: &Items) {
-        let before = self.era.replace(items.era);
-        if before.is_some_and(|before| before != items.era) {
-            let (era, since) = (items.era, self.since.unwrap_or_default());
-            log::warn!(topic:? = self.topic, era:%, since, revision = items.revision; "directory.restored");
+    /// Reads the topic whole if this daemon has heard of a later era than that of its place: changes since then are of no
+    /// use. It does so once for each era.
+    fn look_for_era(&mut self) {
+        let heard = self.gateway.state.borrow().era;
+        if let Some(since) = self.since
+            && heard > since.era.max(self.era)
+        {
+            log::warn!(topic:? = self.topic, era:% = heard, since:%; "directory.restored");
+            self.list_anew();
+        }
+        self.era = self.era.max(heard);
+    }
+
+    /// Ends when this daemon hears of a later era than that of its place.
+    async fn heard_of_era(&self) {
+        loop {
+            let restored = self.gateway.restored.notified();
+            let heard = self.gateway.state.borrow().era;
+            if self
+                .since
+                .is_some_and(|since| heard > since.era.max(self.era))
+            {
+                return;
+            }
+            restored.await;
         }
     }
 
+    fn list_anew(&mut self) {
+        self.must_list = true;
+        self.since = None;
+    }
+
+    /// Returns the items if they continue what is known. One without an era is of the era that is known.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the directory came back from an older copy if they are changes in a later era: those before are
+    /// missing. An answer of an earlier era is out of date.
+    fn check_era(&self, items: Items) -> Result<Items, DirectoryError> {
+        let known = self.known_era();
+        let Revision { era, .. } = items.revision;
+        if era.is_unnamed() {
+            return Ok(items.in_era(known));
+        }
+        if era < known {
+            let reason = format!("an answer of era {era} after era {known}");
+            return Err(DirectoryError::Refused(reason));
+        }
+        match self.since {
+            Some(since) if era > since.era => Err(DirectoryError::Restored {
+                era,
+                revision: items.revision,
+            }),
+            _ => Ok(items),
+        }
+    }
+
+    /// Returns the latest era that this daemon knows of.
+    fn known_era(&self) -> Era {
+        let topics = [Topic::Operator, Topic::Endpoints];
+        let known = topics.map(|topic| self.gateway.known_revision(topic).era);
+        let own = self.since.unwrap_or_default().era;
+        known.into_iter().max().unwrap_or_default().max(own)
+    }
+
     async fn back_off(&mut self, error: &DirectoryError, took: Duration) {
         let took_ms = took.as_millis() as u64;
         log::info!(topic:? = self.topic, took_ms, error:% = error; "directory.read_failed");
@@ -301,7 +366,12 @@
         .items
         .iter()
         .filter_map(|item| read_entry(gateway, item));
-    gateway.replace_endpoints(items.revision, entries.collect(), SOURCE);
+    let list = EndpointList {
+        revision: items.revision,
+        entries: entries.collect(),
+        suspects: Vec::new(),
+    };
+    gateway.replace_endpoints(list, SOURCE);
 }
 
 fn apply_changes<D: Dialect>(gateway: &Gateway<D>, items: &Items) {
@@ -344,7 +414,12 @@
 }
 
 /// Logs and counts an entry that can't be read, if it wasn't before.
-fn refuse_entry<D: Dialect>(gateway: &Gateway<D>, name: &str, revision: u64, error: &FormError) {
+fn refuse_entry<D: Dialect>(
+    gateway: &Gateway<D>,
+    name: &str,
+    revision: Revision,
+    error: &FormError,
+) {
     let is_new = gateway.state.borrow_mut().refused.record(name, revision);
     if !is_new {
         return;
@@ -352,7 +427,7 @@
     gateway.metrics.entry_refused();
     let endpoint = shortened(name);
     let error = shortened(&error.to_string());
-    log::error!(endpoint, revision, error; "endpoint.refused");
+    log::error!(endpoint, revision:%, error; "endpoint.refused");
 }
 
 /// Returns the beginning of a text.
--- a/lib/src/gateway/directory/outage.rs
+++ b/lib/src/gateway/directory/outage.rs
@@ -3,7 +3,7 @@
 //!
 //! Relies on [`DirectoryContact`](super::contact::DirectoryContact), which holds the times.
 
-use crate::gateway::{dialect::Dialect, directory::source::Topic, state::Gateway};
+use crate::gateway::{dialect::Dialect, directory::source::Topic, revision::Era, state::Gateway};
 
 impl<D: Dialect> Gateway<D> {
     /// Records that the directory answered for a topic.
@@ -46,6 +46,19 @@
         }
     }
 
+    /// Records that the directory is in an era. Others that wait for changes of an earlier one would hear of it only when
+    /// their calls end.
+    pub(crate) fn hear_era(&self, era: Era) {
+        let mut state = self.state.borrow_mut();
+        if era <= state.era {
+            return;
+        }
+        state.era = era;
+        drop(state);
+        self.restored.notify_waiters();
+        self.announcement.notify_one();
+    }
+
     /// Returns whether the directory has answered this daemon without a failure for a while, and no
     /// entry is suspect any more.
     pub fn is_directory_steady(&self) -> bool {
--- a/lib/src/gateway/directory/source.rs
+++ b/lib/src/gateway/directory/source.rs
@@ -2,7 +2,10 @@
 //! implements. It can only be read.
 
 use {
-    crate::{gateway::directory::revision::Era, shared::ids::DataCentreId},
+    crate::{
+        gateway::revision::{Era, Revision},
+        shared::ids::DataCentreId,
+    },
     bytes::Bytes,
     std::{
         future::{self, Future},
@@ -38,7 +41,7 @@
     /// What it is about.
     pub key: ItemKey,
     /// Revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// The value; nothing if it was removed, and empty if the directory sent something that isn't one.
     pub value: Option<Bytes>,
 }
@@ -49,9 +52,19 @@
     /// The items.
     pub items: Vec<Item>,
     /// Revision of the directory.
-    pub revision: u64,
-    /// Its era.
-    pub era: Era,
+    pub revision: Revision,
+}
+
+impl Items {
+    /// Returns the items as those of another era.
+    #[must_use]
+    pub fn in_era(mut self, era: Era) -> Self {
+        self.revision.era = era;
+        for item in &mut self.items {
+            item.revision.era = era;
+        }
+        self
+    }
 }
 
 /// Number of topics.
@@ -63,6 +76,14 @@
     /// The changes asked for are no longer kept; the topic has to be read whole again.
     #[error("the changes since then are no longer kept")]
     Compacted,
+    /// The directory came back from an older copy of itself, so that changes are missing; the topic has to be read whole.
+    #[error("the directory came back from an older copy, era {era}, revision {revision}")]
+    Restored {
+        /// The era that began with it.
+        era: Era,
+        /// Its revision now.
+        revision: Revision,
+    },
     /// The directory answered that it can't serve the request now.
     #[error("the directory refused: {0}")]
     Refused(String),
@@ -119,7 +140,7 @@
     fn changes(
         &self,
         topic: Topic,
-        since: u64,
+        since: Revision,
         wait: Duration,
         limit: Duration,
         progress: &impl ReadProgress,
--- a/lib/src/gateway/hashes.rs
+++ b/lib/src/gateway/hashes.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        gateway::directory::catalogue::EndpointEntry,
+        gateway::directory::endpoint_entry::EndpointEntry,
         shared::ids::{DataCentreId, EndpointId, ServiceId},
     },
     serde::{Deserialize, Serialize},
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod quarantine;
 pub mod rates;
 pub mod request_digest;
+pub mod revision;
 pub mod routing;
 pub mod rules;
 pub mod serving;
--- a/lib/src/gateway/peers/catch_up.rs
+++ b/lib/src/gateway/peers/catch_up.rs
@@ -57,14 +57,12 @@
     };
     let request = match newer.fetch {
         ListFetch::Whole => LinkRequest::Endpoints,
-        ListFetch::Changes(known) => LinkRequest::Changes(known),
+        ListFetch::Changes(known) => LinkRequest::changes(known),
     };
     let source = format!("peer {}", newer.peer);
     note_asked(gateway);
     match fetch(gateway, newer.peer, request).await {
-        Some(LinkReply::Endpoints { revision, entries }) => {
-            gateway.replace_endpoints(revision, entries, &source);
-        }
+        Some(LinkReply::Endpoints(list)) => gateway.replace_endpoints(list, &source),
         Some(LinkReply::Changes(changes)) => gateway.apply_changes(changes, &source),
         // A peer that can't answer is asked again, or another one, with the next heartbeat.
         _ => return,
--- a/lib/src/gateway/peers/link_server.rs
+++ b/lib/src/gateway/peers/link_server.rs
@@ -13,6 +13,7 @@
             },
             message::{Frame, JobOrder, LinkReply, LinkRequest, Phase, decode, encode},
         },
+        revision::Revision,
         state::Gateway,
         table_parts::{PartHash, PartList},
         wire::listen::accept_each,
@@ -132,7 +133,8 @@
         LinkRequest::PartList => part_list(gateway),
         LinkRequest::Parts(wanted) => parts(gateway, wanted),
         LinkRequest::Endpoints => endpoints(gateway),
-        LinkRequest::Changes(revision) => changes(gateway, revision),
+        LinkRequest::Changes(number) => changes(gateway, number.into()),
+        LinkRequest::ChangesInEra(era, number) => changes(gateway, Revision::new(era, number)),
         LinkRequest::Job(order) => run_job(gateway, order).await,
         LinkRequest::Release(service, handles) => {
             gateway
@@ -161,10 +163,12 @@
     let Some(published) = gateway.published() else {
         return LinkReply::Unable;
     };
+    let Revision { era, number } = gateway.state.borrow().table_until();
     LinkReply::PartList(PartList {
         version: published.table.version,
         fingerprint: published.fingerprint,
-        revision: gateway.state.borrow().table_until(),
+        revision: number,
+        era,
         marks: published.parts().marks().to_vec(),
     })
 }
@@ -199,15 +203,11 @@
     if !state.has_list {
         return LinkReply::Unable;
     }
-    let entries = state.catalogue.entries();
-    LinkReply::Endpoints {
-        revision: state.catalogue.revision(),
-        entries: entries.map(|entry| (**entry).clone()).collect(),
-    }
+    LinkReply::Endpoints(state.catalogue.list())
 }
 
 /// Replies with what changed after a revision, or with everything if that is no longer known.
-fn changes<D: Dialect>(gateway: &Gateway<D>, revision: u64) -> LinkReply {
+fn changes<D: Dialect>(gateway: &Gateway<D>, revision: Revision) -> LinkReply {
     let changes = gateway.state.borrow().catalogue.changes_since(revision);
     match changes {
         Some(changes) => LinkReply::Changes(changes),
--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -13,12 +13,13 @@
     crate::{
         gateway::{
             directory::{
-                catalogue::{EndpointChanges, EndpointEntry},
+                endpoint_entry::{EndpointChanges, EndpointList},
                 evacuations::Evacuations,
             },
             quarantine::note::EvidenceNote,
             rates::note::{PermitNote, RateNote},
             request_digest::RequestDigest,
+            revision::{Era, Revision},
             rules::homes::RegionHash,
             stages::job::{JobEnd, PieceInput, ResultHandle},
             table::Version,
@@ -119,6 +120,13 @@
     /// The data centres that it knows to be evacuated; nothing if it knows nothing of that.
     #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
     pub evacuations: Option<Evacuations>,
+    /// The eras of the revisions above; a daemon of a release that knows no era sends none.
+    #[serde(
+        rename = "y",
+        default,
+        skip_serializing_if = "HeartbeatEras::are_unnamed"
+    )]
+    pub eras: HeartbeatEras,
     /// Its requests in flight, the largest loads.
     #[serde(rename = "l")]
     pub loads: Vec<LoadNote>,
@@ -133,6 +141,45 @@
     pub backlogs: Vec<BacklogNote>,
 }
 
+impl Heartbeat {
+    /// Returns the revision of the last change in its list of endpoints.
+    pub fn list_revision(&self) -> Revision {
+        Revision::new(self.eras.list, self.catalogue)
+    }
+
+    /// Returns the revision of the directory up to which it knows of no newer table.
+    pub fn table_revision(&self) -> Option<Revision> {
+        let number = self.table_until?;
+        Some(Revision::new(self.eras.table, number))
+    }
+
+    /// Returns the data centres that it knows to be evacuated.
+    pub fn known_evacuations(&self) -> Option<Evacuations> {
+        let numbers = self.evacuations.as_ref()?;
+        Some(numbers.in_era(self.eras.evacuations))
+    }
+}
+
+/// Eras of what a heartbeat reports by numbers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatEras {
+    /// Of the revision up to which there is no newer table.
+    #[serde(rename = "u")]
+    pub table: Era,
+    /// Of the list of endpoints.
+    #[serde(rename = "c")]
+    pub list: Era,
+    /// Of the evacuated data centres.
+    #[serde(rename = "z")]
+    pub evacuations: Era,
+}
+
+impl HeartbeatEras {
+    fn are_unnamed(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// Loads of all daemons together, as a coordinator sums them up; one datagram holds a part of
 /// them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -273,7 +320,7 @@
     Table,
     /// Send the list of endpoints.
     Endpoints,
-    /// Send the changes in the list of endpoints after a revision.
+    /// Send the changes in the list of endpoints after a revision of a directory that names no era.
     Changes(u64),
     /// Run the pieces of a stage.
     Job(JobOrder),
@@ -285,6 +332,20 @@
     PartList,
     /// Send these parts of the table.
     Parts(Vec<PartHash>),
+    /// Send the changes in the list of endpoints after a number of an era. It is asked of daemons alone that have told of
+    /// that era or a later one.
+    ChangesInEra(Era, u64),
+}
+
+impl LinkRequest {
+    /// Asks for the changes in the list of endpoints after a revision.
+    pub fn changes(since: Revision) -> Self {
+        if since.era.is_unnamed() {
+            Self::Changes(since.number)
+        } else {
+            Self::ChangesInEra(since.era, since.number)
+        }
+    }
 }
 
 /// A reply on a link.
@@ -297,12 +358,7 @@
         bytes: Vec<u8>,
     },
     /// The list of endpoints as of a revision.
-    Endpoints {
-        /// The revision.
-        revision: u64,
-        /// The list.
-        entries: Vec<EndpointEntry>,
-    },
+    Endpoints(EndpointList),
     /// Changes in the list of endpoints.
     Changes(EndpointChanges),
     /// How a job ended.
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -6,10 +6,11 @@
             directory::evacuations::Evacuations,
             peers::{
                 membership::Peers,
-                message::{Heartbeat, PROTOCOL, PeerNote, Phase},
+                message::{Heartbeat, HeartbeatEras, PROTOCOL, PeerNote, Phase},
                 record::Peer,
                 self_report::SelfReport,
             },
+            revision::Revision,
             rules::{
                 coordinator::{self, Coordinator},
                 gossip,
@@ -74,8 +75,13 @@
             phase: report.phase,
             table: report.table,
             fingerprint: report.fingerprint,
-            table_until: Some(report.table_until),
-            catalogue: report.catalogue,
+            table_until: Some(report.table_until.number),
+            catalogue: report.catalogue.number,
+            eras: HeartbeatEras {
+                table: report.table_until.era,
+                list: report.catalogue.era,
+                evacuations: report.evacuations.until().era,
+            },
             steady: report.steady,
             read_ms: report.read_ms,
             read_by: report.read_by,
@@ -251,5 +257,6 @@
 
 /// Returns the evacuations that a heartbeat carries; nothing if nothing is known of any.
 fn reported(known: Evacuations) -> Option<Evacuations> {
-    (known.until() > 0 && gossip::reports_evacuations(known.len())).then_some(known)
+    (known.until() > Revision::default() && gossip::reports_evacuations(known.len()))
+        .then_some(known)
 }
--- a/lib/src/gateway/peers/queries.rs
+++ b/lib/src/gateway/peers/queries.rs
@@ -8,6 +8,7 @@
                 message::{Heartbeat, Phase},
                 record::ReceivedHeartbeat,
             },
+            revision::Revision,
             rules::{
                 catch_up::{self, Offer, TableOffer},
                 coordinator::{self, Coordinator, DaemonCandidate},
@@ -142,11 +143,11 @@
 
     /// Returns the revision of the directory up to which there is no newer table than one of a version
     /// and a fingerprint, as far as the daemons that have it report; 0 if there is none.
-    pub fn table_until(&self, version: Version, fingerprint: u64) -> u64 {
+    pub fn table_until(&self, version: Version, fingerprint: u64) -> Revision {
         let same = self
             .heartbeats()
             .filter(|heartbeat| heartbeat.table == version && heartbeat.fingerprint == fingerprint);
-        let revisions = same.filter_map(|heartbeat| heartbeat.table_until);
+        let revisions = same.filter_map(Heartbeat::table_revision);
         revisions.max().unwrap_or_default()
     }
 
@@ -156,7 +157,7 @@
     }
 
     /// Returns whether a daemon has a list of endpoints newer than `revision`.
-    pub fn has_newer_catalogue(&self, revision: u64) -> bool {
+    pub fn has_newer_catalogue(&self, revision: Revision) -> bool {
         let mut offers = self.catalogue_offers(Sources::Any);
         offers.any(|offer| offer.revision > revision)
     }
@@ -164,7 +165,7 @@
     /// Returns one of some daemons to ask for a list of endpoints newer than `revision`, by a random fraction.
     pub fn newer_catalogue(
         &self,
-        revision: u64,
+        revision: Revision,
         sources: Sources,
         fraction: f64,
     ) -> Option<SocketAddr> {
@@ -172,8 +173,8 @@
     }
 
     /// Returns who has a list of endpoints newer than `revision`.
-    pub fn catalogue_holders(&self, now: Time, revision: u64) -> Holders {
-        self.holders(now, |heartbeat| heartbeat.catalogue > revision)
+    pub fn catalogue_holders(&self, now: Time, revision: Revision) -> Holders {
+        self.holders(now, |heartbeat| heartbeat.list_revision() > revision)
     }
 
     /// Returns who has a newer table than one of `version`.
@@ -201,7 +202,7 @@
     fn catalogue_offers(&self, sources: Sources) -> impl Iterator<Item = Offer> {
         self.offering(sources).map(|heartbeat| Offer {
             address: heartbeat.address,
-            revision: heartbeat.catalogue,
+            revision: heartbeat.list_revision(),
         })
     }
 
--- a/lib/src/gateway/peers/self_report.rs
+++ b/lib/src/gateway/peers/self_report.rs
@@ -7,6 +7,7 @@
             directory::evacuations::Evacuations,
             hashes::service_hash,
             peers::message::{BacklogNote, LoadNote, Phase, QueueNote, WorkNote},
+            revision::Revision,
             rules::{
                 backlog::Backlog,
                 coordinator::Coordinator,
@@ -33,9 +34,9 @@
     /// Fingerprint of its table.
     pub fingerprint: u64,
     /// Revision of the directory up to which it knows of no newer table.
-    pub table_until: u64,
+    pub table_until: Revision,
     /// Revision of the last change in its list of endpoints.
-    pub catalogue: u64,
+    pub catalogue: Revision,
     /// Set if it has read the directory without a failure for a while.
     pub steady: bool,
     /// Milliseconds since the directory last answered it for every topic.
--- a/lib/src/gateway/peers/table_fetch.rs
+++ b/lib/src/gateway/peers/table_fetch.rs
@@ -13,6 +13,7 @@
                 link_socket::FETCH_LIMIT,
                 message::{LinkReply, LinkRequest},
             },
+            revision::Revision,
             rules::{
                 catch_up::{TableOffer, behind_since, busy_pause, is_fetch_due, table_source},
                 directory_reads::ReadDuty,
@@ -224,7 +225,8 @@
         if !partial.missing().is_empty() {
             return Ok(());
         }
-        let revision = partial.list().revision;
+        let list = partial.list();
+        let revision = Revision::new(list.era, list.revision);
         let joined = partial.join();
         if joined.is_err() {
             // Some part isn't what its hash says, or the list is wrong: all is fetched anew.
--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -8,7 +8,7 @@
     crate::{
         gateway::{
             dialect::{Dialect, ReplyFacts},
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             routing::{
                 answer::WholeReply, call::ForwardedCall, guards::AttemptGuard,
                 progress::RequestProgress,
--- a/lib/src/gateway/routing/endpoint_notices.rs
+++ b/lib/src/gateway/routing/endpoint_notices.rs
@@ -3,7 +3,7 @@
 //! Owns the notices of each life of an endpoint, also while it has no entry in the list. `reply_notices` records them.
 
 use {
-    crate::{gateway::directory::catalogue::EndpointLife, shared::units::Time},
+    crate::{gateway::directory::endpoint_entry::EndpointLife, shared::units::Time},
     foldhash::HashMap,
     std::collections::VecDeque,
 };
--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -4,7 +4,7 @@
     crate::{
         gateway::{
             dialect::{PaceReport, Prompt, ReplyLoad},
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             hashes::{EndpointHash, LifeHash, endpoint_hash, life_hash},
             routing::{
                 cold_state::{ColdState, Coldness},
@@ -124,7 +124,9 @@
 
     /// Takes over a newer entry of the same life.
     pub(crate) fn renew(&mut self, now: Time, entry: Arc<EndpointEntry>) {
-        if entry.revision != self.entry.revision {
+        // One with the same number in a later era was written before.
+        let is_rewritten = entry.revision.number != self.entry.revision.number;
+        if is_rewritten || entry.cold != self.entry.cold {
             if entry.cold > self.entry.cold {
                 // It holds none of the prompts that it read before.
                 self.sent_parts = SentParts::default();
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -7,7 +7,7 @@
     crate::{
         gateway::{
             dialect::{Prompt, ReplyLoad},
-            directory::catalogue::{EndpointEntry, EndpointLife},
+            directory::endpoint_entry::{EndpointEntry, EndpointLife},
             hashes::{DataCentreHash, EndpointHash, LifeHash, data_centre_hash},
             rates::store::EndpointRates,
             routing::{
--- a/lib/src/gateway/routing/named_rates.rs
+++ b/lib/src/gateway/routing/named_rates.rs
@@ -4,7 +4,7 @@
     crate::{
         gateway::{
             dialect::{Dialect, NamedRate, ReplyFacts},
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             hashes::life_hash,
             rates::{
                 note::RateNote,
--- a/lib/src/gateway/routing/permits.rs
+++ b/lib/src/gateway/routing/permits.rs
@@ -7,7 +7,7 @@
     crate::{
         gateway::{
             dialect::Dialect,
-            directory::catalogue::{EndpointEntry, EndpointLife},
+            directory::endpoint_entry::{EndpointEntry, EndpointLife},
             rates::note::PermitNote,
             routing::{call::ForwardedCall, outbound::choose_endpoint},
             rules::{
--- a/lib/src/gateway/routing/quarantine.rs
+++ b/lib/src/gateway/routing/quarantine.rs
@@ -3,7 +3,7 @@
 use crate::{
     gateway::{
         dialect::Dialect,
-        directory::catalogue::EndpointEntry,
+        directory::endpoint_entry::EndpointEntry,
         hashes::{LifeHash, life_hash},
         request_digest::RequestDigest,
         rules::quarantine::ENDED_LIMIT,
--- a/lib/src/gateway/routing/reply_notices.rs
+++ b/lib/src/gateway/routing/reply_notices.rs
@@ -4,7 +4,7 @@
     crate::{
         gateway::{
             dialect::{Dialect, LeaveNotice, ReplyFacts, ReplyWait},
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             rules::endpoint_rest::asked_rest,
             state::Gateway,
         },
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -7,7 +7,7 @@
     crate::{
         gateway::{
             dialect::Dialect,
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             routing::{
                 attempt::StreamSource,
                 call::ForwardedCall,
--- a/lib/src/gateway/rules/catch_up.rs
+++ b/lib/src/gateway/rules/catch_up.rs
@@ -18,7 +18,7 @@
 
 use {
     crate::{
-        gateway::{rules::fetch_turn, table::Version},
+        gateway::{revision::Revision, rules::fetch_turn, table::Version},
         shared::units::{Millis, Time},
     },
     std::{cmp::Reverse, net::SocketAddr, time::Duration},
@@ -46,7 +46,7 @@
     /// The daemon.
     pub address: SocketAddr,
     /// Revision of its list.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// A table that another daemon reports.
@@ -88,14 +88,14 @@
     /// The whole list.
     Whole,
     /// The changes after a revision.
-    Changes(u64),
+    Changes(Revision),
 }
 
 impl ListFetch {
     /// Returns the revision that a list has to exceed to be worth fetching.
-    pub fn known(self) -> u64 {
+    pub fn known(self) -> Revision {
         match self {
-            Self::Whole => 0,
+            Self::Whole => Revision::default(),
             Self::Changes(known) => known,
         }
     }
@@ -105,7 +105,7 @@
 /// random fraction, so that a whole fleet doesn't ask the same one.
 pub fn list_source(
     offers: impl Iterator<Item = Offer>,
-    known: u64,
+    known: Revision,
     fraction: f64,
 ) -> Option<SocketAddr> {
     let mut offers: Vec<Offer> = offers.filter(|offer| offer.revision > known).collect();
@@ -161,7 +161,11 @@
 
 /// Returns what this daemon would fetch of a newer list; nothing while the directory brings it.
 /// `known` is the revision of its own list, if it has one.
-pub fn list_fetch(now: Time, known: Option<u64>, reading: DirectoryReading) -> Option<ListFetch> {
+pub fn list_fetch(
+    now: Time,
+    known: Option<Revision>,
+    reading: DirectoryReading,
+) -> Option<ListFetch> {
     let Some(known) = known else {
         return Some(ListFetch::Whole);
     };
--- a/lib/src/gateway/rules/endpoint_choice.rs
+++ b/lib/src/gateway/rules/endpoint_choice.rs
@@ -20,7 +20,7 @@
     crate::{
         gateway::{
             dialect::Prompt,
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             rules::{
                 cold_share::ColdShare,
                 distance::are_apart,
--- a/lib/src/gateway/rules/suspect_entry.rs
+++ b/lib/src/gateway/rules/suspect_entry.rs
@@ -40,6 +40,10 @@
 const INTERVALS: u64 = 7;
 const INTERVAL_PARTS: u64 = 6;
 
+/// Intervals between two writes after which an entry that nobody writes any more has lapsed: the directory keeps it for
+/// three, and daemons learn of its end within one.
+const LAPSE_INTERVALS: u64 = 4;
+
 /// When one daemon's own reads of the directory last succeeded and last failed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReadHistory {
@@ -90,6 +94,12 @@
     is_outage && !was_draining
 }
 
+/// Returns the time after which an entry that nobody writes any more has lapsed for certain. An endpoint that had departed
+/// and is listed by an older copy of the directory is back if its entry lasts longer.
+pub fn lapse_time(write_interval: Millis) -> Millis {
+    Millis(write_interval.0 * LAPSE_INTERVALS)
+}
+
 /// Returns the time for which a suspect endpoint is used: long enough for a living one to write its
 /// entry again, and short enough for one that has really left.
 ///
--- a/lib/src/gateway/serving/settings.rs
+++ b/lib/src/gateway/serving/settings.rs
@@ -58,6 +58,12 @@
     pub fn suspect_time(&self) -> Millis {
         suspect_entry::suspect_time(self.endpoint_heartbeat, self.drain)
     }
+
+    /// Returns the time after which an entry that nobody writes any more has lapsed for certain; see
+    /// [`suspect_entry`].
+    pub fn lapse_time(&self) -> Millis {
+        suspect_entry::lapse_time(self.endpoint_heartbeat)
+    }
 }
 
 impl GatewaySettings {
--- a/lib/src/gateway/serving/status.rs
+++ b/lib/src/gateway/serving/status.rs
@@ -28,6 +28,8 @@
     phase: Phase,
     /// Revision of the directory up to which the list of endpoints is complete.
     catalogue: u64,
+    /// Era of the directory in which it is; 0 where the directory names none.
+    era: u64,
     /// Jobs of stages that this daemon plans.
     jobs: usize,
     directory_lost: bool,
@@ -52,7 +54,8 @@
         Self {
             common: common_status(gateway, &state, phase),
             phase,
-            catalogue: state.catalogue.revision(),
+            catalogue: state.catalogue.revision().number,
+            era: state.catalogue.revision().era.0,
             jobs: state.planning.jobs(),
             directory_lost: state.contact.reads.is_lost(),
             peers: peer_statuses(&state),
--- a/lib/src/gateway/stages/batch_call.rs
+++ b/lib/src/gateway/stages/batch_call.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         gateway::{
-            directory::catalogue::{EndpointEntry, EndpointLife},
+            directory::endpoint_entry::{EndpointEntry, EndpointLife},
             rules::call_timing::CallCost,
             stages::job::{JobId, PieceEnd, PieceTask},
             table::BatchLimits,
--- a/lib/src/gateway/stages/batch_plan.rs
+++ b/lib/src/gateway/stages/batch_plan.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         gateway::{
-            directory::catalogue::EndpointLife,
+            directory::endpoint_entry::EndpointLife,
             rules::{
                 call_fill::{CallFill, Fit},
                 call_spacing::CallSpacing,
--- a/lib/src/gateway/stages/batch_queue.rs
+++ b/lib/src/gateway/stages/batch_queue.rs
@@ -11,7 +11,7 @@
 use {
     crate::{
         gateway::{
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             rules::{
                 call_spacing::CallSpacing,
                 result_room,
--- a/lib/src/gateway/stages/batch_results.rs
+++ b/lib/src/gateway/stages/batch_results.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     gateway::{
-        directory::catalogue::EndpointLife,
+        directory::endpoint_entry::EndpointLife,
         request_digest::RequestDigest,
         rules::{
             piece_group,
--- a/lib/src/gateway/stages/queues.rs
+++ b/lib/src/gateway/stages/queues.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         gateway::{
-            directory::catalogue::EndpointLife,
+            directory::endpoint_entry::EndpointLife,
             hashes::service_hash,
             peers::message::QueueNote,
             request_digest::RequestDigest,
--- a/lib/src/gateway/stages/worker.rs
+++ b/lib/src/gateway/stages/worker.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         gateway::{
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             rules::{
                 result_room,
                 worker_pace::{KnownPace, Pace, PassedOver},
--- a/lib/src/gateway/stages/workers.rs
+++ b/lib/src/gateway/stages/workers.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         gateway::{
-            directory::catalogue::{EndpointEntry, EndpointLife},
+            directory::endpoint_entry::{EndpointEntry, EndpointLife},
             rules::piece_order::DataCentreCounts,
             stages::{job::ResultHandle, worker::Worker},
         },
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -22,6 +22,7 @@
             },
             quarantine::store::Quarantine,
             rates::permit_queue::PermitQueue,
+            revision::{Era, Revision},
             routing::endpoint_states::EndpointStates,
             rules::{catch_up::BehindSince, coordinator, retry_budget::WindowBudget},
             serving::{metrics::GatewayMetrics, reload::Reload, settings::GatewaySettings},
@@ -109,7 +110,11 @@
     /// Since when a peer is known to have a newer table, whatever of it has come.
     pub(crate) newer_since: Option<Time>,
     /// Revision of the directory up to which this daemon itself knows of no newer table.
-    pub(crate) table_read: u64,
+    pub(crate) table_read: Revision,
+    /// Latest era of the directory that this daemon has read or heard of.
+    pub(crate) era: Era,
+    /// Since when there are orders to evacuate that the directory lacks since it came back from an older copy.
+    pub(crate) held_orders: Option<Time>,
     /// Batches of the table's parts that other daemons asked for.
     pub(crate) batches: PartBatches,
     /// Budgets of retries at each service.
@@ -137,7 +142,9 @@
             digest_named: HashSet::default(),
             behind_since: BehindSince::default(),
             newer_since: None,
-            table_read: 0,
+            table_read: Revision::default(),
+            era: Era::default(),
+            held_orders: None,
             batches: PartBatches::default(),
             budgets: HashMap::default(),
         }
@@ -159,9 +166,9 @@
 
     /// Returns the revision of the directory up to which there is no newer table, as far as this
     /// daemon or a living one with the same table knows.
-    pub(crate) fn table_until(&self) -> u64 {
+    pub(crate) fn table_until(&self) -> Revision {
         let Some(published) = &self.published else {
-            return 0;
+            return Revision::default();
         };
         let same = self
             .peers
@@ -170,7 +177,7 @@
     }
 
     /// Returns the revision of the directory up to which everything is known that operators published.
-    pub(crate) fn operator_until(&self) -> u64 {
+    pub(crate) fn operator_until(&self) -> Revision {
         self.table_until().min(self.evacuations.until())
     }
 }
@@ -202,6 +209,8 @@
     pub(crate) stop_over: Notify,
     /// Wakes whoever waits for an answer of the directory that was asked for while it was lost.
     pub(crate) directory_regained: Notify,
+    /// Wakes whoever waits for changes of the directory in an era that has ended.
+    pub(crate) restored: Notify,
     /// Wakes the loop that sends heartbeats: there is something that others should know at once.
     pub(crate) announcement: Notify,
     /// Wakes whoever waits for a time that may have come while the host was suspended.
@@ -233,7 +242,8 @@
             capacity: settings.capacity,
         };
         let peers = Peers::new(me, &settings.seeds);
-        let catalogue = Catalogue::new(settings.bounds.suspect_time());
+        let mut catalogue = Catalogue::new(settings.bounds.suspect_time());
+        catalogue.set_lapse_time(settings.bounds.lapse_time());
         let mut state = GatewayState::new(peers, catalogue);
         let here = &settings.data_centre;
         state.endpoints.set_regions(here, &settings.regions);
@@ -251,6 +261,7 @@
             table_changed: Notify::new(),
             stop_over: Notify::new(),
             directory_regained: Notify::new(),
+            restored: Notify::new(),
             announcement: Notify::new(),
             resumed: Notify::new(),
             quarantine_news: Notify::new(),
@@ -278,6 +289,7 @@
             state
                 .catalogue
                 .set_suspect_time(settings.bounds.suspect_time());
+            state.catalogue.set_lapse_time(settings.bounds.lapse_time());
             let here = &settings.data_centre;
             state.endpoints.set_regions(here, &settings.regions);
             state.peers.set_region(settings.regions.region(here));
--- a/lib/src/gateway/table_parts.rs
+++ b/lib/src/gateway/table_parts.rs
@@ -7,7 +7,7 @@
 //! batches in which parts are sent.
 
 use {
-    crate::gateway::table::Version,
+    crate::gateway::{revision::Era, table::Version},
     bytes::Bytes,
     fastcdc::v2020::FastCDC,
     flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder},
@@ -56,6 +56,9 @@
     pub fingerprint: u64,
     /// Revision of the directory up to which its sender knows of no newer table.
     pub revision: u64,
+    /// Its era; nothing from a daemon of a release that knows none.
+    #[serde(default, skip_serializing_if = "Era::is_unnamed")]
+    pub era: Era,
     /// Its parts.
     pub marks: Vec<PartMark>,
 }
--- a/lib/tests/load/mod.rs
+++ b/lib/tests/load/mod.rs
@@ -5,7 +5,7 @@
 use {
     hazelyoke_lib::{
         gateway::{
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             rules::{
                 eligibility::Places,
                 retry_budget::{BudgetLimits, WindowBudget},
@@ -107,7 +107,7 @@
         draining: false,
         cold: Millis(0),
         born: None,
-        revision: 1,
+        revision: 1.into(),
     })
 }
 
--- a/lib/tests/test_catalogue.rs
+++ b/lib/tests/test_catalogue.rs
@@ -4,7 +4,10 @@
 
 use {
     hazelyoke_lib::{
-        gateway::directory::catalogue::{Born, Catalogue, EndpointChange, EndpointEntry},
+        gateway::directory::{
+            catalogue::{Catalogue, EndpointChange},
+            endpoint_entry::{Born, EndpointEntry, EndpointList},
+        },
         shared::{
             ids::EndpointId,
             units::{Millis, Time},
@@ -23,7 +26,16 @@
         draining,
         cold: Millis(0),
         born: None,
-        revision,
+        revision: revision.into(),
+    }
+}
+
+/// A whole list of the directory.
+fn listed(revision: u64, entries: Vec<EndpointEntry>) -> EndpointList {
+    EndpointList {
+        revision: revision.into(),
+        entries,
+        suspects: Vec::new(),
     }
 }
 
@@ -49,7 +61,7 @@
 fn removed_entry() {
     let mut catalogue = catalogue();
     catalogue.upsert(entry("a", 1, false));
-    let learnt = catalogue.remove(Time(0), &id("a"), 9, false);
+    let learnt = catalogue.remove(Time(0), &id("a"), 9.into(), false);
     assert!(matches!(learnt, Some(EndpointChange::Gone(_))));
     assert!(names(&catalogue).is_empty());
 }
@@ -59,7 +71,7 @@
 fn lapsed_entry_suspect() {
     let mut catalogue = catalogue();
     catalogue.upsert(entry("a", 1, false));
-    let learnt = catalogue.remove(Time(0), &id("a"), 9, true);
+    let learnt = catalogue.remove(Time(0), &id("a"), 9.into(), true);
     assert!(matches!(learnt, Some(EndpointChange::Suspect(_))));
     assert_eq!(names(&catalogue), ["a"]);
     assert!(
@@ -77,7 +89,7 @@
 fn rewritten_entry() {
     let mut catalogue = catalogue();
     catalogue.upsert(entry("a", 1, false));
-    catalogue.remove(Time(0), &id("a"), 4, true);
+    catalogue.remove(Time(0), &id("a"), 4.into(), true);
     catalogue.upsert(entry("a", 5, false));
     assert!(
         catalogue
@@ -92,7 +104,7 @@
 fn extended_suspicion() {
     let mut catalogue = catalogue();
     catalogue.upsert(entry("a", 1, false));
-    catalogue.remove(Time(0), &id("a"), 9, true);
+    catalogue.remove(Time(0), &id("a"), 9.into(), true);
     catalogue.extend_suspects(Time(0) + Millis(1_300));
     assert!(
         catalogue
@@ -109,7 +121,7 @@
     catalogue.upsert(entry("a", 1, false));
     let learnt = catalogue.upsert(entry("a", 2, true));
     assert!(matches!(learnt, Some(EndpointChange::Draining(_))));
-    let learnt = catalogue.remove(Time(0), &id("a"), 9, true);
+    let learnt = catalogue.remove(Time(0), &id("a"), 9.into(), true);
     assert!(matches!(learnt, Some(EndpointChange::Gone(_))));
 }
 
@@ -130,18 +142,18 @@
     catalogue.upsert(entry("c", 9, false));
     // The list is as of revision 5: it tells that b is gone, and nothing of c.
     let list = vec![entry("a", 1, false), entry("d", 4, false)];
-    let learnt = catalogue.replace(Time(0), 5, list, false);
+    let learnt = catalogue.replace(Time(0), listed(5, list), false);
     assert_eq!(learnt.len(), 2);
     assert_eq!(names(&catalogue), ["a", "c", "d"]);
-    assert_eq!(catalogue.revision(), 5);
+    assert_eq!(catalogue.revision(), 5.into());
 }
 
 #[test]
 fn revisions_never_fall() {
     let mut catalogue = catalogue();
-    catalogue.advance_to(9);
-    catalogue.replace(Time(0), 5, Vec::new(), false);
-    assert_eq!(catalogue.revision(), 9);
+    catalogue.advance_to(9.into());
+    catalogue.replace(Time(0), listed(5, Vec::new()), false);
+    assert_eq!(catalogue.revision(), 9.into());
 }
 
 /// The removal of an entry that was written again since changes nothing.
@@ -149,7 +161,11 @@
 fn older_removal_ignored() {
     let mut catalogue = catalogue();
     catalogue.upsert(entry("a", 5, false));
-    assert!(catalogue.remove(Time(0), &id("a"), 4, false).is_none());
+    assert!(
+        catalogue
+            .remove(Time(0), &id("a"), 4.into(), false)
+            .is_none()
+    );
     assert_eq!(names(&catalogue), ["a"]);
 }
 
@@ -158,29 +174,29 @@
 fn changes_since_revision() {
     let mut catalogue = catalogue();
     let list = vec![entry("a", 1, false), entry("b", 2, false)];
-    catalogue.replace(Time(0), 3, list, false);
+    catalogue.replace(Time(0), listed(3, list), false);
     assert!(
-        catalogue.changes_since(2).is_none(),
+        catalogue.changes_since(2.into()).is_none(),
         "what came before the list isn't known"
     );
     catalogue.upsert(entry("c", 4, false));
     catalogue.upsert(entry("a", 5, true));
-    catalogue.remove(Time(0), &id("b"), 6, true);
-    catalogue.remove(Time(0), &id("a"), 7, false);
-    let changes = catalogue.changes_since(3).unwrap();
-    assert_eq!(changes.revision, 7);
+    catalogue.remove(Time(0), &id("b"), 6.into(), true);
+    catalogue.remove(Time(0), &id("a"), 7.into(), false);
+    let changes = catalogue.changes_since(3.into()).unwrap();
+    assert_eq!(changes.revision, 7.into());
     assert_eq!(changes.entries, [entry("c", 4, false)]);
     let mut gone: Vec<(String, u64, bool)> = changes
         .gone
         .iter()
-        .map(|gone| (gone.id.to_string(), gone.revision, gone.suspect))
+        .map(|gone| (gone.id.to_string(), gone.revision.number, gone.suspect))
         .collect();
     gone.sort();
     assert_eq!(gone, [("a".into(), 7, false), ("b".into(), 6, true)]);
-    let later = catalogue.changes_since(5).unwrap();
+    let later = catalogue.changes_since(5.into()).unwrap();
     assert!(later.entries.is_empty());
     assert_eq!(later.gone.len(), 2);
-    assert_eq!(catalogue.changes_since(7).unwrap().gone, []);
+    assert_eq!(catalogue.changes_since(7.into()).unwrap().gone, []);
 }
 
 /// Whoever takes in changes again and again knows what the one knows who told them.
@@ -189,14 +205,22 @@
     for_seeds(300, 512, |u| {
         let (mut told, mut asker) = (catalogue(), catalogue());
         let mut revision = 1;
-        told.replace(Time(0), revision, vec![entry("n0", 1, false)], false);
-        asker.replace(Time(0), revision, vec![entry("n0", 1, false)], false);
+        told.replace(
+            Time(0),
+            listed(revision, vec![entry("n0", 1, false)]),
+            false,
+        );
+        asker.replace(
+            Time(0),
+            listed(revision, vec![entry("n0", 1, false)]),
+            false,
+        );
         for _ in 0..u.int_in_range(1..=120)? {
             revision += u.int_in_range(1..=3)?;
             let name = format!("n{}", u.int_in_range(0..=5)?);
             match u.int_in_range(0..=3)? {
                 0 => {
-                    told.remove(Time(0), &id(&name), revision, false);
+                    told.remove(Time(0), &id(&name), revision.into(), false);
                 }
                 1 => {
                     told.upsert(entry(&name, revision, true));
@@ -228,13 +252,13 @@
 #[test]
 fn long_list_changes() {
     let mut catalogue = catalogue();
-    catalogue.replace(Time(0), 1, Vec::new(), false);
+    catalogue.replace(Time(0), listed(1, Vec::new()), false);
     for number in 2..10_000 {
         catalogue.upsert(entry(&format!("e{number}"), number, false));
-        catalogue.advance_to(number);
+        catalogue.advance_to(number.into());
     }
     let lacking = 1_500;
-    let changes = catalogue.changes_since(9_999 - lacking).unwrap();
+    let changes = catalogue.changes_since((9_999 - lacking).into()).unwrap();
     assert_eq!(changes.entries.len() as u64, lacking);
 }
 
@@ -242,12 +266,15 @@
 #[test]
 fn forgotten_changes() {
     let mut catalogue = catalogue();
-    catalogue.replace(Time(0), 1, Vec::new(), false);
+    catalogue.replace(Time(0), listed(1, Vec::new()), false);
     for revision in 2..2_000 {
         catalogue.upsert(entry("a", revision, false));
     }
-    assert!(catalogue.changes_since(1).is_none());
-    assert_eq!(catalogue.changes_since(1_990).unwrap().entries.len(), 1);
+    assert!(catalogue.changes_since(1.into()).is_none());
+    assert_eq!(
+        catalogue.changes_since(1_990.into()).unwrap().entries.len(),
+        1
+    );
 }
 
 fn born(revision: u64, born: u64) -> EndpointEntry {
@@ -278,7 +305,7 @@
         catalogue.get(&"a".parse().unwrap()).unwrap().born,
         Some(Born(2_000))
     );
-    assert_eq!(catalogue.changed(), 9);
+    assert_eq!(catalogue.changed(), 9.into());
     let mut other = Catalogue::new(Millis(1_400));
     other.upsert(born(9, 1_000));
     let change = other.upsert(born(7, 2_000)).unwrap();
--- a/lib/tests/test_catch_up_rule.rs
+++ b/lib/tests/test_catch_up_rule.rs
@@ -20,7 +20,7 @@
 fn offers(revisions: &[u64]) -> impl Iterator<Item = Offer> {
     (1..).zip(revisions).map(|(number, revision)| Offer {
         address: address(number),
-        revision: *revision,
+        revision: (*revision).into(),
     })
 }
 
@@ -30,12 +30,12 @@
 #[test]
 fn newest_offer() {
     let at = |known, revisions: &[u64]| list_source(offers(revisions), known, 0.0);
-    assert_eq!(at(0, &[]), None);
-    assert_eq!(at(0, &[0, 0]), None);
-    assert_eq!(at(0, &[0, 1]), Some(address(2)));
-    assert_eq!(at(3, &[1, 5, 4, 3]), Some(address(2)));
-    assert_eq!(at(5, &[1, 5, 4, 3]), None);
-    assert_eq!(at(4, &[9, 5, 7]), Some(address(1)));
+    assert_eq!(at(0.into(), &[]), None);
+    assert_eq!(at(0.into(), &[0, 0]), None);
+    assert_eq!(at(0.into(), &[0, 1]), Some(address(2)));
+    assert_eq!(at(3.into(), &[1, 5, 4, 3]), Some(address(2)));
+    assert_eq!(at(5.into(), &[1, 5, 4, 3]), None);
+    assert_eq!(at(4.into(), &[9, 5, 7]), Some(address(1)));
 }
 
 /// Tables of the given versions, in parts where the flag says so.
@@ -84,7 +84,7 @@
 
 #[test]
 fn whole_list_sources() {
-    let source = |revisions: &[u64], fraction| list_source(offers(revisions), 0, fraction);
+    let source = |revisions: &[u64], fraction| list_source(offers(revisions), 0.into(), fraction);
     assert_eq!(source(&[], 0.0), None);
     assert_eq!(source(&[0, 0], 0.0), None);
     assert_eq!(source(&[0, 4], 0.9), Some(address(2)));
@@ -163,8 +163,8 @@
         (0, None),
         (1_000, None),
         (1_499, None),
-        (1_500, Some(ListFetch::Changes(7))),
-        (9_000, Some(ListFetch::Changes(7))),
+        (1_500, Some(ListFetch::Changes(7.into()))),
+        (9_000, Some(ListFetch::Changes(7.into()))),
     ] {
         let answered = Time(0) + Millis(4_000);
         let reading = DirectoryReading {
@@ -173,7 +173,11 @@
             wait: WAIT,
         };
         let now = answered + Millis(silent_ms);
-        assert_eq!(list_fetch(now, Some(7), reading), fetch, "{silent_ms} ms");
+        assert_eq!(
+            list_fetch(now, Some(7.into()), reading),
+            fetch,
+            "{silent_ms} ms"
+        );
         assert_eq!(list_fetch(now, None, reading), Some(ListFetch::Whole));
     }
 }
@@ -187,12 +191,12 @@
             wait: WAIT,
         };
         let now = Time(0) + Millis(silent_ms);
-        let fetch = list_fetch(now, Some(7), reading);
-        assert_eq!(fetch, Some(ListFetch::Changes(7)));
-        assert_eq!(fetch.map(ListFetch::known), Some(7));
+        let fetch = list_fetch(now, Some(7.into()), reading);
+        assert_eq!(fetch, Some(ListFetch::Changes(7.into())));
+        assert_eq!(fetch.map(ListFetch::known), Some(7.into()));
         let fetch = list_fetch(now, None, reading);
         assert_eq!(fetch, Some(ListFetch::Whole));
-        assert_eq!(fetch.map(ListFetch::known), Some(0));
+        assert_eq!(fetch.map(ListFetch::known), Some(0.into()));
     }
 }
 
--- a/lib/tests/test_coordinator_rule.rs
+++ b/lib/tests/test_coordinator_rule.rs
@@ -52,6 +52,7 @@
 
 fn heartbeat(number: u16, phase: Phase, capacity: Capacity) -> Heartbeat {
     Heartbeat {
+        eras: Default::default(),
         protocol: PROTOCOL,
         host: format!("h{number}").parse().unwrap(),
         run: 1,
--- a/lib/tests/test_distance.rs
+++ b/lib/tests/test_distance.rs
@@ -6,7 +6,7 @@
     hazelyoke_lib::{
         gateway::{
             dialect::{Prompt, PromptPart},
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             hashes::endpoint_hash,
             routing::{endpoint_state::PeerLoad, endpoint_states::EndpointStates},
             rules::{
@@ -58,7 +58,7 @@
         draining: false,
         cold: Millis(0),
         born: None,
-        revision: 1,
+        revision: 1.into(),
     })
 }
 
--- a/lib/tests/test_eligibility.rs
+++ b/lib/tests/test_eligibility.rs
@@ -6,7 +6,7 @@
     hazelyoke_lib::{
         gateway::{
             dialect::{PaceReport, Prompt, PromptPart, ReplyLoad},
-            directory::catalogue::{Born, EndpointEntry},
+            directory::endpoint_entry::{Born, EndpointEntry},
             hashes::{DataCentreHash, data_centre_hash},
             routing::endpoint_states::EndpointStates,
             rules::{
@@ -44,7 +44,7 @@
         draining: false,
         cold: Millis(0),
         born: Some(Born(1_000)),
-        revision: 10,
+        revision: 10.into(),
     }
 }
 
@@ -237,7 +237,7 @@
     states.ended(NOW, &first.entry, EndpointOutcome::Served(None));
     let mut cold = (*first.entry).clone();
     cold.cold = COLD;
-    cold.revision = 11;
+    cold.revision = 11.into();
     states.upsert(NOW, Arc::new(cold));
     assert_ne!(
         choose(&states, NOW + Millis(1_500)).entry.id,
@@ -281,7 +281,7 @@
     assert!(choose(&states, NOW, &Places::Anywhere).is_err());
     let next = EndpointEntry {
         born: Some(Born(5_000)),
-        revision: 12,
+        revision: 12.into(),
         ..former.clone()
     };
     states.upsert(NOW, Arc::new(next.clone()));
--- a/lib/tests/test_endpoint_rest.rs
+++ b/lib/tests/test_endpoint_rest.rs
@@ -4,7 +4,7 @@
     hazelyoke_lib::{
         gateway::{
             dialect::ReplyWait,
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             routing::endpoint_states::EndpointStates,
             rules::{eligibility::Places, endpoint_rest::asked_rest},
         },
@@ -59,7 +59,7 @@
         draining: false,
         cold: Millis(0),
         born: None,
-        revision: 10,
+        revision: 10.into(),
     }
 }
 
--- a/lib/tests/test_evacuations.rs
+++ b/lib/tests/test_evacuations.rs
@@ -10,6 +10,7 @@
     hazelyoke_lib::gateway::{
         directory::evacuations::{EvacuationOrder, Evacuations},
         hashes::data_centre_hash,
+        revision::{Era, Revision},
     },
     std::collections::BTreeSet,
 };
@@ -17,13 +18,13 @@
 fn order(name: &str, revision: u64, evacuated: bool) -> EvacuationOrder {
     EvacuationOrder {
         data_centre: name.parse().unwrap(),
-        revision,
+        revision: revision.into(),
         evacuated,
     }
 }
 
 fn listed(until: u64, orders: &[EvacuationOrder]) -> Evacuations {
-    Evacuations::listed(until, orders.iter())
+    Evacuations::listed(until.into(), orders.iter())
 }
 
 fn names(evacuations: &Evacuations, among: &[&str]) -> Vec<String> {
@@ -39,11 +40,11 @@
 #[test]
 fn withdrawn_stays() {
     let stale = listed(10, &[order("north", 9, true)]);
-    let fresh = stale.after(20, [order("north", 15, false)].iter());
+    let fresh = stale.after(20.into(), [order("north", 15, false)].iter());
     assert!(fresh.is_empty());
     for together in [stale.merged(&fresh), fresh.merged(&stale)] {
         assert!(together.is_empty());
-        assert_eq!(together.until(), 20);
+        assert_eq!(together.until(), 20.into());
     }
 }
 
@@ -60,10 +61,10 @@
 fn given_again() {
     let first = listed(10, &[order("north", 9, true)]);
     let again = first.after(
-        30,
+        30.into(),
         [order("north", 15, false), order("north", 25, true)].iter(),
     );
-    let withdrawn = first.after(20, [order("north", 15, false)].iter());
+    let withdrawn = first.after(20.into(), [order("north", 15, false)].iter());
     for together in [again.merged(&withdrawn), withdrawn.merged(&again)] {
         assert_eq!(names(&together, &["north"]), ["north"]);
     }
@@ -73,7 +74,7 @@
 #[test]
 fn late_changes() {
     let known = listed(20, &[]);
-    let late = known.after(18, [order("north", 12, true)].iter());
+    let late = known.after(18.into(), [order("north", 12, true)].iter());
     assert_eq!(late, known);
 }
 
@@ -122,8 +123,9 @@
         1 => {
             let since = before.until();
             let later = history.iter();
-            let later = later.filter(|order| order.revision > since && order.revision <= until);
-            before.after(until, later)
+            let later =
+                later.filter(|order| order.revision > since && order.revision <= until.into());
+            before.after(until.into(), later)
         }
         _ => before.merged(&daemons[u.choose_index(daemons.len())?]),
     };
@@ -131,7 +133,7 @@
     assert!(after.until() >= before.until());
     assert_eq!(
         names(after, &NAMES),
-        names(&at(history, after.until()), &NAMES)
+        names(&at(history, after.until().number), &NAMES)
     );
     Ok(())
 }
@@ -139,9 +141,41 @@
 /// The state of the directory at a revision.
 fn at(history: &[EvacuationOrder], until: u64) -> Evacuations {
     let mut seen = BTreeSet::new();
-    let known = history.iter().rev().filter(|order| order.revision <= until);
+    let known = history
+        .iter()
+        .rev()
+        .filter(|order| order.revision <= until.into());
     let last: Vec<&EvacuationOrder> = known
         .filter(|order| seen.insert(order.data_centre.clone()))
         .collect();
-    Evacuations::listed(until, last.into_iter())
+    Evacuations::listed(until.into(), last.into_iter())
+}
+
+/// An order stands although a directory that came back from an older copy lacks it, until it is withdrawn there or wasn't
+/// written again in time. It isn't told to others as one of the later era.
+#[test]
+fn order_before_return() {
+    let era = |number| Revision::new(Era(2), number);
+    let known = listed(100, &[order("north", 90, true), order("south", 40, true)]).in_era(Era(1));
+    let mut south = order("south", 40, true);
+    south.revision = era(40);
+    let copy = Evacuations::listed(era(50), [south].iter());
+    for together in [known.merged(&copy), copy.merged(&known)] {
+        assert_eq!(together.until(), era(50));
+        assert!(names(&together, &["south"]) == ["south"]);
+    }
+    let together = known.merged(&copy);
+    assert_eq!(names(&together, &["north", "south"]), ["north", "south"]);
+    assert!(together.has_held());
+    let told: (u64, Vec<_>) = together.clone().into();
+    assert_eq!((told.0, told.1.len()), (50, 1));
+    let mut withdrawn = order("north", 51, false);
+    withdrawn.revision = era(51);
+    assert_eq!(
+        names(&together.after(era(51), [withdrawn].iter()), &["north"]),
+        [""; 0]
+    );
+    let left = together.without_held();
+    assert_eq!(names(&left, &["north", "south"]), ["south"]);
+    assert!(!left.has_held());
 }
--- a/lib/tests/test_fleet_choice.rs
+++ b/lib/tests/test_fleet_choice.rs
@@ -6,7 +6,7 @@
     hazelyoke_lib::{
         gateway::{
             dialect::{Prompt, PromptPart},
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             hashes::endpoint_hash,
             routing::{endpoint_state::PeerLoad, endpoint_states::EndpointStates},
             rules::{
@@ -36,7 +36,7 @@
         draining,
         cold: Millis(0),
         born: None,
-        revision: u64::from(number),
+        revision: u64::from(number).into(),
     })
 }
 
--- a/lib/tests/test_fleet_pins.rs
+++ b/lib/tests/test_fleet_pins.rs
@@ -7,7 +7,7 @@
     hazelyoke_lib::{
         gateway::{
             dialect::{PaceReport, Prompt, PromptPart, ReplyLoad},
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             hashes::{endpoint_hash, service_hash},
             routing::{endpoint_state::PeerLoad, endpoint_states::EndpointStates},
             rules::{
@@ -45,7 +45,7 @@
         draining,
         cold: Millis(0),
         born: None,
-        revision: 1,
+        revision: 1.into(),
     })
 }
 
--- a/lib/tests/test_harmful_pieces.rs
+++ b/lib/tests/test_harmful_pieces.rs
@@ -5,7 +5,7 @@
 use {
     hazelyoke_lib::{
         gateway::{
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             rules::{
                 eligibility::Places,
                 piece_group::after_end,
@@ -57,7 +57,7 @@
         draining: false,
         cold: Millis(0),
         born: None,
-        revision: 1,
+        revision: 1.into(),
     })
 }
 
--- a/lib/tests/test_layers.rs
+++ b/lib/tests/test_layers.rs
@@ -15,11 +15,12 @@
 ];
 
 /// Values of the forwarding daemon that its rules may use, beside those of other rules.
-const RULE_VALUES: [&str; 6] = [
+const RULE_VALUES: [&str; 7] = [
     "gateway::dialect",
-    "gateway::directory::catalogue",
+    "gateway::directory::endpoint_entry",
     "gateway::directory::source",
     "gateway::peers::message",
+    "gateway::revision",
     "gateway::stages::job",
     "gateway::table",
 ];
--- a/lib/tests/test_list_order.rs
+++ b/lib/tests/test_list_order.rs
@@ -9,7 +9,13 @@
 
 use {
     hazelyoke_lib::{
-        gateway::directory::catalogue::{Catalogue, EndpointChanges, EndpointEntry},
+        gateway::{
+            directory::{
+                catalogue::Catalogue,
+                endpoint_entry::{EndpointChanges, EndpointEntry, EndpointList},
+            },
+            revision::Revision,
+        },
         shared::units::{Millis, Time},
     },
     hazelyoke_testutils::draws::Draws,
@@ -28,7 +34,7 @@
         draining: false,
         cold: Millis(0),
         born: None,
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -88,12 +94,12 @@
                 None => {
                     let id = format!("e{number}").parse().unwrap();
                     if let Some(at) = self.removed.get(&number) {
-                        daemon.catalogue.remove(NOW, &id, *at, false);
+                        daemon.catalogue.remove(NOW, &id, (*at).into(), false);
                     }
                 }
             }
         }
-        daemon.catalogue.advance_to(self.revision);
+        daemon.catalogue.advance_to(self.revision.into());
         daemon.read = self.revision;
     }
 
@@ -104,7 +110,7 @@
             let number: u64 = used.id.as_str()[1..].parse().unwrap();
             let removed = self.removed.get(&number).copied().unwrap_or_default();
             assert!(
-                used.revision > removed || removed > stated,
+                used.revision > removed.into() || Revision::from(removed) > stated,
                 "{what}: {} of {} was removed at {removed}, stated {stated}",
                 used.id,
                 used.revision
@@ -130,13 +136,17 @@
     }
 
     fn take_list(&mut self, listed: Listed) {
-        self.catalogue
-            .replace(NOW, listed.revision, listed.entries, false);
+        let list = EndpointList {
+            revision: listed.revision.into(),
+            entries: listed.entries,
+            suspects: Vec::new(),
+        };
+        self.catalogue.replace(NOW, list, false);
     }
 
     fn list(&self) -> Listed {
         Listed {
-            revision: self.catalogue.revision(),
+            revision: self.catalogue.revision().number,
             entries: self
                 .catalogue
                 .entries()
@@ -158,7 +168,7 @@
     fn names(&self) -> BTreeMap<String, u64> {
         let entries = self.catalogue.entries();
         entries
-            .map(|one| (one.id.to_string(), one.revision))
+            .map(|one| (one.id.to_string(), one.revision.number))
             .collect()
     }
 }
@@ -174,12 +184,14 @@
     let mut daemon = Daemon::new(older.clone());
     for number in 0..3 {
         let id = format!("e{number}").parse().unwrap();
-        daemon.catalogue.remove(NOW, &id, 161 + number, false);
+        daemon
+            .catalogue
+            .remove(NOW, &id, (161 + number).into(), false);
     }
-    daemon.catalogue.advance_to(163);
+    daemon.catalogue.advance_to(163.into());
     daemon.take_list(older);
     assert_eq!(daemon.names().len(), 142);
-    assert_eq!(daemon.catalogue.revision(), 163);
+    assert_eq!(daemon.catalogue.revision(), 163.into());
 }
 
 /// Changes that were asked for before the removal was known.
@@ -190,16 +202,16 @@
         entries: vec![entry(0, 5), entry(1, 6)],
     });
     let late = EndpointChanges {
-        revision: 155,
+        revision: 155.into(),
         entries: vec![entry(0, 152), entry(2, 155)],
         gone: Vec::new(),
     };
     daemon.take_changes(late.clone());
     for (number, revision) in [(0, 160), (2, 161)] {
         let id = format!("e{number}").parse().unwrap();
-        daemon.catalogue.remove(NOW, &id, revision, false);
+        daemon.catalogue.remove(NOW, &id, revision.into(), false);
     }
-    daemon.catalogue.advance_to(161);
+    daemon.catalogue.advance_to(161.into());
     daemon.take_changes(late);
     assert_eq!(daemon.names(), BTreeMap::from([("e1".into(), 6)]));
 }
@@ -212,7 +224,7 @@
         revision: 149,
         entries: vec![entry(0, 5)],
     });
-    daemon.catalogue.advance_to(160);
+    daemon.catalogue.advance_to(160.into());
     daemon.take_list(Listed {
         revision: 160,
         entries: vec![entry(0, 5), entry(1, 158)],
@@ -274,7 +286,7 @@
             directory.tell(daemon);
             let expected = directory.list().entries.into_iter();
             let expected: BTreeMap<String, u64> = expected
-                .map(|one| (one.id.to_string(), one.revision))
+                .map(|one| (one.id.to_string(), one.revision.number))
                 .collect();
             assert_eq!(daemon.names(), expected, "seed {seed}");
         }
--- a/lib/tests/test_liveness_rule.rs
+++ b/lib/tests/test_liveness_rule.rs
@@ -38,6 +38,7 @@
 
 fn heartbeat(number: u8, sequence: u64, broadcasts: bool) -> Heartbeat {
     Heartbeat {
+        eras: Default::default(),
         protocol: PROTOCOL,
         host: format!("h{number}").parse().unwrap(),
         run: 1,
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -9,7 +9,9 @@
     hazelyoke_lib::{
         gateway::{
             directory::{
-                catalogue::{Born, EndpointChanges, EndpointEntry, GoneEndpoint},
+                endpoint_entry::{
+                    Born, EndpointChanges, EndpointEntry, EndpointList, GoneEndpoint,
+                },
                 evacuations::{EvacuationOrder, Evacuations},
             },
             hashes::{EndpointHash, LifeHash, ServiceHash},
@@ -113,6 +115,7 @@
 
 fn heartbeat(phase: Phase, read_ms: Option<u32>) -> Heartbeat {
     Heartbeat {
+        eras: Default::default(),
         protocol: PROTOCOL,
         host: "host-a".parse().unwrap(),
         run: 0x0102_0304_0506_0708,
@@ -181,7 +184,7 @@
         draining,
         cold: Millis(0),
         born: None,
-        revision: 1_000 + u64::from(number),
+        revision: (1_000 + u64::from(number)).into(),
     }
 }
 
@@ -192,11 +195,11 @@
         suspect,
     };
     EndpointChanges {
-        revision: 70_001,
+        revision: 70_001.into(),
         entries: vec![entry(1, false)],
         gone: vec![
-            gone("endpoint-8", 69_999, false),
-            gone("endpoint-9", 70_001, true),
+            gone("endpoint-8", 69_999.into(), false),
+            gone("endpoint-9", 70_001.into(), true),
         ],
     }
 }
@@ -396,6 +399,7 @@
         length,
     });
     let list = PartList {
+        era: Default::default(),
         version: 41,
         fingerprint: u64::MAX - 1,
         revision: 70_003,
@@ -417,9 +421,12 @@
         revision,
         evacuated: true,
     };
-    let orders = [order_to("north", 69_000), order_to("south", 70_000)];
+    let orders = [
+        order_to("north", 69_000.into()),
+        order_to("south", 70_000.into()),
+    ];
     let evacuated = Heartbeat {
-        evacuations: Some(Evacuations::listed(70_003, orders.iter())),
+        evacuations: Some(Evacuations::listed(70_003.into(), orders.iter())),
         ..bare_heartbeat()
     };
     lines.add(
@@ -470,10 +477,11 @@
     let mut lines = Lines::default();
     let bytes = vec![0, 255, 7, 128];
     lines.add_framed("table", LinkReply::Table { bytes });
-    let endpoints = LinkReply::Endpoints {
-        revision: 70_002,
+    let endpoints = LinkReply::Endpoints(EndpointList {
+        revision: 70_002.into(),
         entries: vec![entry(1, false), entry(2, true)],
-    };
+        suspects: Vec::new(),
+    });
     lines.add_framed("endpoints", endpoints);
     lines.add_framed("changes", LinkReply::Changes(changes()));
     lines.add_framed("job made", LinkReply::Job(JobEnd::Completed(handles())));
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -80,9 +80,9 @@
         phase: Phase::Ready,
         table,
         fingerprint: 0,
-        table_until: 0,
+        table_until: 0.into(),
         evacuations: Evacuations::default(),
-        catalogue: 0,
+        catalogue: 0.into(),
         steady: true,
         read_ms: None,
         read_by: None,
@@ -330,13 +330,13 @@
 #[test]
 fn evacuations_size() {
     let evacuations = |count: u64| {
-        let order = |n| EvacuationOrder {
+        let order = |n: u64| EvacuationOrder {
             data_centre: format!("dc-{n}").parse().unwrap(),
-            revision: 5_000_000_000 + n,
+            revision: (5_000_000_000 + n).into(),
             evacuated: true,
         };
         let orders: Vec<EvacuationOrder> = (0..count).map(order).collect();
-        Evacuations::listed(5_000_001_000, orders.iter())
+        Evacuations::listed(5_000_001_000.into(), orders.iter())
     };
     let mut me = peers(1, 1, &[]);
     for n in 2..=250 {
--- a/lib/tests/test_plan_pins.rs
+++ b/lib/tests/test_plan_pins.rs
@@ -6,7 +6,7 @@
 use {
     hazelyoke_lib::{
         gateway::{
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             rules::{
                 eligibility::Places,
                 retry_budget::{BudgetLimits, WindowBudget},
@@ -58,7 +58,7 @@
         draining: false,
         cold: Millis(0),
         born: None,
-        revision: 1,
+        revision: 1.into(),
     };
     (0..count).map(|number| Arc::new(entry(number))).collect()
 }
--- a/lib/tests/test_reported_pace.rs
+++ b/lib/tests/test_reported_pace.rs
@@ -6,7 +6,7 @@
     hazelyoke_lib::{
         gateway::{
             dialect::{PaceReport, Prompt, ReplyLoad, ReportedPace},
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             routing::endpoint_states::EndpointStates,
             rules::{
                 cold_share::ColdShare,
@@ -53,7 +53,7 @@
         draining: false,
         cold: Millis(0),
         born: None,
-        revision: 1,
+        revision: 1.into(),
     })
 }
 
--- /dev/null
+++ b/lib/tests/test_restored_list.rs
@@ -0,0 +1,395 @@
+//! The list of endpoints while the directory comes back from an older copy and gives out revisions again.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use {
+    hazelyoke_lib::{
+        gateway::{
+            directory::{
+                catalogue::{Catalogue, EndpointChange},
+                endpoint_entry::{Born, EndpointChanges, EndpointEntry, EndpointList},
+            },
+            peers::message::{decode, encode},
+            revision::{Era, Revision},
+        },
+        shared::{
+            ids::EndpointId,
+            units::{Millis, Time},
+        },
+    },
+    hazelyoke_testutils::draws::Draws,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+const START: Time = Time(1_000_000);
+
+/// Time after which an entry that nobody writes has lapsed.
+const LAPSE: Millis = Millis(4_800);
+
+fn at(era: u64, number: u64) -> Revision {
+    Revision::new(Era(era), number)
+}
+
+fn entry(id: &str, revision: Revision, draining: bool) -> EndpointEntry {
+    EndpointEntry {
+        id: id.parse().unwrap(),
+        service: "s".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "z".parse().unwrap(),
+        slots: 4,
+        draining,
+        cold: Millis(0),
+        born: None,
+        revision,
+    }
+}
+
+/// A whole list of the directory.
+fn listed(revision: Revision, entries: &[EndpointEntry]) -> EndpointList {
+    EndpointList {
+        revision,
+        entries: entries.to_vec(),
+        suspects: Vec::new(),
+    }
+}
+
+fn id(text: &str) -> EndpointId {
+    text.parse().unwrap()
+}
+
+/// A list of the first era as of number 100, of endpoints written at 10 and later.
+fn known(names: &[&str]) -> Catalogue {
+    let mut catalogue = Catalogue::new(Millis(1_400));
+    catalogue.set_lapse_time(LAPSE);
+    let entries = names.iter().zip(10..);
+    let entries = entries.map(|(name, number)| entry(name, at(1, number), false));
+    let entries: Vec<EndpointEntry> = entries.collect();
+    catalogue.replace(START, listed(at(1, 100), &entries), false);
+    catalogue
+}
+
+fn names(catalogue: &Catalogue) -> Vec<String> {
+    let entries = catalogue.entries().map(|entry| entry.id.to_string());
+    let mut names: Vec<String> = entries.collect();
+    names.sort();
+    names
+}
+
+fn is_draining(catalogue: &Catalogue, name: &str) -> bool {
+    catalogue.get(&id(name)).unwrap().draining
+}
+
+/// What is written again counts, also with a smaller number than before.
+#[test]
+fn smaller_numbers() {
+    let mut catalogue = known(&["a", "b"]);
+    let copy = ["a", "b"].map(|name| entry(name, at(2, 10), false));
+    catalogue.replace(START, listed(at(2, 60), &copy), false);
+    assert_eq!(catalogue.revision(), at(2, 60));
+    let change = catalogue.upsert(entry("a", at(2, 61), true));
+    assert!(matches!(change, Some(EndpointChange::Draining(_))));
+    let change = catalogue.remove(START, &id("b"), at(2, 62), false);
+    assert!(matches!(change, Some(EndpointChange::Gone(_))));
+}
+
+/// News of the era before changes nothing any more.
+#[test]
+fn earlier_era() {
+    let mut catalogue = known(&["a"]);
+    let copy = [entry("a", at(2, 15), false)];
+    catalogue.replace(START, listed(at(2, 20), &copy), false);
+    assert!(catalogue.upsert(entry("a", at(1, 500), true)).is_none());
+    assert!(!is_draining(&catalogue, "a"));
+    assert!(catalogue.upsert(entry("c", at(1, 500), false)).is_none());
+    assert!(
+        catalogue
+            .remove(START, &id("a"), at(1, 501), false)
+            .is_none()
+    );
+    assert_eq!(names(&catalogue), ["a"]);
+}
+
+/// An endpoint that leaves doesn't stay because the copy is older than its notice; its next life does.
+#[test]
+fn leave_stands() {
+    let mut catalogue = known(&["a"]);
+    catalogue.upsert(entry("a", at(1, 101), true));
+    let copy = [entry("a", at(2, 10), false)];
+    catalogue.replace(START, listed(at(2, 50), &copy), false);
+    assert!(is_draining(&catalogue, "a"));
+    catalogue.upsert(entry("a", at(2, 51), false));
+    assert!(is_draining(&catalogue, "a"));
+    let next = EndpointEntry {
+        born: Some(Born(7)),
+        ..entry("a", at(2, 52), false)
+    };
+    catalogue.upsert(next);
+    assert!(!is_draining(&catalogue, "a"));
+}
+
+/// An endpoint that had departed isn't used because the copy lists it. Nobody renews its entry, and it lapses.
+#[test]
+fn departed_stays_away() {
+    let mut catalogue = known(&["a", "b"]);
+    catalogue.remove(START, &id("b"), at(1, 101), false);
+    let copy = ["a", "b"].map(|name| entry(name, at(2, 10), false));
+    let changes = catalogue.replace(START, listed(at(2, 50), &copy), false);
+    assert_eq!(changes, []);
+    assert_eq!(names(&catalogue), ["a"]);
+    catalogue.remove(START + Millis(3_700), &id("b"), at(2, 70), false);
+    assert!(catalogue.readmit(START + LAPSE).is_empty());
+    assert_eq!(names(&catalogue), ["a"]);
+}
+
+/// One that lives writes its entry again, or its entry lasts longer than one that nobody writes.
+#[test]
+fn departed_comes_back() {
+    let mut catalogue = known(&["a", "b", "c"]);
+    catalogue.remove(START, &id("b"), at(1, 101), false);
+    catalogue.remove(START, &id("c"), at(1, 102), false);
+    let copy = ["a", "b", "c"].map(|name| entry(name, at(2, 10), false));
+    catalogue.replace(START, listed(at(2, 50), &copy), false);
+    let change = catalogue.upsert(entry("b", at(2, 51), false));
+    assert!(matches!(change, Some(EndpointChange::Added(_))));
+    assert!(catalogue.readmit(START + Millis(4_700)).is_empty());
+    let changes = catalogue.readmit(START + LAPSE);
+    assert!(matches!(changes[..], [EndpointChange::Added(_)]));
+    assert_eq!(names(&catalogue), ["a", "b", "c"]);
+}
+
+/// An endpoint whose entry lapsed while the directory couldn't be read may live: it isn't held back.
+#[test]
+fn lapsed_is_back() {
+    let mut catalogue = known(&["a"]);
+    catalogue.remove(START, &id("a"), at(1, 101), true);
+    catalogue.expire_suspects(START + Millis(1_500));
+    assert!(names(&catalogue).is_empty());
+    let copy = vec![entry("a", at(2, 10), false)];
+    catalogue.replace(START + Millis(2_000), listed(at(2, 50), &copy), false);
+    assert_eq!(names(&catalogue), ["a"]);
+}
+
+/// What the copy lacks is used until it had the time to be written again, also while other daemons read steadily.
+#[test]
+fn missing_is_suspect() {
+    let mut catalogue = known(&["a", "b"]);
+    let copy = vec![entry("a", at(2, 10), false)];
+    let changes = catalogue.replace(START, listed(at(2, 50), &copy), false);
+    assert!(matches!(changes[..], [EndpointChange::Suspect(_)]));
+    assert_eq!(names(&catalogue), ["a", "b"]);
+    catalogue.upsert(entry("b", at(2, 51), false));
+    assert!(catalogue.expire_suspects(START + Millis(60_000)).is_empty());
+}
+
+/// A daemon that knew what this one came from is told what differs; one that knew more of the earlier era gets the list.
+#[test]
+fn changes_across_eras() {
+    let mut catalogue = known(&["a", "b", "c"]);
+    let copy = vec![entry("a", at(2, 10), false), entry("b", at(2, 55), true)];
+    catalogue.replace(START, listed(at(2, 60), &copy), false);
+    assert!(catalogue.changed() > at(1, u64::MAX));
+    let changes = catalogue.changes_since(at(1, 100)).unwrap();
+    assert_eq!(changes.revision, at(2, 60));
+    assert_eq!(changes.entries, [entry("b", at(2, 55), true)]);
+    assert_eq!(changes.gone.len(), 1);
+    assert!(changes.gone[0].suspect);
+    assert_eq!(catalogue.changes_since(at(1, 104)), None);
+    assert_eq!(catalogue.changes_since(at(2, 30)), None);
+    let later = catalogue.changes_since(at(2, 60)).unwrap();
+    assert!(later.entries.is_empty() && later.gone.is_empty());
+    // It passes on what it was told in the same way.
+    let mut other = known(&["a", "b", "c"]);
+    apply(&mut other, START, changes);
+    assert_eq!(other.revision(), at(2, 60));
+    assert!(is_draining(&other, "b"));
+    assert_eq!(other.changes_since(at(1, 104)), None);
+    assert!(other.changes_since(at(1, 100)).is_some());
+}
+
+fn apply(catalogue: &mut Catalogue, now: Time, changes: EndpointChanges) {
+    catalogue.begin_era(now, changes.revision);
+    for entry in changes.entries {
+        catalogue.upsert(entry);
+    }
+    for gone in changes.gone {
+        catalogue.remove(now, &gone.id, gone.revision, gone.suspect);
+    }
+    catalogue.advance_to(changes.revision);
+}
+
+/// Messages name the era once; what is of an earlier one comes before all changes of it. A daemon of the release before
+/// reads numbers.
+#[test]
+fn eras_in_messages() {
+    let list = EndpointList {
+        revision: at(2, 60),
+        entries: vec![entry("a", at(1, 90), false), entry("b", at(2, 55), true)],
+        suspects: vec![id("a")],
+    };
+    let received: EndpointList = decode(&encode(&list)).unwrap();
+    assert_eq!(received.revision, at(2, 60));
+    let revisions = received.entries.iter().map(|entry| entry.revision);
+    assert_eq!(revisions.collect::<Vec<_>>(), [at(2, 0), at(2, 55)]);
+    let unnamed = EndpointList {
+        revision: 60.into(),
+        entries: vec![entry("a", 50.into(), false)],
+        suspects: Vec::new(),
+    };
+    let received: EndpointList = decode(&encode(&unnamed)).unwrap();
+    assert_eq!(received, unnamed);
+}
+
+/// A directory that comes back from older copies of itself, and endpoints that write their entries again.
+#[derive(Debug, Clone, Default)]
+struct Directory {
+    revision: Revision,
+    /// Where each entry was written last.
+    entries: BTreeMap<u64, Revision>,
+    copy: BTreeMap<u64, Revision>,
+    copied: u64,
+    /// Endpoints that live.
+    alive: BTreeSet<u64>,
+    /// Endpoints that departed, and where that was told.
+    departed: BTreeMap<u64, Revision>,
+}
+
+impl Directory {
+    fn next(&mut self) -> Revision {
+        self.revision.number += 1;
+        self.revision
+    }
+
+    fn change(&mut self, draws: &mut Draws, number: u64) {
+        let at = self.next();
+        if self.alive.contains(&number) && draws.percent(40) {
+            self.alive.remove(&number);
+            self.entries.remove(&number);
+            self.departed.insert(number, at);
+        } else if !self.departed.contains_key(&number) {
+            self.alive.insert(number);
+            self.entries.insert(number, at);
+        }
+    }
+
+    fn take_copy(&mut self) {
+        self.copy = self.entries.clone();
+        self.copied = self.revision.number;
+    }
+
+    fn go_back(&mut self) {
+        self.entries = self.copy.clone();
+        self.revision = Revision::new(Era(self.revision.era.0 + 1), self.copied);
+    }
+
+    /// Lets the endpoints that live write their entries, and those of the others lapse.
+    fn settle(&mut self) {
+        for number in self.alive.clone() {
+            let at = self.next();
+            self.entries.insert(number, at);
+        }
+        let dead = self
+            .entries
+            .keys()
+            .filter(|number| !self.alive.contains(number));
+        for number in dead.copied().collect::<Vec<_>>() {
+            self.next();
+            self.entries.remove(&number);
+        }
+    }
+
+    fn list(&self) -> EndpointList {
+        let era = self.revision.era;
+        let entries = self.entries.iter().map(|(number, written)| {
+            entry(
+                &format!("e{number}"),
+                Revision::new(era, written.number),
+                false,
+            )
+        });
+        EndpointList {
+            revision: self.revision,
+            entries: entries.collect(),
+            suspects: Vec::new(),
+        }
+    }
+}
+
+/// Whatever daemons hear from the directory and from each other, in whatever order, none uses an endpoint that it knew to
+/// have departed, and in the end all know the directory's list.
+#[test]
+fn drawn_returns() {
+    for seed in 0..2_000 {
+        let mut draws = Draws::new(seed);
+        let mut directory = Directory::default();
+        directory.revision.era = Era(1);
+        for number in 0..8 {
+            directory.change(&mut draws, number);
+        }
+        directory.take_copy();
+        let mut now = START;
+        let mut daemons: Vec<Catalogue> = Vec::new();
+        for _ in 0..3 {
+            let mut catalogue = Catalogue::new(Millis(1_400));
+            catalogue.set_lapse_time(LAPSE);
+            catalogue.replace(now, directory.list(), false);
+            daemons.push(catalogue);
+        }
+        let mut known: Vec<BTreeSet<String>> = vec![BTreeSet::new(); 3];
+        let mut gone: Vec<BTreeSet<String>> = vec![BTreeSet::new(); 3];
+        for step in 0..60 {
+            now = now + Millis(10);
+            let (one, other) = (draws.below(3) as usize, draws.below(3) as usize);
+            match draws.below(10) {
+                0..=4 => {
+                    let number = draws.below(12);
+                    directory.change(&mut draws, number);
+                }
+                5 => directory.take_copy(),
+                6 if draws.percent(30) => directory.go_back(),
+                7 => {
+                    daemons[one].replace(now, directory.list(), false);
+                }
+                8 => {
+                    let since = daemons[one].revision();
+                    let (changed, newer) = (daemons[other].changed(), daemons[other].clone());
+                    if changed > since {
+                        match newer.changes_since(since) {
+                            Some(changes) => apply(&mut daemons[one], now, changes),
+                            None => {
+                                daemons[one].replace(now, newer.list(), false);
+                            }
+                        }
+                    }
+                }
+                _ => {}
+            }
+            for (place, catalogue) in daemons.iter().enumerate() {
+                let (known, gone) = (&mut known[place], &mut gone[place]);
+                let used: BTreeSet<String> = names(catalogue).into_iter().collect();
+                let again: Vec<&String> = used.intersection(&*gone).collect();
+                assert!(again.is_empty(), "seed {seed}, step {step}: {again:?}");
+                let stated = catalogue.revision();
+                let told = directory.departed.iter();
+                let told = told.filter(|(_, at)| at.era == stated.era && **at <= stated);
+                let names = told.map(|(number, _)| format!("e{number}"));
+                gone.extend(names.filter(|name| known.contains(name) && !used.contains(name)));
+                known.extend(used);
+            }
+        }
+        directory.settle();
+        now = now + LAPSE + LAPSE;
+        let expected: Vec<String> = directory
+            .alive
+            .iter()
+            .map(|one| format!("e{one}"))
+            .collect();
+        let expected: BTreeSet<String> = expected.into_iter().collect();
+        for catalogue in &mut daemons {
+            catalogue.replace(now, directory.list(), false);
+            catalogue.readmit(now + LAPSE);
+            catalogue.expire_suspects(now + LAPSE);
+            let used: BTreeSet<String> = names(catalogue).into_iter().collect();
+            assert_eq!(used, expected, "seed {seed}");
+        }
+    }
+}
--- a/lib/tests/test_scale.rs
+++ b/lib/tests/test_scale.rs
@@ -5,7 +5,7 @@
 use {
     hazelyoke_lib::{
         gateway::{
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             hashes::EndpointHash,
             peers::message::LoadNote,
             rules::{
@@ -54,7 +54,7 @@
         draining: false,
         cold: Millis(0),
         born: None,
-        revision: 1,
+        revision: 1.into(),
     })
 }
 
--- a/lib/tests/test_stage_pins.rs
+++ b/lib/tests/test_stage_pins.rs
@@ -10,7 +10,7 @@
     },
     hazelyoke_lib::{
         gateway::{
-            directory::catalogue::EndpointEntry,
+            directory::endpoint_entry::EndpointEntry,
             rules::{
                 eligibility::Places,
                 retry_budget::{BudgetLimits, WindowBudget},
@@ -57,7 +57,7 @@
         draining: false,
         cold: Millis(0),
         born: None,
-        revision: 1,
+        revision: 1.into(),
     };
     (0..count).map(|i| Arc::new(entry(i))).collect()
 }
--- a/lib/tests/test_table_parts.rs
+++ b/lib/tests/test_table_parts.rs
@@ -32,6 +32,7 @@
 
 fn list(bytes: &Bytes, parts: &TableParts) -> PartList {
     PartList {
+        era: Default::default(),
         version: 2,
         fingerprint: xxh3_64(bytes),
         revision: 9,
