heartbeat: two loads give way to the eras of the directory

The fullest heartbeat took 1,425 bytes with large revisions and named eras, above the 1,400 that fit into a datagram; found by giving the size tests both (`heartbeat_size`, `evacuations_size`), which had revisions of 0. Two loads less where eras are named; nothing changes for a directory that names none.

--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -175,7 +175,8 @@
 }
 
 impl HeartbeatEras {
-    fn are_unnamed(&self) -> bool {
+    /// Returns whether the directory names no era.
+    pub(super) fn are_unnamed(&self) -> bool {
         *self == Self::default()
     }
 }
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -13,7 +13,7 @@
             revision::Revision,
             rules::{
                 coordinator::{self, Coordinator},
-                gossip,
+                gossip::{self, NamedBeside},
                 homes::RegionHash,
                 liveness,
             },
@@ -64,6 +64,16 @@
         let targets = self.targets(now, &report.services, &coordinators, &asked);
         let peers = self.named_peers(now, asked.len());
         self.reported_backlogs.clone_from(&report.backlogs);
+        let eras = HeartbeatEras {
+            table: report.table_until.era,
+            list: report.catalogue.era,
+            evacuations: report.evacuations.until().era,
+        };
+        let beside = NamedBeside {
+            evacuated: report.evacuations.len(),
+            regions: self.me.region.is_some(),
+            eras: !eras.are_unnamed(),
+        };
         let heartbeat = Heartbeat {
             protocol: PROTOCOL,
             host: self.me.host.clone(),
@@ -77,11 +87,7 @@
             fingerprint: report.fingerprint,
             table_until: Some(report.table_until.number),
             catalogue: report.catalogue.number,
-            eras: HeartbeatEras {
-                table: report.table_until.era,
-                list: report.catalogue.era,
-                evacuations: report.evacuations.until().era,
-            },
+            eras,
             steady: report.steady,
             read_ms: report.read_ms,
             read_by: report.read_by,
@@ -90,11 +96,7 @@
             joining: self.is_joining(now),
             peers,
             asked,
-            loads: gossip::largest_loads(
-                report.loads,
-                report.evacuations.len(),
-                self.me.region.is_some(),
-            ),
+            loads: gossip::largest_loads(report.loads, beside),
             evacuations: reported(report.evacuations),
             queues: report.queues,
             work: report.work,
--- a/lib/src/gateway/rules/gossip.rs
+++ b/lib/src/gateway/rules/gossip.rs
@@ -59,6 +59,9 @@
 /// bytes each.
 const LOADS_FOR_REGIONS: usize = 9;
 
+/// Loads that give way to the eras of the directory.
+const LOADS_FOR_ERAS: usize = 2;
+
 /// With one heartbeat in so many a coordinator tells its region how its services stand in other ones. What daemons
 /// decide by it may be a second old.
 const FAR_EVERY: u64 = 5;
@@ -246,15 +249,23 @@
     loads
 }
 
+/// What a heartbeat names that leaves less room for loads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NamedBeside {
+    /// Evacuated data centres.
+    pub evacuated: usize,
+    /// Set if it names regions.
+    pub regions: bool,
+    /// Set if it names eras of the directory.
+    pub eras: bool,
+}
+
 /// Returns the loads that a heartbeat carries: those with the most prompt tokens, and of equal
-/// ones those with the most requests; fewer where it names evacuated data centres or regions.
-pub fn largest_loads(
-    mut loads: Vec<LoadNote>,
-    evacuated: usize,
-    names_regions: bool,
-) -> Vec<LoadNote> {
-    let regions = if names_regions { LOADS_FOR_REGIONS } else { 0 };
-    let others = evacuated * LOADS_PER_EVACUATED + regions;
+/// ones those with the most requests; fewer beside what else it names.
+pub fn largest_loads(mut loads: Vec<LoadNote>, beside: NamedBeside) -> Vec<LoadNote> {
+    let regions = if beside.regions { LOADS_FOR_REGIONS } else { 0 };
+    let eras = if beside.eras { LOADS_FOR_ERAS } else { 0 };
+    let others = beside.evacuated * LOADS_PER_EVACUATED + regions + eras;
     loads.sort_unstable_by_key(|load| Reverse((load.prefill, load.running)));
     loads.truncate(LOADS.saturating_sub(others));
     loads
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -17,6 +17,7 @@
                 peer_change::PeerChange,
                 self_report::SelfReport,
             },
+            revision::{Era, Revision},
             rules::{
                 backlog::{Backlog, Band},
                 coordinator::Coordinator,
@@ -263,7 +264,10 @@
 
 /// A report with more of everything than a heartbeat holds.
 fn full_report() -> SelfReport {
+    let revision = Revision::new(Era(1_000), 5_000_000_000);
     SelfReport {
+        table_until: revision,
+        catalogue: revision,
         loads: (0..600).map(|n| load(n * 7_019_777, 60, 90_000)).collect(),
         queues: (0..6)
             .map(|n| queue(n * 7_019_777, 9, true, 9_000))
@@ -332,11 +336,12 @@
     let evacuations = |count: u64| {
         let order = |n: u64| EvacuationOrder {
             data_centre: format!("dc-{n}").parse().unwrap(),
-            revision: (5_000_000_000 + n).into(),
+            revision: Revision::new(Era(1_000), 5_000_000_000 + n),
             evacuated: true,
         };
         let orders: Vec<EvacuationOrder> = (0..count).map(order).collect();
-        Evacuations::listed(5_000_001_000.into(), orders.iter())
+        let until = Revision::new(Era(1_000), 5_000_001_000);
+        Evacuations::listed(until, orders.iter())
     };
     let mut me = peers(1, 1, &[]);
     for n in 2..=250 {
@@ -356,7 +361,7 @@
         let bytes = encode(&fullest);
         assert!(bytes.len() <= 1_400, "{count}: {} bytes", bytes.len());
         let decoded: Heartbeat = decode(&bytes).unwrap();
-        assert_eq!(decoded.evacuations, Some(evacuations(count)));
+        assert_eq!(decoded.known_evacuations(), Some(evacuations(count)));
     }
     let too_many = SelfReport {
         evacuations: evacuations(13),
