soak: a store that comes back from older copies

Seeds from 5,000 on: the store loses up to 59 changes, is away for a moment, and operator and replicas write again what it lacks, some of them before anybody reads; beside kills, pauses, cuts, evacuations and harm to links as before. The checks are those of all seeds: tables never go back, all daemons know the same endpoints in the end, and replicas that left get nothing. Also the rule's page without links to private constants, which the documentation check refuses.

--- a/daemon/tests/soak/trouble.rs
+++ b/daemon/tests/soak/trouble.rs
@@ -30,6 +30,8 @@
     pub harms_links: bool,
     /// The replicas' data centre is evacuated now and then, and others write among their entries.
     pub evacuates: bool,
+    /// The store comes back from an older copy now and then.
+    pub returns: bool,
     /// Times that a daemon started and can't have been told at once what others know.
     pub forgotten: Rc<std::cell::Cell<usize>>,
     /// Times that a daemon started again.
@@ -47,6 +49,9 @@
 const ROUTES_PER_VERSION: usize = 100;
 const MOST_ROUTES: usize = 2_000;
 
+/// Bound of the changes that an older copy of the store lacks.
+const LOST_CHANGES: u32 = 60;
+
 /// Longest time that a planned stop may take. Chosen, not measured.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
 
@@ -57,10 +62,11 @@
         let daemon = rng.random_range(0..self.daemons.borrow().len());
         let choice = rng.random();
         let world = self.clone();
-        let kinds = match (planned, self.evacuates) {
-            (true, _) => 5,
-            (false, false) => 12,
-            (false, true) => 15,
+        let kinds = match (planned, self.evacuates, self.returns) {
+            (true, ..) => 5,
+            (false, false, _) => 12,
+            (false, true, false) => 15,
+            (false, true, true) => 17,
         };
         match rng.random_range(0..kinds) {
             0 => self.publish(),
@@ -92,12 +98,33 @@
             13 => {
                 tokio::task::spawn_local(async move { world.spoil_entry(choice, time).await });
             }
-            _ => {
+            14 => {
                 tokio::task::spawn_local(async move { world.evacuate(time).await });
             }
+            _ => {
+                tokio::task::spawn_local(async move { world.store_returns(choice, time).await });
+            }
         }
     }
 
+    /// Brings the store back from a copy that lacks some changes. Operator and replicas write again what it lacks, some of
+    /// them before anybody reads it.
+    async fn store_returns(&self, choice: u32, time: Duration) {
+        self.store.set_trouble(Trouble::Refusing);
+        let lost = u64::from(choice % LOST_CHANGES);
+        self.store
+            .restore(self.store.revision().saturating_sub(lost));
+        let places = self.members.borrow().len();
+        let first = choice as usize % (places + 1);
+        (0..first).for_each(|place| self.rewrite(place));
+        tokio::time::sleep(time / 4).await;
+        self.store.set_trouble(Trouble::None);
+        tokio::time::sleep(time / 4).await;
+        self.publish_again();
+        let places = self.members.borrow().len();
+        (first..places).for_each(|place| self.rewrite(place));
+    }
+
     /// Evacuates the data centre of all replicas, and takes it back.
     async fn evacuate(&self, time: Duration) {
         self.store.put_text(EVACUATION, "{}");
@@ -140,6 +167,11 @@
     /// Publishes a new table, as an operator does.
     pub fn publish(&self) {
         self.version.set(self.version.get() + 1);
+        self.publish_again();
+    }
+
+    /// Publishes the newest table once more.
+    fn publish_again(&self) {
         let version = self.version.get();
         let routes = if self.harms_links {
             (version as usize * ROUTES_PER_VERSION).min(MOST_ROUTES)
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -44,9 +44,11 @@
     tokio::task::LocalSet,
 };
 
-/// Seeds of the short series: without and with harm to links, with evacuations, with harmful requests, and with a replica
-/// in need.
-const SHORT: [u64; 10] = [2, 3, 1_000, 1_001, 2_000, 2_002, 3_001, 3_002, 4_001, 4_003];
+/// Seeds of the short series: without and with harm to links, with evacuations, with harmful requests, with a replica in
+/// need, and with a store that comes back from older copies.
+const SHORT: [u64; 12] = [
+    2, 3, 1_000, 1_001, 2_000, 2_002, 3_001, 3_002, 4_001, 4_003, 5_000, 5_002,
+];
 
 /// Seeds from this one on also harm the links between daemons, and let tables grow large. Those before keep
 /// the events with which they once failed.
@@ -61,6 +63,9 @@
 /// Seeds from this one on also have a replica that names a low rate.
 const NEED_FROM: u64 = 4_000;
 
+/// Seeds from this one on also have a store that comes back from older copies.
+const RETURNS_FROM: u64 = 5_000;
+
 /// Seeds that failed once, with what they showed.
 const REGRESSIONS: [(u64, &str); 6] = [
     (
@@ -168,6 +173,7 @@
         findings: Rc::default(),
         harms_links: seed >= LINKS_FROM && !planned,
         evacuates: seed >= EVACUATIONS_FROM && !planned,
+        returns: seed >= RETURNS_FROM && !planned,
         forgotten: Rc::default(),
         starts: Rc::default(),
     };
--- a/lib/src/gateway/rules/endpoint_rest.rs
+++ b/lib/src/gateway/rules/endpoint_rest.rs
@@ -3,7 +3,7 @@
 //! Inputs: the status of its reply, and the time after which the reply asks to come back.
 //!
 //! Rule: a refusal for lack of room or for too many requests that names a time asks for so much rest, up to
-//! [`LONGEST_REST`]; one whose time can't be read for [`UNCLEAR_REST`]. Any other reply asks for none.
+//! ten minutes; one whose time can't be read for one second. Any other reply asks for none.
 //!
 //! Reason: what is sent there meanwhile is turned away again, and costs a retry that another request lacks. An endpoint
 //! that names a day by mistake must not stay unused for it.
