--- a/lib/tests/test_restored_list.rs
+++ b/lib/tests/test_restored_list.rs
@@ -206,6 +206,31 @@
     assert!(other.changes_since(at(1, 100)).is_some());
 }
 
+/// Of a long list, those that knew the era before are told what differs alone.
+#[test]
+fn long_list_returns() {
+    let names: Vec<String> = (0..10_000).map(|number| format!("e{number}")).collect();
+    let entries = names.iter().zip(1..);
+    let entries = entries.map(|(name, number)| entry(name, at(1, number), false));
+    let entries: Vec<EndpointEntry> = entries.collect();
+    let mut catalogue = Catalogue::new(Millis(1_400));
+    catalogue.replace(START, listed(at(1, 10_000), &entries), false);
+    let mut copy: Vec<EndpointEntry> = entries[..9_980].to_vec();
+    for entry in &mut copy {
+        entry.revision.era = Era(2);
+    }
+    for entry in &mut copy[..20] {
+        entry.draining = true;
+        entry.revision.number += 10_000;
+    }
+    catalogue.replace(START, listed(at(2, 10_020), &copy), false);
+    let changes = catalogue.changes_since(at(1, 10_000)).unwrap();
+    assert_eq!((changes.entries.len(), changes.gone.len()), (20, 20));
+    let (told, whole) = (encode(&changes).len(), encode(&catalogue.list()).len());
+    println!("{told} bytes of changes, {whole} of the list");
+    assert!(told * 100 < whole, "{told} of {whole} bytes");
+}
+
 fn apply(catalogue: &mut Catalogue, now: Time, changes: EndpointChanges) {
     catalogue.begin_era(now, changes.revision);
     for entry in changes.entries {
