--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -24,6 +24,8 @@
     std::{rc::Rc, time::Duration},
 };
 
+mod eras;
+
 /// Name of the directory as a source in the log.
 const SOURCE: &str = "directory";
 
@@ -230,72 +232,11 @@
         }
     }
 
-    /// Reads the topic whole if this daemon has heard of a later era than that of its place: changes since then are of no
-    /// use. It does so once for each era.
-    fn look_for_era(&mut self) {
-        let heard = self.gateway.state.borrow().era;
-        if let Some(since) = self.since
-            && heard > since.era.max(self.era)
-        {
-            log::warn!(topic:? = self.topic, era:% = heard, since:%; "directory.restored");
-            self.list_anew();
-        }
-        self.era = self.era.max(heard);
-    }
-
-    /// Ends when this daemon hears of a later era than that of its place.
-    async fn heard_of_era(&self) {
-        loop {
-            let restored = self.gateway.restored.notified();
-            let heard = self.gateway.state.borrow().era;
-            if self
-                .since
-                .is_some_and(|since| heard > since.era.max(self.era))
-            {
-                return;
-            }
-            restored.await;
-        }
-    }
-
     fn list_anew(&mut self) {
         self.must_list = true;
         self.since = None;
     }
 
-    /// Returns the items if they continue what is known. One without an era is of the era that is known.
-    ///
-    /// # Errors
-    ///
-    /// Returns that the directory came back from an older copy if they are changes in a later era: those before are
-    /// missing. An answer of an earlier era is out of date.
-    fn check_era(&self, items: Items) -> Result<Items, DirectoryError> {
-        let known = self.known_era();
-        let Revision { era, .. } = items.revision;
-        if era.is_unnamed() {
-            return Ok(items.in_era(known));
-        }
-        if era < known {
-            let reason = format!("an answer of era {era} after era {known}");
-            return Err(DirectoryError::Refused(reason));
-        }
-        match self.since {
-            Some(since) if era > since.era => Err(DirectoryError::Restored {
-                era,
-                revision: items.revision,
-            }),
-            _ => Ok(items),
-        }
-    }
-
-    /// Returns the latest era that this daemon knows of.
-    fn known_era(&self) -> Era {
-        let topics = [Topic::Operator, Topic::Endpoints];
-        let known = topics.map(|topic| self.gateway.known_revision(topic).era);
-        let own = self.since.unwrap_or_default().era;
-        known.into_iter().max().unwrap_or_default().max(own)
-    }
-
     async fn back_off(&mut self, error: &DirectoryError, took: Duration) {
         let took_ms = took.as_millis() as u64;
         log::info!(topic:? = self.topic, took_ms, error:% = error; "directory.read_failed");
