directory: an entry that is written again as it was is told to those that suspect its endpoint

Callers at a daemon that leaves the reading to others were refused, or got fewer endpoints, for good: the daemon dropped endpoints that live.

From its log: the endpoint is doubted with the store's return, all its neighbours have it again from revision 5.47 on, and it is gone here when its time is over; no other change of it comes.

Cause: of an entry that says the same in a later era, no change is recorded, so that a long list costs what differs alone. One of a suspect was left out as well, although others had been told to suspect it.

Change: an entry of a suspect is a change.

--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -67,7 +67,7 @@
 const RETURNS_FROM: u64 = 5_000;
 
 /// Seeds that failed once, with what they showed.
-const REGRESSIONS: [(u64, &str); 6] = [
+const REGRESSIONS: [(u64, &str); 7] = [
     (
         4,
         "an endpoint that once called itself another was never used again",
@@ -86,6 +86,10 @@
         3_137,
         "a daemon that started behind a cut link ended as many replicas as one that knows nothing",
     ),
+    (
+        5_105,
+        "an entry that was written again as it was before the store's return wasn't told to others, which dropped it",
+    ),
 ];
 
 /// Time with faults of one run, in seconds. Chosen, not measured.
--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -163,7 +163,9 @@
 
     fn apply(&mut self, entry: EndpointEntry) -> Option<EndpointChange> {
         let old = self.entries.get(&entry.id).cloned();
-        if old.as_ref().is_none_or(|old| is_change(old, &entry)) {
+        let was_suspect = self.suspects.contains_key(&entry.id);
+        let is_known = |old: &Arc<EndpointEntry>| !is_change(old, &entry, was_suspect);
+        if !old.as_ref().is_some_and(is_known) {
             let entries = self.entries.len();
             self.log.record(entry.revision, &entry.id, entries);
         }
@@ -335,10 +337,10 @@
 }
 
 /// Returns whether an entry is a change to another one of the same endpoint. One that only has another revision in a later
-/// era isn't: it was written before.
-fn is_change(old: &EndpointEntry, entry: &EndpointEntry) -> bool {
-    let is_same = entry.revision.era > old.revision.era && entry.says_same(old);
-    old.revision < entry.revision && !is_same
+/// era isn't, unless its endpoint was a suspect: it was written before.
+fn is_change(old: &EndpointEntry, entry: &EndpointEntry, was_suspect: bool) -> bool {
+    let is_known = entry.revision.era > old.revision.era && !was_suspect && entry.says_same(old);
+    old.revision < entry.revision && !is_known
 }
 
 /// Returns the entry that follows another one of the same endpoint. One that leaves doesn't stay after all in the same life;
--- a/lib/tests/test_restored_list.rs
+++ b/lib/tests/test_restored_list.rs
@@ -181,6 +181,26 @@
     assert!(catalogue.expire_suspects(START + Millis(60_000)).is_empty());
 }
 
+/// What the copy lacks and is written again as it was is told to others that suspect it.
+#[test]
+fn rewritten_is_told() {
+    let mut catalogue = known(&["a", "b"]);
+    let copy = [entry("a", at(2, 10), false)];
+    catalogue.replace(START, listed(at(2, 50), &copy), false);
+    let mut other = known(&["a", "b"]);
+    apply(
+        &mut other,
+        START,
+        catalogue.changes_since(at(1, 100)).unwrap(),
+    );
+    assert_eq!(other.suspects(), 1);
+    catalogue.upsert(entry("b", at(2, 51), false));
+    let changes = catalogue.changes_since(other.revision()).unwrap();
+    apply(&mut other, START, changes);
+    assert_eq!(other.suspects(), 0);
+    assert!(other.expire_suspects(START + Millis(60_000)).is_empty());
+}
+
 /// A daemon that knew what this one came from is told what differs; one that knew more of the earlier era gets the list.
 #[test]
 fn changes_across_eras() {
