directory: changes that another daemon told across a gap leave a gap here as well

Callers: requests may go to an endpoint that has left, from a daemon that leaves the reading to others, until it refuses them.

Cause: a daemon that reads a whole list knows that changes before it may be missing, and sends the list to whoever knows it as of a revision between. What it told a third daemon as changes carried no such gap, so that the third one told a fourth, which had seen an endpoint come in between, changes that lack its end.

Change: changes say whether some may be missing, and who applies them keeps the gap. It costs a whole list to those alone that know the list as of a revision within a gap; the release before neither tells nor reads it.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -83,7 +83,12 @@
         for gone in changes.gone {
             self.remove_endpoint(&gone.id, gone.revision, gone.suspect, source);
         }
-        self.advance_revision(changes.revision);
+        let catalogue = &mut self.state.borrow_mut().catalogue;
+        if changes.has_gap {
+            catalogue.advance_over(changes.revision);
+        } else {
+            catalogue.advance_to(changes.revision);
+        }
     }
 
     /// Uses endpoints of the first list while the rest of it is still on its way. The list of 3,001 endpoints took
--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -100,10 +100,10 @@
     }
 
     /// Returns the changes after a revision; nothing if too many were forgotten since.
-    pub fn changes_since(&self, revision: Revision) -> Option<EndpointChanges> {
+    pub fn changes_since(&self, since: Revision) -> Option<EndpointChanges> {
         let mut entries = Vec::new();
         let mut gone = Vec::new();
-        for (id, revision) in self.log.since(revision)? {
+        for (id, revision) in self.log.since(since)? {
             let suspect = self.suspects.contains_key(id);
             match self.entries.get(id) {
                 Some(entry) if !suspect => entries.push((**entry).clone()),
@@ -118,6 +118,7 @@
             revision: self.log.complete_to(),
             entries,
             gone,
+            has_gap: self.log.has_gap_after(since),
         })
     }
 
@@ -236,11 +237,16 @@
 
     /// Records that all changes up to a revision were applied.
     pub fn advance_to(&mut self, revision: Revision) {
-        if revision.era > self.revision.era && !self.log.is_unstarted() {
-            // Others may know more of the earlier era than what this daemon came from.
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Records that what another daemon told of the changes up to a revision was applied, among which some are missing:
+    /// whoever knows the list as of a revision between may know of endpoints that came and went.
+    pub fn advance_over(&mut self, revision: Revision) {
+        if !self.log.is_unstarted() {
             self.log.skip(self.revision, revision);
         }
-        self.revision = self.revision.max(revision);
+        self.advance_to(revision);
     }
 
     /// Applies a whole list as of `revision`: entries that it lacks have vanished, unless they are newer
--- a/lib/src/gateway/directory/change_log.rs
+++ b/lib/src/gateway/directory/change_log.rs
@@ -111,6 +111,12 @@
         gaps.any(|gap| gap.from < revision && revision < gap.to)
     }
 
+    /// Returns whether changes may be missing among those after a revision: they lead from what was known then to what is
+    /// known now, and an endpoint may have come and gone between.
+    pub(crate) fn has_gap_after(&self, revision: Revision) -> bool {
+        self.gaps.iter().any(|gap| gap.to > revision)
+    }
+
     /// Returns the revision of the last change of each endpoint that changed after `revision`;
     /// nothing if changes since then may be missing.
     pub(crate) fn since(&self, revision: Revision) -> Option<HashMap<&EndpointId, Revision>> {
--- a/lib/src/gateway/directory/endpoint_entry.rs
+++ b/lib/src/gateway/directory/endpoint_entry.rs
@@ -165,6 +165,8 @@
     pub entries: Vec<EndpointEntry>,
     /// Entries that vanished.
     pub gone: Vec<GoneEndpoint>,
+    /// Endpoints may have come and gone meanwhile that aren't told.
+    pub has_gap: bool,
 }
 
 /// Changes of the list of endpoints in a message.
@@ -175,6 +177,13 @@
     era: Era,
     entries: Vec<EndpointEntry>,
     gone: Vec<GoneEndpoint>,
+    /// Unset from a daemon of a release that doesn't tell.
+    #[serde(rename = "gap", default, skip_serializing_if = "is_unset")]
+    has_gap: bool,
+}
+
+fn is_unset(flag: &bool) -> bool {
+    !flag
 }
 
 impl From<EndpointChanges> for ChangesMessage {
@@ -189,6 +198,7 @@
             era,
             entries: entries_in(era, changes.entries),
             gone: gone.collect(),
+            has_gap: changes.has_gap,
         }
     }
 }
@@ -204,6 +214,7 @@
             revision: Revision::new(era, revision),
             entries: entries_in_message(era, message.entries),
             gone: gone.collect(),
+            has_gap: message.has_gap,
         }
     }
 }
--- a/lib/tests/test_list_order.rs
+++ b/lib/tests/test_list_order.rs
@@ -205,6 +205,7 @@
         revision: 155.into(),
         entries: vec![entry(0, 152), entry(2, 155)],
         gone: Vec::new(),
+        has_gap: false,
     };
     daemon.take_changes(late.clone());
     for (number, revision) in [(0, 160), (2, 161)] {
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -201,6 +201,7 @@
             gone("endpoint-8", 69_999.into(), false),
             gone("endpoint-9", 70_001.into(), true),
         ],
+        has_gap: false,
     }
 }
 
--- a/lib/tests/test_restored_list.rs
+++ b/lib/tests/test_restored_list.rs
@@ -259,7 +259,11 @@
     for gone in changes.gone {
         catalogue.remove(now, &gone.id, gone.revision, gone.suspect);
     }
-    catalogue.advance_to(changes.revision);
+    if changes.has_gap {
+        catalogue.advance_over(changes.revision);
+    } else {
+        catalogue.advance_to(changes.revision);
+    }
 }
 
 /// Messages name the era once; what is of an earlier one comes before all changes of it. A daemon of the release before
@@ -359,6 +363,44 @@
     }
 }
 
+/// Asks another daemon for what is newer there.
+fn ask(catalogue: &mut Catalogue, now: Time, newer: &Catalogue) {
+    if newer.changed() <= catalogue.revision() {
+        return;
+    }
+    match newer.changes_since(catalogue.revision()) {
+        Some(changes) => apply(catalogue, now, changes),
+        None => {
+            catalogue.replace(now, newer.list(), false);
+        }
+    }
+}
+
+/// Lets the endpoints that live write their entries, and those of the others lapse; tells a daemon that reads the changes.
+fn tell_changes(directory: &mut Directory, reader: &mut Catalogue, now: Time) {
+    let before = directory.entries.clone();
+    directory.settle();
+    let written = directory.entries.iter();
+    for (number, at) in written.filter(|(number, at)| before.get(number) != Some(at)) {
+        let at = Revision::new(directory.revision.era, at.number);
+        reader.upsert(entry(&format!("e{number}"), at, false));
+    }
+    for number in before
+        .keys()
+        .filter(|number| !directory.entries.contains_key(number))
+    {
+        reader.remove(now, &id(&format!("e{number}")), directory.revision, false);
+    }
+    reader.advance_to(directory.revision);
+}
+
+/// Returns what a daemon uses once nothing is suspect or held back any more.
+fn settled(catalogue: &mut Catalogue, now: Time) -> Vec<String> {
+    catalogue.readmit(now + LAPSE);
+    catalogue.expire_suspects(now + LAPSE);
+    names(catalogue)
+}
+
 /// Whatever daemons hear from the directory and from each other, in whatever order, none uses an endpoint that it knew to
 /// have departed, and in the end all know the directory's list.
 #[test]
@@ -395,16 +437,8 @@
                     daemons[one].replace(now, directory.list(), false);
                 }
                 8 => {
-                    let since = daemons[one].revision();
-                    let (changed, newer) = (daemons[other].changed(), daemons[other].clone());
-                    if changed > since {
-                        match newer.changes_since(since) {
-                            Some(changes) => apply(&mut daemons[one], now, changes),
-                            None => {
-                                daemons[one].replace(now, newer.list(), false);
-                            }
-                        }
-                    }
+                    let newer = daemons[other].clone();
+                    ask(&mut daemons[one], now, &newer);
                 }
                 _ => {}
             }
@@ -421,6 +455,23 @@
                 known.extend(used);
             }
         }
+        // Others hear of the end from the one that reads, step by step.
+        let mut heard = daemons.clone();
+        heard[0].replace(now, directory.list(), false);
+        for end in 0..4 {
+            if end == 1 {
+                tell_changes(&mut directory, &mut heard[0], now);
+            }
+            let newer = heard[0].clone();
+            for other in &mut heard[1..] {
+                ask(other, now, &newer);
+            }
+        }
+        let used: Vec<Vec<String>> = heard.iter_mut().map(|one| settled(one, now)).collect();
+        assert!(
+            used.iter().all(|one| *one == used[0]),
+            "seed {seed}: {used:?}"
+        );
         directory.settle();
         now = now + LAPSE + LAPSE;
         let expected: Vec<String> = directory
