tests: slow callers begin fifty at a time

Traced with the daemon's whole log, eight runs at once (2 of 24 failed): "no endpoint is left; 0 sent, last: not connected: timed out" for 44 callers of one run. The only engine accepts its connections on the thread of the test, which begins 500 callers at one moment, and took longer than the 250 ms that a connection has.

--- a/daemon/tests/test_slow_readers.rs
+++ b/daemon/tests/test_slow_readers.rs
@@ -8,7 +8,7 @@
 mod process;
 
 use {
-    futures_util::future::join_all,
+    futures_util::{StreamExt, stream},
     process::{Limits, Process, USUAL, start},
     serde_json::{Value, json},
     stand_in::{
@@ -59,6 +59,9 @@
     line.split_whitespace().nth(1).unwrap().parse().unwrap()
 }
 
+/// Callers that begin at the same moment: the engine accepts its connections on the thread of the test.
+const BEGIN_TOGETHER: usize = 50;
+
 /// Asks for a stream, reads its head, and keeps the connection.
 async fn begin(listen: SocketAddr, number: usize) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
@@ -88,7 +91,8 @@
         };
         let process = start("slow", &store, limits).await;
         let begun = (0..CALLERS).map(|number| begin(process.listen, number));
-        let mut callers = join_all(begun).await;
+        let begun = stream::iter(begun).buffered(BEGIN_TOGETHER);
+        let mut callers: Vec<TcpStream> = begun.collect().await;
         for round in 0..5 {
             let text = client::request("POST", "/r/1", &format!("p{round}"), &[], "b");
             let answer = client::send(process.listen, &text).await;
