--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -267,18 +267,46 @@
             entries,
             suspects,
         } = list;
-        let is_first = self.log.is_unstarted();
         let suspects: HashSet<EndpointId> = suspects.into_iter().collect();
         let is_outage = self.begin_era(now, revision) || is_outage;
         let ids = entries.iter().map(|entry| &entry.id);
         let listed = ids.filter(|id| !suspects.contains(id));
         let listed: HashSet<EndpointId> = listed.cloned().collect();
-        let missing: Vec<EndpointId> = self
+        let missing = self.missing_in(&listed, revision);
+        let mut changes = self.apply_listed(entries, revision, &suspects);
+        self.departed.retain_listed(&listed);
+        for id in &missing {
+            self.log.record(revision, id, self.entries.len());
+            changes.extend(self.vanish(now, id, is_outage || suspects.contains(id)));
+        }
+        if self.log.is_unstarted() {
+            let suspects = suspects.iter();
+            changes.extend(suspects.filter_map(|id| self.vanish(now, id, true)));
+            self.log.start(revision);
+        } else {
+            self.log.skip(self.revision, revision);
+        }
+        self.advance_to(revision);
+        changes
+    }
+
+    /// Returns the endpoints that a list as of a revision lacks although they were known by then.
+    fn missing_in(&self, listed: &HashSet<EndpointId>, revision: Revision) -> Vec<EndpointId> {
+        let missing = self
             .entries
             .values()
-            .filter(|entry| !listed.contains(&entry.id) && entry.revision <= revision)
-            .map(|entry| entry.id.clone())
-            .collect();
+            .filter(|entry| !listed.contains(&entry.id) && entry.revision <= revision);
+        missing.map(|entry| entry.id.clone()).collect()
+    }
+
+    /// Applies the entries of a list as of a revision. The first list brings suspects of another daemon as well.
+    fn apply_listed(
+        &mut self,
+        entries: Vec<EndpointEntry>,
+        revision: Revision,
+        suspects: &HashSet<EndpointId>,
+    ) -> Vec<EndpointChange> {
+        let is_first = self.log.is_unstarted();
         let is_older = revision < self.revision;
         let mut changes = Vec::new();
         for entry in entries {
@@ -290,21 +318,6 @@
                 changes.extend(self.apply(entry));
             }
         }
-        self.departed.retain_listed(&listed);
-        for id in &missing {
-            self.log.record(revision, id, self.entries.len());
-            changes.extend(self.vanish(now, id, is_outage || suspects.contains(id)));
-        }
-        if is_first {
-            let suspects = suspects.iter();
-            changes.extend(suspects.filter_map(|id| self.vanish(now, id, true)));
-        }
-        if self.log.is_unstarted() {
-            self.log.start(revision);
-        } else {
-            self.log.skip(self.revision, revision);
-        }
-        self.revision = self.revision.max(revision);
         changes
     }
 
