shared: one map of bounded size for notices and departed endpoints

RememberedNotices and Departed each kept a map beside the order of its keys, with the same rule for the oldest. RecentMap has it once; nothing that can be seen changes.

--- a/lib/src/gateway/directory/departed.rs
+++ b/lib/src/gateway/directory/departed.rs
@@ -6,10 +6,9 @@
 use {
     crate::{
         gateway::{directory::endpoint_entry::EndpointEntry, revision::Revision},
-        shared::{ids::EndpointId, units::Time},
+        shared::{ids::EndpointId, recent_map::RecentMap, units::Time},
     },
     foldhash::{HashMap, HashSet},
-    std::collections::VecDeque,
 };
 
 /// Most endpoints that are remembered; the oldest are forgotten.
@@ -21,9 +20,8 @@
 /// Endpoints that have departed.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Departed {
-    known: HashSet<EndpointId>,
     /// In the order in which they departed.
-    order: VecDeque<EndpointId>,
+    known: RecentMap<EndpointId, (), REMEMBERED>,
     held: HashMap<EndpointId, HeldEntry>,
     /// Revision from which on they are held back; who writes later lives.
     since: Revision,
@@ -35,21 +33,13 @@
     /// Records that an endpoint departed.
     pub(crate) fn record(&mut self, id: &EndpointId) {
         self.forget(id);
-        self.known.insert(id.clone());
+        self.known.entry(id.clone());
         self.held.insert(id.clone(), None);
-        self.order.push_back(id.clone());
-        if self.order.len() > REMEMBERED
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.known.remove(&oldest);
-        }
     }
 
     /// Forgets an endpoint that is in the list again.
     pub(crate) fn forget(&mut self, id: &EndpointId) {
-        if self.known.remove(id) {
-            self.order.retain(|other| other != id);
-        }
+        self.known.remove(id);
     }
 
     /// Holds all of them back until a time, should they be listed: the directory came back from an older copy, and is as of
@@ -57,7 +47,7 @@
     pub(crate) fn hold_all(&mut self, until: Time, revision: Revision) {
         self.since = revision;
         self.until = until;
-        self.held = self.order.iter().map(|id| (id.clone(), None)).collect();
+        self.held = self.known.keys().map(|id| (id.clone(), None)).collect();
     }
 
     /// Holds back an entry; returns it if it isn't one of an endpoint that is held back, or was written since.
--- a/lib/src/gateway/routing/endpoint_notices.rs
+++ b/lib/src/gateway/routing/endpoint_notices.rs
@@ -2,10 +2,9 @@
 //!
 //! Owns the notices of each life of an endpoint, also while it has no entry in the list. `reply_notices` records them.
 
-use {
-    crate::{gateway::directory::endpoint_entry::EndpointLife, shared::units::Time},
-    foldhash::HashMap,
-    std::collections::VecDeque,
+use crate::{
+    gateway::directory::endpoint_entry::EndpointLife,
+    shared::{recent_map::RecentMap, units::Time},
 };
 
 /// Most lives without an entry whose notices are remembered.
@@ -78,9 +77,7 @@
 /// the endpoint said before stands.
 #[derive(Debug, Default)]
 pub(crate) struct RememberedNotices {
-    notices: HashMap<EndpointLife, EndpointNotices>,
-    /// The lives in the order in which they were first remembered.
-    order: VecDeque<EndpointLife>,
+    notices: RecentMap<EndpointLife, EndpointNotices, REMEMBERED>,
 }
 
 impl RememberedNotices {
@@ -93,23 +90,11 @@
 
     /// Returns the notices of a life without an entry, for more to be recorded.
     pub(crate) fn entry(&mut self, life: EndpointLife) -> &mut EndpointNotices {
-        if !self.notices.contains_key(&life) {
-            self.order.push_back(life.clone());
-        }
-        if self.order.len() > REMEMBERED
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.notices.remove(&oldest);
-        }
-        self.notices.entry(life).or_default()
+        self.notices.entry(life)
     }
 
     /// Returns the notices of a life whose entry has come back, and forgets them here.
     pub(crate) fn take(&mut self, life: &EndpointLife) -> EndpointNotices {
-        let Some(notices) = self.notices.remove(life) else {
-            return EndpointNotices::default();
-        };
-        self.order.retain(|other| other != life);
-        notices
+        self.notices.remove(life).unwrap_or_default()
     }
 }
--- a/lib/src/shared/mod.rs
+++ b/lib/src/shared/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod invariant;
 pub(crate) mod json;
 pub mod problem;
+pub(crate) mod recent_map;
 pub mod sse;
 pub mod status;
 pub mod units;
--- /dev/null
+++ b/lib/src/shared/recent_map.rs
@@ -0,0 +1,49 @@
+//! A map of a bounded number of entries that forgets the one that was added first.
+
+use {
+    foldhash::HashMap,
+    std::{collections::VecDeque, hash::Hash},
+};
+
+/// A map of at most `CAPACITY` entries, in the order in which they were added.
+#[derive(Debug, Clone)]
+pub(crate) struct RecentMap<K, V, const CAPACITY: usize> {
+    entries: HashMap<K, V>,
+    order: VecDeque<K>,
+}
+
+impl<K, V, const CAPACITY: usize> Default for RecentMap<K, V, CAPACITY> {
+    fn default() -> Self {
+        Self {
+            entries: HashMap::default(),
+            order: VecDeque::new(),
+        }
+    }
+}
+
+impl<K: Clone + Eq + Hash, V: Default, const CAPACITY: usize> RecentMap<K, V, CAPACITY> {
+    /// Returns the value of a key; adds the default if there is none, in place of the oldest entry if the map is full.
+    pub(crate) fn entry(&mut self, key: K) -> &mut V {
+        if !self.entries.contains_key(&key) {
+            self.order.push_back(key.clone());
+        }
+        if self.order.len() > CAPACITY
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.entries.remove(&oldest);
+        }
+        self.entries.entry(key).or_default()
+    }
+
+    /// Removes a key; returns its value.
+    pub(crate) fn remove(&mut self, key: &K) -> Option<V> {
+        let value = self.entries.remove(key)?;
+        self.order.retain(|other| other != key);
+        Some(value)
+    }
+
+    /// Returns the keys, the one that was added first before the others.
+    pub(crate) fn keys(&self) -> impl Iterator<Item = &K> {
+        self.order.iter()
+    }
+}
