--- a/lib/src/gateway/rules/eligibility.rs
+++ b/lib/src/gateway/rules/eligibility.rs
@@ -1,8 +1,8 @@
 //! May an endpoint get this request or piece now, and if not, why?
 //!
-//! Inputs: what the directory and operators say of the endpoint (leaving, evacuated), what it said
-//! itself (it leaves, it answered as another one, it wants rest), where it stands and where the request may run, and how much of what
-//! it bears this daemon has used (connections, its share of a cold endpoint, its permits for one that names a rate).
+//! Inputs: what the directory and operators say of the endpoint (leaving, evacuated), what it said itself (it leaves, it
+//! answered as another one, it wants rest), where it stands and where the request may run, and how much of what it bears
+//! this daemon has used (connections, its share of a cold endpoint, its permits for one that names a rate).
 //!
 //! Rule: one reason against it is enough; the one that lasts longest is named. Health isn't among them:
 //! an endpoint that failed gets nothing as long as another one is available, which is a matter of
