soak: runs of one seed at the same time keep their files apart

Three runs of seed 3 at once overwrote each other's settings: daemons of two runs took the same addresses, and 5 of 24 failed with "Address already in use" and "the daemons never served", none of it the program's.

--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -69,6 +69,13 @@
         self.child.try_wait().unwrap()
     }
 
+    /// Removes the process's files.
+    pub fn remove_files(&self) {
+        // What can't be removed only takes space in the target folder.
+        let _ = std::fs::remove_file(&self.log);
+        let _ = std::fs::remove_file(&self.settings);
+    }
+
     /// Starts the process again.
     pub fn restart(&mut self) {
         self.life += 1;
@@ -125,8 +132,10 @@
         let ip = subnet.ip(number);
         let name = format!("soak-{seed}-{number}");
         let proxy = Proxy::start(store).await;
-        let settings = folder.join(format!("{name}.toml"));
-        let log = folder.join(format!("{name}.log"));
+        // Runs of one seed at the same time keep apart.
+        let file_name = format!("{name}-{}", std::process::id());
+        let settings = folder.join(format!("{file_name}.toml"));
+        let log = folder.join(format!("{file_name}.log"));
         let _ = std::fs::remove_file(&log);
         let file = DaemonFile {
             name: &name,
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -248,8 +248,7 @@
     findings.extend(check(&outcomes.borrow(), &world.members.borrow(), planned));
     if findings.is_empty() {
         for daemon in world.daemons.borrow().iter() {
-            // A log that can't be removed only takes space in the target folder.
-            let _ = std::fs::remove_file(&daemon.log);
+            daemon.remove_files();
         }
     }
     findings
