gateway: report a host that reaches no endpoint, and calls without a connection

Operators saw the same lines for one endpoint that had ended and for a host without a path to any: `endpoint.set_aside ending=Ended`, and `connects_failed{kind="refused"}`. A call of pieces logged `refused` both for an endpoint that had no room and for a connection that never came up.

All connects to endpoints now go through `Gateway::connect`, which counts failures of calls of pieces and releases too. `rules/endpoint_reach` takes the host for isolated once connections to three endpoints failed with none that succeeded in between: events `host.isolated` and `host.regained`, gauge `hazelyoke_isolated`. `pieces.ended` has the outcome `unconnected`. No request is served differently.

--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 pub mod quarantine;
 pub mod rates;
+pub(crate) mod reach;
 pub mod request_digest;
 pub mod reservations;
 pub mod revision;
--- /dev/null
+++ b/lib/src/gateway/reach/mod.rs
@@ -0,0 +1,3 @@
+//! Connections to endpoints.
+
+pub(crate) mod connect;
--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -21,7 +21,7 @@
                 },
             },
             state::Gateway,
-            wire::egress::{self, CONNECT_LIMIT, ConnectionGuard, FreshConnection, SendError},
+            wire::egress::{ConnectionGuard, FreshConnection, SendError},
         },
         shared::units::Time,
     },
@@ -106,13 +106,13 @@
     progress: &mut RequestProgress,
 ) -> AttemptOutcome<D> {
     let guard = AttemptGuard::new(gateway, call, prepared.choice);
-    let connection = match egress::connect(guard.choice.entry.address, CONNECT_LIMIT).await {
+    let connection = match gateway.connect(&guard.choice.entry).await {
         Ok(connection) => {
             guard.record_connected();
             connection
         }
         Err(error) => {
-            let reason = record_unconnected(gateway, &error, progress);
+            let reason = record_unconnected(&error, progress);
             return end_not_run(call, guard, reason, progress);
         }
     };
@@ -153,16 +153,8 @@
 }
 
 /// Records that no connection could be established; returns whether the endpoint terminated or is unreachable.
-fn record_unconnected<D: Dialect>(
-    gateway: &Gateway<D>,
-    error: &SendError,
-    progress: &mut RequestProgress,
-) -> NotRunReason {
+fn record_unconnected(error: &SendError, progress: &mut RequestProgress) -> NotRunReason {
     progress.last_result = error.to_string();
-    gateway
-        .metrics
-        .endpoints
-        .count_failed_connect(error.is_refused());
     if error.is_refused() {
         return NotRunReason::Ended;
     }
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -25,7 +25,7 @@
             stages::stage_results::Results,
             state::Gateway,
             wire::{
-                egress::{self, CONNECT_LIMIT, ConnectionGuard, FreshConnection, SendError},
+                egress::{ConnectionGuard, FreshConnection, SendError},
                 reply::StreamPart,
             },
         },
@@ -185,15 +185,10 @@
         sink: &Sink,
     ) -> Result<StreamSource<D>, SourceError> {
         let mut guard = AttemptGuard::new(&self.gateway, &self.call, choice);
-        let address = guard.choice.entry.address;
-        let connection = match egress::connect(address, CONNECT_LIMIT).await {
+        let connection = match self.gateway.connect(&guard.choice.entry).await {
             Ok(connection) => connection,
             // The error isn't logged here: the event `endpoint.set_aside` shows that the endpoint couldn't be reached.
             Err(error) => {
-                self.gateway
-                    .metrics
-                    .endpoints
-                    .count_failed_connect(error.is_refused());
                 guard.end(unconnected_outcome(&error));
                 return Err(SourceError::Failed);
             }
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -26,6 +26,7 @@
 pub mod endpoint_cooldown;
 pub mod endpoint_exclusion;
 pub mod endpoint_rate;
+pub mod endpoint_reach;
 pub mod endpoint_slowdown;
 pub mod engine_model;
 pub mod engine_speed;
--- a/lib/src/gateway/serving/endpoint_metrics.rs
+++ b/lib/src/gateway/serving/endpoint_metrics.rs
@@ -23,6 +23,7 @@
     connects_failed: Family<KindLabels, Counter>,
     quarantined: Gauge,
     limited: Gauge,
+    isolated: Gauge,
     signals: Family<KindLabels, Counter>,
 }
 
@@ -49,6 +50,11 @@
             "Endpoints that name the rate that they take",
             self.limited.clone(),
         );
+        registry.register(
+            "isolated",
+            "1 while this host reaches no endpoint itself",
+            self.isolated.clone(),
+        );
         registry.register(
             "endpoint_notices",
             "Endpoints that said in a reply that they leave, or began a rest",
@@ -81,6 +87,11 @@
         self.limited.set(endpoints as i64);
     }
 
+    /// Sets whether this host is isolated from the endpoints.
+    pub(crate) fn set_isolated(&self, isolated: bool) {
+        self.isolated.set(isolated.into());
+    }
+
     /// Counts an endpoint that signalled that it is leaving.
     pub(crate) fn count_leaving(&self) {
         self.signals
--- a/lib/src/gateway/stages/batch_call.rs
+++ b/lib/src/gateway/stages/batch_call.rs
@@ -60,8 +60,10 @@
 pub enum CallEnd {
     /// The endpoint reported an outcome for each piece.
     Answered(Vec<PieceEnd>),
-    /// The endpoint refused the call or couldn't be reached; no piece ran.
+    /// The endpoint refused the call; no piece ran.
     Refused,
+    /// No connection to the endpoint came up; no piece ran.
+    Unconnected,
     /// Another endpoint uses the address now, or the endpoint is draining; no piece ran.
     Replaced,
     /// There was no valid answer; the pieces may have run.
@@ -76,6 +78,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::Refused => "refused",
+            Self::Unconnected => "unconnected",
             Self::Replaced => "replaced",
             Self::Broken => "broken",
             Self::Ended => "ended",
--- a/lib/src/gateway/stages/batch_results.rs
+++ b/lib/src/gateway/stages/batch_results.rs
@@ -36,7 +36,9 @@
                     self.piece_ended(now, &call.endpoint, *sent, end);
                 }
             }
-            CallEnd::Refused | CallEnd::Replaced => self.call_lost(&call, LostSend::NotRun),
+            CallEnd::Refused | CallEnd::Unconnected | CallEnd::Replaced => {
+                self.call_lost(&call, LostSend::NotRun)
+            }
             CallEnd::Broken => self.call_lost(&call, LostSend::MaybeRun),
             CallEnd::Ended => {
                 self.limit_batches(&call);
@@ -55,7 +57,7 @@
                 let elapsed = WorkMillis(now.millis_since(call.sent));
                 worker.call_answered(now, Slowdown::of_call(elapsed, call.expected));
             }
-            CallEnd::Refused | CallEnd::Broken | CallEnd::Ended => {
+            CallEnd::Refused | CallEnd::Unconnected | CallEnd::Broken | CallEnd::Ended => {
                 worker.exclude(now, WorkerExclusion::NoAnswer)
             }
             // The worker gets calls again once the directory lists its endpoint again.
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -133,9 +133,13 @@
     let record = |status, facts: &ReplyFacts| {
         gateway.record_call_reply(&call.entry, status, facts, sent);
     };
-    match post::<D>(message, record).await {
+    let reply = match gateway.connect(&call.entry).await {
+        Ok(connection) => post::<D>(connection, message, record).await,
+        Err(error) => Err(error),
+    };
+    match reply {
         Ok(reply) => read_end::<D>(&reply, call.pieces.len()),
-        Err(SendError::NotSent(_)) => CallEnd::Refused,
+        Err(SendError::NotSent(_)) => CallEnd::Unconnected,
         Err(SendError::TimedOut) => CallEnd::Broken,
         Err(SendError::MaybeSent(_) | SendError::IncompleteReply(_)) => {
             match check(call.entry.address).await {
@@ -188,7 +192,11 @@
 fn log_end(name: &str, service: &ServiceId, call: &BatchCall, end: &CallEnd, elapsed: WorkMillis) {
     let count = |wanted: fn(&PieceEnd) -> bool| match end {
         CallEnd::Answered(ends) => ends.iter().filter(|end| wanted(end)).count(),
-        CallEnd::Refused | CallEnd::Replaced | CallEnd::Broken | CallEnd::Ended => 0,
+        CallEnd::Refused
+        | CallEnd::Unconnected
+        | CallEnd::Replaced
+        | CallEnd::Broken
+        | CallEnd::Ended => 0,
     };
     log::info!(
         call = name,
--- a/lib/src/gateway/stages/endpoint_post.rs
+++ b/lib/src/gateway/stages/endpoint_post.rs
@@ -1,13 +1,13 @@
 //! Posts a body to an endpoint of a stage service and reads the whole answer.
 //!
-//! Owns the size limit of the answer; the caller sets the timeout. Relies on `wire::egress` for the connection and
-//! on the dialect for the headers of a call.
+//! Owns the size limit of the answer; the caller opens the connection and sets the timeout. Relies on the dialect for
+//! the headers of a call.
 
 use {
     crate::{
         gateway::{
             dialect::{Dialect, ReplyFacts},
-            wire::egress::{self, CONNECT_LIMIT, SendError},
+            wire::egress::{FreshConnection, SendError},
         },
         shared::ids::EndpointId,
     },
@@ -37,7 +37,7 @@
     pub(super) body: Bytes,
 }
 
-/// Posts a body and returns the answer. Calls `record` with the head of the answer as soon as it arrives, whether
+/// Posts a body on a new connection and returns the answer. Calls `record` with the head of the answer as soon as it arrives, whether
 /// or not the body follows.
 ///
 /// # Errors
@@ -48,10 +48,10 @@
 ///
 /// Panics if the path isn't a valid URL path; paths are constants of the dialect.
 pub(super) async fn post<D: Dialect>(
+    connection: FreshConnection,
     post: Post<'_>,
     record: impl FnOnce(StatusCode, &ReplyFacts),
 ) -> Result<Reply, SendError> {
-    let connection = egress::connect(post.address, CONNECT_LIMIT).await?;
     let limit = post.limit;
     let request = build_request::<D>(post);
     let exchange = async {
--- a/lib/src/gateway/stages/release.rs
+++ b/lib/src/gateway/stages/release.rs
@@ -19,7 +19,7 @@
                 job::ResultHandle,
             },
             state::{Gateway, GatewayState},
-            wire::egress::CONNECT_LIMIT,
+            wire::egress::{self, CONNECT_LIMIT},
         },
         shared::{ids::ServiceId, units::Time},
     },
@@ -226,7 +226,12 @@
             gateway.record_signals(entry, status, facts);
         }
     };
-    let reply = post::<D>(message, record).await;
+    let connection = match &entry {
+        Some(entry) => gateway.connect(entry).await,
+        None => egress::connect(address, CONNECT_LIMIT).await,
+    };
+    let Ok(connection) = connection else { return };
+    let reply = post::<D>(connection, message, record).await;
     if !reply.is_ok_and(|reply| reply.status == StatusCode::OK) {
         return;
     }
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -28,8 +28,8 @@
             revision::{Era, Revision},
             routing::endpoint_states::EndpointStates,
             rules::{
-                catch_up::BehindSince, coordinator, retry_budget::WindowBudget,
-                tight_objective::TightServices,
+                catch_up::BehindSince, coordinator, endpoint_reach::EndpointReach,
+                retry_budget::WindowBudget, tight_objective::TightServices,
             },
             serving::{metrics::GatewayMetrics, reload::Reload, settings::GatewaySettings},
             stages::{queues::StageQueues, workload::Workload},
@@ -100,6 +100,8 @@
     pub(crate) refused: RefusedEntries,
     /// State of the endpoints that decides where requests are sent: load, health, response times.
     pub endpoints: EndpointStates,
+    /// What this host knows of its paths to the endpoints.
+    pub reach: EndpointReach,
     /// Models of the engines of tight services.
     pub engines: EngineModels,
     /// Daemons that have just started and got a report about engines lately.
@@ -154,6 +156,7 @@
             evacuations: Evacuations::default(),
             refused: RefusedEntries::default(),
             endpoints: EndpointStates::default(),
+            reach: EndpointReach::default(),
             engines: EngineModels::default(),
             join_reports: JoinReports::default(),
             quarantine: Quarantine::default(),
--- a/lib/tests/test_stage_pins.rs
+++ b/lib/tests/test_stage_pins.rs
@@ -176,6 +176,7 @@
         let text = match &end {
             CallEnd::Answered(ends) => joined(ends.iter().map(piece_text)),
             CallEnd::Refused => "refused".into(),
+            CallEnd::Unconnected => "unconnected".into(),
             CallEnd::Replaced => "replaced".into(),
             CallEnd::Broken => "broken".into(),
             CallEnd::Ended => "ended".into(),
