reach: connect to endpoints through another daemon while this host has no path

Cause: a daemon took an endpoint that it couldn't connect to for an ended one and knew no other way to it. A connection that fails looks the same from one host whether the endpoint or the path is gone, and no decision asked a second host.

All connections to endpoints go through `Gateway::connect`. The daemon keeps admission, choice, retries and the proof of what ran; the request's bytes are written once, to the connection that came up. Whether an endpoint has terminated under a request is asked of another host as well, else three broken attempts at a partitioned host would have quarantined the request everywhere.

--- a/lib/src/gateway/peers/link_server.rs
+++ b/lib/src/gateway/peers/link_server.rs
@@ -13,6 +13,7 @@
             },
             message::{Frame, JobOrder, LinkReply, LinkRequest, Phase, decode, encode},
         },
+        reach::relay_server::{asks_for_relay, serve_relay},
         revision::Revision,
         state::Gateway,
         table_chunks::{ChunkHash, ChunkList},
@@ -39,7 +40,7 @@
     accept_each(listener, "link.accept_failed", |stream, from| {
         let gateway = gateway.clone();
         task::spawn_local(async move {
-            if let Err(error) = serve_link(gateway, stream).await {
+            if let Err(error) = serve_connection(gateway, stream).await {
                 log::info!(from:% = from, error:%; "link.ended");
             }
         });
@@ -47,6 +48,17 @@
     .await;
 }
 
+/// Serves a connection of another daemon: a link, or a request to relay a connection to an endpoint.
+async fn serve_connection<D: Dialect>(
+    gateway: Rc<Gateway<D>>,
+    stream: TcpStream,
+) -> Result<(), LinkError> {
+    if asks_for_relay(&stream).await? {
+        return Ok(serve_relay(gateway, stream).await?);
+    }
+    serve_link(gateway, stream).await
+}
+
 async fn serve_link<D: Dialect>(
     gateway: Rc<Gateway<D>>,
     stream: TcpStream,
--- a/lib/src/gateway/peers/link_socket.rs
+++ b/lib/src/gateway/peers/link_socket.rs
@@ -58,6 +58,9 @@
     /// The connection failed, or the other end doesn't speak WebSocket.
     #[error("the WebSocket connection of the link failed: {0}")]
     Socket(#[from] tungstenite::Error),
+    /// The other end asked for a relay, and its request was invalid or its connection failed.
+    #[error("the connection of a relay failed: {0}")]
+    Relay(#[from] hyper::Error),
     /// The other end didn't accept a message in time.
     #[error("the other end of the link didn't accept a message for {FETCH_TIMEOUT:?}")]
     WriteTimeout,
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -209,6 +209,24 @@
         others.sample(&mut self.rng, count).copied().collect()
     }
 
+    /// Draws at most `count` of the other ready daemons for which `may_ask` holds, those of this region first.
+    pub(crate) fn draw_relays(
+        &mut self,
+        count: usize,
+        may_ask: impl Fn(SocketAddr) -> bool,
+    ) -> Vec<SocketAddr> {
+        let ready = self.known.iter().filter(|(address, peer)| {
+            peer.alive && peer.phase == Phase::Ready && may_ask(**address)
+        });
+        let mut ready: Vec<(bool, SocketAddr)> = ready
+            .map(|(address, peer)| (peer.is_remote, *address))
+            .collect();
+        ready.shuffle(&mut self.rng);
+        ready.sort_by_key(|(is_remote, _)| *is_remote);
+        ready.truncate(count);
+        ready.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Draws the silent daemons to ask for a heartbeat, and records that they are asked now.
     fn probe_silent(&mut self, now: Time) -> Vec<SocketAddr> {
         let resumed = self.resumed;
--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -107,9 +107,11 @@
 ) -> AttemptOutcome<D> {
     let guard = AttemptGuard::new(gateway, call, prepared.choice);
     let connection = match gateway.connect(&guard.choice.entry).await {
-        Ok(connection) => {
-            guard.record_connected();
-            connection
+        Ok(opened) => {
+            if !opened.is_relayed {
+                guard.record_connected();
+            }
+            opened.connection
         }
         Err(error) => {
             let reason = record_unconnected(&error, progress);
--- a/lib/src/gateway/routing/endpoint_check.rs
+++ b/lib/src/gateway/routing/endpoint_check.rs
@@ -6,11 +6,8 @@
 
 use {
     crate::gateway::{
-        dialect::Dialect,
-        directory::endpoint_entry::EndpointEntry,
-        routing::call::ForwardedCall,
-        state::Gateway,
-        wire::endpoint_check::{EndpointCheck, check},
+        dialect::Dialect, directory::endpoint_entry::EndpointEntry, routing::call::ForwardedCall,
+        state::Gateway, wire::endpoint_check::EndpointCheck,
     },
     std::{rc::Rc, sync::Arc, time::Duration},
 };
@@ -33,7 +30,7 @@
         let (gateway, request, digest) = (self.clone(), call.inbound.id.clone(), call.digest);
         let entry = entry.clone();
         let probe = tokio::task::spawn_local(async move {
-            if check(entry.address).await == EndpointCheck::Terminated {
+            if gateway.check(&entry).await == EndpointCheck::Terminated {
                 gateway.metrics.endpoints.count_terminated();
                 log::warn!(request = &*request, endpoint:% = entry.id, digest:%; "endpoint.ended");
                 gateway.record_terminated(digest, &entry);
@@ -67,7 +64,7 @@
                 if gateway.state.borrow().endpoints.in_cooldown(&entry) {
                     continue;
                 }
-                if check(entry.address).await == EndpointCheck::Alive {
+                if gateway.check(&entry).await == EndpointCheck::Alive {
                     gateway.state.borrow_mut().endpoints.record_accepted(&entry);
                     return;
                 }
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -186,7 +186,7 @@
     ) -> Result<StreamSource<D>, SourceError> {
         let mut guard = AttemptGuard::new(&self.gateway, &self.call, choice);
         let connection = match self.gateway.connect(&guard.choice.entry).await {
-            Ok(connection) => connection,
+            Ok(opened) => opened.connection,
             // The error isn't logged here: the event `endpoint.set_aside` shows that the endpoint couldn't be reached.
             Err(error) => {
                 guard.end(unconnected_outcome(&error));
--- a/lib/src/gateway/serving/metrics.rs
+++ b/lib/src/gateway/serving/metrics.rs
@@ -9,7 +9,7 @@
             rules::retry::RetryReason,
             serving::{
                 admission_metrics::AdmissionMetrics, endpoint_metrics::EndpointMetrics,
-                engine_metrics::EngineMetrics, labels::KindLabels,
+                engine_metrics::EngineMetrics, labels::KindLabels, relay_metrics::RelayMetrics,
                 reservation_metrics::ReservationMetrics,
             },
             table::Version,
@@ -99,6 +99,8 @@
     pub(crate) admission: AdmissionMetrics,
     /// Metrics about endpoints.
     pub(crate) endpoints: EndpointMetrics,
+    /// Metrics about relayed connections.
+    pub(crate) relays: RelayMetrics,
     /// Metrics about engines of tight services.
     pub(crate) engines: EngineMetrics,
     /// Metrics about reservations.
@@ -148,6 +150,7 @@
             remote_stages: Counter::default(),
             admission: AdmissionMetrics::default(),
             endpoints: EndpointMetrics::default(),
+            relays: RelayMetrics::default(),
             engines: EngineMetrics::default(),
             reservations: ReservationMetrics::default(),
             pieces: Family::default(),
@@ -210,6 +213,7 @@
         );
         self.admission.register(registry);
         self.endpoints.register(registry);
+        self.relays.register(registry);
         self.engines.register(registry);
         self.reservations.register(registry);
         registry.register("pieces", "Pieces sent to endpoints", self.pieces.clone());
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -17,10 +17,7 @@
                 release::release_fetched,
             },
             state::Gateway,
-            wire::{
-                egress::SendError,
-                endpoint_check::{EndpointCheck, check},
-            },
+            wire::{egress::SendError, endpoint_check::EndpointCheck},
         },
         shared::{ids::ServiceId, units::WorkMillis},
     },
@@ -121,7 +118,7 @@
     }
 }
 
-async fn send_call<D: Dialect>(gateway: &Gateway<D>, call: &BatchCall, body: Bytes) -> CallEnd {
+async fn send_call<D: Dialect>(gateway: &Rc<Gateway<D>>, call: &BatchCall, body: Bytes) -> CallEnd {
     let sent = gateway.now();
     let message = Post {
         address: call.entry.address,
@@ -134,7 +131,7 @@
         gateway.record_call_reply(&call.entry, status, facts, sent);
     };
     let reply = match gateway.connect(&call.entry).await {
-        Ok(connection) => post::<D>(connection, message, record).await,
+        Ok(opened) => post::<D>(opened.connection, message, record).await,
         Err(error) => Err(error),
     };
     match reply {
@@ -142,7 +139,7 @@
         Err(SendError::NotSent(_)) => CallEnd::Unconnected,
         Err(SendError::TimedOut) => CallEnd::Broken,
         Err(SendError::MaybeSent(_) | SendError::IncompleteReply(_)) => {
-            match check(call.entry.address).await {
+            match gateway.check(&call.entry).await {
                 EndpointCheck::Terminated => CallEnd::Ended,
                 EndpointCheck::Alive | EndpointCheck::Silent => CallEnd::Broken,
             }
--- a/lib/src/gateway/stages/release.rs
+++ b/lib/src/gateway/stages/release.rs
@@ -208,7 +208,7 @@
 /// Sends a release to one endpoint. If the endpoint doesn't confirm it, the results count as stored until the
 /// timeout after which the endpoint drops them.
 async fn send_release<D: Dialect>(
-    gateway: &Gateway<D>,
+    gateway: &Rc<Gateway<D>>,
     service: &ServiceId,
     address: SocketAddr,
     handles: &[ResultHandle],
@@ -227,7 +227,10 @@
         }
     };
     let connection = match &entry {
-        Some(entry) => gateway.connect(entry).await,
+        Some(entry) => {
+            let opened = gateway.connect(entry).await;
+            opened.map(|opened| opened.connection)
+        }
         None => egress::connect(address, CONNECT_LIMIT).await,
     };
     let Ok(connection) = connection else { return };
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -229,6 +229,8 @@
     pub stopping: Cell<bool>,
     /// Number of accepted requests without a final answer.
     pub in_flight: Cell<usize>,
+    /// Number of connections that this daemon relays for others.
+    pub(crate) relays: Cell<usize>,
     /// Wakes the loop that schedules calls of stage services.
     pub stage_work: Notify,
     /// Set if endpoints, services or limits have changed since the queues of stage services were last updated.
@@ -291,6 +293,7 @@
             metrics: GatewayMetrics::default(),
             stopping: Cell::new(false),
             in_flight: Cell::new(0),
+            relays: Cell::new(0),
             stage_work: Notify::new(),
             stale_queues: Cell::new(false),
             newer_table: Notify::new(),
--- a/lib/src/gateway/wire/egress.rs
+++ b/lib/src/gateway/wire/egress.rs
@@ -88,19 +88,7 @@
     let stream = open_stream(address, limit)
         .await
         .map_err(SendError::NotSent)?;
-    let (sender, connection) = hyper::client::conn::http1::Builder::new()
-        .max_buf_size(REPLY_BUFFER)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| SendError::NotSent(io::Error::other(error)))?;
-    let task = tokio::task::spawn_local(async move {
-        // The reader of the reply gets the error too, and handles it.
-        let _ = connection.await;
-    });
-    Ok(FreshConnection {
-        sender,
-        guard: ConnectionGuard(task.abort_handle()),
-    })
+    FreshConnection::new(stream).await
 }
 
 /// Opens a TCP connection that fails within seconds if the peer stops responding.
@@ -113,7 +101,13 @@
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
+    detect_dead_peer(&stream);
+    Ok(stream)
+}
+
+/// Lets a TCP connection fail within seconds if the peer stops responding.
+pub(crate) fn detect_dead_peer(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_IDLE)
@@ -122,10 +116,30 @@
     // still end the wait, so a failure to set them is ignored.
     let _ = socket.set_tcp_keepalive(&keepalive);
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
-    Ok(stream)
 }
 
 impl FreshConnection {
+    /// Prepares a TCP connection for one request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] if the connection can't be used; no byte of a request was sent then.
+    pub async fn new(stream: TcpStream) -> Result<Self, SendError> {
+        let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(REPLY_BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| SendError::NotSent(io::Error::other(error)))?;
+        let task = tokio::task::spawn_local(async move {
+            // The reader of the reply gets the error too, and handles it.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            guard: ConnectionGuard(task.abort_handle()),
+        })
+    }
+
     /// Sends the connection's only request and waits for the head of the reply.
     ///
     /// # Errors
