egress: connections to endpoints survive a silence of two seconds

A sound endpoint that was silent for a second lost the connections of the requests that waited there: 502 for those that must not be repeated.

Cause: TCP_USER_TIMEOUT was 1.5 s and the keep-alive probes were meant to give up after 3 s. On Linux the user timeout also decides when unanswered probes end a connection, whatever their count, so that one lost probe was enough, at 2 s.

A connection that really went silent was not brought about: loopback answers probes by itself.

--- a/lib/src/gateway/peers/links.rs
+++ b/lib/src/gateway/peers/links.rs
@@ -152,7 +152,7 @@
     }
 
     async fn open_within(peer: SocketAddr, limit: Duration) -> Result<Self, LinkError> {
-        let stream = egress::open_stream(peer, limit).await?;
+        let stream = egress::open_stream(peer, limit, egress::SERVICE_SILENCE).await?;
         let url = format!("ws://{peer}/link");
         let upgrade = client_async_with_config(url, stream, Some(config()));
         let (socket, _) = upgraded(limit, upgrade).await?;
--- a/lib/src/gateway/reach/connect.rs
+++ b/lib/src/gateway/reach/connect.rs
@@ -7,7 +7,7 @@
         reach::relay_client::{self, RelayError},
         rules::endpoint_reach::{MAX_RELAYS, PathOrder, RELAY_DELAY},
         state::Gateway,
-        wire::egress::{self, CONNECT_LIMIT, FreshConnection, SendError},
+        wire::egress::{CONNECT_LIMIT, ENDPOINT_SILENCE, FreshConnection, SendError, open_stream},
     },
     futures_util::future::{Either, select},
     std::{io, net::SocketAddr, pin::pin, rc::Rc},
@@ -143,7 +143,8 @@
     }
 
     async fn connect_direct(&self, entry: &EndpointEntry) -> Result<EndpointConnection, SendError> {
-        let connection = egress::connect(entry.address, CONNECT_LIMIT).await?;
+        let stream = open_stream(entry.address, CONNECT_LIMIT, ENDPOINT_SILENCE).await;
+        let connection = FreshConnection::new(stream.map_err(SendError::NotSent)?).await?;
         self.record_direct(entry);
         Ok(EndpointConnection {
             connection,
--- a/lib/src/gateway/reach/relay_client.rs
+++ b/lib/src/gateway/reach/relay_client.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        gateway::wire::egress::{FreshConnection, SendError, open_stream},
+        gateway::wire::egress::{ENDPOINT_SILENCE, FreshConnection, SendError, open_stream},
         shared::ids::EndpointId,
     },
     bytes::Bytes,
@@ -76,7 +76,7 @@
 
 async fn open_tunnel(relay: SocketAddr, endpoint: &EndpointId) -> Result<TcpStream, RelayError> {
     let request = build_request(relay, endpoint)?;
-    let stream = open_stream(relay, RELAY_LIMIT).await?;
+    let stream = open_stream(relay, RELAY_LIMIT, ENDPOINT_SILENCE).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     // The reader of the answer gets the error too.
     let connection = tokio::task::spawn_local(async move {
--- a/lib/src/gateway/reach/relay_server.rs
+++ b/lib/src/gateway/reach/relay_server.rs
@@ -14,7 +14,7 @@
             routing::guards::RequestGuard,
             rules::{eligibility::Exclusion, endpoint_reach::may_relay},
             state::Gateway,
-            wire::egress::{SendError, detect_dead_peer, is_refused, open_stream},
+            wire::egress::{ENDPOINT_SILENCE, SendError, is_refused, limit_silence, open_stream},
         },
         shared::ids::EndpointId,
     },
@@ -115,7 +115,7 @@
         .map_err(|_refusal| StatusCode::SERVICE_UNAVAILABLE)?;
     let entry = requested_entry(gateway, request).ok_or(StatusCode::NOT_FOUND)?;
     let guard = RelayGuard::new(gateway);
-    match open_stream(entry.address, CONNECT_LIMIT).await {
+    match open_stream(entry.address, CONNECT_LIMIT, ENDPOINT_SILENCE).await {
         Ok(stream) => {
             gateway.record_direct(&entry);
             Ok((stream, guard))
@@ -160,7 +160,7 @@
         return;
     }
     let daemon = parts.io.into_inner();
-    detect_dead_peer(&daemon);
+    limit_silence(&daemon, ENDPOINT_SILENCE);
     relay(daemon, endpoint).await;
     drop(guard);
 }
--- a/lib/src/gateway/wire/egress.rs
+++ b/lib/src/gateway/wire/egress.rs
@@ -18,17 +18,16 @@
 /// Maximum time to connect to an endpoint.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
-/// Idle time before the first TCP keep-alive probe, and interval between probes. This is the minimum that the system's
-/// interface accepts.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Silence after which a connection to an endpoint fails. A sound endpoint may be silent for a second or two.
+pub const ENDPOINT_SILENCE: Duration = Duration::from_secs(4);
 
-/// Number of unanswered keep-alive probes after which a connection fails, so that a silent peer is noticed within about
-/// three seconds.
-const KEEPALIVE_PROBES: u32 = 2;
+/// Silence after which a connection to the directory or to another daemon fails. It is short, because changes wait for
+/// it.
+pub const SERVICE_SILENCE: Duration = Duration::from_secs(2);
 
-/// Time after which a connection with unacknowledged bytes fails. It is several times a round trip between data centres
-/// with a lost packet.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
+/// Idle time before the first TCP keep-alive probe, and interval between probes. This is the minimum that the system's
+/// interface accepts.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum number of bytes of a reply that are buffered: the head, or the part of the body that the caller hasn't read.
 const REPLY_BUFFER: usize = 32 * 1024;
@@ -79,43 +78,49 @@
     guard: ConnectionGuard,
 }
 
-/// Opens a connection within `limit`.
+/// Opens a connection within `limit`, which fails after a silence of the peer of [`SERVICE_SILENCE`].
 ///
 /// # Errors
 ///
 /// Returns [`SendError::NotSent`] if the connection can't be opened; no byte of a request was sent then.
 pub async fn connect(address: SocketAddr, limit: Duration) -> Result<FreshConnection, SendError> {
-    let stream = open_stream(address, limit)
+    let stream = open_stream(address, limit, SERVICE_SILENCE)
         .await
         .map_err(SendError::NotSent)?;
     FreshConnection::new(stream).await
 }
 
-/// Opens a TCP connection that fails within seconds if the peer stops responding.
+/// Opens a TCP connection that fails after a silence of the peer of `silence`.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection can't be opened within `limit`.
-pub async fn open_stream(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+pub async fn open_stream(
+    address: SocketAddr,
+    limit: Duration,
+    silence: Duration,
+) -> io::Result<TcpStream> {
     let stream = tokio::time::timeout(limit, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    detect_dead_peer(&stream);
+    limit_silence(&stream, silence);
     Ok(stream)
 }
 
-/// Lets a TCP connection fail within seconds if the peer stops responding.
-pub(crate) fn detect_dead_peer(stream: &TcpStream) {
+/// Lets a TCP connection fail after a silence of the peer of `silence`.
+pub(crate) fn limit_silence(stream: &TcpStream, silence: Duration) {
     let socket = SockRef::from(stream);
+    let probes = silence.div_duration_f64(PROBE_INTERVAL).round() as u32;
     let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_IDLE)
-        .with_retries(KEEPALIVE_PROBES);
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(probes.saturating_sub(1));
     // Both options only detect a dead peer sooner. Without them, the time limits of the functions that use the stream
-    // still end the wait, so a failure to set them is ignored.
+    // still end the wait, so a failure to set them is ignored. The second one limits the time of unacknowledged bytes,
+    // and on Linux also that of unanswered probes, so both need the same limit.
     let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+    let _ = socket.set_tcp_user_timeout(Some(silence));
 }
 
 impl FreshConnection {
--- a/lib/src/gateway/wire/endpoint_check.rs
+++ b/lib/src/gateway/wire/endpoint_check.rs
@@ -4,7 +4,7 @@
 //! it may have sent half an answer. A new connection right after it does: it is refused if the process has terminated.
 
 use {
-    crate::gateway::wire::egress::{is_refused, open_stream},
+    crate::gateway::wire::egress::{ENDPOINT_SILENCE, is_refused, open_stream},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -25,7 +25,7 @@
 
 /// Checks whether a process listens at an address.
 pub async fn check(address: SocketAddr) -> EndpointCheck {
-    match open_stream(address, CHECK_LIMIT).await {
+    match open_stream(address, CHECK_LIMIT, ENDPOINT_SILENCE).await {
         Ok(_) => EndpointCheck::Alive,
         Err(error) if is_refused(&error) => EndpointCheck::Terminated,
         // Reset, unreachable, or no answer in time.
