routing: spare brittle endpoints, which end when they refuse too much

An endpoint that says `Server-Brittle: N` terminates when it has to refuse more than N requests a second for lack of space. Daemons went on sending to one that refused everything, because it looked idle: 46 refusals in a second where it bears 8 (test few_refusals, 47 requests a second, three daemons), and 31 requests in a second where its slots take 10 (full_slots).

`rules/brittle_endpoint`: the daemons share a brittle endpoint's slots, none sends while all are taken, and after a refusal a daemon pauses so long that all of them cause at most half of N. The pause is a cooldown as other refusals ask for one, so that every way to an endpoint heeds it. Endpoints that don't say so are served as before.

--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -201,6 +201,8 @@
     pub load: Option<ReplyLoad>,
     /// Rate limit that the endpoint advertises, if any.
     pub rate: Option<AdvertisedRate>,
+    /// Refusals per second that the endpoint bears before it terminates, if it states that it is brittle.
+    pub brittle: Option<Rate>,
     /// Announcement that the endpoint is leaving.
     pub leave: LeaveSignal,
     /// Time after which the endpoint asks the caller to retry.
--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -64,6 +64,8 @@
     pub(crate) order: u64,
     /// Signals from the endpoint's replies: whether it leaves, and its cooldown.
     pub(crate) signals: EndpointSignals,
+    /// Maximum number of requests in flight from this daemon while the endpoint is brittle; absent if it isn't.
+    brittle: Option<u32>,
     /// Set if the endpoint has reported a slowdown that can't be read.
     unclear_slowdown: bool,
     /// Set if the endpoint's data centre is evacuated.
@@ -96,6 +98,7 @@
             reported_load: None,
             order: 0,
             signals: EndpointSignals::default(),
+            brittle: None,
             unclear_slowdown: false,
             health: Health::default(),
             unreachable_until: None,
@@ -164,10 +167,23 @@
             not_allowed: !request.allowed.allow(&self.entry.data_centre),
             cold: is_cold && self.cold.is_share_used(now, request.cold_share),
             limited,
-            full: self.running >= request.connection_limit,
+            full: self.running >= request.connection_limit || self.is_brittle_full(),
         }
     }
 
+    /// Sets the maximum number of requests in flight from this daemon if the endpoint is brittle; returns whether it became
+    /// brittle or stopped being so.
+    pub(crate) fn set_brittle(&mut self, limit: Option<u32>) -> bool {
+        let known = std::mem::replace(&mut self.brittle, limit);
+        known.is_some() != limit.is_some()
+    }
+
+    /// Returns whether the endpoint is brittle and might have to refuse another request.
+    fn is_brittle_full(&self) -> bool {
+        let is_full = |limit| self.running >= limit || self.in_flight() >= self.entry.slots;
+        self.brittle.is_some_and(is_full)
+    }
+
     /// Records the load that the endpoint reported with a reply. Returns whether the report is the first with a
     /// slowdown that can't be read.
     pub(crate) fn record_load(&mut self, now: Time, load: ReplyLoad) -> bool {
--- a/lib/src/gateway/routing/endpoint_states/signals.rs
+++ b/lib/src/gateway/routing/endpoint_states/signals.rs
@@ -40,6 +40,13 @@
         self.signals(entry).record_cooldown(until)
     }
 
+    /// Sets whether an endpoint is brittle, as given by the maximum number of requests in flight from this daemon; returns
+    /// whether that is a change.
+    pub(crate) fn set_brittle(&mut self, entry: &EndpointEntry, limit: Option<u32>) -> bool {
+        let member = self.incarnation_mut(entry);
+        member.is_some_and(|member| member.set_brittle(limit))
+    }
+
     /// Records that an endpoint replied without asking for a cooldown.
     pub(crate) fn end_probing(&mut self, entry: &EndpointEntry) {
         if let Some(member) = self.incarnation_mut(entry) {
--- a/lib/src/gateway/routing/reply_signals.rs
+++ b/lib/src/gateway/routing/reply_signals.rs
@@ -1,11 +1,14 @@
-//! Records the signals in endpoints' replies (that they leave, or want a cooldown), and logs new ones.
+//! Records the signals in endpoints' replies (that they leave, want a cooldown or are brittle), and logs new ones.
 
 use {
     crate::{
         gateway::{
             dialect::{Dialect, LeaveSignal, ReplyFacts, RetryAfter},
             directory::endpoint_entry::EndpointEntry,
-            rules::endpoint_cooldown::requested_cooldown,
+            rules::{
+                brittle_endpoint::{in_flight_limit, refusal_pause},
+                endpoint_cooldown::{is_refusal, requested_cooldown},
+            },
             state::Gateway,
         },
         shared::units::Millis,
@@ -24,7 +27,11 @@
         if facts.leave != LeaveSignal::None {
             self.record_leave(endpoint);
         }
-        match requested_cooldown(status, facts.retry_after) {
+        self.record_brittle(endpoint, facts);
+        let asked = requested_cooldown(status, facts.retry_after);
+        let brittle = facts.brittle.filter(|_| is_refusal(status));
+        let daemons = self.state.borrow().peers.daemons();
+        match asked.max(brittle.map(|limit| refusal_pause(limit, daemons))) {
             Some(cooldown) => self.record_cooldown(endpoint, cooldown),
             None => self.state.borrow_mut().endpoints.end_probing(endpoint),
         }
@@ -33,6 +40,27 @@
         }
     }
 
+    /// Records whether an endpoint is brittle. Only a reply that the endpoint made itself proves that it isn't.
+    fn record_brittle(&self, endpoint: &EndpointEntry, facts: &ReplyFacts) {
+        if facts.brittle.is_none() && !facts.signed && !facts.not_run {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        let daemons = state.peers.daemons();
+        let limit = facts
+            .brittle
+            .map(|_| in_flight_limit(endpoint.slots, daemons));
+        let changed = state.endpoints.set_brittle(endpoint, limit);
+        drop(state);
+        match facts.brittle {
+            Some(refusals) if changed => {
+                log::info!(endpoint:% = endpoint.id, refusals:% = refusals; "endpoint.brittle");
+            }
+            None if changed => log::info!(endpoint:% = endpoint.id; "endpoint.sound"),
+            _ => {}
+        }
+    }
+
     /// Admits new work again at endpoints whose cooldown is over.
     pub(crate) fn end_cooldowns(&self) {
         let now = self.now();
--- a/lib/src/gateway/rules/endpoint_cooldown.rs
+++ b/lib/src/gateway/rules/endpoint_cooldown.rs
@@ -23,11 +23,7 @@
 
 /// Returns the cooldown that a reply asks for; `None` if it asks for none.
 pub fn requested_cooldown(status: StatusCode, wait: RetryAfter) -> Option<Millis> {
-    let refuses = [
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::TOO_MANY_REQUESTS,
-    ];
-    if !refuses.contains(&status) {
+    if !is_refusal(status) {
         return None;
     }
     let cooldown = match wait {
@@ -37,3 +33,8 @@
     };
     (cooldown > Millis(0)).then_some(cooldown)
 }
+
+/// Returns whether an endpoint refuses a request for lack of capacity with a status.
+pub fn is_refusal(status: StatusCode) -> bool {
+    status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
+}
