soak: hosts partitioned from all replicas, brittle replicas, silent seconds

Seeds from 6000 on give the first daemon a store and proxies of its own to each replica. Now and then new connections there are refused (open ones go on, or are reset), or no byte passes. Some replicas say that they are brittle, and one is silent for about a second after each partition. With planned work only, no reply may be lost in a partition that refuses new connections, and the partitioned daemon has to serve two thirds of the requests sent to it.

Three of them join the default seeds.

--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -118,8 +118,14 @@
     }
 }
 
-/// Starts `count` daemons, each with a proxy before the store and one before its link port.
-pub async fn start_daemons(count: usize, seed: u64, store: SocketAddr) -> Vec<Daemon> {
+/// Starts `count` daemons, each with a proxy before its store and one before its link port. The first one reads the store
+/// `first`, and the others `store`.
+pub async fn start_daemons(
+    count: usize,
+    seed: u64,
+    first: SocketAddr,
+    store: SocketAddr,
+) -> Vec<Daemon> {
     let subnet = Subnet::new(seed);
     let [front, ready, control, peer, link_port] = free_ports(subnet.ip(0));
     let seeds: Vec<SocketAddr> = (0..count.min(3))
@@ -130,7 +136,7 @@
     for number in 0..count {
         let ip = subnet.ip(number);
         let name = format!("soak-{seed}-{number}");
-        let proxy = Proxy::start(store).await;
+        let proxy = Proxy::start(if number == 0 { first } else { store }).await;
         // The process id keeps apart the files of simultaneous runs of one seed.
         let file_name = format!("{name}-{}", std::process::id());
         let settings = folder.join(format!("{file_name}.toml"));
@@ -173,6 +179,8 @@
     pub replica: Replica,
     pub service: &'static str,
     pub proxy: Proxy,
+    /// Proxy through which the first daemon reaches it, if that has a way of its own.
+    pub far: Option<Proxy>,
     /// Whether its entry in the store says that it is draining, or was removed.
     pub left: bool,
     /// Whether its replacement after a harmful request has begun.
@@ -198,11 +206,24 @@
         replica,
         service,
         proxy: proxy.unwrap(),
+        far: None,
         left: false,
         replaced: false,
     }
 }
 
+impl Member {
+    /// Starts a proxy through which the first daemon reaches the replica, and writes an entry with its address into the
+    /// store of that daemon.
+    pub async fn add_far_way(&mut self, store: &StandInStore) {
+        let proxy = Proxy::start(self.proxy.address).await;
+        let state = if self.left { "draining" } else { "ready" };
+        self.replica
+            .write_entry_at(proxy.address, store, self.service, state);
+        self.far = Some(proxy);
+    }
+}
+
 /// Starts the replicas of all services.
 pub async fn start_members(store: &StandInStore) -> Vec<Member> {
     let mut members = Vec::new();
--- a/daemon/tests/soak/proxy.rs
+++ b/daemon/tests/soak/proxy.rs
@@ -3,7 +3,7 @@
 use {
     super::stand_in::loopback,
     std::{
-        cell::Cell,
+        cell::{Cell, RefCell},
         collections::{HashMap, hash_map::Entry},
         net::{IpAddr, SocketAddr},
         rc::Rc,
@@ -39,8 +39,9 @@
 #[derive(Debug, Clone)]
 pub struct Proxy {
     pub address: SocketAddr,
+    target: SocketAddr,
     fault: Rc<Cell<Fault>>,
-    accepting: AbortHandle,
+    accepting: Rc<RefCell<AbortHandle>>,
 }
 
 impl Proxy {
@@ -65,23 +66,31 @@
     fn start_on(listener: TcpListener, target: SocketAddr) -> Self {
         let address = listener.local_addr().unwrap();
         let fault = Rc::new(Cell::new(Fault::None));
-        let passed = fault.clone();
-        let accepting = tokio::task::spawn_local(async move {
-            loop {
-                let (near, _) = listener.accept().await.unwrap();
-                tokio::task::spawn_local(forward(near, target, passed.clone()));
-            }
-        });
+        let accepting = Rc::new(RefCell::new(accept(listener, target, fault.clone())));
         Self {
             address,
+            target,
             fault,
-            accepting: accepting.abort_handle(),
+            accepting,
         }
     }
 
-    /// Stops accepting connections.
+    /// Stops accepting connections: new ones are refused, and open ones go on.
     pub fn end(&self) {
-        self.accepting.abort();
+        self.accepting.borrow().abort();
+    }
+
+    /// Accepts connections again after [`Self::end`].
+    pub async fn begin_again(&self) {
+        let listener = loop {
+            // The port is free once the aborted task has been dropped.
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(CHECK_INTERVAL).await,
+            }
+        };
+        let accepting = accept(listener, self.target, self.fault.clone());
+        self.accepting.replace(accepting);
     }
 
     pub fn is_disturbed(&self) -> bool {
@@ -93,6 +102,16 @@
     }
 }
 
+fn accept(listener: TcpListener, target: SocketAddr, fault: Rc<Cell<Fault>>) -> AbortHandle {
+    let accepting = tokio::task::spawn_local(async move {
+        loop {
+            let (near, _) = listener.accept().await.unwrap();
+            tokio::task::spawn_local(forward(near, target, fault.clone()));
+        }
+    });
+    accepting.abort_handle()
+}
+
 /// Forwards datagrams, each from the IP address of its sender. A fault that delays or holds back bytes drops them.
 async fn forward_datagrams(socket: UdpSocket, target: SocketAddr, fault: Rc<Cell<Fault>>) {
     let mut senders: HashMap<IpAddr, UdpSocket> = HashMap::new();
--- a/daemon/tests/soak/trouble.rs
+++ b/daemon/tests/soak/trouble.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Clone)]
 pub struct World {
     pub store: StandInStore,
+    /// Store of the first daemon, if that has a way of its own to each replica; otherwise it reads `store`.
+    pub far_store: Option<StandInStore>,
     pub daemons: Rc<RefCell<Vec<Daemon>>>,
     pub members: Rc<RefCell<Vec<Member>>>,
     pub version: Rc<std::cell::Cell<u64>>,
@@ -178,8 +180,11 @@
         } else {
             0
         };
-        self.store
-            .publish(&with_routes(table_of_kinds(version), routes));
+        let table = with_routes(table_of_kinds(version), routes);
+        self.store.publish(&table);
+        if let Some(far) = &self.far_store {
+            far.publish(&table);
+        }
     }
 
     /// Signals a daemon to reload its settings, unless it isn't up yet.
@@ -294,12 +299,19 @@
             let members = self.members.borrow();
             (members[index].service, members.len())
         };
-        let new = start_member(&self.store, service, number).await;
+        let mut new = start_member(&self.store, service, number).await;
+        if let Some(far) = &self.far_store {
+            new.add_far_way(far).await;
+        }
         let mut members = self.members.borrow_mut();
         members.push(new);
         members[index].left = true;
         let old = &members[index];
         old.replica.write_entry(&self.store, service, "draining");
+        if let (Some(store), Some(far)) = (&self.far_store, &old.far) {
+            old.replica
+                .write_entry_at(far.address, store, service, "draining");
+        }
     }
 
     async fn fail_store(&self, choice: u32, time: Duration) {
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -18,6 +18,7 @@
     pub mod fleet;
     pub mod harm;
     pub mod need;
+    pub mod partition;
     pub mod proxy;
     pub mod trouble;
 }
@@ -29,7 +30,7 @@
         caller::{Kind, Outcomes, run_caller, send_once},
         checks::check,
         fleet::{Daemon, Member, start_daemons, start_members},
-        harm, need,
+        harm, need, partition,
         stand_in::{documents::table_of_kinds, store::StandInStore},
         trouble::World,
     },
@@ -45,9 +46,10 @@
 };
 
 /// Default seeds beside `REGRESSIONS`: without and with faults of links, with evacuations, with harmful requests, with
-/// a replica that advertises a low rate, and with a store that is restored from older copies.
-const DEFAULT_SEEDS: [u64; 12] = [
-    2, 3, 1_000, 1_001, 2_000, 2_002, 3_001, 3_002, 4_001, 4_003, 5_000, 5_002,
+/// a replica that advertises a low rate, with a store that is restored from older copies, and with a host that is
+/// partitioned from all replicas.
+const DEFAULT_SEEDS: [u64; 15] = [
+    2, 3, 1_000, 1_001, 2_000, 2_002, 3_001, 3_002, 4_001, 4_003, 5_000, 5_002, 6_000, 6_001, 6_003,
 ];
 
 /// First seed that also disturbs the links between daemons and lets tables grow large. Seeds below it keep the sequence
@@ -66,6 +68,10 @@
 /// First seed in which the store is also restored from older copies.
 const FIRST_RESTORE_SEED: u64 = 5_000;
 
+/// First seed in which the host of the first daemon is partitioned from all replicas now and then, and replicas are
+/// brittle or silent for a second. The faults that earlier ranges add are absent.
+const FIRST_PARTITION_SEED: u64 = 6_000;
+
 /// Seeds that failed once, each with the fault that it found.
 const REGRESSIONS: [(u64, &str); 7] = [
     (
@@ -163,24 +169,32 @@
 async fn run_seed(seed: u64) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let planned = seed.is_multiple_of(PLANNED_DIVISOR);
-    let count = if seed.is_multiple_of(LARGE_FLEET_DIVISOR) {
+    let partitions = seed >= FIRST_PARTITION_SEED;
+    let count = if seed.is_multiple_of(LARGE_FLEET_DIVISOR) && !partitions {
         LARGE_FLEET_DAEMONS
     } else {
         rng.random_range(2..=6)
     };
     let store = StandInStore::start().await;
     store.publish(&table_of_kinds(1));
-    let members = start_members(&store).await;
-    let daemons = start_daemons(count, seed, store.address).await;
+    let mut members = start_members(&store).await;
+    let far_store = if partitions {
+        Some(partition::add_far_ways(&mut members).await)
+    } else {
+        None
+    };
+    let first = far_store.as_ref().unwrap_or(&store).address;
+    let daemons = start_daemons(count, seed, first, store.address).await;
     let world = World {
         store,
+        far_store,
         daemons: Rc::new(RefCell::new(daemons)),
         members: Rc::new(RefCell::new(members)),
         version: Rc::new(Cell::new(1)),
         findings: Rc::default(),
-        disturbs_links: seed >= FIRST_LINK_FAULT_SEED && !planned,
-        evacuates: seed >= FIRST_EVACUATION_SEED && !planned,
-        restores: seed >= FIRST_RESTORE_SEED && !planned,
+        disturbs_links: seed >= FIRST_LINK_FAULT_SEED && !planned && !partitions,
+        evacuates: seed >= FIRST_EVACUATION_SEED && !planned && !partitions,
+        restores: seed >= FIRST_RESTORE_SEED && !planned && !partitions,
         isolated_starts: Rc::default(),
         starts: Rc::default(),
     };
@@ -211,7 +225,11 @@
         let rng = SmallRng::seed_from_u64(seed << 1);
         tokio::task::spawn_local(harm::run(world.clone(), rng))
     });
-    let limited_replica = (seed >= FIRST_RATE_LIMIT_SEED).then(|| {
+    let partitioned = partitions.then(|| {
+        let rng = SmallRng::seed_from_u64(seed << 3);
+        tokio::task::spawn_local(partition::run(world.clone(), rng, planned))
+    });
+    let limited_replica = (seed >= FIRST_RATE_LIMIT_SEED && !partitions).then(|| {
         let rng = SmallRng::seed_from_u64(seed << 2);
         tokio::task::spawn_local(need::begin(world.clone(), rng))
     });
@@ -238,6 +256,10 @@
         harm::replace_remaining(&world).await;
         harm::check_terminated(&world);
     }
+    if let Some(partitioned) = partitioned {
+        partitioned.abort();
+        partition::end(&world).await;
+    }
     world.heal().await;
     world.publish();
     if !wait_until_settled(&world).await {
@@ -261,7 +283,8 @@
 
 /// Returns whether a seed sends requests that terminate replicas.
 fn has_harmful_requests(seed: u64) -> bool {
-    seed >= FIRST_HARMFUL_SEED && !seed.is_multiple_of(PLANNED_DIVISOR)
+    (FIRST_HARMFUL_SEED..FIRST_PARTITION_SEED).contains(&seed)
+        && !seed.is_multiple_of(PLANNED_DIVISOR)
 }
 
 /// The status that a daemon reports.
