--- a/daemon/tests/soak/partition.rs
+++ b/daemon/tests/soak/partition.rs
@@ -5,7 +5,7 @@
     super::{
         caller::{Kind, send_once},
         fleet::Member,
-        proxy::{Fault, Proxy},
+        proxy::Fault,
         stand_in::{documents::table_of_kinds, store::StandInStore},
         trouble::World,
     },
@@ -79,7 +79,7 @@
             }
             pause(&mut rng, 20..60).await;
         }
-        end(&world).await;
+        end(&world);
         if tried >= MIN_REQUESTS && served * 3 < tried * 2 {
             world.add_finding(format!(
                 "the partitioned daemon served {served} of {tried} requests"
@@ -119,18 +119,12 @@
 }
 
 /// Ends the partition.
-pub async fn end(world: &World) {
-    let far: Vec<Proxy> = {
-        let members = world.members.borrow();
-        members
-            .iter()
-            .filter_map(|member| member.far.clone())
-            .collect()
-    };
-    for proxy in far {
-        proxy.set(Fault::None);
-        proxy.end();
-        proxy.begin_again().await;
+pub fn end(world: &World) {
+    for member in world.members.borrow().iter() {
+        let Some(far) = &member.far else { continue };
+        far.set(Fault::None);
+        far.end();
+        far.begin_again();
     }
 }
 
--- a/daemon/tests/soak/proxy.rs
+++ b/daemon/tests/soak/proxy.rs
@@ -11,7 +11,7 @@
     },
     tokio::{
         io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
-        net::{TcpListener, TcpStream, UdpSocket},
+        net::{TcpListener, TcpSocket, TcpStream, UdpSocket},
         task::AbortHandle,
     },
 };
@@ -42,36 +42,50 @@
     target: SocketAddr,
     fault: Rc<Cell<Fault>>,
     accepting: Rc<RefCell<AbortHandle>>,
+    /// Keeps the port while the proxy doesn't accept connections; another listener could get it otherwise.
+    _port: Rc<TcpSocket>,
+}
+
+/// Number of connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Binds a port that several sockets of this process may share.
+fn bind_shared(address: SocketAddr) -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.set_reuseport(true).unwrap();
+    socket.bind(address).unwrap();
+    socket
 }
 
 impl Proxy {
     /// Starts a proxy that forwards connections to `target`.
     pub async fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind(loopback()).await.unwrap();
-        Self::start_on(listener, target)
+        Self::start_on(loopback(), target)
     }
 
     /// Starts a proxy that forwards connections and datagrams to `target`, on `port` of the target's IP address. The
     /// caller chooses the port, because the system might choose one that the target is about to bind.
     pub async fn start_before(port: u16, target: SocketAddr) -> Self {
-        let address = (target.ip(), port);
-        let listener = TcpListener::bind(address).await.unwrap();
+        let address = SocketAddr::new(target.ip(), port);
         let datagrams = UdpSocket::bind(address).await.unwrap();
-        let proxy = Self::start_on(listener, target);
+        let proxy = Self::start_on(address, target);
         let fault = proxy.fault.clone();
         tokio::task::spawn_local(forward_datagrams(datagrams, target, fault));
         proxy
     }
 
-    fn start_on(listener: TcpListener, target: SocketAddr) -> Self {
-        let address = listener.local_addr().unwrap();
+    fn start_on(address: SocketAddr, target: SocketAddr) -> Self {
+        let port = bind_shared(address);
+        let address = port.local_addr().unwrap();
         let fault = Rc::new(Cell::new(Fault::None));
-        let accepting = Rc::new(RefCell::new(accept(listener, target, fault.clone())));
+        let accepting = Rc::new(RefCell::new(accept(address, target, fault.clone())));
         Self {
             address,
             target,
             fault,
             accepting,
+            _port: Rc::new(port),
         }
     }
 
@@ -81,15 +95,8 @@
     }
 
     /// Accepts connections again after [`Self::end`].
-    pub async fn begin_again(&self) {
-        let listener = loop {
-            // The port is free once the aborted task has been dropped.
-            match TcpListener::bind(self.address).await {
-                Ok(listener) => break listener,
-                Err(_) => tokio::time::sleep(CHECK_INTERVAL).await,
-            }
-        };
-        let accepting = accept(listener, self.target, self.fault.clone());
+    pub fn begin_again(&self) {
+        let accepting = accept(self.address, self.target, self.fault.clone());
         self.accepting.replace(accepting);
     }
 
@@ -102,7 +109,8 @@
     }
 }
 
-fn accept(listener: TcpListener, target: SocketAddr, fault: Rc<Cell<Fault>>) -> AbortHandle {
+fn accept(address: SocketAddr, target: SocketAddr, fault: Rc<Cell<Fault>>) -> AbortHandle {
+    let listener: TcpListener = bind_shared(address).listen(BACKLOG).unwrap();
     let accepting = tokio::task::spawn_local(async move {
         loop {
             let (near, _) = listener.accept().await.unwrap();
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -258,7 +258,7 @@
     }
     if let Some(partitioned) = partitioned {
         partitioned.abort();
-        partition::end(&world).await;
+        partition::end(&world);
     }
     world.heal().await;
     world.publish();
--- a/lib/src/gateway/reach/relay_server.rs
+++ b/lib/src/gateway/reach/relay_server.rs
@@ -31,7 +31,7 @@
 };
 
 /// Maximum time to connect to the endpoint.
-const CONNECT_LIMIT: Duration = Duration::from_millis(200);
+const RELAYED_CONNECT_LIMIT: Duration = Duration::from_millis(200);
 
 /// Maximum time until the head of a request has arrived.
 const HEAD_LIMIT: Duration = Duration::from_millis(900);
@@ -115,7 +115,7 @@
         .map_err(|_refusal| StatusCode::SERVICE_UNAVAILABLE)?;
     let entry = requested_entry(gateway, request).ok_or(StatusCode::NOT_FOUND)?;
     let guard = RelayGuard::new(gateway);
-    match open_stream(entry.address, CONNECT_LIMIT, ENDPOINT_SILENCE).await {
+    match open_stream(entry.address, RELAYED_CONNECT_LIMIT, ENDPOINT_SILENCE).await {
         Ok(stream) => {
             gateway.record_direct(&entry);
             Ok((stream, guard))
