--- a/lib/src/gateway/reach/connect.rs
+++ b/lib/src/gateway/reach/connect.rs
@@ -168,6 +168,8 @@
                     failure = failure.or_unreached(refused);
                     answered += 1;
                 }
+                // The lists of daemons differ for a moment; the relay may still relay to other endpoints.
+                Err(RelayError::Unlisted) => answered += 1,
                 Err(error) => {
                     log::info!(relay:% = relay, endpoint:% = entry.id, error:%; "relay.unable");
                     let mut state = self.state.borrow_mut();
--- a/lib/src/gateway/reach/relay_client.rs
+++ b/lib/src/gateway/reach/relay_client.rs
@@ -37,6 +37,9 @@
     /// The relay doesn't reach the endpoint either. `refused` is set if the endpoint's host refused the connection.
     #[error("the relay doesn't reach the endpoint")]
     Unreached { refused: bool },
+    /// The relay doesn't list the endpoint, or knows that the endpoint gets nothing new.
+    #[error("the relay doesn't use the endpoint")]
+    Unlisted,
     /// The relay can't be reached.
     #[error("no connection to the relay: {0}")]
     Connection(#[from] io::Error),
@@ -93,6 +96,7 @@
         StatusCode::SWITCHING_PROTOCOLS => {}
         StatusCode::BAD_GATEWAY => return Err(RelayError::Unreached { refused: true }),
         StatusCode::GATEWAY_TIMEOUT => return Err(RelayError::Unreached { refused: false }),
+        StatusCode::NOT_FOUND => return Err(RelayError::Unlisted),
         status => return Err(RelayError::Status(status)),
     }
     let upgraded = upgrade::on(response).await?;
