--- a/lib/src/gateway/wire/egress.rs
+++ b/lib/src/gateway/wire/egress.rs
@@ -18,8 +18,9 @@
 /// Maximum time to connect to an endpoint.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
-/// Silence after which a connection to an endpoint fails. A sound endpoint may be silent for a second or two.
-pub const ENDPOINT_SILENCE: Duration = Duration::from_secs(4);
+/// Silence after which a connection to an endpoint fails. A sound endpoint may be silent for a second, in which up to two
+/// probes get no answer.
+pub const ENDPOINT_SILENCE: Duration = Duration::from_secs(3);
 
 /// Silence after which a connection to the directory or to another daemon fails. It is short, because changes wait for
 /// it.
