reach: one task probes for direct paths at a time

A host whose last relayed endpoint came back just before another one was relayed started a second task that probes, while the first was still in its pause; each such change added one for as long as any endpoint was relayed. Found by reading. The rule now says whether probes are under way (test probes_restart).

--- a/lib/src/gateway/reach/connect.rs
+++ b/lib/src/gateway/reach/connect.rs
@@ -241,10 +241,11 @@
             return;
         }
         let relayed = state.reach.relayed();
+        let starts_probes = state.reach.begin_probes();
         drop(state);
         log::info!(endpoint:% = entry.id; "endpoint.relayed");
         self.metrics.relays.set_endpoints(relayed);
-        if relayed == 1 {
+        if starts_probes {
             self.probe_direct_paths();
         }
     }
--- a/lib/src/gateway/rules/endpoint_reach.rs
+++ b/lib/src/gateway/rules/endpoint_reach.rs
@@ -80,6 +80,8 @@
     last_connected: Option<Time>,
     /// Endpoints that are connected through another daemon.
     relayed: BTreeSet<EndpointIncarnation>,
+    /// Set while the relayed endpoints are probed for a direct path.
+    is_probing: bool,
     /// The relayed endpoint that was probed last.
     last_probed: Option<EndpointIncarnation>,
     /// Daemons that aren't asked to relay, and until when.
@@ -152,6 +154,12 @@
         self.relayed.insert(endpoint)
     }
 
+    /// Returns whether probes have to start because none are under way. They end when [`next_probes`](Self::next_probes)
+    /// returns no endpoint.
+    pub fn begin_probes(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_probing, true)
+    }
+
     /// Forgets an endpoint that is gone.
     pub fn forget(&mut self, endpoint: &EndpointIncarnation) {
         self.failed.remove(endpoint);
@@ -183,6 +191,7 @@
         let due = rest.chain(&self.relayed);
         let due: Vec<_> = due.take(count.min(self.relayed.len())).cloned().collect();
         self.last_probed = due.last().cloned();
+        self.is_probing &= !due.is_empty();
         due
     }
 }
--- a/lib/src/gateway/stages/endpoint_post.rs
+++ b/lib/src/gateway/stages/endpoint_post.rs
@@ -37,8 +37,8 @@
     pub(super) body: Bytes,
 }
 
-/// Posts a body on a new connection and returns the answer. Calls `record` with the head of the answer as soon as it arrives, whether
-/// or not the body follows.
+/// Posts a body on a new connection and returns the answer. Calls `record` with the head of the answer as soon as it
+/// arrives, whether or not the body follows.
 ///
 /// # Errors
 ///
--- a/lib/tests/test_endpoint_reach.rs
+++ b/lib/tests/test_endpoint_reach.rs
@@ -82,6 +82,7 @@
 fn probe_turns() {
     let mut reach = EndpointReach::default();
     assert!(reach.next_probes(4).is_empty());
+    assert!(reach.begin_probes());
     for number in 0..5 {
         reach.record_relayed(endpoint(number));
     }
@@ -92,6 +93,7 @@
         .collect();
     assert_eq!(probed, twice);
     assert_eq!(reach.next_probes(100).len(), 5);
+    assert!(!reach.begin_probes());
     assert_eq!(
         (probe_count(4, 0), probe_count(4, 1), probe_count(64, 9)),
         (4, 8, 64)
@@ -108,3 +110,17 @@
     assert_eq!(may_relay(false, true, 0), Err(RelayRefusal::Isolated));
     assert_eq!(may_relay(true, true, 0), Err(RelayRefusal::Stopping));
 }
+
+/// Probes that have ended start again, and none start twice when endpoints come and go.
+#[test]
+fn probes_restart() {
+    let mut reach = EndpointReach::default();
+    reach.record_relayed(endpoint(0));
+    assert!(reach.begin_probes());
+    reach.record_connected(at(0), &endpoint(0));
+    reach.record_relayed(endpoint(0));
+    assert!(!reach.begin_probes());
+    reach.record_connected(at(1), &endpoint(0));
+    assert!(reach.next_probes(4).is_empty());
+    assert!(reach.begin_probes());
+}
