--- a/lib/src/gateway/rules/brittle_endpoint.rs
+++ b/lib/src/gateway/rules/brittle_endpoint.rs
@@ -3,8 +3,8 @@
 //! Inputs: the number of refusals per second that the endpoint states as its limit, its slots, the requests in flight
 //! there from this daemon and from all, and the number of living daemons.
 //!
-//! Rule: the daemons share the endpoint's slots evenly, each with at least [`MIN_SHARE`], and none sends a request while all slots
-//! are taken. After a refusal, a daemon sends nothing for a pause with which all daemons together cause at most half of
+//! Rule: the daemons share the endpoint's slots evenly, each with at least `MIN_SHARE`, and none sends a request while all
+//! slots are taken. After a refusal, a daemon sends nothing for a pause with which all daemons together cause at most half of
 //! the stated refusals.
 //!
 //! Reason: what doesn't wait at an endpoint isn't refused for lack of space there. Daemons know each other's load with a
--- a/lib/src/gateway/rules/endpoint_reach.rs
+++ b/lib/src/gateway/rules/endpoint_reach.rs
@@ -4,11 +4,11 @@
 //! relay a connection.
 //!
 //! Rule: an endpoint that was reached through another daemon after a direct connection failed is connected that way
-//! until a direct connection succeeds again. The host counts as isolated once direct connections to [`ISOLATED_AFTER`]
+//! until a direct connection succeeds again. The host counts as isolated once direct connections to `ISOLATED_AFTER`
 //! different endpoints have failed, although the endpoints hadn't ended, and none has succeeded since the first of these
 //! failures; all endpoints are then connected through another daemon first. While an isolated host finds no daemon that
-//! relays, connections to the endpoints that it has failed to reach aren't tried for [`NO_RELAY_PAUSE`]. A relay states
-//! that an endpoint can't be reached only if it reached another one within [`REACHED_LATELY`] or reaches one now.
+//! relays, connections to the endpoints that it has failed to reach aren't tried for `NO_RELAY_PAUSE`. A relay states
+//! that an endpoint can't be reached only if it reached another one within `REACHED_LATELY` or reaches one now.
 //!
 //! Reason: a failed connection looks the same whether the endpoint has ended or this host is partitioned from it. Only
 //! another host can tell. In a partition that drops packets, each direct attempt costs the whole connect timeout.
