routing: replies of endpoints that aren't brittle don't count the daemons

Each reply counted the living daemons twice, a walk over all known ones, to decide on brittle endpoints; now only replies of these do. The number of relays whose answer counts stood in two files.

--- a/lib/src/gateway/reach/connect.rs
+++ b/lib/src/gateway/reach/connect.rs
@@ -16,7 +16,7 @@
 /// Number of relays whose answer about the endpoint counts, if this host has tried a direct connection itself, and if it
 /// hasn't. A relay may be partitioned from the endpoint, too, without having noticed it.
 const ANSWERS_BESIDE_DIRECT: usize = 1;
-const ANSWERS_ALONE: usize = 2;
+pub(super) const ANSWERS_ALONE: usize = 2;
 
 /// A connection to an endpoint on which no request has been sent yet.
 #[derive(Debug)]
--- a/lib/src/gateway/reach/probe.rs
+++ b/lib/src/gateway/reach/probe.rs
@@ -5,7 +5,7 @@
     crate::gateway::{
         dialect::Dialect,
         directory::endpoint_entry::{EndpointEntry, EndpointIncarnation},
-        reach::connect::RelayFailure,
+        reach::connect::{ANSWERS_ALONE, RelayFailure},
         rules::endpoint_reach::{OTHER_PROBES, PROBE_INTERVAL, probe_count},
         state::Gateway,
         wire::endpoint_check::{EndpointCheck, check},
@@ -14,9 +14,6 @@
     std::{rc::Rc, sync::Arc},
 };
 
-/// Number of relays whose answer about the endpoint counts.
-const ANSWERS: usize = 2;
-
 impl<D: Dialect> Gateway<D> {
     /// Checks whether an endpoint's process has terminated. If its host refuses the connection, or isn't reached from
     /// here in general, another daemon is asked, because a partition can look the same.
@@ -32,7 +29,7 @@
             EndpointCheck::Silent if !is_relayed => return direct,
             EndpointCheck::Silent | EndpointCheck::Terminated => {}
         }
-        match self.connect_relayed(entry, ANSWERS).await {
+        match self.connect_relayed(entry, ANSWERS_ALONE).await {
             Ok(_) => {
                 self.record_relayed(entry);
                 EndpointCheck::Alive
--- a/lib/src/gateway/routing/reply_signals.rs
+++ b/lib/src/gateway/routing/reply_signals.rs
@@ -30,8 +30,8 @@
         self.record_brittle(endpoint, facts);
         let asked = requested_cooldown(status, facts.retry_after);
         let brittle = facts.brittle.filter(|_| is_refusal(status));
-        let daemons = self.state.borrow().peers.daemons();
-        match asked.max(brittle.map(|limit| refusal_pause(limit, daemons))) {
+        let pause = brittle.map(|limit| refusal_pause(limit, self.state.borrow().peers.daemons()));
+        match asked.max(pause) {
             Some(cooldown) => self.record_cooldown(endpoint, cooldown),
             None => self.state.borrow_mut().endpoints.end_probing(endpoint),
         }
@@ -46,10 +46,9 @@
             return;
         }
         let mut state = self.state.borrow_mut();
-        let daemons = state.peers.daemons();
         let limit = facts
             .brittle
-            .map(|_| in_flight_limit(endpoint.slots, daemons));
+            .map(|_| in_flight_limit(endpoint.slots, state.peers.daemons()));
         let changed = state.endpoints.set_brittle(endpoint, limit);
         drop(state);
         match facts.brittle {
