platform: read the software version of endpoints, and log it with attempts

Logs couldn't tell whether a stream went on at another version than the one that began it, nor whether a request takes a stream up. Entries now carry the version of the endpoint's software, which attempt.sent, attempt.resumed and endpoint.added show; request.accepted shows which stream a request takes up, and after which event. Lists between daemons have one more field, which an older release ignores. No decision uses it yet.

--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -76,6 +76,8 @@
     pub prompt: Prompt,
     /// Number of the last event of the stream that the caller already received.
     pub last_event: Option<u64>,
+    /// Id of the request with which the caller began the stream that this request takes up; absent if it takes up none.
+    pub resumes: Option<Arc<str>>,
     /// Number of pieces of each stage, in the order of the route's stages.
     pub pieces: Vec<u32>,
     /// Input of the pieces of stages that depend on no other stage.
--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -213,6 +213,7 @@
         endpoint:% = entry.id,
         service:% = entry.service,
         address:% = entry.address,
+        version = entry.version_name(),
         revision:% = entry.revision,
         source;
         "{event}"
--- a/lib/src/gateway/directory/endpoint_entry.rs
+++ b/lib/src/gateway/directory/endpoint_entry.rs
@@ -11,10 +11,61 @@
             units::Millis,
         },
     },
-    serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _},
+    std::{fmt, net::SocketAddr, str::FromStr, sync::Arc},
+    thiserror::Error,
 };
 
+/// Longest accepted software version, in bytes.
+const MAX_VERSION_LENGTH: usize = 64;
+
+/// Version of an endpoint's software, as the endpoint states it. Versions have no order.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct SoftwareVersion(Arc<str>);
+
+/// Reports a text that isn't a valid software version.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0:?} isn't a software version of 1 to {MAX_VERSION_LENGTH} bytes")]
+pub struct VersionError(String);
+
+impl SoftwareVersion {
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = VersionError;
+
+    fn from_str(text: &str) -> Result<Self, VersionError> {
+        if (1..=MAX_VERSION_LENGTH).contains(&text.len()) {
+            Ok(Self(text.into()))
+        } else {
+            Err(VersionError(text.to_owned()))
+        }
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl Serialize for SoftwareVersion {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for SoftwareVersion {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
+
 /// Time at which an endpoint started, as it states itself: Unix time in milliseconds. Two starts under one id differ in
 /// it; the later one has the larger value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -52,6 +103,9 @@
     /// Time at which the endpoint started; `None` if it doesn't state it.
     #[serde(rename = "born", default, skip_serializing_if = "Option::is_none")]
     pub started: Option<StartTime>,
+    /// Version of the endpoint's software; `None` if the entry states none, or comes from a daemon of an older release.
+    #[serde(rename = "version", default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
     /// Revision of the entry in the directory.
     #[serde(with = "number_only")]
     pub revision: Revision,
@@ -62,6 +116,11 @@
 }
 
 impl EndpointEntry {
+    /// Returns the software version for logs; `-` if it isn't known.
+    pub fn version_name(&self) -> &str {
+        self.version.as_ref().map_or("-", SoftwareVersion::as_str)
+    }
+
     /// Returns the incarnation that the entry describes.
     pub fn incarnation(&self) -> EndpointIncarnation {
         EndpointIncarnation {
--- a/lib/src/gateway/routing/accept.rs
+++ b/lib/src/gateway/routing/accept.rs
@@ -125,6 +125,8 @@
         time_ms = time.0,
         bytes = call.body.len(),
         digest:% = call.digest,
+        resumes = call.inbound.resumes.as_deref().unwrap_or("-"),
+        last_event = call.inbound.last_event.unwrap_or(0),
         pieces:? = call.inbound.pieces;
         "request.accepted"
     );
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -215,6 +215,7 @@
         log::info!(
             request = self.call.id(),
             endpoint:% = choice.entry.id,
+            version = choice.entry.version_name(),
             expected_ms = choice.expected.0,
             uncached = choice.uncached,
             outstanding = choice.in_flight,
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -162,6 +162,7 @@
         log::info!(
             request = call.id(),
             endpoint:% = choice.entry.id,
+            version = choice.entry.version_name(),
             why,
             left_out:% = choice.excluded,
             last_event = last_event.unwrap_or(0);
--- a/lib/tests/load/mod.rs
+++ b/lib/tests/load/mod.rs
@@ -182,6 +182,7 @@
         draining: false,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: 1.into(),
     })
 }
--- a/lib/tests/test_catalogue.rs
+++ b/lib/tests/test_catalogue.rs
@@ -26,6 +26,7 @@
         draining,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: revision.into(),
     }
 }
@@ -283,6 +284,7 @@
 fn born(revision: u64, born: u64) -> EndpointEntry {
     EndpointEntry {
         started: Some(StartTime(born)),
+        version: None,
         ..entry("a", revision, false)
     }
 }
--- a/lib/tests/test_distance.rs
+++ b/lib/tests/test_distance.rs
@@ -62,6 +62,7 @@
         draining: false,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: 1.into(),
     })
 }
--- a/lib/tests/test_eligibility.rs
+++ b/lib/tests/test_eligibility.rs
@@ -47,6 +47,7 @@
         draining: false,
         cold: Millis(0),
         started: Some(StartTime(1_000)),
+        version: None,
         revision: 10.into(),
     }
 }
@@ -294,6 +295,7 @@
     assert!(choose(&states, NOW, &AllowedDataCentres::Anywhere).is_err());
     let next = EndpointEntry {
         started: Some(StartTime(5_000)),
+        version: None,
         revision: 12.into(),
         ..former.clone()
     };
--- a/lib/tests/test_endpoint_rest.rs
+++ b/lib/tests/test_endpoint_rest.rs
@@ -64,6 +64,7 @@
         draining: false,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: 10.into(),
     }
 }
--- a/lib/tests/test_fleet_choice.rs
+++ b/lib/tests/test_fleet_choice.rs
@@ -36,6 +36,7 @@
         draining,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: u64::from(number).into(),
     })
 }
--- a/lib/tests/test_fleet_pins.rs
+++ b/lib/tests/test_fleet_pins.rs
@@ -45,6 +45,7 @@
         draining,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: 1.into(),
     })
 }
--- a/lib/tests/test_harmful_pieces.rs
+++ b/lib/tests/test_harmful_pieces.rs
@@ -58,6 +58,7 @@
         draining: false,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: 1.into(),
     })
 }
--- a/lib/tests/test_list_order.rs
+++ b/lib/tests/test_list_order.rs
@@ -34,6 +34,7 @@
         draining: false,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: revision.into(),
     }
 }
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -192,6 +192,7 @@
         draining,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: (1_000 + u64::from(number)).into(),
     }
 }
@@ -555,6 +556,7 @@
     let restarted = EndpointEntry {
         cold: Millis(2_900),
         started: Some(StartTime(1_700_000_000_000)),
+        version: None,
         ..entry(1, false)
     };
     lines.add("entry of a cold endpoint", &restarted);
--- a/lib/tests/test_plan_pins.rs
+++ b/lib/tests/test_plan_pins.rs
@@ -58,6 +58,7 @@
         draining: false,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: 1.into(),
     };
     (0..count).map(|number| Arc::new(entry(number))).collect()
--- a/lib/tests/test_reported_pace.rs
+++ b/lib/tests/test_reported_pace.rs
@@ -53,6 +53,7 @@
         draining: false,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: 1.into(),
     })
 }
--- a/lib/tests/test_restored_list.rs
+++ b/lib/tests/test_restored_list.rs
@@ -40,6 +40,7 @@
         draining,
         cold: Millis(0),
         started: None,
+        version: None,
         revision,
     }
 }
@@ -122,6 +123,7 @@
     assert!(is_draining(&catalogue, "a"));
     let next = EndpointEntry {
         started: Some(StartTime(7)),
+        version: None,
         ..entry("a", at(2, 52), false)
     };
     catalogue.upsert(next);
--- a/lib/tests/test_scale.rs
+++ b/lib/tests/test_scale.rs
@@ -55,6 +55,7 @@
         draining: false,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: 1.into(),
     })
 }
--- a/lib/tests/test_stage_pins.rs
+++ b/lib/tests/test_stage_pins.rs
@@ -57,6 +57,7 @@
         draining: false,
         cold: Millis(0),
         started: None,
+        version: None,
         revision: 1.into(),
     };
     (0..count).map(|i| Arc::new(entry(i))).collect()
