request_memory: one mechanism for what a fleet remembers of requests

Quarantine and reservations each chose holders by hash, collected entries by recipient, asked and waited for answers, and ran a task that sends them. Holders, outbox, pending queries and the sending task are now one copy each, which both use.

--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod rates;
 pub(crate) mod reach;
 pub mod request_digest;
+pub mod request_memory;
 pub mod reservations;
 pub mod revision;
 pub mod routing;
--- a/lib/src/gateway/peers/mod.rs
+++ b/lib/src/gateway/peers/mod.rs
@@ -31,6 +31,7 @@
 pub mod remote_reports;
 pub mod remote_services;
 pub(crate) mod reports;
+pub(crate) mod request_reports;
 pub mod reservation_reports;
 pub mod self_report;
 pub mod sockets;
--- a/lib/src/gateway/peers/quarantine_reports.rs
+++ b/lib/src/gateway/peers/quarantine_reports.rs
@@ -12,7 +12,7 @@
             peers::{
                 membership::Peers,
                 message::{Datagram, PROTOCOL, QuarantineReport},
-                sockets::send_datagram,
+                request_reports::{OutgoingDatagram, RequestReports},
             },
             quarantine::{
                 note::EvidenceNote,
@@ -24,8 +24,8 @@
         shared::units::{Millis, Time},
     },
     foldhash::HashMap,
-    std::{fmt::Display, net::SocketAddr, rc::Rc},
-    tokio::net::UdpSocket,
+    std::{fmt::Display, net::SocketAddr},
+    tokio::sync::Notify,
 };
 
 /// Maximum number of entries in one datagram. An entry takes up to 70 bytes, and any network transmits 1,400 bytes
@@ -36,23 +36,28 @@
 /// together.
 const REPORT_DELAY: Millis = Millis(5);
 
-/// Sends reports to other daemons until the process ends.
-pub(crate) async fn run_quarantine_reports<D: Dialect>(
-    gateway: Rc<Gateway<D>>,
-    socket: Rc<UdpSocket>,
-) {
-    loop {
-        let now = gateway.now();
-        if gateway.state.borrow().quarantine.has_reports(now) {
-            // Reports are due both on a notification and on the timeout.
-            let notified = gateway.quarantine_reports.notified();
-            let _ = tokio::time::timeout(HEARTBEAT.to_duration(), notified).await;
-        } else {
-            gateway.quarantine_reports.notified().await;
-        }
-        tokio::time::sleep(REPORT_DELAY.to_duration()).await;
+/// The reports about requests under which endpoints terminated.
+pub(crate) struct QuarantineReports;
+
+impl RequestReports for QuarantineReports {
+    const DELAY: Millis = REPORT_DELAY;
+    const INTERVAL: Millis = HEARTBEAT;
+
+    fn wake<D: Dialect>(gateway: &Gateway<D>) -> &Notify {
+        &gateway.quarantine_reports
+    }
+
+    fn is_idle<D: Dialect>(gateway: &Gateway<D>) -> bool {
+        !gateway.state.borrow().quarantine.has_reports(gateway.now())
+    }
+
+    fn collect<D: Dialect>(gateway: &Gateway<D>) -> Vec<OutgoingDatagram> {
         gateway.expire_quarantine();
-        send(&gateway, &socket);
+        let now = gateway.now();
+        let mut guard = gateway.state.borrow_mut();
+        let state = &mut *guard;
+        let outgoing = collect_reports(now, &mut state.peers, &mut state.quarantine);
+        outgoing.iter().flat_map(datagrams).collect()
     }
 }
 
@@ -97,26 +102,16 @@
     outgoing.collect()
 }
 
-fn send<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket) {
-    let now = gateway.now();
-    let mut guard = gateway.state.borrow_mut();
-    let state = &mut *guard;
-    let outgoing = collect_reports(now, &mut state.peers, &mut state.quarantine);
-    drop(guard);
-    for message in outgoing {
-        send_notes(socket, &message.notes, &message.targets);
-    }
-}
-
-fn send_notes(socket: &UdpSocket, notes: &[EvidenceNote], targets: &[SocketAddr]) {
-    for batch in notes.chunks(DATAGRAM_NOTES) {
-        let report = QuarantineReport {
+/// Divides entries into datagrams.
+fn datagrams(outgoing: &OutgoingNotes) -> impl Iterator<Item = OutgoingDatagram> {
+    let batches = outgoing.notes.chunks(DATAGRAM_NOTES);
+    batches.map(|batch| OutgoingDatagram {
+        datagram: Datagram::Quarantine(QuarantineReport {
             protocol: PROTOCOL,
             notes: batch.to_vec(),
-        };
-        let datagram = Datagram::Quarantine(report);
-        send_datagram(socket, &datagram, targets.iter().copied());
-    }
+        }),
+        targets: outgoing.targets.clone(),
+    })
 }
 
 impl<D: Dialect> Gateway<D> {
--- a/lib/src/gateway/peers/reservation_reports.rs
+++ b/lib/src/gateway/peers/reservation_reports.rs
@@ -10,15 +10,16 @@
             dialect::Dialect,
             peers::{
                 message::{Datagram, PROTOCOL, ReservationReport},
-                sockets::send_datagram,
+                request_reports::{OutgoingDatagram, RequestReports},
             },
+            request_memory::outbox::take_entries,
             reservations::note::ReservationEntries,
             state::{Gateway, GatewayState},
         },
         shared::units::Millis,
     },
-    std::{iter, net::SocketAddr, rc::Rc},
-    tokio::net::UdpSocket,
+    std::net::SocketAddr,
+    tokio::sync::Notify,
 };
 
 /// Maximum number of entries in one datagram. An entry takes up to 53 bytes, and a datagram up to 1,200 bytes.
@@ -31,35 +32,35 @@
 /// Interval at which expired reservations are removed: a fifth of the time for which they can be claimed late.
 const EXPIRY_INTERVAL: Millis = Millis(100);
 
-/// Sends messages to other daemons until the process ends, and removes expired reservations.
-pub(crate) async fn run_reservation_reports<D: Dialect>(
-    gateway: Rc<Gateway<D>>,
-    socket: Rc<UdpSocket>,
-) {
-    loop {
-        let notified = gateway.reservation_reports.notified();
-        if gateway.state.borrow().reservations.is_idle() {
-            notified.await;
-        } else {
-            // Reservations expire both after a notification and after the timeout.
-            let _ = tokio::time::timeout(EXPIRY_INTERVAL.to_duration(), notified).await;
-        }
-        tokio::time::sleep(REPORT_DELAY.to_duration()).await;
-        gateway.expire_reservations();
-        send(&gateway, &socket);
+/// The reports about reservations.
+pub(crate) struct ReservationReports;
+
+impl RequestReports for ReservationReports {
+    const DELAY: Millis = REPORT_DELAY;
+    const INTERVAL: Millis = EXPIRY_INTERVAL;
+
+    fn wake<D: Dialect>(gateway: &Gateway<D>) -> &Notify {
+        &gateway.reservation_reports
     }
-}
 
-fn send<D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket) {
-    let mut state = gateway.state.borrow_mut();
-    let local = state.peers.local_address();
-    let outgoing = state.reservations.take_entries();
-    drop(state);
-    for (to, entries) in outgoing {
-        for report in reports(local, entries) {
-            let datagram = Datagram::Reservations(report);
-            send_datagram(socket, &datagram, iter::once(to));
-        }
+    fn is_idle<D: Dialect>(gateway: &Gateway<D>) -> bool {
+        gateway.state.borrow().reservations.is_idle()
+    }
+
+    fn collect<D: Dialect>(gateway: &Gateway<D>) -> Vec<OutgoingDatagram> {
+        gateway.expire_reservations();
+        let mut state = gateway.state.borrow_mut();
+        let local = state.peers.local_address();
+        let outgoing = state.reservations.take_entries();
+        drop(state);
+        let datagrams = outgoing.into_iter().flat_map(|(to, entries)| {
+            let reports = reports(local, entries).into_iter();
+            reports.map(move |report| OutgoingDatagram {
+                datagram: Datagram::Reservations(report),
+                targets: vec![to],
+            })
+        });
+        datagrams.collect()
     }
 }
 
@@ -75,10 +76,10 @@
         let report = ReservationReport {
             protocol: PROTOCOL,
             address: from,
-            made: take(&mut made, &mut left),
-            claims: take(&mut claims, &mut left),
-            answers: take(&mut answers, &mut left),
-            releases: take(&mut releases, &mut left),
+            made: take_entries(&mut made, &mut left),
+            claims: take_entries(&mut claims, &mut left),
+            answers: take_entries(&mut answers, &mut left),
+            releases: take_entries(&mut releases, &mut left),
         };
         if left == DATAGRAM_ENTRIES {
             return reports;
@@ -87,13 +88,6 @@
     }
 }
 
-/// Takes at most `left` entries, and subtracts their number from it.
-fn take<T>(entries: &mut impl Iterator<Item = T>, left: &mut usize) -> Vec<T> {
-    let taken: Vec<T> = entries.by_ref().take(*left).collect();
-    *left -= taken.len();
-    taken
-}
-
 /// Applies a message of another daemon about reservations.
 pub(crate) fn receive_reservations<D: Dialect>(
     gateway: &Gateway<D>,
--- a/lib/src/gateway/reservations/note.rs
+++ b/lib/src/gateway/reservations/note.rs
@@ -4,7 +4,10 @@
 //! have no common clock, so each time is sent as a span from the moment of sending.
 
 use {
-    crate::{gateway::request_digest::RequestDigest, shared::units::Millis},
+    crate::{
+        gateway::{request_digest::RequestDigest, request_memory::queries::Answer},
+        shared::units::Millis,
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -52,9 +55,10 @@
     },
 }
 
-impl Verdict {
-    /// Returns the place in the order by which one of two verdicts decides.
-    pub(crate) fn precedence(&self) -> u8 {
+impl Answer for Verdict {
+    const UNKNOWN: Self = Self::Unknown;
+
+    fn precedence(&self) -> u8 {
         match self {
             Self::Unknown => 0,
             Self::Early { .. } => 1,
@@ -62,6 +66,10 @@
             Self::Granted { .. } => 3,
         }
     }
+
+    fn is_final(&self) -> bool {
+        matches!(self, Self::Granted { .. })
+    }
 }
 
 /// A holder's answer to a claim.
--- a/lib/src/gateway/reservations/store.rs
+++ b/lib/src/gateway/reservations/store.rs
@@ -7,8 +7,8 @@
     crate::{
         gateway::{
             request_digest::RequestDigest,
+            request_memory::{outbox::Outbox, queries::PendingQueries},
             reservations::{
-                claims::PendingClaims,
                 held::HeldReservations,
                 made::{MadeReservations, MissedReservation, NewReservation},
                 note::{AnswerNote, ReservationEntries, ReservationNote, Verdict, to_wire},
@@ -45,8 +45,8 @@
     local: SocketAddr,
     made: MadeReservations,
     held: HeldReservations,
-    claims: PendingClaims,
-    outbox: HashMap<SocketAddr, ReservationEntries>,
+    claims: PendingQueries<Verdict>,
+    outbox: Outbox<ReservationEntries>,
     /// Peers that sent entries that can't be valid.
     unclear: HashSet<SocketAddr>,
 }
@@ -58,8 +58,8 @@
             local,
             made: MadeReservations::default(),
             held: HeldReservations::default(),
-            claims: PendingClaims::default(),
-            outbox: HashMap::default(),
+            claims: PendingQueries::default(),
+            outbox: Outbox::default(),
             unclear: HashSet::default(),
         }
     }
@@ -277,11 +277,11 @@
 
     /// Takes the entries that are to be sent, by their recipients.
     pub fn take_entries(&mut self) -> HashMap<SocketAddr, ReservationEntries> {
-        std::mem::take(&mut self.outbox)
+        self.outbox.take()
     }
 
     fn entries(&mut self, to: SocketAddr) -> &mut ReservationEntries {
-        self.outbox.entry(to).or_default()
+        self.outbox.entries(to)
     }
 
     fn others(&self, holders: &[SocketAddr]) -> Vec<SocketAddr> {
--- a/lib/src/gateway/routing/reservations.rs
+++ b/lib/src/gateway/routing/reservations.rs
@@ -156,17 +156,11 @@
             gateway: self,
             digest,
         };
-        let end = now + CLAIM_WAIT;
-        loop {
-            // Created before the check, so that an answer that arrives after it ends the wait.
-            let answers = self.reservation_answers.notified();
-            if self.state.borrow().reservations.is_decided(&digest) {
-                break;
-            }
-            if self.timeout_at(end, answers).await.is_none() {
-                break;
-            }
-        }
+        let answers = &self.reservation_answers;
+        self.wait_for_answers(answers, now + CLAIM_WAIT, |state| {
+            state.reservations.is_decided(&digest)
+        })
+        .await;
         Some(claim.end())
     }
 
--- a/lib/src/gateway/rules/quarantine.rs
+++ b/lib/src/gateway/rules/quarantine.rs
@@ -18,9 +18,11 @@
 //! See `docs/design/quarantine.md`.
 
 use {
-    crate::shared::units::{Millis, Time},
+    crate::{
+        gateway::rules::holders::holders,
+        shared::units::{Millis, Time},
+    },
     std::net::SocketAddr,
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Number of terminated endpoints after which a request is refused. With 2, requests that happen to run beside a
@@ -64,13 +66,5 @@
     digest: &[u8],
     daemons: impl Iterator<Item = SocketAddr>,
 ) -> Vec<SocketAddr> {
-    let weight = |daemon: &SocketAddr| {
-        let mut bytes = digest.to_vec();
-        bytes.extend_from_slice(daemon.to_string().as_bytes());
-        xxh3_64(&bytes)
-    };
-    let mut daemons: Vec<SocketAddr> = daemons.collect();
-    daemons.sort_by_cached_key(|daemon| (weight(daemon), *daemon));
-    daemons.truncate(EVIDENCE_HOLDERS);
-    daemons
+    holders(digest, daemons, EVIDENCE_HOLDERS)
 }
--- a/lib/src/gateway/rules/reservation.rs
+++ b/lib/src/gateway/rules/reservation.rs
@@ -27,7 +27,7 @@
 
 use {
     crate::{
-        gateway::rules::quarantine::evidence_holders,
+        gateway::rules::holders,
         shared::units::{Millis, Time, WorkMillis},
     },
     std::net::SocketAddr,
@@ -226,7 +226,5 @@
 
 /// Returns those of `daemons` that hold the reservation of a request, or all of them if there are no more than needed.
 pub fn holders(digest: &[u8], daemons: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
-    let mut holders = evidence_holders(digest, daemons);
-    holders.truncate(RESERVATION_HOLDERS);
-    holders
+    holders::holders(digest, daemons, RESERVATION_HOLDERS)
 }
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -13,7 +13,8 @@
         },
         peers::{
             calibration_reports, catch_up, engine_reports, heartbeats, link_server,
-            quarantine_reports, rate_reports, receive, reservation_reports, table_fetch,
+            quarantine_reports::QuarantineReports, rate_reports, receive,
+            request_reports::run_reports, reservation_reports::ReservationReports, table_fetch,
         },
         rules::shutdown::StopSchedule,
         serving::{
@@ -123,7 +124,7 @@
         ));
         self.spawn(heartbeats::announce_settled(gateway.clone()));
         self.spawn(heartbeats::check_clock(gateway.clone()));
-        self.spawn(quarantine_reports::run_quarantine_reports(
+        self.spawn(run_reports::<QuarantineReports, D>(
             gateway.clone(),
             datagrams.clone(),
         ));
@@ -139,7 +140,7 @@
             gateway.clone(),
             datagrams.clone(),
         ));
-        self.spawn(reservation_reports::run_reservation_reports(
+        self.spawn(run_reports::<ReservationReports, D>(
             gateway.clone(),
             datagrams.clone(),
         ));
