stream_origins: a stream goes on only at the software version that began it

Cause: daemons knew no versions. A stream that broke off was resumed at any endpoint of the service, and one that its caller took up was placed like a new request. The version was known to nobody but, implicitly, to the daemon that had relayed the first event.

Change: before the first event of a stream goes on, its daemon tells three holders, found by rendezvous hash of the request's id, at which version it began. A daemon at which a caller takes the stream up asks them (in a small fleet all), and only endpoints of that version are eligible, for resumed answers as well. If nobody knows the version, or none of it may get work, the caller is refused at once, not run. An endpoint that starts again under its id counts as unknown if its entry changed before the first event.

A stream costs three datagrams.

It works because the holders are told before the caller has an event to take up, and because no decision is made without the version.

--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -371,10 +371,14 @@
 }
 
 /// Returns the entry that replaces an older one of the same endpoint. An endpoint that drains keeps draining within one
-/// incarnation, also if an older copy of the directory lists it as not draining.
+/// incarnation, also if an older copy of the directory lists it as not draining. Its software version stays known if the
+/// entry comes from a daemon of a release that doesn't pass it on.
 fn replacement(old: &EndpointEntry, entry: EndpointEntry) -> EndpointEntry {
+    let is_same = old.started == entry.started;
+    let version = entry.version.clone();
     EndpointEntry {
-        draining: entry.draining || (old.draining && old.started == entry.started),
+        draining: entry.draining || (old.draining && is_same),
+        version: version.or_else(|| old.version.clone().filter(|_| is_same)),
         ..entry
     }
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod serving;
 pub mod stages;
 pub mod state;
+pub mod stream_origins;
 pub mod table;
 pub mod table_chunks;
 pub mod wire;
--- a/lib/src/gateway/peers/changes.rs
+++ b/lib/src/gateway/peers/changes.rs
@@ -20,4 +20,9 @@
     if !matches!(change, PeerChange::Met(..)) {
         gateway.links.close(*address);
     }
+    let mut state = gateway.state.borrow_mut();
+    state.origins.daemon_changed(*address);
+    if state.origins.has_stale_holders() {
+        gateway.origin_reports.notify_one();
+    }
 }
--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -25,6 +25,7 @@
             revision::{Era, Revision},
             rules::allowed_regions::RegionHash,
             stages::job::{CustomerHash, JobEnd, PieceInput, ResultHandle},
+            stream_origins::note::OriginNote,
             table::Version,
             table_chunks::{ChunkHash, ChunkList},
         },
@@ -295,6 +296,23 @@
     pub releases: Vec<RequestDigest>,
 }
 
+/// Origins of streams. The entries may be split over several datagrams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReport {
+    /// Version of the protocol that the sender uses.
+    #[serde(rename = "v")]
+    pub protocol: u16,
+    /// Address at which other daemons reach the sender.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Origins that the receiver holds, and answers to its questions.
+    #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
+    pub notes: Vec<OriginNote>,
+    /// Digests of the streams whose origins the sender asks for.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub lookups: Vec<RequestDigest>,
+}
+
 /// A datagram between daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -325,6 +343,9 @@
     /// Reservations of refused callers. An older release that doesn't know this variant ignores it.
     #[serde(rename = "p")]
     Reservations(ReservationReport),
+    /// Origins of streams. An older release that doesn't know this variant ignores it.
+    #[serde(rename = "o")]
+    Origins(OriginReport),
 }
 
 impl Datagram {
@@ -340,6 +361,7 @@
             Self::Engines(report) => report.protocol,
             Self::Calibration(report) => report.protocol,
             Self::Reservations(report) => report.protocol,
+            Self::Origins(report) => report.protocol,
         }
     }
 }
--- a/lib/src/gateway/peers/mod.rs
+++ b/lib/src/gateway/peers/mod.rs
@@ -20,6 +20,7 @@
 pub mod membership;
 pub mod message;
 pub mod notes;
+pub mod origin_reports;
 pub mod outgoing;
 pub mod peer_change;
 pub(crate) mod peer_loads;
--- a/lib/src/gateway/peers/receive.rs
+++ b/lib/src/gateway/peers/receive.rs
@@ -7,6 +7,7 @@
             changes::apply_changes,
             engine_reports::{receive_engines, report_to_joining},
             message::{Datagram, Heartbeat, PROTOCOL, Roster, decode},
+            origin_reports::receive_origins,
             rate_reports::receive_rates,
             reservation_reports::receive_reservations,
             sockets::{MAX_DATAGRAM, send_datagram},
@@ -74,6 +75,7 @@
         Datagram::Engines(report) => receive_engines(gateway, &report, from),
         Datagram::Calibration(report) => gateway.merge_calibration(&report.notes, from),
         Datagram::Reservations(report) => receive_reservations(gateway, report, from),
+        Datagram::Origins(report) => receive_origins(gateway, report, from),
     }
 }
 
--- a/lib/src/gateway/peers/request_reports.rs
+++ b/lib/src/gateway/peers/request_reports.rs
@@ -61,21 +61,21 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Waits until a question to other daemons is decided, at most until `end`. `answers` is notified when an answer
-    /// arrives. Returns whether the question is decided.
-    pub(crate) async fn wait_for_answers(
+    /// Waits until a message to other daemons is sent or answered, at most until `end`. `woken` is notified when it may be
+    /// so. Returns whether `is_done` holds.
+    pub(crate) async fn wait_for_peers(
         &self,
-        answers: &Notify,
+        woken: &Notify,
         end: Time,
-        is_decided: impl Fn(&GatewayState) -> bool,
+        is_done: impl Fn(&GatewayState) -> bool,
     ) -> bool {
         loop {
-            // Created before the check, so that an answer that arrives after it ends the wait.
-            let answer = answers.notified();
-            if is_decided(&self.state.borrow()) {
+            // Created before the check, so that what happens after it ends the wait.
+            let wake = woken.notified();
+            if is_done(&self.state.borrow()) {
                 return true;
             }
-            if self.timeout_at(end, answer).await.is_none() {
+            if self.timeout_at(end, wake).await.is_none() {
                 return false;
             }
         }
--- a/lib/src/gateway/request_digest.rs
+++ b/lib/src/gateway/request_digest.rs
@@ -45,14 +45,24 @@
     pub fn new(content: &RequestContent<'_>) -> Self {
         let path = content.head.uri.path_and_query();
         let customer = content.customer.map_or("", CustomerId::as_str);
-        let mut hash = Sha256::new();
-        for part in [
+        Self::of_parts([
             customer.as_bytes(),
             content.head.method.as_str().as_bytes(),
             content.host.as_bytes(),
             path.map_or("", |path| path.as_str()).as_bytes(),
             content.body,
-        ] {
+        ])
+    }
+
+    /// Computes the digest of the id that a customer's caller gave a request.
+    pub fn of_id(customer: Option<&CustomerId>, id: &str) -> Self {
+        let customer = customer.map_or("", CustomerId::as_str);
+        Self::of_parts([customer.as_bytes(), id.as_bytes()])
+    }
+
+    fn of_parts<const N: usize>(parts: [&[u8]; N]) -> Self {
+        let mut hash = Sha256::new();
+        for part in parts {
             hash.update((part.len() as u64).to_le_bytes());
             hash.update(part);
         }
--- a/lib/src/gateway/routing/accept.rs
+++ b/lib/src/gateway/routing/accept.rs
@@ -11,6 +11,7 @@
                 backend_choice::weighted,
                 eligibility::AllowedDataCentres,
                 retry_after::TABLE_UNKNOWN,
+                stream_origin::StreamOrigin,
                 time_limits::{caller_time, work_time},
                 urgency::urgency,
             },
@@ -87,11 +88,15 @@
     let data_centres = allowed_data_centres(gateway, &route, customer.as_deref())?;
     let time = caller_time(inbound.remaining, route.timeout);
     let body = read_body(body, body_limit(&published), time).await?;
-    let service = choose_service(&route, &inbound.id);
+    let customer_id = customer.as_ref().map(|customer| &customer.id);
+    let origin = gateway
+        .resumed_origin(&inbound, &route, customer_id)
+        .await?;
+    let service = choose_service(gateway, &route, &inbound.id, origin);
     let customer_rank = customer.as_ref().map(|customer| customer.rank);
     let urgency = urgency(customer_rank, route.rank);
     let digest = RequestDigest::new(&RequestContent {
-        customer: customer.as_ref().map(|customer| &customer.id),
+        customer: customer_id,
         head: &head,
         host: host_of(&head).unwrap_or_default(),
         body: &body,
@@ -102,6 +107,7 @@
         route,
         customer,
         service,
+        origin,
         data_centres,
         head,
         body,
@@ -127,6 +133,7 @@
         digest:% = call.digest,
         resumes = call.inbound.resumes.as_deref().unwrap_or("-"),
         last_event = call.inbound.last_event.unwrap_or(0),
+        origin = call.origin.map_or("-".into(), |origin| origin.to_string()),
         pieces:? = call.inbound.pieces;
         "request.accepted"
     );
@@ -185,8 +192,25 @@
     }
 }
 
-/// Picks one of a route's services by weight. The same request id always gets the same service.
-fn choose_service(route: &Route, id: &str) -> ServiceId {
+/// Picks one of a route's services: the one with endpoints of the stream's origin if the request continues a stream, and
+/// otherwise one by weight. The same request id always gets the same service.
+fn choose_service<D: Dialect>(
+    gateway: &Gateway<D>,
+    route: &Route,
+    id: &str,
+    origin: Option<StreamOrigin>,
+) -> ServiceId {
+    let state = gateway.state.borrow();
+    let began = origin.and_then(|origin| {
+        let mut services = route.backends.iter().map(|backend| &backend.service);
+        services.find(|service| {
+            let mut members = state.endpoints.service(service);
+            members.any(|member| member.origin == Some(origin))
+        })
+    });
+    if let Some(service) = began {
+        return service.clone();
+    }
     let chosen = weighted(id, &route.backends, |backend| backend.weight);
     // Validation of the table ensures that each route has a backend.
     chosen.unwrap_or(&route.backends[0]).service.clone()
--- a/lib/src/gateway/routing/call.rs
+++ b/lib/src/gateway/routing/call.rs
@@ -5,7 +5,10 @@
         gateway::{
             dialect::Inbound,
             request_digest::RequestDigest,
-            rules::{eligibility::AllowedDataCentres, time_limits::first_event_time},
+            rules::{
+                eligibility::AllowedDataCentres, stream_origin::StreamOrigin,
+                time_limits::first_event_time,
+            },
             table::{CustomerEntry, Route},
         },
         shared::{
@@ -28,6 +31,8 @@
     pub(crate) customer: Option<Arc<CustomerEntry>>,
     /// Service of the route that serves this request.
     pub(crate) service: ServiceId,
+    /// Origin of the stream that the request takes up; absent if it takes up none.
+    pub(crate) origin: Option<StreamOrigin>,
     /// Data centres where the request may run.
     pub(crate) data_centres: AllowedDataCentres,
     /// Head as the caller sent it.
--- a/lib/src/gateway/routing/endpoint_state.rs
+++ b/lib/src/gateway/routing/endpoint_state.rs
@@ -22,6 +22,7 @@
                 endpoint_slowdown::{CallTime, EngineSlowdown},
                 reply_proof::EndpointOutcome,
                 reported_slowdown,
+                stream_origin::{StreamOrigin, may_continue},
             },
         },
         shared::{
@@ -62,6 +63,8 @@
     pub reported_load: Option<(Time, ReplyLoad)>,
     /// Position among otherwise equal endpoints, different at each daemon; the lowest goes first.
     pub(crate) order: u64,
+    /// Origin of the streams that begin at the endpoint; `None` if its software version isn't known.
+    pub(crate) origin: Option<StreamOrigin>,
     /// Signals from the endpoint's replies: whether it leaves, and its cooldown.
     pub(crate) signals: EndpointSignals,
     /// Maximum number of requests in flight from this daemon while the endpoint is brittle; absent if it isn't.
@@ -91,6 +94,7 @@
             hash: endpoint_hash(&entry.id),
             incarnation: incarnation_hash(&entry),
             region: None,
+            origin: StreamOrigin::of(&entry),
             entry,
             running: 0,
             prefill: 0.0,
@@ -141,6 +145,7 @@
             }
             self.cold.set_cold_time(now, entry.cold);
         }
+        self.origin = StreamOrigin::of(&entry);
         self.entry = entry;
     }
 
@@ -165,6 +170,7 @@
         RequestRestrictions {
             restrictions: self.restrictions(),
             not_allowed: !request.allowed.allow(&self.entry.data_centre),
+            other_version: !may_continue(request.origin, self.origin),
             cold: is_cold && self.cold.is_share_used(now, request.cold_share),
             limited,
             full: self.running >= request.connection_limit || self.is_brittle_full(),
--- a/lib/src/gateway/routing/endpoint_states.rs
+++ b/lib/src/gateway/routing/endpoint_states.rs
@@ -21,6 +21,7 @@
                 eligibility::{AllowedDataCentres, Exclusion, ExclusionCounts},
                 endpoint_choice::{self, EndpointChoice, EndpointRequest},
                 reply_proof::EndpointOutcome,
+                stream_origin::{StreamOrigin, may_continue},
             },
         },
         shared::{
@@ -207,12 +208,30 @@
         &self,
         id: &ServiceId,
         data_centres: &AllowedDataCentres,
+    ) -> Result<(), ExclusionCounts> {
+        self.any_open_of(id, data_centres, None)
+    }
+
+    /// Checks like [`any_open`](Self::any_open) that a service has an open endpoint, of the origin of the stream that a
+    /// request continues if it continues one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the number of endpoints by the reason for which they are excluded if there is none.
+    pub(crate) fn any_open_of(
+        &self,
+        id: &ServiceId,
+        data_centres: &AllowedDataCentres,
+        origin: Option<StreamOrigin>,
     ) -> Result<(), ExclusionCounts> {
         let mut excluded = ExclusionCounts::default();
         for member in self.service(id) {
             let not_allowed = !data_centres.allow(&member.entry.data_centre);
             let not_allowed = not_allowed.then_some(Exclusion::NotAllowed);
-            match member.restrictions().exclusion().or(not_allowed) {
+            let other_version = !may_continue(origin, member.origin);
+            let other_version = other_version.then_some(Exclusion::OtherVersion);
+            let exclusion = member.restrictions().exclusion();
+            match exclusion.or(not_allowed).or(other_version) {
                 Some(reason) => excluded.count(reason),
                 None => return Ok(()),
             }
--- a/lib/src/gateway/routing/engine_times.rs
+++ b/lib/src/gateway/routing/engine_times.rs
@@ -38,7 +38,7 @@
         };
         state.engines.service(&call.service)?.usual_time(&load)
     };
-    match choose_endpoint_in(gateway, call, allowed, &[], None) {
+    match choose_endpoint_in(gateway, call, allowed, &[], None, call.origin) {
         Ok(choice) => choice.first_event,
         Err(_) => Some(idle),
     }
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -207,7 +207,7 @@
     async fn choose(&self) -> Result<EndpointChoice, ExclusionCounts> {
         let (tried, results) = (&self.progress.tried, self.results.as_ref());
         self.gateway
-            .choose_permitted(self.call, tried, results)
+            .choose_permitted(self.call, tried, results, self.call.origin)
             .await
     }
 
@@ -364,6 +364,8 @@
             tried: std::mem::take(&mut self.progress.tried),
             sent: self.progress.history.sent(),
             admission: self.admission,
+            origin: self.call.origin,
+            open_origin: None,
             sample: std::mem::take(&mut self.sample),
             results: self.results.take(),
             _in_flight: in_flight,
--- a/lib/src/gateway/routing/mod.rs
+++ b/lib/src/gateway/routing/mod.rs
@@ -26,4 +26,5 @@
 pub(crate) mod service_limits;
 pub(crate) mod stage_load;
 pub(crate) mod stages;
+pub(crate) mod stream_origin;
 pub(crate) mod stream_resume;
--- a/lib/src/gateway/routing/outbound.rs
+++ b/lib/src/gateway/routing/outbound.rs
@@ -8,6 +8,7 @@
             rules::{
                 eligibility::{AllowedDataCentres, ExclusionCounts},
                 endpoint_choice::{EndpointChoice, EndpointRequest},
+                stream_origin::StreamOrigin,
             },
             stages::stage_results::Results,
             state::Gateway,
@@ -20,7 +21,7 @@
     http_body_util::Full,
 };
 
-/// Chooses an endpoint for a request, other than those in `tried`.
+/// Chooses an endpoint for a request, other than those in `tried`, and of `origin` if it continues a stream.
 ///
 /// # Errors
 ///
@@ -30,8 +31,10 @@
     call: &ForwardedCall,
     tried: &[EndpointId],
     results: Option<&Results<D>>,
+    origin: Option<StreamOrigin>,
 ) -> Result<EndpointChoice, ExclusionCounts> {
-    choose_endpoint_in(gateway, call, &call.data_centres, tried, results)
+    let allowed = &call.data_centres;
+    choose_endpoint_in(gateway, call, allowed, tried, results, origin)
 }
 
 /// Chooses an endpoint for a request like [`choose_endpoint`], but only in the data centres `allowed`.
@@ -41,6 +44,7 @@
     allowed: &AllowedDataCentres,
     tried: &[EndpointId],
     results: Option<&Results<D>>,
+    origin: Option<StreamOrigin>,
 ) -> Result<EndpointChoice, ExclusionCounts> {
     // A request without stages has no inputs.
     let inputs = results.map(Results::input_locations).unwrap_or_default();
@@ -51,6 +55,7 @@
         inputs: &inputs,
         connection_limit: gateway.connections_each(&call.service),
         allowed,
+        origin,
         cold_share: gateway.cold_share(&call.service),
         cold_start: gateway.cold_start(&call.service),
         urgency: call.urgency,
--- a/lib/src/gateway/routing/permits.rs
+++ b/lib/src/gateway/routing/permits.rs
@@ -14,6 +14,7 @@
                 eligibility::{Exclusion, ExclusionCounts},
                 endpoint_choice::EndpointChoice,
                 endpoint_rate::{CLAIM_RENEWAL_INTERVAL, longest_wait, may_wait},
+                stream_origin::StreamOrigin,
             },
             stages::stage_results::Results,
             state::Gateway,
@@ -30,7 +31,7 @@
 const PIECES_URGENCY: u32 = 0;
 
 impl<D: Dialect> Gateway<D> {
-    /// Chooses an endpoint for a request, other than those in `tried`. If all eligible ones lack a permit for their
+    /// Chooses an endpoint for a request, other than those in `tried`, and of `origin` if it continues a stream. If all eligible ones lack a permit for their
     /// rate limit, waits for a permit, unless none is expected in time.
     ///
     /// # Errors
@@ -41,6 +42,7 @@
         call: &ForwardedCall,
         tried: &[EndpointId],
         results: Option<&Results<D>>,
+        origin: Option<StreamOrigin>,
     ) -> Result<EndpointChoice, ExclusionCounts> {
         let longest = longest_wait(call.route.objective);
         let end = call.deadline.min(self.now() + longest);
@@ -49,7 +51,7 @@
             // Created before the choice, so that a permit that arrives after it ends the wait.
             let permits = self.permits.notified();
             self.end_cooldowns();
-            let choice = choose_endpoint(self, call, tried, results);
+            let choice = choose_endpoint(self, call, tried, results, origin);
             let excluded = match &choice {
                 Ok(choice) => choice.excluded,
                 Err(excluded) => *excluded,
--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -31,6 +31,8 @@
     splitter: EventSplitter,
     /// Set if an event has arrived from any endpoint.
     events_begun: bool,
+    /// Set once the present source has sent an event, at the stream's origin.
+    source_checked: bool,
     sink: mpsc::Sender<StreamPart>,
 }
 
@@ -89,6 +91,7 @@
         request,
         splitter,
         events_begun: false,
+        source_checked: false,
         sink,
     };
     tokio::task::spawn_local(relay.run(source));
@@ -120,10 +123,14 @@
                 SourceEnd::TimeOver => return self.break_off("the request's time is over"),
                 SourceEnd::Broken(Break { why, cut }) => {
                     self.end_broken(guard, cut).await;
+                    if self.events_begun && self.request.origin.is_none() {
+                        return self.break_off("the software version isn't known");
+                    }
                     let last_event = self.splitter.last();
                     match resume(&mut self.request, &self.sink, last_event, &why).await {
                         ResumeEnd::Resumed(next) => {
                             self.splitter = EventSplitter::after(last_event);
+                            self.source_checked = false;
                             source = next;
                         }
                         ResumeEnd::Failed => return self.break_off(&why),
@@ -229,6 +236,7 @@
     ) -> Result<(), SourceEnd> {
         let events = self.splitter.feed(data);
         if !events.is_empty() {
+            self.check_origin(guard).await?;
             if !std::mem::replace(&mut self.events_begun, true) {
                 // With its first event the endpoint has fetched its inputs and read the prompt.
                 self.request.results = None;
@@ -243,6 +251,32 @@
         Ok(())
     }
 
+    /// Checks when the first event of a source comes that it continues the stream at its origin; the first source of a
+    /// stream sets it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the end of the source if it may be of another software version.
+    async fn check_origin(&mut self, guard: &AttemptGuard<D>) -> Result<(), SourceEnd> {
+        if std::mem::replace(&mut self.source_checked, true) {
+            return Ok(());
+        }
+        let request = &mut self.request;
+        let found = request.gateway.origin_at(&guard.choice.entry);
+        let continues = self.events_begun || request.origin.is_some();
+        if continues && (found.is_none() || found != request.origin) {
+            return Err(SourceEnd::Broken(Break::cut("another software version")));
+        }
+        request.origin = found;
+        if !self.events_begun {
+            request.open_origin = match found {
+                Some(origin) => Some(request.gateway.record_origin(&request.call, origin).await),
+                None => None,
+            };
+        }
+        Ok(())
+    }
+
     /// Sends events to the caller. A caller that doesn't read delays its stream, but not beyond the deadline.
     async fn send(&self, events: Bytes) -> Result<(), SourceEnd> {
         let StreamedRequest { gateway, call, .. } = &self.request;
--- a/lib/src/gateway/routing/reservations.rs
+++ b/lib/src/gateway/routing/reservations.rs
@@ -157,7 +157,7 @@
             digest,
         };
         let answers = &self.reservation_answers;
-        self.wait_for_answers(answers, now + CLAIM_WAIT, |state| {
+        self.wait_for_peers(answers, now + CLAIM_WAIT, |state| {
             state.reservations.is_decided(&digest)
         })
         .await;
--- a/lib/src/gateway/routing/stages.rs
+++ b/lib/src/gateway/routing/stages.rs
@@ -137,7 +137,8 @@
     let now = gateway.now();
     let endpoints = &gateway.state.borrow().endpoints;
     for service in needed_services(call) {
-        if let Err(excluded) = endpoints.any_open(service, &call.data_centres) {
+        let origin = call.origin.filter(|_| *service == call.service);
+        if let Err(excluded) = endpoints.any_open_of(service, &call.data_centres, origin) {
             let detail = format!("no endpoint of {service} may get work; left out: {excluded}");
             let cooldown_end = endpoints.cooldown_end(service, &call.data_centres);
             let wait = cooldown_end.map_or(NO_ENDPOINT, |cooldown_end| {
@@ -181,7 +182,7 @@
     request.objective = request.objective - admission.lead.unwrap_or_default();
     // If no endpoint may get the request now, the stages have no preferred data centre. The request is refused later if
     // that is still so.
-    let probable = choose_endpoint_in(gateway, call, &request.allowed, &[], None).ok();
+    let probable = choose_endpoint_in(gateway, call, &request.allowed, &[], None, call.origin).ok();
     let request = request.served_in(probable.map(|choice| choice.entry.data_centre.clone()));
     match chain::run(gateway, &request).await {
         Ok(results) => Ok(Some(results)),
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -15,12 +15,14 @@
                 outbound::outbound_request,
                 reservations::Admission,
                 stages::run_stages,
+                stream_origin::OpenOrigin,
             },
             rules::{
                 endpoint_choice::EndpointChoice,
                 reply_proof::{EndpointOutcome, classify_resumed_head},
                 resume::may_resume,
                 retry::RetryReason,
+                stream_origin::StreamOrigin,
             },
             stages::stage_results::Results,
             state::Gateway,
@@ -52,6 +54,10 @@
     pub(crate) sent: u32,
     /// Where the stages of the request run, and in which place.
     pub(crate) admission: Admission,
+    /// Origin of the stream, once the caller has an event of it.
+    pub(crate) origin: Option<StreamOrigin>,
+    /// Has new holders told of the origin; absent before the first event, and if the origin isn't known.
+    pub(crate) open_origin: Option<OpenOrigin<D>>,
     /// Results of the stages, until an endpoint has fetched them; absent if the request has no stages.
     pub(crate) results: Option<Results<D>>,
     /// Measures the time to the first event against the expected one.
@@ -152,7 +158,7 @@
     ) -> ResumeAttempt<D> {
         let (gateway, call, results) = (&self.gateway, &self.call, self.results.as_ref());
         let choice = tokio::select! {
-            choice = gateway.choose_permitted(call, &self.tried, results) => choice,
+            choice = gateway.choose_permitted(call, &self.tried, results, self.origin) => choice,
             () = sink.closed() => return ResumeAttempt::CallerLeft,
         };
         let Ok(choice) = choice else {
--- a/lib/src/gateway/rules/eligibility.rs
+++ b/lib/src/gateway/rules/eligibility.rs
@@ -2,7 +2,7 @@
 //!
 //! Inputs: what the directory and operators say about the endpoint (draining, evacuated), what its replies said (it is
 //! leaving, another endpoint has its address, it asked for a cooldown), its data centre and the data centres where the
-//! request may run, and how much of the endpoint's limits this daemon has used (connections, its share of a cold
+//! request may run, the origin of the stream that it continues, and how much of the endpoint's limits this daemon has used (connections, its share of a cold
 //! endpoint, its permits for an endpoint that advertises a rate limit).
 //!
 //! Rule: one reason is enough to exclude the endpoint; if several hold, the one that lasts longest is returned. Health
@@ -70,6 +70,8 @@
     Evacuated,
     /// The request may not run in its data centre.
     NotAllowed,
+    /// The request continues a stream that began at another version of the service's software.
+    OtherVersion,
     /// Another endpoint replied at its address, or it replied that it is leaving.
     Replaced,
     /// It refused a request and asked this daemon to send nothing for a time.
@@ -84,10 +86,11 @@
 
 impl Exclusion {
     /// All reasons, in the order in which they are reported.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Draining,
         Self::Evacuated,
         Self::NotAllowed,
+        Self::OtherVersion,
         Self::Replaced,
         Self::CoolingDown,
         Self::Cold,
@@ -101,6 +104,7 @@
             Self::Draining => "draining",
             Self::Evacuated => "evacuated",
             Self::NotAllowed => "away",
+            Self::OtherVersion => "version",
             Self::Replaced => "replaced",
             Self::CoolingDown => "resting",
             Self::Cold => "cold",
@@ -143,6 +147,8 @@
     pub restrictions: EndpointRestrictions,
     /// Set if the request may not run in the endpoint's data centre.
     pub not_allowed: bool,
+    /// Set if the request continues a stream that began at another software version.
+    pub other_version: bool,
     /// Set if the endpoint is cold and this daemon has used its share of the requests to it.
     pub cold: bool,
     /// Set if the endpoint advertises a rate limit and this daemon has no permit for another request.
@@ -156,6 +162,7 @@
     pub fn exclusion(self) -> Option<Exclusion> {
         let reasons = [
             (self.not_allowed, Exclusion::NotAllowed),
+            (self.other_version, Exclusion::OtherVersion),
             (self.cold, Exclusion::Cold),
             (self.limited, Exclusion::Limited),
             (self.full, Exclusion::Full),
--- a/lib/src/gateway/rules/endpoint_choice.rs
+++ b/lib/src/gateway/rules/endpoint_choice.rs
@@ -31,6 +31,7 @@
                 eligibility::{AllowedDataCentres, Exclusion, ExclusionCounts},
                 engine_model::{EngineFigures, EngineLoad},
                 prefill_rate::TOKENS_PER_MS,
+                stream_origin::StreamOrigin,
             },
         },
         shared::{
@@ -100,6 +101,8 @@
     pub connection_limit: u32,
     /// Data centres where the request may run.
     pub allowed: &'a AllowedDataCentres,
+    /// Origin of the stream that the request continues; absent if it continues none.
+    pub origin: Option<StreamOrigin>,
     /// Share of the requests to each cold endpoint of the service that this daemon may send.
     pub cold_share: ColdShare,
     /// Time after its start for which an endpoint of the service is usually cold.
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -56,6 +56,7 @@
 pub mod stage_objective;
 pub mod stage_placement;
 pub mod stall;
+pub mod stream_origin;
 pub mod table_upload;
 pub mod tight_objective;
 pub mod time_limits;
--- a/lib/src/gateway/serving/metrics.rs
+++ b/lib/src/gateway/serving/metrics.rs
@@ -9,8 +9,8 @@
             rules::retry::RetryReason,
             serving::{
                 admission_metrics::AdmissionMetrics, endpoint_metrics::EndpointMetrics,
-                engine_metrics::EngineMetrics, labels::KindLabels, relay_metrics::RelayMetrics,
-                reservation_metrics::ReservationMetrics,
+                engine_metrics::EngineMetrics, labels::KindLabels, origin_metrics::OriginMetrics,
+                relay_metrics::RelayMetrics, reservation_metrics::ReservationMetrics,
             },
             table::Version,
         },
@@ -105,6 +105,8 @@
     pub(crate) engines: EngineMetrics,
     /// Metrics about reservations.
     pub(crate) reservations: ReservationMetrics,
+    /// Metrics about streams that callers take up.
+    pub(crate) origins: OriginMetrics,
     pieces: Family<KindLabels, Counter>,
     calls: Counter,
     calls_shortened: Counter,
@@ -153,6 +155,7 @@
             relays: RelayMetrics::default(),
             engines: EngineMetrics::default(),
             reservations: ReservationMetrics::default(),
+            origins: OriginMetrics::default(),
             pieces: Family::default(),
             calls: Counter::default(),
             calls_shortened: Counter::default(),
@@ -216,6 +219,7 @@
         self.relays.register(registry);
         self.engines.register(registry);
         self.reservations.register(registry);
+        self.origins.register(registry);
         registry.register("pieces", "Pieces sent to endpoints", self.pieces.clone());
         registry.register("calls", "Calls of pieces", self.calls.clone());
         registry.register(
--- a/lib/src/gateway/serving/mod.rs
+++ b/lib/src/gateway/serving/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod labels;
 pub mod metrics;
 pub mod operator;
+pub(crate) mod origin_metrics;
 pub(crate) mod relay_metrics;
 pub mod reload;
 pub(crate) mod reservation_metrics;
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -33,6 +33,7 @@
             },
             serving::{metrics::GatewayMetrics, reload::Reload, settings::GatewaySettings},
             stages::{queues::StageQueues, workload::Workload},
+            stream_origins::store::StreamOrigins,
             table::{Table, Version},
             table_chunks::TableChunks,
         },
@@ -112,6 +113,8 @@
     pub calibration: Calibration,
     /// Reservations of refused callers.
     pub reservations: Reservations,
+    /// Software versions at which streams began.
+    pub origins: StreamOrigins,
     /// Other daemons.
     pub peers: Peers,
     /// Queues of the stage services that this daemon coordinates.
@@ -162,6 +165,7 @@
             quarantine: Quarantine::default(),
             calibration: Calibration::default(),
             reservations: Reservations::new(peers.local_address()),
+            origins: StreamOrigins::default(),
             peers,
             stage_queues: StageQueues::default(),
             contact: DirectoryContact::default(),
@@ -257,6 +261,12 @@
     pub(crate) reservation_reports: Notify,
     /// Wakes the requests that wait for answers to their claims.
     pub(crate) reservation_answers: Notify,
+    /// Wakes the loop that sends the messages about origins of streams.
+    pub(crate) origin_reports: Notify,
+    /// Wakes the streams that wait until their origins are sent.
+    pub(crate) origins_sent: Notify,
+    /// Wakes the requests that wait for the origins of their streams.
+    pub(crate) origin_answers: Notify,
     /// Wakes the requests that wait for a permit.
     pub(crate) permits: Notify,
     /// Requests that wait for a permit.
@@ -307,6 +317,9 @@
             rate_reports: Notify::new(),
             reservation_reports: Notify::new(),
             reservation_answers: Notify::new(),
+            origin_reports: Notify::new(),
+            origins_sent: Notify::new(),
+            origin_answers: Notify::new(),
             permits: Notify::new(),
             permit_queue: PermitQueue::default(),
             run,
--- a/lib/tests/test_catalogue.rs
+++ b/lib/tests/test_catalogue.rs
@@ -57,6 +57,35 @@
     names
 }
 
+/// A daemon of an older release passes entries on without their software version, which stays known within one
+/// incarnation. A later incarnation may be of another version.
+#[test]
+fn version_kept() {
+    let mut catalogue = catalogue();
+    let known = EndpointEntry {
+        version: Some("v1".parse().unwrap()),
+        started: Some(StartTime(1)),
+        ..entry("a", 1, false)
+    };
+    catalogue.upsert(known.clone());
+    let passed_on = EndpointEntry {
+        version: None,
+        revision: 2.into(),
+        ..known.clone()
+    };
+    catalogue.upsert(passed_on);
+    let version = |catalogue: &Catalogue| catalogue.get(&id("a")).unwrap().version.clone();
+    assert_eq!(version(&catalogue), known.version);
+    let restarted = EndpointEntry {
+        version: None,
+        started: Some(StartTime(2)),
+        revision: 3.into(),
+        ..known
+    };
+    catalogue.upsert(restarted);
+    assert_eq!(version(&catalogue), None);
+}
+
 /// While the directory answers, an endpoint is removed as soon as its entry vanishes.
 #[test]
 fn removed_entry() {
--- a/lib/tests/test_distance.rs
+++ b/lib/tests/test_distance.rs
@@ -96,6 +96,7 @@
         inputs,
         connection_limit: u32::MAX,
         allowed: &AllowedDataCentres::Anywhere,
+        origin: None,
         cold_share: ColdShare::Unlimited,
         cold_start: Millis(0),
         urgency: 0,
--- a/lib/tests/test_eligibility.rs
+++ b/lib/tests/test_eligibility.rs
@@ -72,6 +72,7 @@
         inputs: &[],
         connection_limit: 2,
         allowed,
+        origin: None,
         cold_share: one_a_second(),
         cold_start: COLD,
         urgency: 0,
@@ -110,6 +111,7 @@
     let free = RequestRestrictions {
         restrictions: EndpointRestrictions::default(),
         not_allowed: false,
+        other_version: false,
         cold: false,
         limited: false,
         full: false,
@@ -124,6 +126,7 @@
     let cooling_down = RequestRestrictions {
         restrictions: restrictions(false, false, false),
         not_allowed: false,
+        other_version: false,
         cold: true,
         limited: true,
         full: true,
--- a/lib/tests/test_engine_choice.rs
+++ b/lib/tests/test_engine_choice.rs
@@ -77,6 +77,7 @@
         inputs: &[],
         connection_limit: u32::MAX,
         allowed: &AllowedDataCentres::Anywhere,
+        origin: None,
         cold_share: ColdShare::Unlimited,
         cold_start: Millis(0),
         urgency: 0,
--- a/lib/tests/test_fleet_choice.rs
+++ b/lib/tests/test_fleet_choice.rs
@@ -69,6 +69,7 @@
         inputs: &[],
         connection_limit: u32::MAX,
         allowed: &AllowedDataCentres::Anywhere,
+        origin: None,
         cold_share: ColdShare::Unlimited,
         cold_start: Millis(0),
         urgency: 0,
--- a/lib/tests/test_fleet_pins.rs
+++ b/lib/tests/test_fleet_pins.rs
@@ -149,6 +149,7 @@
             inputs: &inputs,
             connection_limit: *self.draws.pick(&[1, 3, u32::MAX, u32::MAX]),
             allowed: &AllowedDataCentres::Anywhere,
+            origin: None,
             cold_share: ColdShare::Unlimited,
             cold_start: Millis(0),
             urgency: 0,
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -22,8 +22,8 @@
             hashes::{EndpointHash, IncarnationHash, RouteHash, ServiceHash},
             peers::message::{
                 BacklogNote, CalibrationReport, Datagram, EngineReport, Frame, Heartbeat, JobOrder,
-                LinkReply, LinkRequest, LoadDigest, LoadNote, PROTOCOL, PeerNote, Phase,
-                QuarantineReport, QueueNote, RateReport, RegionReport, RemoteNote,
+                LinkReply, LinkRequest, LoadDigest, LoadNote, OriginReport, PROTOCOL, PeerNote,
+                Phase, QuarantineReport, QueueNote, RateReport, RegionReport, RemoteNote,
                 ReservationReport, Roster, WorkNote, decode, encode,
             },
             quarantine::note::{EvidenceNote, TerminatedNote},
@@ -35,8 +35,10 @@
                 backlog::{Backlog, DeadlineBucket},
                 endpoint_rate::Claim,
                 gossip::MAX_REMOTE_NOTES,
+                stream_origin::StreamOrigin,
             },
             stages::job::{CustomerHash, JobEnd, PieceInput, ResultHandle},
+            stream_origins::note::OriginNote,
             table_chunks::{ChunkHash, ChunkList, ChunkMark},
         },
         shared::units::{Capacity, Millis, Time},
@@ -627,3 +629,25 @@
     lines.add_framed("unable", LinkReply::Unable);
     insta::assert_snapshot!(lines.0);
 }
+
+/// The software version of an entry is one field more, which is left out if it is unknown; an older daemon ignores it, and
+/// the reports about origins of streams as well.
+#[test]
+fn origin_bytes() {
+    let mut lines = Lines::default();
+    let versioned = EndpointEntry {
+        version: Some("v1.1".parse().unwrap()),
+        ..entry(1, false)
+    };
+    lines.add("entry with a version", &versioned);
+    let digest = RequestDigest::from((0x0102_0304_0506_0708, u64::MAX));
+    let note = |origin| OriginNote { digest, origin };
+    let report = OriginReport {
+        protocol: PROTOCOL,
+        address: "10.1.2.4:7003".parse().unwrap(),
+        notes: vec![note(Some(StreamOrigin(u64::MAX - 1))), note(None)],
+        lookups: vec![digest],
+    };
+    lines.add("origins", &Datagram::Origins(report));
+    insta::assert_snapshot!(lines.0);
+}
--- a/lib/tests/test_reported_pace.rs
+++ b/lib/tests/test_reported_pace.rs
@@ -76,6 +76,7 @@
         inputs: &[],
         connection_limit: u32::MAX,
         allowed: &AllowedDataCentres::Anywhere,
+        origin: None,
         cold_share: ColdShare::Unlimited,
         cold_start: Millis(0),
         urgency: 0,
