gateway: log the shared parts of prompts with requests and ended endpoints

Logs couldn't show what requests under which endpoints ended have in common, if no two are alike. request.accepted and endpoint.ended name the parts of the prompt that other requests may share.

--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -63,6 +63,21 @@
     pub tokens_out: u32,
 }
 
+impl Prompt {
+    /// Returns the parts that other requests may share: all but the last, which belongs to the request or its session.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let shared = self.parts.split_last();
+        shared.map_or(&[], |(_last, shared)| shared)
+    }
+
+    /// Returns the ids of the shared parts for logs, separated by commas.
+    pub fn shared_names(&self) -> String {
+        let ids = self.shared_parts().iter();
+        let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+}
+
 /// The values that the library needs from the head of a caller's request.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Inbound {
--- a/lib/src/gateway/routing/accept.rs
+++ b/lib/src/gateway/routing/accept.rs
@@ -131,6 +131,7 @@
         time_ms = time.0,
         bytes = call.body.len(),
         digest:% = call.digest,
+        parts = call.inbound.prompt.shared_names(),
         resumes = call.inbound.resumes.as_deref().unwrap_or("-"),
         last_event = call.inbound.last_event.unwrap_or(0),
         origin = call.origin.map_or("-".into(), |origin| origin.to_string()),
--- a/lib/src/gateway/routing/endpoint_check.rs
+++ b/lib/src/gateway/routing/endpoint_check.rs
@@ -28,11 +28,12 @@
         entry: &Arc<EndpointEntry>,
     ) {
         let (gateway, request, digest) = (self.clone(), call.inbound.id.clone(), call.digest);
+        let parts = call.inbound.prompt.shared_names();
         let entry = entry.clone();
         let probe = tokio::task::spawn_local(async move {
             if gateway.check(&entry).await == EndpointCheck::Terminated {
                 gateway.metrics.endpoints.count_terminated();
-                log::warn!(request = &*request, endpoint:% = entry.id, digest:%; "endpoint.ended");
+                log::warn!(request = &*request, endpoint:% = entry.id, digest:%, parts; "endpoint.ended");
                 gateway.record_terminated(digest, &entry);
                 gateway.set_terminated(&entry);
             }
