quarantine: parts of prompts under which endpoints ended

What callers saw: 37 and 42 of nine engines' lives ended in two spells of some ten seconds under requests of which no two were alike, and everything else that ran there was cut.

Cause: evidence was kept by the digest of whole requests. Each of these requests was a new one with a single end against it, and nobody looked at what they have in common: a part of their prompts.

Change: each shared part of a prompt is a suspect like the request, in the same store, with the same holders and messages; a request with a quarantined part is refused at once at all daemons, also while it waits for its stages. As all requests with a quarantined part are refused, the first of its evidence holders lets one through after 5, 10 and 20 s.

It works because sound parts are served all the time and the harmful one never is.

--- a/lib/src/gateway/peers/quarantine_reports.rs
+++ b/lib/src/gateway/peers/quarantine_reports.rs
@@ -151,6 +151,7 @@
             self.log_quarantine(change, &source);
         }
         self.quarantine_reports.notify_one();
+        self.quarantine_began.notify_waiters();
         let now = self.now();
         let refused = self.state.borrow().quarantine.digests(now).count();
         self.metrics.endpoints.set_quarantined(refused);
--- a/lib/src/gateway/quarantine/served.rs
+++ b/lib/src/gateway/quarantine/served.rs
@@ -1,10 +1,13 @@
 //! The requests that this daemon served lately, so that none of them is refused because of other requests that
-//! terminate endpoints.
+//! terminate endpoints; and the parts of their prompts, likewise.
 //!
 //! The last [`SERVED_LIMIT`] successful ends are kept, with their times.
 
 use {
-    crate::{gateway::request_digest::RequestDigest, shared::units::Time},
+    crate::{
+        gateway::request_digest::RequestDigest,
+        shared::units::{Millis, Time},
+    },
     foldhash::HashMap,
     std::collections::VecDeque,
 };
@@ -13,6 +16,9 @@
 /// at 20 requests per second.
 const SERVED_LIMIT: usize = 4_096;
 
+/// Shortest time between two records of the same request or part.
+const RECORD_INTERVAL: Millis = Millis(1_000);
+
 /// The requests that this daemon served lately.
 #[derive(Debug, Default)]
 pub(crate) struct ServedRequests {
@@ -21,8 +27,15 @@
 }
 
 impl ServedRequests {
-    /// Records that a request was served.
+    /// Records that a request was served. One that was recorded less than [`RECORD_INTERVAL`] ago isn't recorded again,
+    /// so that parts which many requests share don't displace the others.
     pub(crate) fn record(&mut self, now: Time, digest: RequestDigest) {
+        if self
+            .last(&digest)
+            .is_some_and(|last| now < last + RECORD_INTERVAL)
+        {
+            return;
+        }
         self.last.insert(digest, now);
         self.order.push_back((digest, now));
         while self.order.len() > SERVED_LIMIT {
--- a/lib/src/gateway/quarantine/store.rs
+++ b/lib/src/gateway/quarantine/store.rs
@@ -15,7 +15,7 @@
                 served::ServedRequests,
             },
             request_digest::RequestDigest,
-            rules::quarantine::{EVIDENCE_LIFETIME, EVIDENCE_REPORTS},
+            rules::quarantine::{EVIDENCE_LIFETIME, EVIDENCE_REPORTS, may_try},
         },
         shared::units::{Millis, Time},
     },
@@ -24,7 +24,7 @@
 };
 
 /// Largest number of requests of which evidence is kept. An endpoint that terminates adds a record for each request
-/// that ran there, some tens.
+/// that ran there and each part of their prompts that was not served lately, some tens.
 const RECORD_LIMIT: usize = 2_048;
 
 /// Largest number of requests whose quarantine is announced to all daemons, the latest ones: four datagrams of 1.2 KB.
@@ -60,6 +60,9 @@
     sends_left: u32,
     /// Set if the request is quarantined, as of the last update.
     quarantined: bool,
+    /// Number of requests that this daemon let through to try whether the quarantine is justified, and when it last did.
+    trials: u32,
+    tried: Option<Time>,
     /// Time at which the quarantine last ended, or at which another daemon reported one of a request that was served
     /// here; absent otherwise.
     cleared: Option<Time>,
@@ -84,6 +87,7 @@
             return None;
         }
         if quarantined {
+            self.trials = 0;
             self.cleared = None;
             let terminated = self.evidence.terminated().iter().map(|run| run.endpoint);
             let terminated = terminated.collect();
@@ -111,6 +115,24 @@
             .then(|| evidence.time_left(now))
     }
 
+    /// Returns whether a request with a quarantined part may be let through now, to find out whether the part is
+    /// harmless. Counts it as a trial if so.
+    pub fn begin_trial(&mut self, now: Time, digest: &RequestDigest) -> bool {
+        let now = to_store_time(now);
+        let Some(record) = self.records.get_mut(digest) else {
+            return false;
+        };
+        let last = record
+            .last_terminated()
+            .max(record.tried.unwrap_or_default());
+        let is_due = record.quarantined && may_try(now, last, record.trials);
+        if is_due {
+            record.trials += 1;
+            record.tried = Some(now);
+        }
+        is_due
+    }
+
     /// Returns the quarantined requests.
     pub fn digests(&self, now: Time) -> impl Iterator<Item = RequestDigest> {
         let now = to_store_time(now);
--- a/lib/src/gateway/request_digest.rs
+++ b/lib/src/gateway/request_digest.rs
@@ -6,7 +6,7 @@
 //! that one refused ([`quarantine`](crate::gateway::rules::quarantine)).
 
 use {
-    crate::shared::ids::CustomerId,
+    crate::shared::ids::{CustomerId, ServiceId},
     http::request::Parts,
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
@@ -60,6 +60,12 @@
         Self::of_parts([customer.as_bytes(), id.as_bytes()])
     }
 
+    /// Computes the digest of a part of prompts for a service, by which requests with that part are recognized.
+    pub fn of_part(service: &ServiceId, part: u64) -> Self {
+        let service = service.as_str().as_bytes();
+        Self::of_parts([b"part".as_slice(), service, &part.to_le_bytes()])
+    }
+
     fn of_parts<const N: usize>(parts: [&[u8]; N]) -> Self {
         let mut hash = Sha256::new();
         for part in parts {
--- a/lib/src/gateway/routing/accept.rs
+++ b/lib/src/gateway/routing/accept.rs
@@ -28,7 +28,7 @@
     http::{Request, header, request::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
-    std::{rc::Rc, sync::Arc},
+    std::{cell::Cell, rc::Rc, sync::Arc},
 };
 
 /// Request id that logs show when a request's own id can't be read.
@@ -101,9 +101,13 @@
         host: host_of(&head).unwrap_or_default(),
         body: &body,
     });
+    let shared = inbound.prompt.shared_parts().iter();
+    let parts = shared.map(|part| RequestDigest::of_part(&service, part.id));
     let call = ForwardedCall {
+        parts: parts.collect(),
         inbound,
         digest,
+        is_trial: Cell::default(),
         route,
         customer,
         service,
--- a/lib/src/gateway/routing/answer.rs
+++ b/lib/src/gateway/routing/answer.rs
@@ -33,7 +33,7 @@
     let took = gateway.now().since(call.arrived);
     gateway.metrics.count_answered(took);
     if !is_endpoint_failure(reply.head.status) {
-        gateway.record_served(call.digest);
+        gateway.record_served(call);
     }
     log::info!(
         request = call.id(),
--- a/lib/src/gateway/routing/call.rs
+++ b/lib/src/gateway/routing/call.rs
@@ -18,7 +18,7 @@
     },
     bytes::Bytes,
     http::request::Parts,
-    std::sync::Arc,
+    std::{cell::Cell, iter, sync::Arc},
 };
 
 /// One accepted request.
@@ -26,6 +26,10 @@
     pub(crate) inbound: Inbound,
     /// Digest of customer and content; equal if the same customer sends the same request again.
     pub(crate) digest: RequestDigest,
+    /// Digests of the parts of its prompt that other requests may share.
+    pub(crate) parts: Vec<RequestDigest>,
+    /// Set while the request is let through to try the quarantined parts of its prompt.
+    pub(crate) is_trial: Cell<bool>,
     pub(crate) route: Arc<Route>,
     /// Customer whose key the request carries, if any.
     pub(crate) customer: Option<Arc<CustomerEntry>>,
@@ -51,6 +55,12 @@
         &self.inbound.id
     }
 
+    /// Returns what is held responsible if endpoints terminate under the request: the request itself, and the parts of its
+    /// prompt.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = RequestDigest> {
+        iter::once(self.digest).chain(self.parts.iter().copied())
+    }
+
     /// Returns whether any piece of a stage has to run before the request.
     pub(crate) fn has_stages(&self) -> bool {
         !self.route.stages.is_empty() && self.inbound.pieces.iter().any(|count| *count > 0)
--- a/lib/src/gateway/routing/endpoint_check.rs
+++ b/lib/src/gateway/routing/endpoint_check.rs
@@ -6,8 +6,8 @@
 
 use {
     crate::gateway::{
-        dialect::Dialect, directory::endpoint_entry::EndpointEntry, routing::call::ForwardedCall,
-        state::Gateway, wire::endpoint_check::EndpointCheck,
+        dialect::Dialect, directory::endpoint_entry::EndpointEntry, request_digest::RequestDigest,
+        routing::call::ForwardedCall, state::Gateway, wire::endpoint_check::EndpointCheck,
     },
     std::{rc::Rc, sync::Arc, time::Duration},
 };
@@ -29,12 +29,15 @@
     ) {
         let (gateway, request, digest) = (self.clone(), call.inbound.id.clone(), call.digest);
         let parts = call.inbound.prompt.shared_names();
+        let suspects: Vec<RequestDigest> = call.suspects().collect();
+        // Parts that are tried get one attempt.
+        call.is_trial.set(false);
         let entry = entry.clone();
         let probe = tokio::task::spawn_local(async move {
             if gateway.check(&entry).await == EndpointCheck::Terminated {
                 gateway.metrics.endpoints.count_terminated();
                 log::warn!(request = &*request, endpoint:% = entry.id, digest:%, parts; "endpoint.ended");
-                gateway.record_terminated(digest, &entry);
+                gateway.record_terminated(suspects, &entry);
                 gateway.set_terminated(&entry);
             }
         });
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -191,17 +191,24 @@
     }
 
     /// Runs the stages. Once the objective has passed, the request counts as too late for the calibration: the end of
-    /// its stages may come many times later, when what it shows is out of date.
+    /// its stages may come many times later, when what it shows is out of date. A request that is quarantined meanwhile
+    /// ends at once.
     async fn stage_results(&mut self) -> Result<Option<Results<D>>, Problem> {
         let objective = self.call.arrived + self.call.route.objective;
         let stages = run_stages(self.gateway, self.call, self.admission);
         tokio::pin!(stages);
+        let quarantined = self.gateway.until_quarantined(self.call);
+        tokio::pin!(quarantined);
         tokio::select! {
             results = &mut stages => return results,
+            problem = &mut quarantined => return Err(problem),
             () = self.gateway.sleep_until(objective) => {}
         }
         self.sample.end(AdmittedEnd::TooLate);
-        stages.await
+        tokio::select! {
+            results = &mut stages => results,
+            problem = &mut quarantined => Err(problem),
+        }
     }
 
     async fn choose(&self) -> Result<EndpointChoice, ExclusionCounts> {
@@ -316,13 +323,13 @@
 
     /// Returns whether the request is quarantined because too many endpoints terminated under it.
     fn is_quarantined(&self) -> bool {
-        self.gateway.check_quarantine(&self.call.digest).is_err()
+        self.gateway.check_quarantine(self.call).is_err()
     }
 
     /// Builds the problem that ends the request without an answer.
     fn problem(&self, why: &str) -> Problem {
         if self.progress.history.possibly_run() == 0
-            && let Err(problem) = self.gateway.check_quarantine(&self.call.digest)
+            && let Err(problem) = self.gateway.check_quarantine(self.call)
         {
             return problem;
         }
--- a/lib/src/gateway/routing/quarantine.rs
+++ b/lib/src/gateway/routing/quarantine.rs
@@ -5,8 +5,10 @@
         dialect::Dialect,
         directory::endpoint_entry::EndpointEntry,
         hashes::{IncarnationHash, incarnation_hash},
+        quarantine::store::QuarantineChange,
         request_digest::RequestDigest,
-        rules::quarantine::TERMINATED_LIMIT,
+        routing::call::ForwardedCall,
+        rules::quarantine::{TERMINATED_LIMIT, evidence_holders},
         state::{Gateway, GatewayState},
     },
     shared::problem::{Code, Problem},
@@ -26,25 +28,33 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Records that an endpoint terminated while it ran a request of this daemon.
-    pub(crate) fn record_terminated(&self, digest: RequestDigest, entry: &EndpointEntry) {
+    /// Records that an endpoint terminated while it ran a request of this daemon, against what is held responsible.
+    pub(crate) fn record_terminated(
+        &self,
+        suspects: impl IntoIterator<Item = RequestDigest>,
+        entry: &EndpointEntry,
+    ) {
         let now = self.now();
+        let endpoint = incarnation_hash(entry);
         let mut state = self.state.borrow_mut();
-        let change = state
-            .quarantine
-            .endpoint_terminated(now, digest, incarnation_hash(entry));
+        let changes = suspects
+            .into_iter()
+            .filter_map(|suspect| state.quarantine.endpoint_terminated(now, suspect, endpoint));
+        let changes: Vec<QuarantineChange> = changes.collect();
         drop(state);
         self.quarantine_reports.notify_one();
-        self.apply_quarantine(change, "own request");
+        self.apply_quarantine(changes, "own request");
     }
 
-    /// Records that a request of this daemon was served.
-    pub(crate) fn record_served(&self, digest: RequestDigest) {
+    /// Records that a request of this daemon was served, with each part of its prompt.
+    pub(crate) fn record_served(&self, call: &ForwardedCall) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let change = state.quarantine.request_served(now, digest);
+        let suspects = call.suspects();
+        let changes = suspects.filter_map(|suspect| state.quarantine.request_served(now, suspect));
+        let changes: Vec<QuarantineChange> = changes.collect();
         drop(state);
-        self.apply_quarantine(change, "own request");
+        self.apply_quarantine(changes, "own request");
     }
 
     /// Checks that a request isn't quarantined because endpoints terminated under it.
@@ -52,14 +62,67 @@
     /// # Errors
     ///
     /// Returns a problem for a quarantined request, with the time left as the time after which to retry.
-    pub(crate) fn check_quarantine(&self, digest: &RequestDigest) -> Result<(), Problem> {
+    pub(crate) fn check_digest(&self, digest: &RequestDigest) -> Result<(), Problem> {
+        self.check_suspect(digest, "this request")
+    }
+
+    /// Checks that neither a request nor a part of its prompt is quarantined; the parts don't count while it tries them.
+    ///
+    /// # Errors
+    ///
+    /// Returns a problem for a quarantined request, with the time left as the time after which to retry.
+    pub(crate) fn check_quarantine(&self, call: &ForwardedCall) -> Result<(), Problem> {
+        self.check_digest(&call.digest)?;
+        if call.is_trial.get() {
+            return Ok(());
+        }
+        let mut parts = call.parts.iter();
+        parts.try_for_each(|part| self.check_suspect(part, "a part of its prompt"))
+    }
+
+    fn check_suspect(&self, suspect: &RequestDigest, name: &str) -> Result<(), Problem> {
         let now = self.now();
-        match self.state.borrow().quarantine.time_left(now, digest) {
+        match self.state.borrow().quarantine.time_left(now, suspect) {
             None => Ok(()),
             Some(left) => {
-                let detail = format!("{TERMINATED_LIMIT} endpoints ended under this request");
+                let detail = format!("{TERMINATED_LIMIT} endpoints ended under {name}");
                 Err(Problem::not_run(Code::Quarantined, detail).retry_after(left))
             }
         }
     }
+
+    /// Lets a request with quarantined parts through if this daemon may try one of them now.
+    pub(crate) fn begin_trial(&self, call: &ForwardedCall) {
+        let now = self.now();
+        let mut guard = self.state.borrow_mut();
+        let GatewayState {
+            quarantine, peers, ..
+        } = &mut *guard;
+        let local = peers.local_address();
+        let tried = call.parts.iter().find(|part| {
+            let is_first = || {
+                let holders = evidence_holders(part.as_bytes(), peers.living_daemons());
+                holders.first() == Some(&local)
+            };
+            quarantine.time_left(now, part).is_some()
+                && is_first()
+                && quarantine.begin_trial(now, part)
+        });
+        if let Some(part) = tried {
+            call.is_trial.set(true);
+            log::warn!(request = call.id(), digest:% = part; "quarantine.tried");
+        }
+    }
+
+    /// Waits until a request is quarantined, and returns its problem.
+    pub(crate) async fn until_quarantined(&self, call: &ForwardedCall) -> Problem {
+        loop {
+            // Created before the check, so that a quarantine that begins after it ends the wait.
+            let began = self.quarantine_began.notified();
+            if let Err(problem) = self.check_quarantine(call) {
+                return problem;
+            }
+            began.await;
+        }
+    }
 }
--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -297,7 +297,7 @@
         }
         let took = gateway.now().since(call.arrived);
         gateway.metrics.count_answered(took);
-        gateway.record_served(call.digest);
+        gateway.record_served(call);
         log::info!(
             request = call.id(),
             outcome = "answered",
--- a/lib/src/gateway/routing/stages.rs
+++ b/lib/src/gateway/routing/stages.rs
@@ -52,7 +52,8 @@
     gateway: &Rc<Gateway<D>>,
     call: &ForwardedCall,
 ) -> Result<Admitted<D>, Problem> {
-    gateway.check_quarantine(&call.digest)?;
+    gateway.begin_trial(call);
+    gateway.check_quarantine(call)?;
     check_endpoints(gateway, call)?;
     if !call.has_stages() {
         return Ok(Admitted {
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -146,7 +146,7 @@
         let route = &self.call.route;
         may_resume(route.kind, self.sent, route.attempts)
             && self.gateway.now() < self.call.deadline
-            && self.gateway.check_quarantine(&self.call.digest).is_ok()
+            && self.gateway.check_quarantine(&self.call).is_ok()
     }
 
     /// Makes one attempt to resume the stream.
--- a/lib/src/gateway/rules/quarantine.rs
+++ b/lib/src/gateway/rules/quarantine.rs
@@ -15,7 +15,12 @@
 //! `ends_few_whole`). Many callers that send the same request while endpoints terminate for other reasons aren't
 //! refused: a harmless request is served regularly, a harmful one never.
 //!
-//! See `docs/design/quarantine.md`.
+//! A part of prompts is treated like a request: endpoints that terminate under a request count against each part of its
+//! prompt that others may share, and a request with a quarantined part is refused. Because every request with the part is
+//! refused, none could clear it. So the first of its evidence holders lets one request through, [`TRIAL_PAUSE`] after the
+//! last termination and then after pauses that double, at most [`MAX_TRIALS`] times.
+//!
+//! See `docs/design/quarantine.md` and `docs/design/harmful-parts.md`.
 
 use {
     crate::{
@@ -34,8 +39,15 @@
 pub const EVIDENCE_LIFETIME: Millis = Millis(600_000);
 
 /// Time after a successful end of the request for which terminated endpoints don't count against it. It is longer than
-/// a request runs: when endpoints terminate together, a request that was served just before is not blamed.
-pub const SERVED_GRACE: Millis = Millis(10_000);
+/// a request runs: when endpoints terminate together, a request that was served just before is not blamed. Nor is a part
+/// that few requests share, beside a harmful one that is never served.
+pub const SERVED_GRACE: Millis = Millis(60_000);
+
+/// Time from the last termination under a part until the first trial of the part.
+pub const TRIAL_PAUSE: Millis = Millis(5_000);
+
+/// Maximum number of trials of a part while it is quarantined.
+pub const MAX_TRIALS: u32 = 3;
 
 /// Number of daemons that hold the evidence against a request; two of them may be lost at once.
 pub const EVIDENCE_HOLDERS: usize = 3;
@@ -60,6 +72,13 @@
     terminated + EVIDENCE_LIFETIME
 }
 
+/// Returns whether a quarantined part may be tried now, after `trials` trials. `last` is the time of the last trial or
+/// termination under it.
+pub fn may_try(now: Time, last: Time, trials: u32) -> bool {
+    let pause = Millis(TRIAL_PAUSE.0 << trials.min(MAX_TRIALS));
+    trials < MAX_TRIALS && now >= last + pause
+}
+
 /// Returns those of `daemons` that hold the evidence against a request, or all of them if there are no more than
 /// needed.
 pub fn evidence_holders(
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -255,6 +255,8 @@
     pub(crate) host_resumed: Notify,
     /// Wakes the loop that reports the requests under which endpoints terminated to other daemons.
     pub(crate) quarantine_reports: Notify,
+    /// Wakes the requests that end when they are quarantined.
+    pub(crate) quarantine_began: Notify,
     /// Wakes the loop that reports advertised rate limits to other daemons and requests permits.
     pub(crate) rate_reports: Notify,
     /// Wakes the loop that sends the messages about reservations.
@@ -314,6 +316,7 @@
             announcement: Notify::new(),
             host_resumed: Notify::new(),
             quarantine_reports: Notify::new(),
+            quarantine_began: Notify::new(),
             rate_reports: Notify::new(),
             reservation_reports: Notify::new(),
             reservation_answers: Notify::new(),
