stream_origins: tell the holders of an origin without a wait

The first event of a stream waited until a task had sent its origin, a few milliseconds and two wake-ups. The datagrams are sent in place now, before the event, and answers to questions as well. test_stream_versions and test_stream_origins pass; scores of the deployments with short objectives are to be compared once more.

--- a/lib/src/gateway/peers/origin_reports.rs
+++ b/lib/src/gateway/peers/origin_reports.rs
@@ -8,7 +8,7 @@
             dialect::Dialect,
             peers::{
                 message::{Datagram, OriginReport, PROTOCOL},
-                request_reports::{OutgoingDatagram, RequestReports},
+                request_reports::{OutgoingDatagram, RequestReports, send_now},
             },
             request_memory::outbox::take_entries,
             rules::stream_origin::origin_holders,
@@ -24,8 +24,8 @@
 /// Maximum number of entries in one datagram. An entry takes up to 31 bytes, and a datagram up to 1,200 bytes.
 const DATAGRAM_ENTRIES: usize = 36;
 
-/// Time for which entries are collected before they are sent.
-const REPORT_DELAY: Millis = Millis(1);
+/// Time for which the entries for new holders are collected: daemons are lost and start together.
+const REPORT_DELAY: Millis = Millis(20);
 
 /// Interval at which the holders of open streams are updated after daemons were lost or have started.
 const HOLDERS_INTERVAL: Millis = Millis(200);
@@ -54,8 +54,6 @@
         });
         let outgoing = origins.take_entries();
         drop(guard);
-        // The waiting tasks run after this one has sent the entries.
-        gateway.origins_sent.notify_waiters();
         let datagrams = outgoing.into_iter().flat_map(|(to, entries)| {
             let reports = reports(local, entries).into_iter();
             reports.map(move |report| OutgoingDatagram {
@@ -108,7 +106,7 @@
     state.origins.receive(now, report.address, &entries);
     drop(state);
     if is_asked {
-        gateway.origin_reports.notify_one();
+        send_now::<OriginReports, D>(gateway);
     }
     gateway.origin_answers.notify_waiters();
 }
--- a/lib/src/gateway/peers/request_reports.rs
+++ b/lib/src/gateway/peers/request_reports.rs
@@ -54,15 +54,27 @@
             let _ = tokio::time::timeout(R::INTERVAL.to_duration(), woken).await;
         }
         tokio::time::sleep(R::DELAY.to_duration()).await;
-        for OutgoingDatagram { datagram, targets } in R::collect(&gateway) {
-            send_datagram(&socket, &datagram, targets.into_iter());
-        }
+        send_collected::<R, D>(&gateway, &socket);
+    }
+}
+
+fn send_collected<R: RequestReports, D: Dialect>(gateway: &Gateway<D>, socket: &UdpSocket) {
+    for OutgoingDatagram { datagram, targets } in R::collect(gateway) {
+        send_datagram(socket, &datagram, targets.into_iter());
+    }
+}
+
+/// Sends the reports of one kind without delay.
+pub(crate) fn send_now<R: RequestReports, D: Dialect>(gateway: &Gateway<D>) {
+    // A daemon that hasn't joined the others yet has none to tell.
+    if let Some(socket) = gateway.datagrams.get() {
+        send_collected::<R, D>(gateway, socket);
     }
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Waits until a message to other daemons is sent or answered, at most until `end`. `woken` is notified when it may be
-    /// so. Returns whether `is_done` holds.
+    /// Waits until a question to other daemons is decided, at most until `end`. `woken` is notified when an answer arrives.
+    /// Returns whether `is_done` holds.
     pub(crate) async fn wait_for_peers(
         &self,
         woken: &Notify,
--- a/lib/src/gateway/request_memory/outbox.rs
+++ b/lib/src/gateway/request_memory/outbox.rs
@@ -18,11 +18,6 @@
         self.0.entry(to).or_default()
     }
 
-    /// Returns whether no entry waits.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
     /// Takes all entries, by their recipients.
     pub fn take(&mut self) -> HashMap<SocketAddr, E> {
         std::mem::take(&mut self.0)
--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -236,7 +236,7 @@
     ) -> Result<(), SourceEnd> {
         let events = self.splitter.feed(data);
         if !events.is_empty() {
-            self.check_origin(guard).await?;
+            self.check_origin(guard)?;
             if !std::mem::replace(&mut self.events_begun, true) {
                 // With its first event the endpoint has fetched its inputs and read the prompt.
                 self.request.results = None;
@@ -257,7 +257,7 @@
     /// # Errors
     ///
     /// Returns the end of the source if it may be of another software version.
-    async fn check_origin(&mut self, guard: &AttemptGuard<D>) -> Result<(), SourceEnd> {
+    fn check_origin(&mut self, guard: &AttemptGuard<D>) -> Result<(), SourceEnd> {
         if std::mem::replace(&mut self.source_checked, true) {
             return Ok(());
         }
@@ -269,10 +269,8 @@
         }
         request.origin = found;
         if !self.events_begun {
-            request.open_origin = match found {
-                Some(origin) => Some(request.gateway.record_origin(&request.call, origin).await),
-                None => None,
-            };
+            let origin = found.map(|origin| request.gateway.record_origin(&request.call, origin));
+            request.open_origin = origin;
         }
         Ok(())
     }
--- a/lib/src/gateway/routing/stream_origin.rs
+++ b/lib/src/gateway/routing/stream_origin.rs
@@ -8,6 +8,7 @@
         gateway::{
             dialect::{Dialect, Inbound},
             directory::endpoint_entry::EndpointEntry,
+            peers::{origin_reports::OriginReports, request_reports::send_now},
             request_digest::RequestDigest,
             routing::call::ForwardedCall,
             rules::{
@@ -24,7 +25,6 @@
         shared::{
             ids::CustomerId,
             problem::{Code, Problem},
-            units::Millis,
         },
     },
     std::rc::Rc,
@@ -33,9 +33,6 @@
 /// Problem detail: a caller takes up a stream whose origin no daemon knows.
 const UNKNOWN_DETAIL: &str = "the software version at which the stream began isn't known";
 
-/// Longest time for which an event waits until the origin of its stream is sent.
-const LONGEST_SENDING: Millis = Millis(20);
-
 /// A lookup that waits for answers. Dropping it ends the lookup, also if the caller has left.
 struct WaitingLookup<'a, D> {
     gateway: &'a Gateway<D>,
@@ -109,14 +106,14 @@
             }),
             LookupStart::Duplicate => None,
         };
-        self.origin_reports.notify_one();
+        send_now::<OriginReports, D>(self);
         let answers = &self.origin_answers;
         let is_decided = |state: &GatewayState| state.origins.is_decided(&digest);
         let repeat = now + LOOKUP_REPEAT;
         if !self.wait_for_peers(answers, repeat, is_decided).await {
             if lookup.is_some() {
                 self.state.borrow_mut().origins.ask_missing(&digest);
-                self.origin_reports.notify_one();
+                send_now::<OriginReports, D>(self);
             }
             let end = now + LOOKUP_WAIT;
             self.wait_for_peers(answers, end, is_decided).await;
@@ -124,9 +121,9 @@
         self.state.borrow().origins.known(self.now(), &digest)
     }
 
-    /// Records the origin of a stream whose first event has come, and waits until its holders are told: this daemon may
-    /// be killed as soon as the caller has the event.
-    pub(crate) async fn record_origin(
+    /// Records the origin of a stream whose first event has come, and tells its holders at once: this daemon may be killed
+    /// as soon as the caller has the event.
+    pub(crate) fn record_origin(
         self: &Rc<Self>,
         call: &ForwardedCall,
         origin: StreamOrigin,
@@ -135,22 +132,16 @@
         let first = call.inbound.resumes.as_deref().unwrap_or(call.id());
         let digest = RequestDigest::of_id(customer, first);
         let now = self.now();
-        {
-            let mut state = self.state.borrow_mut();
-            let local = state.peers.local_address();
-            let holders = origin_holders(digest.as_bytes(), state.peers.living_daemons(), local);
-            state.origins.begin(now, digest, origin, holders);
-        }
-        let open = OpenOrigin {
+        let mut state = self.state.borrow_mut();
+        let local = state.peers.local_address();
+        let holders = origin_holders(digest.as_bytes(), state.peers.living_daemons(), local);
+        state.origins.begin(now, digest, origin, holders);
+        drop(state);
+        send_now::<OriginReports, D>(self);
+        OpenOrigin {
             gateway: self.clone(),
             digest,
-        };
-        self.origin_reports.notify_one();
-        self.wait_for_peers(&self.origins_sent, now + LONGEST_SENDING, |state| {
-            state.origins.are_sent()
-        })
-        .await;
-        open
+        }
     }
 
     /// Returns the origin that an endpoint gives to a stream whose events it sends; `None` if its version isn't known, or
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -119,6 +119,7 @@
     fn join_peers(&mut self, links: TcpListener, datagrams: UdpSocket) {
         let datagrams = Rc::new(datagrams);
         let gateway = self.gateway.clone();
+        let _ = gateway.datagrams.set(datagrams.clone());
         self.spawn(heartbeats::run_heartbeats(
             gateway.clone(),
             datagrams.clone(),
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -46,7 +46,7 @@
         marker::PhantomData,
         rc::Rc,
     },
-    tokio::sync::Notify,
+    tokio::{net::UdpSocket, sync::Notify},
 };
 
 /// A table and the bytes from which it was read.
@@ -265,14 +265,14 @@
     pub(crate) reservation_answers: Notify,
     /// Wakes the loop that sends the messages about origins of streams.
     pub(crate) origin_reports: Notify,
-    /// Wakes the streams that wait until their origins are sent.
-    pub(crate) origins_sent: Notify,
     /// Wakes the requests that wait for the origins of their streams.
     pub(crate) origin_answers: Notify,
     /// Wakes the requests that wait for a permit.
     pub(crate) permits: Notify,
     /// Requests that wait for a permit.
     pub(crate) permit_queue: PermitQueue,
+    /// Socket for datagrams to other daemons; unset until the daemon has joined them.
+    pub(crate) datagrams: OnceCell<Rc<UdpSocket>>,
     /// Random number that distinguishes this run of the process from others.
     pub run: u64,
     clock: Clock,
@@ -321,7 +321,7 @@
             reservation_reports: Notify::new(),
             reservation_answers: Notify::new(),
             origin_reports: Notify::new(),
-            origins_sent: Notify::new(),
+            datagrams: OnceCell::new(),
             origin_answers: Notify::new(),
             permits: Notify::new(),
             permit_queue: PermitQueue::default(),
--- a/lib/src/gateway/stream_origins/store.rs
+++ b/lib/src/gateway/stream_origins/store.rs
@@ -173,11 +173,6 @@
         }
     }
 
-    /// Returns whether all entries were taken to be sent.
-    pub fn are_sent(&self) -> bool {
-        self.outbox.is_empty()
-    }
-
     /// Takes the entries that are to be sent, by their recipients.
     pub fn take_entries(&mut self) -> HashMap<SocketAddr, OriginEntries> {
         self.outbox.take()
