--- a/lib/src/gateway/stages/local_job.rs
+++ b/lib/src/gateway/stages/local_job.rs
@@ -28,8 +28,15 @@
 
 impl<D: Dialect> Gateway<D> {
     /// Runs a job in this daemon's queue and returns its outcome. Dropping the future cancels the job. The job fails
-    /// if the service has no queue, because it runs no pieces.
+    /// if the service has no queue, because it runs no pieces, and if its request is quarantined: the daemon that handed
+    /// it over may not know that yet.
     pub async fn run_locally(&self, service: &ServiceId, job: StageJob) -> JobEnd {
+        if job
+            .digest
+            .is_some_and(|digest| self.check_digest(&digest).is_err())
+        {
+            return JobEnd::Failed;
+        }
         self.refresh_stage_queues();
         let now = self.now();
         let handle = self.state.borrow_mut().stage_queues.add(now, service, job);
