soak: streams taken up at other daemons, a harmful part, herded callers

Engines are of two versions, and callers take up streams that break off, at random daemons, naming the request that began them; no stream may hold events of both.

--- a/daemon/tests/soak/caller.rs
+++ b/daemon/tests/soak/caller.rs
@@ -3,7 +3,12 @@
 use {
     super::{fleet::Daemon, stand_in::client},
     rand::{RngExt, rngs::SmallRng},
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -58,6 +63,37 @@
     pub whole: bool,
     /// Whether the caller gave up before the end of the reply.
     pub left: bool,
+    /// The stream that the request takes up; `None` if it takes up none.
+    pub taken_up: Option<BrokenStream>,
+}
+
+/// A stream that broke off.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BrokenStream {
+    /// Id of the request that brought its first event.
+    pub first: String,
+    /// Number of the last event that came.
+    pub last_event: u64,
+}
+
+impl Outcome {
+    /// Returns the stream that the caller can take up after this outcome, if it broke off after an event.
+    fn broken_stream(&self) -> Option<BrokenStream> {
+        let is_broken = self.kind == Kind::Stream && self.status == Some(200) && !self.whole;
+        let last_event = event_ids(&self.body).last().copied()?;
+        let first = match &self.taken_up {
+            Some(stream) => stream.first.clone(),
+            None => self.id.clone(),
+        };
+        (is_broken && !self.left).then_some(BrokenStream { first, last_event })
+    }
+}
+
+/// Returns the ids of the events in a body.
+pub fn event_ids(body: &str) -> Vec<u64> {
+    body.lines()
+        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+        .collect()
 }
 
 /// The outcomes of all callers' requests, shared by the callers.
@@ -171,9 +207,14 @@
     connection: &mut Connection,
     id: &str,
     kind: Kind,
+    taken_up: Option<&BrokenStream>,
     timeout: Duration,
 ) -> (Answer, bool) {
-    let text = client::keep_alive_request(&format!("{}{id}", kind.path()), id, REPLY_TIMEOUT);
+    let mut text = client::keep_alive_request(&format!("{}{id}", kind.path()), id, REPLY_TIMEOUT);
+    if let Some(BrokenStream { first, last_event }) = taken_up {
+        let lines = format!("\r\nResumes: {first}\r\nLast-Event-Id: {last_event}\r\n");
+        text = text.replacen("\r\n", &lines, 1);
+    }
     let mut answer = Answer {
         status: None,
         stamp: None,
@@ -193,21 +234,25 @@
     let stream = TcpStream::connect(listen).await.ok()?;
     let bytes = Vec::new();
     let mut connection = Connection { stream, bytes };
-    let (answer, _) = send(&mut connection, id, kind, REPLY_TIMEOUT).await;
+    let (answer, _) = send(&mut connection, id, kind, None, REPLY_TIMEOUT).await;
     answer.status.filter(|_| answer.whole)
 }
 
-/// Calls randomly chosen daemons until `stop` is set.
+/// Calls daemons until `stop` is set: the one that `herd` names, or else randomly chosen ones. A stream that breaks off
+/// is taken up at another daemon.
 pub async fn run_caller(
     name: String,
     daemons: Rc<RefCell<Vec<Daemon>>>,
+    herd: Rc<Cell<Option<usize>>>,
     outcomes: Outcomes,
     mut rng: SmallRng,
-    stop: Rc<std::cell::Cell<bool>>,
+    stop: Rc<Cell<bool>>,
 ) {
     let mut count = 0;
+    let mut broken: Option<BrokenStream> = None;
     while !stop.get() {
-        let chosen = rng.random_range(0..daemons.borrow().len());
+        let drawn = rng.random_range(0..daemons.borrow().len());
+        let chosen = herd.get().filter(|_| broken.is_none()).unwrap_or(drawn);
         let listen = daemons.borrow()[chosen].listen;
         let Ok(stream) = TcpStream::connect(listen).await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -223,16 +268,20 @@
             }
             count += 1;
             let id = format!("{name}{count:04}");
-            let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+            let taken_up = broken.take();
+            let kind = match taken_up {
+                Some(_) => Kind::Stream,
+                None => Kind::ALL[rng.random_range(0..Kind::ALL.len())],
+            };
             // Some callers give up early.
             let timeout = if rng.random_bool(0.05) {
                 Duration::from_millis(rng.random_range(1..60))
             } else {
                 REPLY_TIMEOUT
             };
-            let (answer, left) = send(&mut connection, &id, kind, timeout).await;
+            let (answer, left) = send(&mut connection, &id, kind, taken_up.as_ref(), timeout).await;
             let open = answer.open;
-            outcomes.borrow_mut().push(Outcome {
+            let outcome = Outcome {
                 id,
                 kind,
                 daemon: chosen,
@@ -241,7 +290,10 @@
                 body: String::from_utf8_lossy(&answer.body).into_owned(),
                 whole: answer.whole,
                 left,
-            });
+                taken_up,
+            };
+            broken = outcome.broken_stream();
+            outcomes.borrow_mut().push(outcome);
             if !open {
                 break;
             }
--- a/daemon/tests/soak/checks.rs
+++ b/daemon/tests/soak/checks.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        caller::{Kind, Outcome},
+        caller::{Kind, Outcome, event_ids},
         fleet::{EVENTS, Member},
         harm::HARMFUL_PREFIX,
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Statuses that guarantee that a request has not run and never will.
@@ -34,6 +34,7 @@
             ));
         }
     }
+    findings.extend(check_stream_versions(outcomes));
     findings.extend(check_sent(outcomes, members));
     findings
 }
@@ -67,10 +68,16 @@
     }
     if outcome.kind.is_stream() && outcome.body != "slow" {
         let ids = event_ids(&outcome.body);
-        if ids.iter().enumerate().any(|(i, id)| *id != i as u64 + 1) {
+        let before = outcome.taken_up.as_ref();
+        let before = before.map_or(0, |stream| stream.last_event);
+        if ids
+            .iter()
+            .zip(before + 1..)
+            .any(|(id, wanted)| *id != wanted)
+        {
             return wrong("events are missing, duplicated or out of order");
         }
-        if outcome.whole && ids.len() as u64 != EVENTS {
+        if outcome.whole && before + ids.len() as u64 != EVENTS {
             return wrong("a stream that ended early looks complete");
         }
         return None;
@@ -82,9 +89,39 @@
     None
 }
 
-fn event_ids(body: &str) -> Vec<u64> {
-    body.lines()
-        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+/// Checks that all events of a stream, over the answers in which its caller got them, are of one software version.
+/// Prints how many streams that were taken up went on.
+fn check_stream_versions(outcomes: &[Outcome]) -> Findings {
+    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for outcome in outcomes
+        .iter()
+        .filter(|outcome| outcome.kind == Kind::Stream)
+    {
+        let first = outcome.taken_up.as_ref().map(|stream| &*stream.first);
+        let seen = versions.entry(first.unwrap_or(&outcome.id)).or_default();
+        let events = outcome
+            .body
+            .split("\n\n")
+            .filter(|event| event.starts_with("id: "));
+        seen.extend(events.map(|event| {
+            let mut lines = event.lines();
+            lines
+                .find_map(|line| line.strip_prefix("event: "))
+                .unwrap_or("v1")
+        }));
+    }
+    let taken_up = outcomes.iter().filter(|outcome| outcome.taken_up.is_some());
+    let went_on = taken_up
+        .clone()
+        .filter(|outcome| outcome.status == Some(200));
+    println!(
+        "{} streams taken up, {} went on",
+        taken_up.count(),
+        went_on.count()
+    );
+    let mixed = versions.iter().filter(|(_, seen)| seen.len() > 1);
+    mixed
+        .map(|(first, seen)| format!("{first}: a stream has events of the versions {seen:?}"))
         .collect()
 }
 
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -201,6 +201,9 @@
     })
     .await;
     replica.set_default_act(default_act(service));
+    if number % 2 == 1 {
+        replica.set_version("v2");
+    }
     replica.write_entry(store, service, "ready");
     Member {
         replica,
--- a/daemon/tests/soak/harm.rs
+++ b/daemon/tests/soak/harm.rs
@@ -3,7 +3,10 @@
 use {
     super::{
         fleet::start_member,
-        stand_in::{client, respawning::FATAL_BODY},
+        stand_in::{
+            client,
+            respawning::{FATAL_BODY, FATAL_PARTS},
+        },
         trouble::World,
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -28,21 +31,29 @@
 /// Upper bound of the random time after which a terminated replica is replaced, in milliseconds.
 const MAX_REPLACE_MS: u64 = 300;
 
-/// Sends the request and replaces terminated replicas until it is aborted.
-pub async fn run(world: World, mut rng: SmallRng) {
-    let path = if rng.random() { "/r/harm" } else { "/s/harm" };
+/// Sends the request and replaces terminated replicas until it is aborted. With `by_part`, no two requests are alike, and
+/// it is a part of their prompts that terminates replicas.
+pub async fn run(world: World, mut rng: SmallRng, by_part: bool) {
+    let plain = rng.random() && !by_part;
+    let path = if plain { "/r/harm" } else { "/s/harm" };
     let replacing = replace_terminated(world.clone(), SmallRng::from_rng(&mut rng));
     let sending = async {
         for number in 0.. {
             let daemons = world.daemons.borrow().len();
             let listen = world.daemons.borrow()[rng.random_range(0..daemons)].listen;
-            let text = client::request(
-                "POST",
-                path,
-                &format!("{HARMFUL_PREFIX}{number}"),
-                &[],
-                FATAL_BODY,
-            );
+            let id = format!("{HARMFUL_PREFIX}{number}");
+            let prompt = format!("aa:20,{}:20,{number:x}:10", FATAL_PARTS[0]);
+            let more = [
+                ("Hazelyoke-Model", "m"),
+                ("Hazelyoke-Token-Count", "50,10"),
+                ("Hazelyoke-Prompt-Prefix", &prompt),
+            ];
+            let (more, body) = if by_part {
+                (more.as_slice(), &*id)
+            } else {
+                ([].as_slice(), FATAL_BODY)
+            };
+            let text = client::request("POST", path, &id, more, body);
             tokio::task::spawn_local(async move {
                 // A daemon may be down or refuse the request.
                 let _ = client::try_send(listen, &text).await;
@@ -75,6 +86,7 @@
 fn arm(world: &World) {
     for member in world.members.borrow().iter() {
         member.replica.set_fatal_body(FATAL_BODY);
+        member.replica.set_fatal_parts(&FATAL_PARTS);
         let proxy = member.proxy.clone();
         member.replica.on_end(move || proxy.end());
     }
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -46,10 +46,11 @@
 };
 
 /// Default seeds beside `REGRESSIONS`: without and with faults of links, with evacuations, with harmful requests, with
-/// a replica that advertises a low rate, with a store that is restored from older copies, and with a host that is
-/// partitioned from all replicas.
-const DEFAULT_SEEDS: [u64; 15] = [
-    2, 3, 1_000, 1_001, 2_000, 2_002, 3_001, 3_002, 4_001, 4_003, 5_000, 5_002, 6_000, 6_001, 6_003,
+/// a replica that advertises a low rate, with a store that is restored from older copies, with a host that is partitioned
+/// from all replicas, and with a harmful part of prompts and herded callers.
+const DEFAULT_SEEDS: [u64; 18] = [
+    2, 3, 1_000, 1_001, 2_000, 2_002, 3_001, 3_002, 4_001, 4_003, 5_000, 5_002, 6_000, 6_001,
+    6_003, 7_000, 7_001, 7_004,
 ];
 
 /// First seed that also disturbs the links between daemons and lets tables grow large. Seeds below it keep the sequence
@@ -72,6 +73,10 @@
 /// brittle or silent for a second. The faults that earlier ranges add are absent.
 const FIRST_PARTITION_SEED: u64 = 6_000;
 
+/// First seed in which a harmful part of prompts replaces the harmful request, and all callers go to one daemon now and
+/// then. These seeds have the faults of those below the partitions.
+const FIRST_PART_SEED: u64 = 7_000;
+
 /// Seeds that failed once, each with the fault that it found.
 const REGRESSIONS: [(u64, &str); 8] = [
     (
@@ -173,7 +178,7 @@
 async fn run_seed(seed: u64) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let planned = seed.is_multiple_of(PLANNED_DIVISOR);
-    let partitions = seed >= FIRST_PARTITION_SEED;
+    let partitions = (FIRST_PARTITION_SEED..FIRST_PART_SEED).contains(&seed);
     let count = if seed.is_multiple_of(LARGE_FLEET_DIVISOR) && !partitions {
         LARGE_FLEET_DAEMONS
     } else {
@@ -206,6 +211,11 @@
         return vec!["the daemons weren't ready in time".into()];
     }
     let outcomes = Outcomes::default();
+    let herd = Rc::new(Cell::new(None));
+    let herding = (seed >= FIRST_PART_SEED).then(|| {
+        let rng = SmallRng::seed_from_u64(seed << 4);
+        tokio::task::spawn_local(herd_callers(herd.clone(), count, rng))
+    });
     let stop = Rc::new(Cell::new(false));
     let callers: Vec<_> = (0..CALLERS)
         .map(|number| {
@@ -215,6 +225,7 @@
             tokio::task::spawn_local(run_caller(
                 name,
                 daemons,
+                herd.clone(),
                 outcomes.clone(),
                 rng,
                 stop.clone(),
@@ -227,7 +238,7 @@
     });
     let harm = has_harmful_requests(seed).then(|| {
         let rng = SmallRng::seed_from_u64(seed << 1);
-        tokio::task::spawn_local(harm::run(world.clone(), rng))
+        tokio::task::spawn_local(harm::run(world.clone(), rng, seed >= FIRST_PART_SEED))
     });
     let partitioned = partitions.then(|| {
         let rng = SmallRng::seed_from_u64(seed << 3);
@@ -252,6 +263,9 @@
     if let Some(limited_replica) = limited_replica {
         limited_replica.await.unwrap().check(&world);
     }
+    if let Some(herding) = herding {
+        herding.abort();
+    }
     if let Some(link_faults) = link_faults {
         link_faults.abort();
     }
@@ -287,8 +301,18 @@
 
 /// Returns whether a seed sends requests that terminate replicas.
 fn has_harmful_requests(seed: u64) -> bool {
-    (FIRST_HARMFUL_SEED..FIRST_PARTITION_SEED).contains(&seed)
-        && !seed.is_multiple_of(PLANNED_DIVISOR)
+    let is_partitioned = (FIRST_PARTITION_SEED..FIRST_PART_SEED).contains(&seed);
+    seed >= FIRST_HARMFUL_SEED && !is_partitioned && !seed.is_multiple_of(PLANNED_DIVISOR)
+}
+
+/// Sends the callers' new connections to one daemon for some time now and then, until it is aborted.
+async fn herd_callers(herd: Rc<Cell<Option<usize>>>, daemons: usize, mut rng: SmallRng) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(100..800))).await;
+        herd.set(Some(rng.random_range(0..daemons)));
+        tokio::time::sleep(Duration::from_millis(rng.random_range(300..1_500))).await;
+        herd.set(None);
+    }
 }
 
 /// The status that a daemon reports.
