quarantine: any daemon may try a quarantined part in its turn

Only the first of its holders could let a request through, and its callers came to other daemons. Now each daemon has a turn, a second after the one before it in the order of holders. The pause after a trial that ends an endpoint is four times the time between the last two ends, which all daemons know, so that the trials of a harmful part stay few however many daemons try.

--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -78,7 +78,7 @@
 const FIRST_PART_SEED: u64 = 7_000;
 
 /// Seeds that failed once, each with the fault that it found.
-const REGRESSIONS: [(u64, &str); 8] = [
+const REGRESSIONS: [(u64, &str); 9] = [
     (
         4,
         "an endpoint that had once identified itself as another was never used again",
@@ -108,6 +108,10 @@
         6_030,
         "daemons that didn't list one endpoint any more counted as unable to relay to any",
     ),
+    (
+        7_010,
+        "a sound part of prompts that came with a harmful one from the start stayed refused",
+    ),
 ];
 
 /// Default time with faults of one run, in seconds.
--- a/lib/src/gateway/quarantine/store.rs
+++ b/lib/src/gateway/quarantine/store.rs
@@ -15,7 +15,7 @@
                 served::ServedRequests,
             },
             request_digest::RequestDigest,
-            rules::quarantine::{EVIDENCE_LIFETIME, EVIDENCE_REPORTS, may_try},
+            rules::quarantine::{EVIDENCE_LIFETIME, EVIDENCE_REPORTS, trial_time},
         },
         shared::units::{Millis, Time},
     },
@@ -60,8 +60,7 @@
     sends_left: u32,
     /// Set if the request is quarantined, as of the last update.
     quarantined: bool,
-    /// Number of requests that this daemon let through to try whether the quarantine is justified, and when it last did.
-    trials: u32,
+    /// Time at which this daemon last let a request through to try whether the quarantine is justified.
     tried: Option<Time>,
     /// Time at which the quarantine last ended, or at which another daemon reported one of a request that was served
     /// here; absent otherwise.
@@ -87,7 +86,6 @@
             return None;
         }
         if quarantined {
-            self.trials = 0;
             self.cleared = None;
             let terminated = self.evidence.terminated().iter().map(|run| run.endpoint);
             let terminated = terminated.collect();
@@ -116,18 +114,23 @@
     }
 
     /// Returns whether a request with a quarantined part may be let through now, to find out whether the part is
-    /// harmless. Counts it as a trial if so.
-    pub fn begin_trial(&mut self, now: Time, digest: &RequestDigest) -> bool {
+    /// harmless. Counts it as a trial if so. `rank` is this daemon's place in the order of the part's holders.
+    pub fn begin_trial(&mut self, now: Time, digest: &RequestDigest, rank: usize) -> bool {
         let now = to_store_time(now);
         let Some(record) = self.records.get_mut(digest) else {
             return false;
         };
-        let last = record
-            .last_terminated()
-            .max(record.tried.unwrap_or_default());
-        let is_due = record.quarantined && may_try(now, last, record.trials);
+        let [.., previous, last] = record.evidence.terminated() else {
+            return false;
+        };
+        // A trial of which nothing is known yet counts like a termination.
+        let due = trial_time(
+            previous.at,
+            last.at.max(record.tried.unwrap_or_default()),
+            rank,
+        );
+        let is_due = record.quarantined && now >= due;
         if is_due {
-            record.trials += 1;
             record.tried = Some(now);
         }
         is_due
--- a/lib/src/gateway/routing/quarantine.rs
+++ b/lib/src/gateway/routing/quarantine.rs
@@ -8,7 +8,7 @@
         quarantine::store::QuarantineChange,
         request_digest::RequestDigest,
         routing::call::ForwardedCall,
-        rules::quarantine::{TERMINATED_LIMIT, evidence_holders},
+        rules::quarantine::{TERMINATED_LIMIT, holder_rank},
         state::{Gateway, GatewayState},
     },
     shared::problem::{Code, Problem},
@@ -93,13 +93,9 @@
         } = &mut *guard;
         let local = peers.local_address();
         let tried = call.parts.iter().find(|part| {
-            let is_first = || {
-                let holders = evidence_holders(part.as_bytes(), peers.living_daemons());
-                holders.first() == Some(&local)
-            };
-            quarantine.time_left(now, part).is_some()
-                && is_first()
-                && quarantine.begin_trial(now, part)
+            let is_quarantined = quarantine.time_left(now, part).is_some();
+            let rank = || holder_rank(part.as_bytes(), peers.living_daemons(), local);
+            is_quarantined && rank().is_some_and(|rank| quarantine.begin_trial(now, part, rank))
         });
         if let Some(part) = tried {
             call.is_trial.set(true);
--- a/lib/src/gateway/rules/quarantine.rs
+++ b/lib/src/gateway/rules/quarantine.rs
@@ -17,8 +17,9 @@
 //!
 //! A part of prompts is treated like a request: endpoints that terminate under a request count against each part of its
 //! prompt that others may share, and a request with a quarantined part is refused. Because every request with the part is
-//! refused, none could clear it. So the first of its evidence holders lets one request through, [`TRIAL_PAUSE`] after the
-//! last termination and then after pauses that double, at most [`MAX_TRIALS`] times.
+//! refused, none could clear it. So one request is let through [`TRIAL_PAUSE`] after the last termination, by the first
+//! daemon in the order of holders, or [`TRIAL_TURN`] later by the next one if none came there, and so on. After a trial that
+//! terminated an endpoint the pause is [`TRIAL_GROWTH`] times as long.
 //!
 //! See `docs/design/quarantine.md` and `docs/design/harmful-parts.md`.
 
@@ -43,11 +44,19 @@
 /// that few requests share, beside a harmful one that is never served.
 pub const SERVED_GRACE: Millis = Millis(60_000);
 
-/// Time from the last termination under a part until the first trial of the part.
-pub const TRIAL_PAUSE: Millis = Millis(5_000);
+/// Shortest time from the last termination under a part until its next trial.
+pub const TRIAL_PAUSE: Millis = Millis(3_000);
 
-/// Maximum number of trials of a part while it is quarantined.
-pub const MAX_TRIALS: u32 = 3;
+/// Longest time from the last termination under a part until its next trial.
+pub const MAX_TRIAL_PAUSE: Millis = Millis(200_000);
+
+/// Factor by which the pause exceeds the time between the last two terminations, so that it grows with each trial that
+/// terminates an endpoint.
+pub const TRIAL_GROWTH: u64 = 4;
+
+/// Time by which each daemon tries a part later than the one before it in the order of holders: longer than it takes until
+/// a trial shows.
+pub const TRIAL_TURN: Millis = Millis(1_000);
 
 /// Number of daemons that hold the evidence against a request; two of them may be lost at once.
 pub const EVIDENCE_HOLDERS: usize = 3;
@@ -72,11 +81,22 @@
     terminated + EVIDENCE_LIFETIME
 }
 
-/// Returns whether a quarantined part may be tried now, after `trials` trials. `last` is the time of the last trial or
-/// termination under it.
-pub fn may_try(now: Time, last: Time, trials: u32) -> bool {
-    let pause = Millis(TRIAL_PAUSE.0 << trials.min(MAX_TRIALS));
-    trials < MAX_TRIALS && now >= last + pause
+/// Returns when the daemon with this rank among the holders may try a quarantined part, of the times at which the last two
+/// endpoints terminated under it.
+pub fn trial_time(previous: Time, last: Time, rank: usize) -> Time {
+    let gap = last.since(previous).as_millis() as u64;
+    let pause = Millis(gap * TRIAL_GROWTH).clamp(TRIAL_PAUSE, MAX_TRIAL_PAUSE);
+    last + pause + Millis(TRIAL_TURN.0 * rank as u64)
+}
+
+/// Returns the rank of a daemon in the order of the holders of a digest; `None` if it isn't among the living ones.
+pub fn holder_rank(
+    digest: &[u8],
+    daemons: impl Iterator<Item = SocketAddr>,
+    daemon: SocketAddr,
+) -> Option<usize> {
+    let order = holders(digest, daemons, usize::MAX);
+    order.iter().position(|holder| *holder == daemon)
 }
 
 /// Returns those of `daemons` that hold the evidence against a request, or all of them if there are no more than
