reply_stream: check the version of a source before its events are taken in

The check came after the events of a source had been counted, so that a source refused for its version would have made the next one skip them. Found by reading; it comes with the first data now.

--- a/lib/src/gateway/routing/permits.rs
+++ b/lib/src/gateway/routing/permits.rs
@@ -31,8 +31,8 @@
 const PIECES_URGENCY: u32 = 0;
 
 impl<D: Dialect> Gateway<D> {
-    /// Chooses an endpoint for a request, other than those in `tried`, and of `origin` if it continues a stream. If all eligible ones lack a permit for their
-    /// rate limit, waits for a permit, unless none is expected in time.
+    /// Chooses an endpoint for a request, other than those in `tried`, and of `origin` if it continues a stream. If all
+    /// eligible ones lack a permit for their rate limit, waits for a permit, unless none is expected in time.
     ///
     /// # Errors
     ///
--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -31,7 +31,7 @@
     splitter: EventSplitter,
     /// Set if an event has arrived from any endpoint.
     events_begun: bool,
-    /// Set once the present source has sent an event, at the stream's origin.
+    /// Set once the present source has sent data, and its version was checked.
     source_checked: bool,
     sink: mpsc::Sender<StreamPart>,
 }
@@ -234,10 +234,11 @@
         data: &[u8],
         guard: &mut AttemptGuard<D>,
     ) -> Result<(), SourceEnd> {
+        self.check_source(guard)?;
         let events = self.splitter.feed(data);
         if !events.is_empty() {
-            self.check_origin(guard)?;
             if !std::mem::replace(&mut self.events_begun, true) {
+                self.record_origin(guard);
                 // With its first event the endpoint has fetched its inputs and read the prompt.
                 self.request.results = None;
                 self.request.sample.end(AdmittedEnd::Answered);
@@ -251,28 +252,30 @@
         Ok(())
     }
 
-    /// Checks when the first event of a source comes that it continues the stream at its origin; the first source of a
-    /// stream sets it.
+    /// Checks when the first data of a source come that it continues the stream at its origin.
     ///
     /// # Errors
     ///
     /// Returns the end of the source if it may be of another software version.
-    fn check_origin(&mut self, guard: &AttemptGuard<D>) -> Result<(), SourceEnd> {
-        if std::mem::replace(&mut self.source_checked, true) {
+    fn check_source(&mut self, guard: &AttemptGuard<D>) -> Result<(), SourceEnd> {
+        let StreamedRequest {
+            gateway, origin, ..
+        } = &self.request;
+        let is_checked = std::mem::replace(&mut self.source_checked, true);
+        if is_checked || origin.is_none() || gateway.origin_at(&guard.choice.entry) == *origin {
             return Ok(());
         }
+        Err(SourceEnd::Broken(Break::cut("another software version")))
+    }
+
+    /// Records where the stream begins, at its first event. A stream that was taken up keeps its origin.
+    fn record_origin(&mut self, guard: &AttemptGuard<D>) {
         let request = &mut self.request;
         let found = request.gateway.origin_at(&guard.choice.entry);
-        let continues = self.events_begun || request.origin.is_some();
-        if continues && (found.is_none() || found != request.origin) {
-            return Err(SourceEnd::Broken(Break::cut("another software version")));
-        }
-        request.origin = found;
-        if !self.events_begun {
-            let origin = found.map(|origin| request.gateway.record_origin(&request.call, origin));
-            request.open_origin = origin;
-        }
-        Ok(())
+        request.origin = request.origin.or(found);
+        let origin = request.origin;
+        let open = origin.map(|origin| request.gateway.record_origin(&request.call, origin));
+        request.open_origin = open;
     }
 
     /// Sends events to the caller. A caller that doesn't read delays its stream, but not beyond the deadline.
