quarantine: requests with one quarantined part are tried first

Its endpoint ended, and the sound part stayed refused for half a minute. A request with other quarantined parts now waits longer by a pause for each of them, so that one with the part alone comes first.

--- a/lib/src/gateway/quarantine/store.rs
+++ b/lib/src/gateway/quarantine/store.rs
@@ -114,8 +114,15 @@
     }
 
     /// Returns whether a request with a quarantined part may be let through now, to find out whether the part is
-    /// harmless. Counts it as a trial if so. `rank` is this daemon's place in the order of the part's holders.
-    pub fn begin_trial(&mut self, now: Time, digest: &RequestDigest, rank: usize) -> bool {
+    /// harmless. Counts it as a trial if so. `rank` is this daemon's place in the order of the part's holders, and `others`
+    /// the number of other quarantined parts in the request.
+    pub fn begin_trial(
+        &mut self,
+        now: Time,
+        digest: &RequestDigest,
+        rank: usize,
+        others: usize,
+    ) -> bool {
         let now = to_store_time(now);
         let Some(record) = self.records.get_mut(digest) else {
             return false;
@@ -128,6 +135,7 @@
             previous.at,
             last.at.max(record.tried.unwrap_or_default()),
             rank,
+            others,
         );
         let is_due = record.quarantined && now >= due;
         if is_due {
--- a/lib/src/gateway/routing/quarantine.rs
+++ b/lib/src/gateway/routing/quarantine.rs
@@ -92,10 +92,12 @@
             quarantine, peers, ..
         } = &mut *guard;
         let local = peers.local_address();
-        let tried = call.parts.iter().find(|part| {
-            let is_quarantined = quarantine.time_left(now, part).is_some();
-            let rank = || holder_rank(part.as_bytes(), peers.living_daemons(), local);
-            is_quarantined && rank().is_some_and(|rank| quarantine.begin_trial(now, part, rank))
+        let is_quarantined = |part: &&RequestDigest| quarantine.time_left(now, part).is_some();
+        let quarantined: Vec<&RequestDigest> = call.parts.iter().filter(is_quarantined).collect();
+        let others = quarantined.len().saturating_sub(1);
+        let tried = quarantined.into_iter().find(|part| {
+            let rank = holder_rank(part.as_bytes(), peers.living_daemons(), local);
+            rank.is_some_and(|rank| quarantine.begin_trial(now, part, rank, others))
         });
         if let Some(part) = tried {
             call.is_trial.set(true);
--- a/lib/src/gateway/rules/quarantine.rs
+++ b/lib/src/gateway/rules/quarantine.rs
@@ -82,11 +82,13 @@
 }
 
 /// Returns when the daemon with this rank among the holders may try a quarantined part, of the times at which the last two
-/// endpoints terminated under it.
-pub fn trial_time(previous: Time, last: Time, rank: usize) -> Time {
+/// endpoints terminated under it. `others` is the number of other quarantined parts in the request: requests without any
+/// go first, since another part may be the harmful one.
+pub fn trial_time(previous: Time, last: Time, rank: usize, others: usize) -> Time {
     let gap = last.since(previous).as_millis() as u64;
     let pause = Millis(gap * TRIAL_GROWTH).clamp(TRIAL_PAUSE, MAX_TRIAL_PAUSE);
-    last + pause + Millis(TRIAL_TURN.0 * rank as u64)
+    let pauses = 1 + others as u64;
+    last + Millis(pause.0 * pauses + TRIAL_TURN.0 * rank as u64)
 }
 
 /// Returns the rank of a daemon in the order of the holders of a digest; `None` if it isn't among the living ones.
