--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -78,7 +78,7 @@
 const FIRST_PART_SEED: u64 = 7_000;
 
 /// Seeds that failed once, each with the fault that it found.
-const REGRESSIONS: [(u64, &str); 10] = [
+const REGRESSIONS: [(u64, &str); 11] = [
     (
         4,
         "an endpoint that had once identified itself as another was never used again",
@@ -112,6 +112,10 @@
         7_010,
         "a sound part of prompts that came with a harmful one from the start stayed refused",
     ),
+    (
+        7_021,
+        "a sound part whose trial failed for another reason stayed refused for half a minute",
+    ),
     (
         7_015,
         "a sound part was tried by a request that also had the harmful one, and stayed refused for half a minute",
--- a/lib/src/gateway/quarantine/store.rs
+++ b/lib/src/gateway/quarantine/store.rs
@@ -15,7 +15,7 @@
                 served::ServedRequests,
             },
             request_digest::RequestDigest,
-            rules::quarantine::{EVIDENCE_LIFETIME, EVIDENCE_REPORTS, trial_time},
+            rules::quarantine::{EVIDENCE_LIFETIME, EVIDENCE_REPORTS, TRIAL_PAUSE, trial_time},
         },
         shared::units::{Millis, Time},
     },
@@ -130,14 +130,10 @@
         let [.., previous, last] = record.evidence.terminated() else {
             return false;
         };
-        // A trial of which nothing is known yet counts like a termination.
-        let due = trial_time(
-            previous.at,
-            last.at.max(record.tried.unwrap_or_default()),
-            rank,
-            others,
-        );
-        let is_due = record.quarantined && now >= due;
+        let due = trial_time(previous.at, last.at, rank, others);
+        // A trial that failed for another reason says nothing of the part, and is repeated.
+        let repeat = record.tried.map_or(due, |tried| tried + TRIAL_PAUSE);
+        let is_due = record.quarantined && now >= due.max(repeat);
         if is_due {
             record.tried = Some(now);
         }
