request_reports: one copy of how an outbox becomes datagrams

Reports about origins and about reservations each turned their entries into addressed datagrams; both call addressed() now. Behaviour and messages are the same: fmt, clippy, test_stream_versions, test_harmful_parts and test_quarantine of the platform, and of the library test_reservations, the pinned bytes, layers and decisions pass.

--- a/daemon/tests/soak/harm.rs
+++ b/daemon/tests/soak/harm.rs
@@ -42,18 +42,12 @@
             let daemons = world.daemons.borrow().len();
             let listen = world.daemons.borrow()[rng.random_range(0..daemons)].listen;
             let id = format!("{HARMFUL_PREFIX}{number}");
-            let prompt = format!("aa:20,{}:20,{number:x}:10", FATAL_PARTS[0]);
-            let more = [
-                ("Hazelyoke-Model", "m"),
-                ("Hazelyoke-Token-Count", "50,10"),
-                ("Hazelyoke-Prompt-Prefix", &prompt),
-            ];
-            let (more, body) = if by_part {
-                (more.as_slice(), &*id)
+            let text = if by_part {
+                let prompt = format!("aa:20,{}:20,{number:x}:10", FATAL_PARTS[0]);
+                client::prompt_request(path, &id, &prompt, &id)
             } else {
-                ([].as_slice(), FATAL_BODY)
+                client::request("POST", path, &id, &[], FATAL_BODY)
             };
-            let text = client::request("POST", path, &id, more, body);
             tokio::task::spawn_local(async move {
                 // A daemon may be down or refuse the request.
                 let _ = client::try_send(listen, &text).await;
--- a/lib/src/gateway/peers/origin_reports.rs
+++ b/lib/src/gateway/peers/origin_reports.rs
@@ -8,7 +8,7 @@
             dialect::Dialect,
             peers::{
                 message::{Datagram, OriginReport, PROTOCOL},
-                request_reports::{OutgoingDatagram, RequestReports, send_now},
+                request_reports::{OutgoingDatagram, RequestReports, addressed, send_now},
             },
             request_memory::outbox::take_entries,
             rules::stream_origin::origin_holders,
@@ -54,14 +54,10 @@
         });
         let outgoing = origins.take_entries();
         drop(guard);
-        let datagrams = outgoing.into_iter().flat_map(|(to, entries)| {
+        addressed(outgoing, |entries| {
             let reports = reports(local, entries).into_iter();
-            reports.map(move |report| OutgoingDatagram {
-                datagram: Datagram::Origins(report),
-                targets: vec![to],
-            })
-        });
-        datagrams.collect()
+            reports.map(Datagram::Origins)
+        })
     }
 }
 
--- a/lib/src/gateway/peers/request_reports.rs
+++ b/lib/src/gateway/peers/request_reports.rs
@@ -13,6 +13,7 @@
         },
         shared::units::{Millis, Time},
     },
+    foldhash::HashMap,
     std::{net::SocketAddr, rc::Rc},
     tokio::{net::UdpSocket, sync::Notify},
 };
@@ -23,6 +24,22 @@
     pub(crate) targets: Vec<SocketAddr>,
 }
 
+/// Returns the datagrams for entries that wait in an outbox; `divide` makes those for one recipient.
+pub(crate) fn addressed<E, I: IntoIterator<Item = Datagram>>(
+    outgoing: HashMap<SocketAddr, E>,
+    divide: impl Fn(E) -> I,
+) -> Vec<OutgoingDatagram> {
+    let mut addressed = Vec::new();
+    for (to, entries) in outgoing {
+        let datagrams = divide(entries).into_iter();
+        addressed.extend(datagrams.map(|datagram| OutgoingDatagram {
+            datagram,
+            targets: vec![to],
+        }));
+    }
+    addressed
+}
+
 /// What daemons send each other about one kind of record.
 pub(crate) trait RequestReports {
     /// Time for which entries are collected before they are sent.
--- a/lib/src/gateway/peers/reservation_reports.rs
+++ b/lib/src/gateway/peers/reservation_reports.rs
@@ -10,7 +10,7 @@
             dialect::Dialect,
             peers::{
                 message::{Datagram, PROTOCOL, ReservationReport},
-                request_reports::{OutgoingDatagram, RequestReports},
+                request_reports::{OutgoingDatagram, RequestReports, addressed},
             },
             request_memory::outbox::take_entries,
             reservations::note::ReservationEntries,
@@ -53,14 +53,10 @@
         let local = state.peers.local_address();
         let outgoing = state.reservations.take_entries();
         drop(state);
-        let datagrams = outgoing.into_iter().flat_map(|(to, entries)| {
+        addressed(outgoing, |entries| {
             let reports = reports(local, entries).into_iter();
-            reports.map(move |report| OutgoingDatagram {
-                datagram: Datagram::Reservations(report),
-                targets: vec![to],
-            })
-        });
-        datagrams.collect()
+            reports.map(Datagram::Reservations)
+        })
     }
 }
 
