gateway: log who ended an answer early, why, and what kept it from being resumed

An answer that ended before it was whole left a line with a reason, an event and a time. Its log line now names who ended it (endpoint, silence, deadline, stop), what kept the stream from being resumed (attempts, budget, no endpoint, version, stages, quarantine, deadline), the endpoint with its state, for how long that had sent nothing and how much of this the daemon itself stalled, the table in force and the time left; hazelyoke_early_ends_total counts them by the first two, and hazelyoke why puts them into words. A stream that is open when a stop's grace period is over leaves a line too, as does one whose caller left. Problems name the table in force and the time left.

No decision changes: may_resume became check_resume, which says what stands against it, and its test asks for the reason as well.

--- a/cli/src/commands/why.rs
+++ b/cli/src/commands/why.rs
@@ -38,9 +38,14 @@
             eprintln!("hazelyoke: no log names request {}", self.request);
             return Ok(Exit::Findings);
         }
-        for line in timeline.lines {
+        for line in &timeline.lines {
             println!("{line}");
         }
+        for line in &timeline.lines {
+            if let Some(text) = line.explain_early_end() {
+                println!("\n{text}");
+            }
+        }
         Ok(Exit::Success)
     }
 }
--- a/lib/src/gateway/routing/accept.rs
+++ b/lib/src/gateway/routing/accept.rs
@@ -39,6 +39,8 @@
     /// Id of the request, or [`UNKNOWN_ID`] if its head can't be read.
     pub(crate) request: Arc<str>,
     pub(crate) problem: Problem,
+    /// Time left until the deadline; `None` if the request wasn't accepted.
+    pub(crate) left: Option<Millis>,
 }
 
 /// The route of a request and the customer whose key it carries.
@@ -62,6 +64,7 @@
     let inbound = D::read_request(&head).map_err(|error| Refusal {
         request: UNKNOWN_ID.into(),
         problem: Problem::not_run(Code::BadRequest, error.to_string()),
+        left: None,
     })?;
     let id = inbound.id.clone();
     accept_inbound(gateway, inbound, head, body, arrived)
@@ -69,6 +72,7 @@
         .map_err(|problem| Refusal {
             request: id,
             problem,
+            left: None,
         })
 }
 
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -70,6 +70,7 @@
         .map_err(|problem| Refusal {
             request: call.inbound.id.clone(),
             problem,
+            left: Some(call.remaining(gateway.now())),
         })
 }
 
@@ -86,6 +87,8 @@
         code:% = problem.code,
         outcome:% = problem.outcome,
         retry_after_ms = problem.retry_after.map_or(0, |wait| wait.0),
+        version = gateway.state.borrow().table_version(),
+        left_ms = refusal.left.map_or(0, |left| left.0),
         took_ms = took.as_millis() as u64,
         detail = problem.detail.as_str();
         "request.problem"
--- a/lib/src/gateway/routing/mod.rs
+++ b/lib/src/gateway/routing/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod attempt;
 pub(crate) mod call;
 pub(crate) mod cold_state;
+pub(crate) mod early_end;
 pub(crate) mod endpoint_check;
 pub(crate) mod endpoint_signals;
 pub mod endpoint_state;
--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -5,20 +5,29 @@
 //! keeps events whole and in order, so that the caller gets each event exactly once.
 
 use {
-    crate::gateway::{
-        dialect::Dialect,
-        routing::{
-            attempt::StreamSource,
-            guards::AttemptGuard,
-            stream_resume::{ResumeEnd, StreamedRequest, resume},
+    crate::{
+        gateway::{
+            dialect::Dialect,
+            directory::endpoint_entry::EndpointEntry,
+            routing::{
+                attempt::StreamSource,
+                early_end::{EarlyEnd, EndedBy, StreamPosition},
+                guards::AttemptGuard,
+                stream_resume::{ResumeEnd, StreamedRequest, resume},
+            },
+            rules::{
+                calibration::AdmittedEnd,
+                reply_proof::EndpointOutcome,
+                resume::{Hindrance, silence_limit},
+            },
+            wire::{event_stream::EventSplitter, reply::StreamPart},
         },
-        rules::{calibration::AdmittedEnd, reply_proof::EndpointOutcome, resume::silence_limit},
-        wire::{event_stream::EventSplitter, reply::StreamPart},
+        shared::units::Time,
     },
     bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::Incoming,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::sync::mpsc,
 };
 
@@ -33,6 +42,10 @@
     events_begun: bool,
     /// Set once the present source has sent data, and its version was checked.
     source_checked: bool,
+    /// Endpoint of the present source, or of the last one.
+    endpoint: Arc<EndpointEntry>,
+    /// Time at which the present source began, or last sent data.
+    heard: Time,
     sink: mpsc::Sender<StreamPart>,
 }
 
@@ -86,26 +99,42 @@
     source: StreamSource<D>,
 ) -> mpsc::Receiver<StreamPart> {
     let (sink, receiver) = mpsc::channel(QUEUED_PARTS);
+    let heard = request.gateway.now();
     let splitter = EventSplitter::after(request.call.inbound.last_event);
     let relay = StreamRelay {
         request,
         splitter,
         events_begun: false,
         source_checked: false,
+        endpoint: source.guard.choice.entry.clone(),
+        heard,
         sink,
     };
-    tokio::task::spawn_local(relay.run(source));
+    tokio::task::spawn_local(relay.run_until_stop(source));
     receiver
 }
 
 impl<D: Dialect> StreamRelay<D> {
-    async fn run(mut self, mut source: StreamSource<D>) {
+    /// Relays the stream until its end, at most until the grace period of a stop is over.
+    async fn run_until_stop(mut self, source: StreamSource<D>) {
+        let gateway = self.request.gateway.clone();
+        tokio::select! {
+            () = self.run(source) => {}
+            () = gateway.stop_expired.notified() => {
+                self.break_off(&EarlyEnd::new(EndedBy::Stop, "the daemon stops"));
+            }
+        }
+    }
+
+    async fn run(&mut self, mut source: StreamSource<D>) {
         loop {
             let StreamSource {
                 mut body,
                 connection,
                 mut guard,
             } = source;
+            self.endpoint = guard.choice.entry.clone();
+            self.heard = self.request.gateway.now();
             let end = self.relay(&mut body, &mut guard).await;
             // Closing the connection ends the run at this endpoint before another one begins.
             drop(body);
@@ -117,26 +146,36 @@
                     guard.end(EndpointOutcome::Served(None));
                     return self.finish().await;
                 }
-                SourceEnd::CallerLeft => {
-                    return self.request.gateway.metrics.count_caller_left();
+                SourceEnd::CallerLeft => return self.record_caller_left(),
+                SourceEnd::TimeOver => {
+                    let end = EarlyEnd::new(EndedBy::Deadline, "the request's time is over");
+                    return self.break_off(&end);
                 }
-                SourceEnd::TimeOver => return self.break_off("the request's time is over"),
                 SourceEnd::Broken(Break { why, cut }) => {
                     self.end_broken(guard, cut).await;
+                    let by = if cut {
+                        EndedBy::Endpoint
+                    } else {
+                        EndedBy::Silence
+                    };
+                    let mut end = EarlyEnd::new(by, why);
                     if self.events_begun && self.request.origin.is_none() {
-                        return self.break_off("the software version isn't known");
+                        end.hindrance = Some(Hindrance::Version);
+                        return self.break_off(&end);
                     }
                     let last_event = self.splitter.last();
-                    match resume(&mut self.request, &self.sink, last_event, &why).await {
+                    match resume(&mut self.request, &self.sink, last_event, &end.why).await {
                         ResumeEnd::Resumed(next) => {
                             self.splitter = EventSplitter::after(last_event);
                             self.source_checked = false;
                             source = next;
                         }
-                        ResumeEnd::Failed => return self.break_off(&why),
-                        ResumeEnd::CallerLeft => {
-                            return self.request.gateway.metrics.count_caller_left();
+                        ResumeEnd::Failed(hindrance, excluded) => {
+                            end.hindrance = Some(hindrance);
+                            end.excluded = excluded;
+                            return self.break_off(&end);
                         }
+                        ResumeEnd::CallerLeft => return self.record_caller_left(),
                     }
                 }
             }
@@ -221,6 +260,7 @@
                 Some(Ok(frame)) => {
                     // Trailers are not passed on.
                     if let Ok(data) = frame.into_data() {
+                        self.heard = self.request.gateway.now();
                         return Ok(data);
                     }
                 }
@@ -290,11 +330,11 @@
     }
 
     /// Ends the answer as complete.
-    async fn finish(self) {
+    async fn finish(&self) {
         let StreamedRequest { gateway, call, .. } = &self.request;
         let end = self.sink.send(StreamPart::End);
         if !matches!(gateway.timeout_at(call.deadline, end).await, Some(Ok(()))) {
-            return gateway.metrics.count_caller_left();
+            return self.record_caller_left();
         }
         let took = gateway.now().since(call.arrived);
         gateway.metrics.count_answered(took);
@@ -309,17 +349,32 @@
     }
 
     /// Breaks off the answer. The body is dropped without its end, so that the caller can't take it for complete.
-    fn break_off(mut self, why: &str) {
-        self.request.sample.end(AdmittedEnd::Failed);
+    fn break_off(&mut self, end: &EarlyEnd) {
+        let request = &mut self.request;
+        request.sample.end(AdmittedEnd::Failed);
+        let position = StreamPosition {
+            endpoint: self.endpoint.clone(),
+            heard: self.heard,
+            last_event: self.splitter.last().unwrap_or(0),
+            sent: request.sent,
+        };
+        request
+            .gateway
+            .record_early_end(&request.call, end, &position);
+    }
+
+    /// Logs and counts that the caller left before the end of the stream.
+    fn record_caller_left(&self) {
         let StreamedRequest { gateway, call, .. } = &self.request;
-        let took = gateway.now().since(call.arrived);
-        gateway.metrics.count_interrupted();
+        let now = gateway.now();
+        gateway.metrics.count_caller_left();
         log::info!(
             request = call.id(),
-            why,
             last_event = self.last_event(),
-            took_ms = took.as_millis() as u64;
-            "request.broken_off"
+            silent_ms = now.millis_since(self.heard) as u64,
+            left_ms = call.remaining(now).0,
+            took_ms = now.since(call.arrived).as_millis() as u64;
+            "request.caller_left"
         );
     }
 }
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -18,9 +18,10 @@
                 stream_origin::OpenOrigin,
             },
             rules::{
+                eligibility::ExclusionCounts,
                 endpoint_choice::EndpointChoice,
                 reply_proof::{EndpointOutcome, classify_resumed_head},
-                resume::may_resume,
+                resume::{Hindrance, check_resume},
                 retry::RetryReason,
                 stream_origin::StreamOrigin,
             },
@@ -70,8 +71,8 @@
 pub(crate) enum ResumeEnd<D: Dialect> {
     /// Another endpoint continues the stream.
     Resumed(StreamSource<D>),
-    /// No endpoint continues the stream, or no further attempt is allowed.
-    Failed,
+    /// The stream isn't resumed.
+    Failed(Hindrance, ExclusionCounts),
     /// The caller has left meanwhile.
     CallerLeft,
 }
@@ -80,7 +81,8 @@
 enum ResumeAttempt<D: Dialect> {
     Resumed(StreamSource<D>),
     Failed,
-    NoEndpoint,
+    NoEndpoint(ExclusionCounts),
+    TimeOver,
     CallerLeft,
 }
 
@@ -108,8 +110,8 @@
     last_event: Option<u64>,
     why: &str,
 ) -> ResumeEnd<D> {
-    if !request.may_resume() {
-        return ResumeEnd::Failed;
+    if let Err(hindrance) = request.check_resume() {
+        return ResumeEnd::failed(hindrance);
     }
     if request.results.is_none() {
         // The results were released once the first endpoint had fetched them, so the stages run again. They may take
@@ -120,33 +122,48 @@
             () = sink.closed() => return ResumeEnd::CallerLeft,
         };
         let Ok(results) = results else {
-            return ResumeEnd::Failed;
+            return ResumeEnd::failed(Hindrance::Stages);
         };
         request.results = results;
     }
-    while request.may_resume() {
+    loop {
         if sink.is_closed() {
             return ResumeEnd::CallerLeft;
         }
+        if let Err(hindrance) = request.check_resume() {
+            return ResumeEnd::failed(hindrance);
+        }
         if !request.gateway.withdraw(&request.call.service) {
-            break;
+            return ResumeEnd::failed(Hindrance::Budget);
         }
         match request.resume_once(sink, last_event, why).await {
             ResumeAttempt::Resumed(source) => return ResumeEnd::Resumed(source),
-            ResumeAttempt::NoEndpoint => break,
+            ResumeAttempt::NoEndpoint(excluded) => {
+                return ResumeEnd::Failed(Hindrance::NoEndpoint, excluded);
+            }
+            ResumeAttempt::TimeOver => return ResumeEnd::failed(Hindrance::Deadline),
             ResumeAttempt::CallerLeft => return ResumeEnd::CallerLeft,
             ResumeAttempt::Failed => {}
         }
     }
-    ResumeEnd::Failed
+}
+
+impl<D: Dialect> ResumeEnd<D> {
+    fn failed(hindrance: Hindrance) -> Self {
+        Self::Failed(hindrance, ExclusionCounts::default())
+    }
 }
 
 impl<D: Dialect> StreamedRequest<D> {
-    fn may_resume(&self) -> bool {
+    /// Checks whether another attempt may be made, if the retry budget allows it.
+    fn check_resume(&self) -> Result<(), Hindrance> {
         let route = &self.call.route;
-        may_resume(route.kind, self.sent, route.attempts)
-            && self.gateway.now() < self.call.deadline
-            && self.gateway.check_quarantine(&self.call).is_ok()
+        check_resume(route.kind, self.sent, route.attempts)?;
+        if self.gateway.now() >= self.call.deadline {
+            return Err(Hindrance::Deadline);
+        }
+        let quarantine = self.gateway.check_quarantine(&self.call);
+        quarantine.map_err(|_problem| Hindrance::Quarantine)
     }
 
     /// Makes one attempt to resume the stream.
@@ -161,8 +178,9 @@
             choice = gateway.choose_permitted(call, &self.tried, results, self.origin) => choice,
             () = sink.closed() => return ResumeAttempt::CallerLeft,
         };
-        let Ok(choice) = choice else {
-            return ResumeAttempt::NoEndpoint;
+        let choice = match choice {
+            Ok(choice) => choice,
+            Err(excluded) => return ResumeAttempt::NoEndpoint(excluded),
         };
         self.tried.push(choice.entry.id.clone());
         log::info!(
@@ -179,8 +197,7 @@
             Ok(source) => ResumeAttempt::Resumed(source),
             Err(SourceError::Failed) => ResumeAttempt::Failed,
             Err(SourceError::CallerLeft) => ResumeAttempt::CallerLeft,
-            // Nothing more can come in time.
-            Err(SourceError::TimeOver) => ResumeAttempt::NoEndpoint,
+            Err(SourceError::TimeOver) => ResumeAttempt::TimeOver,
         }
     }
 
--- a/lib/src/gateway/rules/resume.rs
+++ b/lib/src/gateway/rules/resume.rs
@@ -38,8 +38,55 @@
     is_resumable(kind).then_some(limit)
 }
 
-/// Returns whether a broken stream may be sent to another endpoint after `sent` of `allowed` attempts, if the retry
+/// What keeps a stream from being resumed at another endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hindrance {
+    /// The route's streams aren't resumable.
+    Kind,
+    /// The route allows no further attempt.
+    Attempts,
+    /// The retry budget of the service is used up.
+    Budget,
+    /// No endpoint may get the request.
+    NoEndpoint,
+    /// The software version of the endpoint that began the stream isn't known.
+    Version,
+    /// The stages of the request, whose results are needed again, failed or are late.
+    Stages,
+    /// Too many endpoints terminated under the request.
+    Quarantine,
+    /// The deadline of the request has passed.
+    Deadline,
+}
+
+impl Hindrance {
+    /// Returns the stable text for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Kind => "kind",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Version => "version",
+            Self::Stages => "stages",
+            Self::Quarantine => "quarantine",
+            Self::Deadline => "deadline",
+        }
+    }
+}
+
+/// Checks whether a broken stream may be sent to another endpoint after `sent` of `allowed` attempts, if the retry
 /// budget allows it.
-pub fn may_resume(kind: RouteKind, sent: u32, allowed: u32) -> bool {
-    is_resumable(kind) && sent < allowed
+///
+/// # Errors
+///
+/// Returns what keeps it from being sent.
+pub fn check_resume(kind: RouteKind, sent: u32, allowed: u32) -> Result<(), Hindrance> {
+    if !is_resumable(kind) {
+        return Err(Hindrance::Kind);
+    }
+    if sent >= allowed {
+        return Err(Hindrance::Attempts);
+    }
+    Ok(())
 }
--- a/lib/src/gateway/serving/metrics.rs
+++ b/lib/src/gateway/serving/metrics.rs
@@ -38,6 +38,13 @@
     end: &'static str,
 }
 
+/// Label set of answers that ended before they were whole.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EarlyLabels {
+    by: &'static str,
+    hindrance: &'static str,
+}
+
 /// All reasons for retries.
 const RETRY_REASONS: [RetryReason; 3] = [
     RetryReason::NotRun,
@@ -86,6 +93,7 @@
 pub struct GatewayMetrics {
     registry: Registry,
     ends: Family<EndLabels, Counter>,
+    early_ends: Family<EarlyLabels, Counter>,
     retries: Family<KindLabels, Counter>,
     tables_refused: Counter,
     table_version: Gauge,
@@ -141,6 +149,7 @@
         let metrics = Self {
             registry: Registry::with_prefix("hazelyoke"),
             ends: Family::default(),
+            early_ends: Family::default(),
             retries: Family::default(),
             tables_refused: Counter::default(),
             table_version: Gauge::default(),
@@ -173,6 +182,11 @@
     fn register_all(mut self) -> Self {
         let registry = &mut self.registry;
         registry.register("requests", "Ends of requests", self.ends.clone());
+        registry.register(
+            "early_ends",
+            "Answers that ended before they were whole, by who ended them and by what kept the stream from being resumed",
+            self.early_ends.clone(),
+        );
         registry.register("repeats", "Repeated sends", self.retries.clone());
         registry.register(
             "tables_refused",
@@ -261,9 +275,11 @@
         self.count_end(CALLER_LEFT);
     }
 
-    /// Counts an answer that was interrupted before its end.
-    pub fn count_interrupted(&self) {
+    /// Counts an answer that was interrupted before its end, by who interrupted it and what kept it from being resumed.
+    pub(crate) fn count_interrupted(&self, by: &'static str, hindrance: &'static str) {
         self.count_end(BROKEN_OFF);
+        let labels = EarlyLabels { by, hindrance };
+        self.early_ends.get_or_create(&labels).inc();
     }
 
     /// Counts a problem that was sent to a caller as the answer.
--- a/lib/src/timeline/mod.rs
+++ b/lib/src/timeline/mod.rs
@@ -110,6 +110,42 @@
     }
 }
 
+/// Event of an answer that ended before it was whole.
+const EARLY_END: &str = "request.broken_off";
+
+impl TimelineLine {
+    /// Returns the value of a field; `-` if the line lacks it.
+    fn value(&self, name: &str) -> &str {
+        let field = self.fields.iter().find(|field| field.name == name);
+        field.map_or("-", |field| &field.value)
+    }
+
+    /// Explains who ended the answer, if the line is about one that ended before it was whole.
+    pub fn explain_early_end(&self) -> Option<String> {
+        if self.event != EARLY_END {
+            return None;
+        }
+        let value = |name| self.value(name);
+        Some(format!(
+            "{} ended the answer after event {}, {} ms before its deadline, by {} ({}); not resumed: {}, left out: {}. \
+             {} ({}) had sent nothing for {} ms, of which this host stalled {} ms. Attempts: {}. Table: {}.",
+            self.host,
+            value("last_event"),
+            value("left_ms"),
+            value("by"),
+            value("why"),
+            value("hindrance"),
+            value("left_out"),
+            value("endpoint"),
+            value("endpoint_state"),
+            value("silent_ms"),
+            value("stalled_ms"),
+            value("sent"),
+            value("version"),
+        ))
+    }
+}
+
 impl From<&ChosenEntry<'_>> for TimelineLine {
     fn from(chosen: &ChosenEntry<'_>) -> Self {
         Self {
--- a/lib/tests/test_retry_rules.rs
+++ b/lib/tests/test_retry_rules.rs
@@ -7,7 +7,7 @@
                 attempt_timeout::{AttemptPlan, attempt_timeout},
                 outcome::AttemptHistory,
                 reply_proof::NotRunReason,
-                resume::{is_resumable, may_resume, silence_limit},
+                resume::{Hindrance, check_resume, is_resumable, silence_limit},
                 retry::{AfterFailure, AttemptFailure, RetryReason, may_retry, next_step},
             },
             table::RouteKind,
@@ -88,10 +88,20 @@
         let resumable = kind == RESUMABLE;
         assert_eq!(is_resumable(kind), resumable);
         for (sent, allowed) in [(0, 1), (1, 2), (1, 3), (2, 3)] {
-            assert_eq!(may_resume(kind, sent, allowed), resumable, "{kind:?}");
+            let expected = if resumable {
+                Ok(())
+            } else {
+                Err(Hindrance::Kind)
+            };
+            assert_eq!(check_resume(kind, sent, allowed), expected, "{kind:?}");
         }
         for (sent, allowed) in [(1, 1), (2, 2), (3, 2)] {
-            assert!(!may_resume(kind, sent, allowed), "{kind:?}");
+            let expected = if resumable {
+                Hindrance::Attempts
+            } else {
+                Hindrance::Kind
+            };
+            assert_eq!(check_resume(kind, sent, allowed), Err(expected), "{kind:?}");
         }
     }
 }
--- a/lib/tests/test_timeline.rs
+++ b/lib/tests/test_timeline.rs
@@ -100,3 +100,27 @@
     let entry = log("entry", &[r#"{"at_ms":1,"event":"peer.lost"}"#]);
     assert!(RequestTimeline::from_logs("r1", &[entry]).lines.is_empty());
 }
+
+#[test]
+fn early_end_explained() {
+    let entry = log(
+        "entry",
+        &[
+            r#"{"at_ms":5000,"event":"request.accepted","request":"r1"}"#,
+            r#"{"at_ms":7000,"event":"request.broken_off","request":"r1","by":"silence","why":"silent","hindrance":"budget","left_out":"none","last_event":3,"endpoint":"i-1","endpoint_state":"open","silent_ms":1203,"stalled_ms":0,"sent":1,"version":12,"left_ms":1800,"took_ms":2000}"#,
+        ],
+    );
+    let lines = RequestTimeline::from_logs("r1", &[entry]).lines;
+    let texts: Vec<String> = lines
+        .iter()
+        .filter_map(|line| line.explain_early_end())
+        .collect();
+    assert_eq!(
+        texts,
+        [
+            "entry ended the answer after event 3, 1800 ms before its deadline, by silence (silent); not resumed: \
+             budget, left out: none. i-1 (open) had sent nothing for 1203 ms, of which this host stalled 0 ms. \
+             Attempts: 1. Table: 12."
+        ]
+    );
+}
