reply_stream: a silent source gives way only to an endpoint that takes over

If the route allowed no further attempt, the retry budget was used up, no endpoint was eligible or reachable, its version wasn't known, the stages failed that have to run again, or the other endpoint refused the request, the answer ended although its endpoint would have gone on.

A replacement is now prepared beside the silent source, up to its open connection and the budget that pays for it, while the source is read from; what the source sends ends the search. If there is no replacement the source is kept until the deadline, and another one is sought after each further silence. Silence doesn't include stalls of this process, and connections that don't come up no longer cost budget, since no request was sent on them.

--- a/lib/src/gateway/routing/early_end.rs
+++ b/lib/src/gateway/routing/early_end.rs
@@ -6,11 +6,10 @@
         gateway::{
             dialect::Dialect,
             directory::endpoint_entry::EndpointEntry,
-            routing::{call::ForwardedCall, endpoint_state::EndpointState},
-            rules::{
-                eligibility::{Exclusion, ExclusionCounts},
-                resume::Hindrance,
+            routing::{
+                call::ForwardedCall, endpoint_state::EndpointState, stream_resume::Unresumed,
             },
+            rules::{eligibility::Exclusion, resume::Hindrance},
             state::Gateway,
         },
         shared::units::Time,
@@ -23,8 +22,6 @@
 pub(crate) enum EndedBy {
     /// The endpoint, its connection, or what it sent.
     Endpoint,
-    /// This daemon, because the endpoint sent nothing for too long.
-    Silence,
     /// The deadline of the request.
     Deadline,
     /// This daemon's stop.
@@ -36,7 +33,6 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Endpoint => "endpoint",
-            Self::Silence => "silence",
             Self::Deadline => "deadline",
             Self::Stop => "stop",
         }
@@ -49,9 +45,7 @@
     /// Reason, for logs.
     pub(crate) why: String,
     /// What kept the stream from being resumed; absent if that wasn't considered.
-    pub(crate) hindrance: Option<Hindrance>,
-    /// Endpoints that couldn't resume it, by reason.
-    pub(crate) excluded: ExclusionCounts,
+    pub(crate) unresumed: Option<Unresumed>,
 }
 
 impl EarlyEnd {
@@ -60,8 +54,7 @@
         Self {
             by,
             why: why.into(),
-            hindrance: None,
-            excluded: ExclusionCounts::default(),
+            unresumed: None,
         }
     }
 }
@@ -87,7 +80,9 @@
         position: &StreamPosition,
     ) {
         let now = self.now();
-        let hindrance = end.hindrance.map_or("-", Hindrance::as_str);
+        let hindrance = end.unresumed.map(|unresumed| unresumed.hindrance);
+        let hindrance = hindrance.map_or("-", Hindrance::as_str);
+        let excluded = end.unresumed.map(|unresumed| unresumed.excluded);
         self.metrics.count_interrupted(end.by.as_str(), hindrance);
         let state = self.state.borrow();
         let member = state.endpoints.get(&position.endpoint.id);
@@ -97,7 +92,7 @@
             by = end.by.as_str(),
             why = end.why.as_str(),
             hindrance,
-            left_out:% = end.excluded,
+            left_out:% = excluded.unwrap_or_default(),
             last_event = position.last_event,
             endpoint:% = position.endpoint.id,
             endpoint_state = condition(member),
--- a/lib/src/gateway/routing/mod.rs
+++ b/lib/src/gateway/routing/mod.rs
@@ -25,6 +25,7 @@
 pub(crate) mod reservations;
 pub(crate) mod sent_parts;
 pub(crate) mod service_limits;
+pub(crate) mod source_change;
 pub(crate) mod stage_load;
 pub(crate) mod stages;
 pub(crate) mod stream_origin;
--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -1,7 +1,7 @@
 //! Relays a stream of events from an endpoint to the caller until its end.
 //!
-//! The relay owns the request from the head of the reply to the end of the stream. `rules::resume` decides when a
-//! stream counts as broken, and `routing::stream_resume` finds the next endpoint to read it from. `wire::event_stream`
+//! The relay owns the request from the head of the reply to the end of the stream. `rules::resume` decides when another
+//! endpoint is sought, `rules::handover` when it takes over, and `routing::stream_resume` finds it. `wire::event_stream`
 //! keeps events whole and in order, so that the caller gets each event exactly once.
 
 use {
@@ -13,21 +13,20 @@
                 attempt::StreamSource,
                 early_end::{EarlyEnd, EndedBy, StreamPosition},
                 guards::AttemptGuard,
-                stream_resume::{ResumeEnd, StreamedRequest, resume},
+                stream_resume::{StreamedRequest, Unresumed},
             },
             rules::{
-                calibration::AdmittedEnd,
-                reply_proof::EndpointOutcome,
-                resume::{Hindrance, silence_limit},
+                calibration::AdmittedEnd, reply_proof::EndpointOutcome, resume::silence_limit,
             },
+            state::Gateway,
             wire::{event_stream::EventSplitter, reply::StreamPart},
         },
         shared::units::Time,
     },
     bytes::Bytes,
     http_body_util::BodyExt,
-    hyper::body::Incoming,
-    std::{sync::Arc, time::Duration},
+    hyper::body::{Frame, Incoming},
+    std::{rc::Rc, sync::Arc},
     tokio::sync::mpsc,
 };
 
@@ -35,58 +34,45 @@
 /// callers may read slowly.
 const QUEUED_PARTS: usize = 1;
 
-struct StreamRelay<D: Dialect> {
-    request: StreamedRequest<D>,
-    splitter: EventSplitter,
+/// A stream that is passed on to its caller.
+pub(super) struct StreamRelay<D: Dialect> {
+    pub(super) gateway: Rc<Gateway<D>>,
+    pub(super) deadline: Time,
+    pub(super) request: StreamedRequest<D>,
+    pub(super) splitter: EventSplitter,
     /// Set if an event has arrived from any endpoint.
-    events_begun: bool,
+    pub(super) events_begun: bool,
     /// Set once the present source has sent data, and its version was checked.
-    source_checked: bool,
+    pub(super) source_checked: bool,
     /// Endpoint of the present source, or of the last one.
-    endpoint: Arc<EndpointEntry>,
+    pub(super) endpoint: Arc<EndpointEntry>,
     /// Time at which the present source began, or last sent data.
-    heard: Time,
-    sink: mpsc::Sender<StreamPart>,
+    pub(super) heard: Time,
+    /// Time at which another endpoint was last sought in vain.
+    pub(super) sought: Time,
+    /// Reason for which the present source wasn't replaced although it was silent.
+    pub(super) unresumed: Option<Unresumed>,
+    pub(super) sink: mpsc::Sender<StreamPart>,
 }
 
 /// Reason why reading from a source ended.
-enum SourceEnd {
+pub(super) enum SourceEnd {
     Whole,
-    Broken(Break),
+    /// The connection or the reply was cut, or isn't valid.
+    Broken(String),
+    /// Nothing has arrived for too long; the source is still open.
+    Silent,
     CallerLeft,
     TimeOver,
 }
 
-/// Details of a source that broke off.
-struct Break {
-    /// Reason, for logs.
-    why: String,
-    /// True if the connection or the reply was cut, false if no data arrived for too long.
-    cut: bool,
-}
-
-impl Break {
-    fn cut(why: impl Into<String>) -> Self {
-        Self {
-            why: why.into(),
-            cut: true,
-        }
-    }
-
-    fn silent() -> Self {
-        Self {
-            why: "silent".into(),
-            cut: false,
-        }
-    }
-}
-
 impl SourceEnd {
     /// Returns the outcome for the event `attempt.ended`.
     fn as_str(&self) -> &'static str {
         match self {
             SourceEnd::Whole => "answered",
             SourceEnd::Broken(_) => "broken",
+            SourceEnd::Silent => "silent",
             SourceEnd::CallerLeft => "caller_left",
             SourceEnd::TimeOver => "time_over",
         }
@@ -102,12 +88,16 @@
     let heard = request.gateway.now();
     let splitter = EventSplitter::after(request.call.inbound.last_event);
     let relay = StreamRelay {
+        gateway: request.gateway.clone(),
+        deadline: request.call.deadline,
         request,
         splitter,
         events_begun: false,
         source_checked: false,
         endpoint: source.guard.choice.entry.clone(),
         heard,
+        sought: heard,
+        unresumed: None,
         sink,
     };
     tokio::task::spawn_local(relay.run_until_stop(source));
@@ -128,60 +118,60 @@
 
     async fn run(&mut self, mut source: StreamSource<D>) {
         loop {
-            let StreamSource {
-                mut body,
-                connection,
-                mut guard,
-            } = source;
-            self.endpoint = guard.choice.entry.clone();
-            self.heard = self.request.gateway.now();
-            let end = self.relay(&mut body, &mut guard).await;
-            // Closing the connection ends the run at this endpoint before another one begins.
-            drop(body);
-            drop(connection);
-            self.log_end(&end, &guard);
-            self.end_sample(&end);
-            match end {
-                SourceEnd::Whole => {
-                    guard.end(EndpointOutcome::Served(None));
-                    return self.finish().await;
-                }
-                SourceEnd::CallerLeft => return self.record_caller_left(),
-                SourceEnd::TimeOver => {
-                    let end = EarlyEnd::new(EndedBy::Deadline, "the request's time is over");
-                    return self.break_off(&end);
-                }
-                SourceEnd::Broken(Break { why, cut }) => {
-                    self.end_broken(guard, cut).await;
-                    let by = if cut {
-                        EndedBy::Endpoint
-                    } else {
-                        EndedBy::Silence
-                    };
-                    let mut end = EarlyEnd::new(by, why);
-                    if self.events_begun && self.request.origin.is_none() {
-                        end.hindrance = Some(Hindrance::Version);
-                        return self.break_off(&end);
-                    }
-                    let last_event = self.splitter.last();
-                    match resume(&mut self.request, &self.sink, last_event, &end.why).await {
-                        ResumeEnd::Resumed(next) => {
-                            self.splitter = EventSplitter::after(last_event);
-                            self.source_checked = false;
-                            source = next;
-                        }
-                        ResumeEnd::Failed(hindrance, excluded) => {
-                            end.hindrance = Some(hindrance);
-                            end.excluded = excluded;
-                            return self.break_off(&end);
-                        }
-                        ResumeEnd::CallerLeft => return self.record_caller_left(),
-                    }
-                }
+            let next = match self.relay(&mut source).await {
+                SourceEnd::Silent => self.replace_silent(source).await,
+                end => self.end_source(end, source).await,
+            };
+            match next {
+                Some(next) => source = next,
+                None => return,
+            }
+        }
+    }
+
+    /// Ends a source; returns another one if it broke off and the stream goes on.
+    pub(super) async fn end_source(
+        &mut self,
+        end: SourceEnd,
+        source: StreamSource<D>,
+    ) -> Option<StreamSource<D>> {
+        let StreamSource {
+            body,
+            connection,
+            guard,
+        } = source;
+        // Closing the connection ends the run at this endpoint before another one begins.
+        drop(body);
+        drop(connection);
+        self.log_end(&end, &guard);
+        self.end_sample(&end);
+        match end {
+            SourceEnd::Whole => {
+                guard.end(EndpointOutcome::Served(None));
+                self.finish().await;
+                None
+            }
+            SourceEnd::Broken(why) => {
+                self.end_broken(guard).await;
+                self.resume_broken(why).await
+            }
+            SourceEnd::Silent | SourceEnd::CallerLeft | SourceEnd::TimeOver => {
+                self.end_stream(&end);
+                None
             }
         }
     }
 
+    /// Ends the stream because its caller has left or its deadline has passed.
+    pub(super) fn end_stream(&mut self, end: &SourceEnd) {
+        if matches!(end, SourceEnd::CallerLeft) {
+            return self.record_caller_left();
+        }
+        let mut early = EarlyEnd::new(EndedBy::Deadline, "the request's time is over");
+        early.unresumed = self.unresumed;
+        self.break_off(&early);
+    }
+
     /// Records how the request ended if no event has come. A source that broke off doesn't end it, since another one may
     /// resume it.
     fn end_sample(&mut self, end: &SourceEnd) {
@@ -190,19 +180,17 @@
             SourceEnd::Whole => AdmittedEnd::Failed,
             SourceEnd::TimeOver => AdmittedEnd::at_deadline(request.tried.len()),
             SourceEnd::CallerLeft => AdmittedEnd::CallerLeft,
-            SourceEnd::Broken(_) => return,
+            SourceEnd::Broken(_) | SourceEnd::Silent => return,
         };
         request.sample.end(end);
     }
 
-    /// Ends the attempt at a source that broke off. If it was cut, its endpoint may have terminated and is probed.
-    async fn end_broken(&self, guard: AttemptGuard<D>, cut: bool) {
+    /// Ends the attempt at a source that broke off. Its endpoint may have terminated and is probed.
+    async fn end_broken(&self, guard: AttemptGuard<D>) {
         let entry = guard.choice.entry.clone();
         guard.end(EndpointOutcome::Failed);
-        if cut {
-            let StreamedRequest { gateway, call, .. } = &self.request;
-            gateway.check_endpoint(call, &entry).await;
-        }
+        let StreamedRequest { gateway, call, .. } = &self.request;
+        gateway.check_endpoint(call, &entry).await;
     }
 
     fn log_end(&self, end: &SourceEnd, guard: &AttemptGuard<D>) {
@@ -221,14 +209,14 @@
         self.splitter.last().unwrap_or(0)
     }
 
-    /// Relays events until the source ends.
-    async fn relay(&mut self, body: &mut Incoming, guard: &mut AttemptGuard<D>) -> SourceEnd {
+    /// Relays events until the source ends or is silent.
+    async fn relay(&mut self, source: &mut StreamSource<D>) -> SourceEnd {
         loop {
-            let data = match self.next_data(body).await {
+            let data = match self.next_data(&mut source.body).await {
                 Ok(data) => data,
                 Err(end) => return end,
             };
-            if let Err(end) = self.relay_data(&data, guard).await {
+            if let Err(end) = self.relay_data(&data, &mut source.guard).await {
                 return end;
             }
         }
@@ -238,38 +226,44 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason for the end of the source if there is none.
+    /// Returns the reason if there is none.
     async fn next_data(&mut self, body: &mut Incoming) -> Result<Bytes, SourceEnd> {
-        let call = &self.request.call;
-        let gateway = &self.request.gateway;
         loop {
-            let silence = silence_limit(call.route.kind, self.events_begun);
+            let StreamedRequest { gateway, call, .. } = &self.request;
+            let limit = silence_limit(call.route.kind, self.events_begun);
             let frame = tokio::select! {
                 biased;
                 () = self.sink.closed() => return Err(SourceEnd::CallerLeft),
                 frame = body.frame() => frame,
                 () = gateway.sleep_until(call.deadline) => return Err(SourceEnd::TimeOver),
-                () = sleep_or_wait(silence) => return Err(SourceEnd::Broken(Break::silent())),
+                () = gateway.run_for(self.heard.max(self.sought), limit) => return Err(SourceEnd::Silent),
             };
-            match frame {
-                None if self.splitter.is_partial() => {
-                    return Err(SourceEnd::Broken(Break::cut("ended within an event")));
-                }
-                None => return Err(SourceEnd::Whole),
-                Some(Err(error)) => return Err(SourceEnd::Broken(Break::cut(error.to_string()))),
-                Some(Ok(frame)) => {
-                    // Trailers are not passed on.
-                    if let Ok(data) = frame.into_data() {
-                        self.heard = self.request.gateway.now();
-                        return Ok(data);
-                    }
-                }
+            if let Some(data) = self.read_frame(frame) {
+                return data;
+            }
+        }
+    }
+
+    /// Returns the data of a frame, or the reason for which there is none; `None` for trailers, which aren't passed on.
+    pub(super) fn read_frame(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Option<Result<Bytes, SourceEnd>> {
+        match frame {
+            None if self.splitter.is_partial() => {
+                Some(Err(SourceEnd::Broken("ended within an event".into())))
+            }
+            None => Some(Err(SourceEnd::Whole)),
+            Some(Err(error)) => Some(Err(SourceEnd::Broken(error.to_string()))),
+            Some(Ok(frame)) => {
+                self.heard = self.request.gateway.now();
+                frame.into_data().ok().map(Ok)
             }
         }
     }
 
     /// Passes on the events that `data` completes.
-    async fn relay_data(
+    pub(super) async fn relay_data(
         &mut self,
         data: &[u8],
         guard: &mut AttemptGuard<D>,
@@ -279,15 +273,16 @@
         if !events.is_empty() {
             if !std::mem::replace(&mut self.events_begun, true) {
                 self.record_origin(guard);
-                // With its first event the endpoint has fetched its inputs and read the prompt.
-                self.request.results = None;
                 self.request.sample.end(AdmittedEnd::Answered);
             }
+            // The endpoint has fetched its inputs and read the prompt. If another one was sought, it isn't needed.
+            self.request.results = None;
+            self.unresumed = None;
             guard.record_first_event();
             self.send(events).await?;
         }
         if self.splitter.is_broken() {
-            return Err(SourceEnd::Broken(Break::cut("an event out of order")));
+            return Err(SourceEnd::Broken("an event out of order".into()));
         }
         Ok(())
     }
@@ -305,7 +300,7 @@
         if is_checked || origin.is_none() || gateway.origin_at(&guard.choice.entry) == *origin {
             return Ok(());
         }
-        Err(SourceEnd::Broken(Break::cut("another software version")))
+        Err(SourceEnd::Broken("another software version".into()))
     }
 
     /// Records where the stream begins, at its first event. A stream that was taken up keeps its origin.
@@ -349,7 +344,7 @@
     }
 
     /// Breaks off the answer. The body is dropped without its end, so that the caller can't take it for complete.
-    fn break_off(&mut self, end: &EarlyEnd) {
+    pub(super) fn break_off(&mut self, end: &EarlyEnd) {
         let request = &mut self.request;
         request.sample.end(AdmittedEnd::Failed);
         let position = StreamPosition {
@@ -378,11 +373,3 @@
         );
     }
 }
-
-/// Waits for `limit`, or forever if it is absent.
-async fn sleep_or_wait(limit: Option<Duration>) {
-    match limit {
-        Some(limit) => tokio::time::sleep(limit).await,
-        None => std::future::pending().await,
-    }
-}
--- a/lib/src/gateway/routing/service_limits.rs
+++ b/lib/src/gateway/routing/service_limits.rs
@@ -37,6 +37,13 @@
         self.with_budget(service, |budget| budget.withdraw(now, daemons))
     }
 
+    /// Returns whether a service's budget allows one more retry, without withdrawing it.
+    pub(crate) fn may_withdraw(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let daemons = self.state.borrow().peers.daemons();
+        self.with_budget(service, |budget| budget.may_withdraw(now, daemons))
+    }
+
     fn with_budget<R>(&self, service: &ServiceId, act: impl FnOnce(&mut WindowBudget) -> R) -> R {
         let limits = self.settings().budget;
         let mut state = self.state.borrow_mut();
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -1,6 +1,7 @@
-//! Resumes a broken stream: finds an endpoint that continues it after the last event that the caller has.
+//! Resumes a broken or silent stream: finds an endpoint that continues it after the last event that the caller has.
 //!
-//! `rules::resume` decides how often a stream is resumed, and `rules::reply_proof` which reply continues it.
+//! A replacement is prepared up to its open connection before anything is sent to it, so that a silent source can be kept
+//! meanwhile. `rules::resume` decides how often a stream is resumed, and `rules::reply_proof` which reply continues it.
 
 use {
     crate::{
@@ -20,17 +21,15 @@
             rules::{
                 eligibility::ExclusionCounts,
                 endpoint_choice::EndpointChoice,
-                reply_proof::{EndpointOutcome, classify_resumed_head},
+                handover::HANDOVER_TIME,
+                reply_proof::{EndpointOutcome, ResumeRejection, classify_resumed_head},
                 resume::{Hindrance, check_resume},
                 retry::RetryReason,
                 stream_origin::StreamOrigin,
             },
             stages::stage_results::Results,
             state::Gateway,
-            wire::{
-                egress::{ConnectionGuard, FreshConnection, SendError},
-                reply::StreamPart,
-            },
+            wire::egress::{ConnectionGuard, FreshConnection, SendError},
         },
         shared::{ids::EndpointId, units::Time},
     },
@@ -38,13 +37,9 @@
     http::{Request, Response, response},
     http_body_util::Full,
     hyper::body::Incoming,
-    std::rc::Rc,
-    tokio::sync::mpsc,
+    std::{pin::pin, rc::Rc},
 };
 
-/// Sends the parts of a stream to the caller; closed when the caller has left.
-type Sink = mpsc::Sender<StreamPart>;
-
 /// A request whose reply is a stream, with what another attempt needs.
 pub(crate) struct StreamedRequest<D: Dialect> {
     pub(crate) gateway: Rc<Gateway<D>>,
@@ -67,124 +62,198 @@
     pub(crate) _in_flight: RequestGuard<D>,
 }
 
-/// The result of resuming a stream.
-pub(crate) enum ResumeEnd<D: Dialect> {
-    /// Another endpoint continues the stream.
-    Resumed(StreamSource<D>),
-    /// The stream isn't resumed.
-    Failed(Hindrance, ExclusionCounts),
-    /// The caller has left meanwhile.
-    CallerLeft,
+/// Reason for which a stream isn't resumed.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Unresumed {
+    pub(crate) hindrance: Hindrance,
+    /// Endpoints that couldn't resume it, by reason.
+    pub(crate) excluded: ExclusionCounts,
 }
 
-/// The result of one attempt to resume a stream.
-enum ResumeAttempt<D: Dialect> {
-    Resumed(StreamSource<D>),
-    Failed,
-    NoEndpoint(ExclusionCounts),
-    TimeOver,
-    CallerLeft,
+impl From<Hindrance> for Unresumed {
+    fn from(hindrance: Hindrance) -> Self {
+        Self {
+            hindrance,
+            excluded: ExclusionCounts::default(),
+        }
+    }
 }
 
-/// Reason why an endpoint doesn't continue a stream.
-enum SourceError {
+/// An endpoint that can continue a stream: its connection is open, and nothing has been sent on it.
+pub(crate) struct Replacement<D: Dialect> {
+    guard: AttemptGuard<D>,
+    connection: FreshConnection,
+    request: Request<Full<Bytes>>,
+}
+
+/// The result of sending a request to a replacement.
+pub(crate) enum Handover<D: Dialect> {
+    /// The replacement continues the stream.
+    Taken(StreamSource<D>),
+    /// The replacement didn't run the request, or wasn't sent it, and the silent source is still open.
+    Kept(StreamSource<D>),
+    /// The stream has no source any more.
     Failed,
-    TimeOver,
-    CallerLeft,
 }
 
 /// The result of sending one request.
 enum Exchange {
     Replied(Response<Incoming>, ConnectionGuard),
     Failed,
-    /// The deadline of the request passed before the reply.
-    TimeOver,
-    CallerLeft,
 }
 
-/// Resumes a stream at another endpoint, if that is allowed and one is found. `last_event` is the last whole event that
-/// the caller has, `why` the reason for which the previous source broke off.
-pub(crate) async fn resume<D: Dialect>(
-    request: &mut StreamedRequest<D>,
-    sink: &Sink,
-    last_event: Option<u64>,
-    why: &str,
-) -> ResumeEnd<D> {
-    if let Err(hindrance) = request.check_resume() {
-        return ResumeEnd::failed(hindrance);
-    }
-    if request.results.is_none() {
-        // The results were released once the first endpoint had fetched them, so the stages run again. They may take
-        // seconds, so they end if the caller leaves. If they fail, `stage.ended` has the cause, and
-        // `request.broken_off` the reason for which the stream broke.
-        let results = tokio::select! {
-            results = run_stages(&request.gateway, &request.call, request.admission) => results,
-            () = sink.closed() => return ResumeEnd::CallerLeft,
-        };
-        let Ok(results) = results else {
-            return ResumeEnd::failed(Hindrance::Stages);
-        };
-        request.results = results;
-    }
-    loop {
-        if sink.is_closed() {
-            return ResumeEnd::CallerLeft;
+impl<D: Dialect> StreamedRequest<D> {
+    /// Chooses an endpoint that can continue the stream after `last_event`, and connects to it. Runs the stages again if
+    /// their results were released.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the stream can't be resumed now.
+    pub(crate) async fn prepare(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<Replacement<D>, Unresumed> {
+        self.check_resume()?;
+        if self.results.is_none() {
+            // The results were released once the first endpoint had fetched them. If the stages fail, `stage.ended` has
+            // the cause.
+            let results = run_stages(&self.gateway, &self.call, self.admission).await;
+            self.results = results.map_err(|_problem| Hindrance::Stages)?;
         }
-        if let Err(hindrance) = request.check_resume() {
-            return ResumeEnd::failed(hindrance);
+        loop {
+            self.check_resume()?;
+            let (gateway, call, results) = (&self.gateway, &self.call, self.results.as_ref());
+            let choice = gateway.choose_permitted(call, &self.tried, results, self.origin);
+            let choice = choice.await.map_err(|excluded| Unresumed {
+                hindrance: Hindrance::NoEndpoint,
+                excluded,
+            })?;
+            let request = outbound_request(gateway, call, &choice, results, last_event);
+            let guard = AttemptGuard::new(gateway, call, choice);
+            match gateway.connect(&guard.choice.entry).await {
+                Ok(opened) => {
+                    return Ok(Replacement {
+                        guard,
+                        connection: opened.connection,
+                        request,
+                    });
+                }
+                // The error isn't logged here: the event `endpoint.set_aside` shows that the endpoint couldn't be reached.
+                Err(error) => {
+                    self.tried.push(guard.choice.entry.id.clone());
+                    guard.end(unconnected_outcome(&error));
+                }
+            }
         }
-        if !request.gateway.withdraw(&request.call.service) {
-            return ResumeEnd::failed(Hindrance::Budget);
+    }
+
+    /// Resumes a stream without a source at another endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the stream can't be resumed.
+    pub(crate) async fn resume(
+        &mut self,
+        last_event: Option<u64>,
+        why: &str,
+    ) -> Result<Handover<D>, Unresumed> {
+        let replacement = self.prepare(last_event).await?;
+        Ok(self.hand_over(replacement, None, last_event, why).await)
+    }
+
+    /// Sends the request to a replacement that continues the stream after `last_event`. The silent source, if there is
+    /// one, is closed after [`HANDOVER_TIME`], unless the replacement has refused the request by then. Nothing is sent if
+    /// the retry budget doesn't allow the attempt.
+    pub(crate) async fn hand_over(
+        &mut self,
+        replacement: Replacement<D>,
+        mut silent: Option<StreamSource<D>>,
+        last_event: Option<u64>,
+        why: &str,
+    ) -> Handover<D> {
+        if !self.gateway.withdraw(&self.call.service) {
+            return silent.map_or(Handover::Failed, Handover::Kept);
         }
-        match request.resume_once(sink, last_event, why).await {
-            ResumeAttempt::Resumed(source) => return ResumeEnd::Resumed(source),
-            ResumeAttempt::NoEndpoint(excluded) => {
-                return ResumeEnd::Failed(Hindrance::NoEndpoint, excluded);
+        let Replacement {
+            mut guard,
+            connection,
+            request,
+        } = replacement;
+        self.tried.push(guard.choice.entry.id.clone());
+        self.sent += 1;
+        self.gateway.metrics.count_retry(RetryReason::Resume);
+        self.log_resumed(&guard.choice, last_event, why);
+        let sent = self.gateway.now();
+        let mut exchange = pin!(exchange(connection, request));
+        let early = match &silent {
+            Some(_) => tokio::time::timeout(HANDOVER_TIME, exchange.as_mut()).await,
+            None => Ok(exchange.as_mut().await),
+        };
+        let exchanged = match early {
+            Ok(exchanged) => exchanged,
+            Err(_elapsed) => {
+                silent.take().into_iter().for_each(|old| self.close(old));
+                exchange.await
             }
-            ResumeAttempt::TimeOver => return ResumeEnd::failed(Hindrance::Deadline),
-            ResumeAttempt::CallerLeft => return ResumeEnd::CallerLeft,
-            ResumeAttempt::Failed => {}
+        };
+        let Exchange::Replied(response, connection) = exchanged else {
+            silent.into_iter().for_each(|old| self.close(old));
+            let entry = guard.choice.entry.clone();
+            guard.end(EndpointOutcome::Failed);
+            self.gateway.check_endpoint(&self.call, &entry).await;
+            return Handover::Failed;
+        };
+        let (head, body) = response.into_parts();
+        if let Err(rejection) = self.check_head(&guard.choice.entry, &head, sent) {
+            guard.end(rejection.endpoint_outcome());
+            return match silent {
+                Some(old) if matches!(rejection, ResumeRejection::NotRun(_)) => Handover::Kept(old),
+                Some(old) => {
+                    self.close(old);
+                    Handover::Failed
+                }
+                None => Handover::Failed,
+            };
         }
+        silent.into_iter().for_each(|old| self.close(old));
+        guard.record_first_event();
+        Handover::Taken(StreamSource {
+            body,
+            connection,
+            guard,
+        })
     }
-}
 
-impl<D: Dialect> ResumeEnd<D> {
-    fn failed(hindrance: Hindrance) -> Self {
-        Self::Failed(hindrance, ExclusionCounts::default())
+    /// Closes a source that was silent and has been replaced, which ends the run at its endpoint.
+    fn close(&self, source: StreamSource<D>) {
+        let StreamSource {
+            body,
+            connection,
+            guard,
+        } = source;
+        drop(body);
+        drop(connection);
+        log_source_end(&self.call, &guard, "replaced");
+        guard.end(EndpointOutcome::Failed);
     }
-}
 
-impl<D: Dialect> StreamedRequest<D> {
-    /// Checks whether another attempt may be made, if the retry budget allows it.
+    /// Checks whether another attempt may be made now.
     fn check_resume(&self) -> Result<(), Hindrance> {
         let route = &self.call.route;
         check_resume(route.kind, self.sent, route.attempts)?;
         if self.gateway.now() >= self.call.deadline {
             return Err(Hindrance::Deadline);
         }
+        if !self.gateway.may_withdraw(&self.call.service) {
+            return Err(Hindrance::Budget);
+        }
         let quarantine = self.gateway.check_quarantine(&self.call);
         quarantine.map_err(|_problem| Hindrance::Quarantine)
     }
 
-    /// Makes one attempt to resume the stream.
-    async fn resume_once(
-        &mut self,
-        sink: &Sink,
-        last_event: Option<u64>,
-        why: &str,
-    ) -> ResumeAttempt<D> {
-        let (gateway, call, results) = (&self.gateway, &self.call, self.results.as_ref());
-        let choice = tokio::select! {
-            choice = gateway.choose_permitted(call, &self.tried, results, self.origin) => choice,
-            () = sink.closed() => return ResumeAttempt::CallerLeft,
-        };
-        let choice = match choice {
-            Ok(choice) => choice,
-            Err(excluded) => return ResumeAttempt::NoEndpoint(excluded),
-        };
-        self.tried.push(choice.entry.id.clone());
+    fn log_resumed(&self, choice: &EndpointChoice, last_event: Option<u64>, why: &str) {
         log::info!(
-            request = call.id(),
+            request = self.call.id(),
             endpoint:% = choice.entry.id,
             version = choice.entry.version_name(),
             why,
@@ -192,96 +261,48 @@
             last_event = last_event.unwrap_or(0);
             "attempt.resumed"
         );
-        let outbound = outbound_request(gateway, call, &choice, results, last_event);
-        match self.open_source(choice, outbound, sink).await {
-            Ok(source) => ResumeAttempt::Resumed(source),
-            Err(SourceError::Failed) => ResumeAttempt::Failed,
-            Err(SourceError::CallerLeft) => ResumeAttempt::CallerLeft,
-            Err(SourceError::TimeOver) => ResumeAttempt::TimeOver,
-        }
-    }
-
-    /// Sends a request that resumes the stream; returns the new source if the endpoint continues the stream.
-    async fn open_source(
-        &mut self,
-        choice: EndpointChoice,
-        request: Request<Full<Bytes>>,
-        sink: &Sink,
-    ) -> Result<StreamSource<D>, SourceError> {
-        let mut guard = AttemptGuard::new(&self.gateway, &self.call, choice);
-        let connection = match self.gateway.connect(&guard.choice.entry).await {
-            Ok(opened) => opened.connection,
-            // The error isn't logged here: the event `endpoint.set_aside` shows that the endpoint couldn't be reached.
-            Err(error) => {
-                guard.end(unconnected_outcome(&error));
-                return Err(SourceError::Failed);
-            }
-        };
-        self.sent += 1;
-        self.gateway.metrics.count_retry(RetryReason::Resume);
-        let sent = self.gateway.now();
-        let (response, connection) = match self.exchange(connection, request, sink).await {
-            Exchange::Replied(response, connection) => (response, connection),
-            Exchange::Failed => {
-                let entry = guard.choice.entry.clone();
-                guard.end(EndpointOutcome::Failed);
-                self.gateway.check_endpoint(&self.call, &entry).await;
-                return Err(SourceError::Failed);
-            }
-            // Dropping the guard leaves the health of the endpoint unchanged.
-            Exchange::TimeOver => return Err(SourceError::TimeOver),
-            Exchange::CallerLeft => return Err(SourceError::CallerLeft),
-        };
-        let (head, body) = response.into_parts();
-        if let Err(outcome) = self.check_head(&guard.choice.entry, &head, sent) {
-            guard.end(outcome);
-            return Err(SourceError::Failed);
-        }
-        guard.record_first_event();
-        Ok(StreamSource {
-            body,
-            connection,
-            guard,
-        })
     }
 
     /// Records what the head of a reply reports, and checks that the reply continues the stream.
     ///
     /// # Errors
     ///
-    /// Returns the outcome for the endpoint if it doesn't.
+    /// Returns what the reply proves if it doesn't.
     fn check_head(
         &self,
         endpoint: &EndpointEntry,
         head: &response::Parts,
         sent: Time,
-    ) -> Result<(), EndpointOutcome> {
+    ) -> Result<(), ResumeRejection> {
         let facts = D::read_reply(head);
         self.gateway
             .record_reply(endpoint, head.status, &facts, sent);
         let kind = self.call.route.kind;
         classify_resumed_head(self.call.id(), kind, head.status, &facts)
     }
+}
 
-    /// Sends a request and waits for the head of its reply, until the caller leaves or the deadline passes.
-    async fn exchange(
-        &self,
-        connection: FreshConnection,
-        request: Request<Full<Bytes>>,
-        sink: &Sink,
-    ) -> Exchange {
-        let sending = connection.send(request);
-        let sent = tokio::select! {
-            () = sink.closed() => return Exchange::CallerLeft,
-            sent = self.gateway.timeout_at(self.call.deadline, sending) => sent,
-        };
-        match sent {
-            Some(Ok((response, connection))) => Exchange::Replied(response, connection),
-            // This counts as a failure of the endpoint. The stream is resumed elsewhere or ends with
-            // `request.broken_off`.
-            Some(Err(_)) => Exchange::Failed,
-            None => Exchange::TimeOver,
-        }
+/// Logs the end of a source.
+pub(crate) fn log_source_end<D: Dialect>(
+    call: &ForwardedCall,
+    guard: &AttemptGuard<D>,
+    outcome: &str,
+) {
+    log::info!(
+        request = call.id(),
+        endpoint:% = guard.choice.entry.id,
+        outcome,
+        took_ms = guard.took().0;
+        "attempt.ended"
+    );
+}
+
+/// Sends a request and waits for the head of its reply.
+async fn exchange(connection: FreshConnection, request: Request<Full<Bytes>>) -> Exchange {
+    match connection.send(request).await {
+        Ok((response, connection)) => Exchange::Replied(response, connection),
+        // This counts as a failure of the endpoint. The stream is resumed elsewhere or ends with `request.broken_off`.
+        Err(_) => Exchange::Failed,
     }
 }
 
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -33,6 +33,7 @@
 pub mod engine_speed;
 pub mod fetch_turn;
 pub mod gossip;
+pub mod handover;
 pub mod holders;
 pub mod liveness;
 pub mod outcome;
--- a/lib/src/gateway/rules/reply_proof.rs
+++ b/lib/src/gateway/rules/reply_proof.rs
@@ -129,22 +129,41 @@
     Ok(HeadVerdict::Whole)
 }
 
+/// What a reply proves that doesn't continue a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumeRejection {
+    /// The request certainly did not run.
+    NotRun(NotRunReason),
+    /// The request has possibly run.
+    PossiblyRun,
+}
+
+impl ResumeRejection {
+    /// Returns what the rejection says about the endpoint.
+    pub fn endpoint_outcome(self) -> EndpointOutcome {
+        match self {
+            Self::NotRun(reason) => reason.endpoint_outcome(),
+            Self::PossiblyRun => EndpointOutcome::Failed,
+        }
+    }
+}
+
 /// Classifies the head of the reply to an attempt that resumes a stream. Only a signed reply with status 200 continues
 /// the stream; any other reply says the same about its endpoint as a reply to a first attempt.
 ///
 /// # Errors
 ///
-/// Returns the outcome for the endpoint if the reply does not continue the stream.
+/// Returns what the reply proves if it does not continue the stream.
 pub fn classify_resumed_head(
     request: &str,
     kind: RouteKind,
     status: StatusCode,
     facts: &ReplyFacts,
-) -> Result<(), EndpointOutcome> {
+) -> Result<(), ResumeRejection> {
     match classify_head(request, kind, status, facts) {
-        Ok(HeadVerdict::NotRun(reason)) => Err(reason.endpoint_outcome()),
+        Ok(HeadVerdict::NotRun(reason)) => Err(ResumeRejection::NotRun(reason)),
         Ok(_) if status == StatusCode::OK => Ok(()),
-        Ok(_) | Err(_) => Err(EndpointOutcome::Failed),
+        Ok(_) | Err(_) => Err(ResumeRejection::PossiblyRun),
     }
 }
 
--- a/lib/src/gateway/rules/resume.rs
+++ b/lib/src/gateway/rules/resume.rs
@@ -1,15 +1,16 @@
-//! Decides when a broken or silent stream is resumed at another endpoint, and how often.
+//! Decides when another endpoint is sought for a broken or silent stream, and how often.
 //!
 //! Inputs: the kind of the route, whether the caller has received an event from this endpoint or an earlier one, the
 //! number of attempts sent, and the number of attempts that the route allows. Results: a time limit for silence, and
 //! whether another attempt is allowed.
 //!
-//! Rule: only streams of routes marked as resumable are resumed. A stream counts as broken after a silence, which may
-//! be longer before its first event. Each attempt to resume it counts as an attempt of the request and is charged to
-//! the retry budget.
+//! Rule: only streams of routes marked as resumable are resumed. After a silence, which may be longer before the first
+//! event, another endpoint is sought that can continue the stream; [`handover`](crate::gateway::rules::handover) decides
+//! when it takes over. Each attempt to resume a stream counts as an attempt of the request and is charged to the retry
+//! budget.
 //!
-//! Reason: resuming other streams would repeat events or run the request twice, so they are aborted, which the caller
-//! notices. Before the first event the endpoint may still have the request in its queue.
+//! Reason: resuming other streams would repeat events or run the request twice, so they are aborted if they break off,
+//! which the caller notices. Before the first event the endpoint may still have the request in its queue.
 
 use {crate::gateway::table::RouteKind, std::time::Duration};
 
@@ -27,7 +28,7 @@
     }
 }
 
-/// Returns the silence after which a stream counts as broken; `None` if it can't be resumed. `events_begun` is set once
+/// Returns the silence after which another endpoint is sought for a stream; `None` if it can't be resumed. `events_begun` is set once
 /// the caller has received an event.
 pub fn silence_limit(kind: RouteKind, events_begun: bool) -> Option<Duration> {
     let limit = if events_begun {
--- a/lib/src/gateway/rules/retry_budget.rs
+++ b/lib/src/gateway/rules/retry_budget.rs
@@ -67,12 +67,17 @@
     /// Counts one retry and returns true if the budget allows it. `daemons` is the number of daemons believed to be
     /// alive, including this one.
     pub fn withdraw(&mut self, now: Time, daemons: usize) -> bool {
-        self.expire(now);
-        if self.retries.len() as f64 + 1.0 > self.allowed(now, daemons) {
-            return false;
+        let allowed = self.may_withdraw(now, daemons);
+        if allowed {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        allowed
+    }
+
+    /// Returns whether the budget allows one more retry, without counting it.
+    pub fn may_withdraw(&mut self, now: Time, daemons: usize) -> bool {
+        self.expire(now);
+        self.retries.len() as f64 + 1.0 <= self.allowed(now, daemons)
     }
 
     /// Returns the number of retries that this daemon may send within one window.
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -45,6 +45,7 @@
         cell::{Cell, OnceCell, RefCell},
         marker::PhantomData,
         rc::Rc,
+        time::Duration,
     },
     tokio::{net::UdpSocket, sync::Notify},
 };
@@ -373,6 +374,21 @@
         }
     }
 
+    /// Waits until this process has run for `time` since `since`, without its stalls; forever if `time` is absent.
+    pub(crate) async fn run_for(&self, since: Time, time: Option<Duration>) {
+        let Some(time) = time else {
+            return std::future::pending().await;
+        };
+        loop {
+            let now = self.now();
+            let ran = self.state.borrow().peers.stalls.ran_since(since, now);
+            match time.checked_sub(ran) {
+                Some(left) if !left.is_zero() => tokio::time::sleep(left).await,
+                _ => return,
+            }
+        }
+    }
+
     /// Waits for a future, at most until a time of the daemon's clock. Returns `None` if the time comes first.
     pub(crate) async fn timeout_at<T>(
         &self,
--- a/lib/tests/test_reply_proof.rs
+++ b/lib/tests/test_reply_proof.rs
@@ -5,8 +5,8 @@
         gateway::{
             dialect::ReplyFacts,
             rules::reply_proof::{
-                EndpointOutcome, HeadVerdict, NotRunReason, ReplyOriginError, classify_head,
-                classify_resumed_head, is_endpoint_failure,
+                EndpointOutcome, HeadVerdict, NotRunReason, ReplyOriginError, ResumeRejection,
+                classify_head, classify_resumed_head, is_endpoint_failure,
             },
             table::RouteKind,
         },
@@ -130,13 +130,16 @@
         for code in [200, 204, 421, 409, 500, 503] {
             let found = classify_resumed_head("r1", STREAM, status(code), &facts);
             let is_own = facts.signed && facts.request.as_deref() == Some("r1");
-            let expected = match (code, facts.not_run) {
-                (421, _) => Err(EndpointOutcome::Replaced),
-                (409, true) => Err(EndpointOutcome::Neutral),
-                (_, true) => Err(EndpointOutcome::Full),
-                (200, false) if is_own => Ok(()),
-                (_, false) => Err(EndpointOutcome::Failed),
+            let (expected, proof) = match (code, facts.not_run) {
+                (421, _) => (Err(EndpointOutcome::Replaced), true),
+                (409, true) => (Err(EndpointOutcome::Neutral), true),
+                (_, true) => (Err(EndpointOutcome::Full), true),
+                (200, false) if is_own => (Ok(()), false),
+                (_, false) => (Err(EndpointOutcome::Failed), false),
             };
+            let not_run = matches!(found, Err(ResumeRejection::NotRun(_)));
+            assert_eq!(not_run, proof, "{code} {facts:?}");
+            let found = found.map_err(ResumeRejection::endpoint_outcome);
             assert_eq!(found, expected, "{code} {facts:?}");
         }
     }
