request_attempts: a slow attempt goes on until another one has taken over

After its limit the attempt now goes on while another endpoint is chosen and connected, and the budget pays; then it is closed 200 ms after the request was sent there, unless that endpoint has refused by then. If there is none, the limit is doubled and another one is sought later. The attempts of a request moved from forward.rs to request_attempts.rs.

--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -29,7 +29,7 @@
     http::{Request, StatusCode, response},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
-    std::{rc::Rc, time::Duration},
+    std::{pin::Pin, rc::Rc, sync::Arc, time::Duration},
     thiserror::Error,
 };
 
@@ -40,8 +40,8 @@
 pub(crate) struct PreparedAttempt {
     pub(crate) choice: EndpointChoice,
     pub(crate) request: Request<Full<Bytes>>,
-    /// Longest time from sending the request to the end of the reply, or to its head if it is a stream; absent if only
-    /// the deadline of the request applies.
+    /// Time from sending the request to the end of the reply, or to its head if it is a stream, after which another
+    /// attempt is better; absent if only the deadline of the request applies.
     pub(crate) limit: Option<Duration>,
 }
 
@@ -77,6 +77,16 @@
     NotRun(NotRunReason),
 }
 
+/// The result of sending a request and reading the reply.
+pub(crate) struct ExchangeResult(Result<ProvenReply, AttemptError>);
+
+impl ExchangeResult {
+    /// Returns whether the endpoint certainly did not run the request.
+    pub(crate) fn is_not_run(&self) -> bool {
+        matches!(self.0, Ok(ProvenReply::NotRun(_)))
+    }
+}
+
 /// Reason why it is unknown whether the endpoint ran the request. The texts appear in problem details.
 #[derive(Debug, Error)]
 enum AttemptError {
@@ -98,60 +108,152 @@
     }
 }
 
-/// Runs an attempt and records its outcome in `progress`.
-pub(crate) async fn attempt<D: Dialect>(
+/// An attempt whose connection is open, and on which nothing has been sent yet.
+pub(crate) struct OpenAttempt<D: Dialect> {
+    guard: AttemptGuard<D>,
+    connection: FreshConnection,
+    request: Request<Full<Bytes>>,
+    limit: Option<Duration>,
+}
+
+/// An attempt whose request has been sent.
+pub(crate) struct SentAttempt<D: Dialect, F> {
+    guard: AttemptGuard<D>,
+    exchange: Pin<Box<F>>,
+    limit: Option<Duration>,
+}
+
+/// Connects to the endpoint of an attempt.
+///
+/// # Errors
+///
+/// Returns the reason if no connection could be established, which it records in `progress`.
+pub(crate) async fn open<D: Dialect>(
     gateway: &Rc<Gateway<D>>,
     call: &ForwardedCall,
     prepared: PreparedAttempt,
     progress: &mut RequestProgress,
-) -> AttemptOutcome<D> {
-    let guard = AttemptGuard::new(gateway, call, prepared.choice);
-    let connection = match gateway.connect(&guard.choice.entry).await {
+) -> Result<OpenAttempt<D>, NotRunReason> {
+    let PreparedAttempt {
+        choice,
+        request,
+        limit,
+    } = prepared;
+    let guard = AttemptGuard::new(gateway, call, choice);
+    match gateway.connect(&guard.choice.entry).await {
         Ok(opened) => {
             if !opened.is_relayed {
                 guard.record_connected();
             }
-            opened.connection
+            Ok(OpenAttempt {
+                guard,
+                connection: opened.connection,
+                request,
+                limit,
+            })
         }
         Err(error) => {
             let reason = record_unconnected(&error, progress);
-            return end_not_run(call, guard, reason, progress);
+            end_not_run(call, guard, reason, progress);
+            Err(reason)
         }
-    };
-    progress.history.record_sent();
-    gateway.metrics.count_attempt();
-    let endpoint = &guard.choice.entry;
-    let exchange = exchange(gateway, call, endpoint, connection, prepared.request);
-    let result = match prepared.limit {
-        Some(limit) => tokio::time::timeout(limit, exchange)
-            .await
-            .unwrap_or(Err(AttemptError::TimedOut)),
-        None => exchange.await,
-    };
-    match result {
-        Ok(ProvenReply::Whole(reply)) => end_whole(call, guard, reply, progress),
-        Ok(ProvenReply::Streaming(head, body, connection)) => {
-            let source = StreamSource {
-                body,
-                connection,
-                guard,
-            };
-            AttemptOutcome::Streaming(Box::new(StreamingReply { head, source }))
+    }
+}
+
+impl<D: Dialect> OpenAttempt<D> {
+    /// Sends the request. All attempts of a request have the same type, so that one can replace another.
+    pub(crate) fn send(
+        self,
+        gateway: &Rc<Gateway<D>>,
+        call: &Rc<ForwardedCall>,
+        progress: &mut RequestProgress,
+    ) -> SentAttempt<D, impl Future<Output = ExchangeResult> + use<D>> {
+        let Self {
+            guard,
+            connection,
+            request,
+            limit,
+        } = self;
+        progress.history.record_sent();
+        gateway.metrics.count_attempt();
+        let entry = guard.choice.entry.clone();
+        let exchange = exchange(gateway.clone(), call.clone(), entry, connection, request);
+        SentAttempt {
+            guard,
+            exchange: Box::pin(exchange),
+            limit,
         }
-        Ok(ProvenReply::NotRun(reason)) => {
-            progress.history.record_not_run();
-            progress.last_result = reason.as_str().into();
-            end_not_run(call, guard, reason, progress)
+    }
+}
+
+impl<D: Dialect, F: Future<Output = ExchangeResult>> SentAttempt<D, F> {
+    /// Waits for the end of the exchange, at most for the attempt's time limit.
+    pub(crate) async fn until_limit(&mut self) -> Option<ExchangeResult> {
+        match self.limit {
+            Some(limit) => self.within(limit).await,
+            None => Some(self.until_end().await),
         }
-        Err(error) => {
-            let entry = guard.choice.entry.clone();
-            let outcome = end_unknown(call, guard, &error, progress);
-            if error.is_disconnect() {
-                gateway.check_endpoint(call, &entry).await;
+    }
+
+    /// Doubles the attempt's time limit, after no other attempt could take over.
+    pub(crate) fn extend_limit(&mut self) {
+        self.limit = self.limit.map(|limit| limit * 2);
+    }
+
+    /// Waits for the end of the exchange, at most for `time`.
+    pub(crate) async fn within(&mut self, time: Duration) -> Option<ExchangeResult> {
+        tokio::time::timeout(time, &mut self.exchange).await.ok()
+    }
+
+    /// Waits for the end of the exchange.
+    pub(crate) async fn until_end(&mut self) -> ExchangeResult {
+        (&mut self.exchange).await
+    }
+
+    /// Ends the attempt with the result of its exchange, and records its outcome in `progress`.
+    pub(crate) async fn end(
+        self,
+        gateway: &Rc<Gateway<D>>,
+        call: &ForwardedCall,
+        result: ExchangeResult,
+        progress: &mut RequestProgress,
+    ) -> AttemptOutcome<D> {
+        let guard = self.guard;
+        match result.0 {
+            Ok(ProvenReply::Whole(reply)) => end_whole(call, guard, reply, progress),
+            Ok(ProvenReply::Streaming(head, body, connection)) => {
+                let source = StreamSource {
+                    body,
+                    connection,
+                    guard,
+                };
+                AttemptOutcome::Streaming(Box::new(StreamingReply { head, source }))
+            }
+            Ok(ProvenReply::NotRun(reason)) => {
+                progress.history.record_not_run();
+                progress.last_result = reason.as_str().into();
+                end_not_run(call, guard, reason, progress);
+                AttemptOutcome::NotRun(reason)
+            }
+            Err(error) => {
+                let entry = guard.choice.entry.clone();
+                end_unknown(call, guard, &error, progress);
+                if error.is_disconnect() {
+                    gateway.check_endpoint(call, &entry).await;
+                }
+                AttemptOutcome::Unknown
             }
-            outcome
         }
     }
+
+    /// Gives the attempt up, since another one has taken over. It may have run.
+    pub(crate) fn give_up(self, call: &ForwardedCall, progress: &mut RequestProgress) {
+        let Self {
+            guard, exchange, ..
+        } = self;
+        drop(exchange);
+        end_unknown(call, guard, &AttemptError::TimedOut, progress);
+    }
 }
 
 /// Records that no connection could be established; returns whether the endpoint terminated or is unreachable.
@@ -166,6 +268,16 @@
 
 /// Sends the request and reads the reply: the head of a stream, or the whole of any other reply.
 async fn exchange<D: Dialect>(
+    gateway: Rc<Gateway<D>>,
+    call: Rc<ForwardedCall>,
+    endpoint: Arc<EndpointEntry>,
+    connection: FreshConnection,
+    request: Request<Full<Bytes>>,
+) -> ExchangeResult {
+    ExchangeResult(read_reply(&gateway, &call, &endpoint, connection, request).await)
+}
+
+async fn read_reply<D: Dialect>(
     gateway: &Gateway<D>,
     call: &ForwardedCall,
     endpoint: &EndpointEntry,
@@ -214,14 +326,13 @@
     guard: AttemptGuard<D>,
     reason: NotRunReason,
     progress: &RequestProgress,
-) -> AttemptOutcome<D> {
+) {
     let outcome = match reason {
         NotRunReason::Unreachable | NotRunReason::Ended => "unreachable",
         NotRunReason::Refused | NotRunReason::Replaced | NotRunReason::InputsGone => "not_run",
     };
     log_end(call, &guard, outcome, &progress.last_result);
     guard.end(reason.endpoint_outcome());
-    AttemptOutcome::NotRun(reason)
 }
 
 fn end_unknown<D: Dialect>(
@@ -229,11 +340,10 @@
     guard: AttemptGuard<D>,
     error: &AttemptError,
     progress: &mut RequestProgress,
-) -> AttemptOutcome<D> {
+) {
     progress.last_result = error.to_string();
     log_end(call, &guard, "unknown", &progress.last_result);
     guard.end(EndpointOutcome::Failed);
-    AttemptOutcome::Unknown
 }
 
 fn log_end<D: Dialect>(call: &ForwardedCall, guard: &AttemptGuard<D>, outcome: &str, detail: &str) {
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -12,10 +12,9 @@
                 accept::{Refusal, accept},
                 admission_sample::AdmissionSample,
                 answer::{answer_stream, answer_whole},
-                attempt::{AttemptOutcome, PreparedAttempt, StreamingReply, attempt},
+                attempt::{AttemptOutcome, StreamingReply},
                 call::ForwardedCall,
                 guards::{CallerLeftGuard, RequestGuard},
-                outbound::outbound_request,
                 progress::RequestProgress,
                 reply_stream,
                 reservations::Admission,
@@ -23,13 +22,11 @@
                 stream_resume::StreamedRequest,
             },
             rules::{
-                attempt_timeout::{AttemptPlan, attempt_timeout},
                 calibration::AdmittedEnd,
                 eligibility::ExclusionCounts,
-                endpoint_choice::EndpointChoice,
                 outcome::UnansweredEnd,
                 reply_proof::{NotRunReason, is_endpoint_failure},
-                retry::{self, AfterFailure, AttemptFailure, RetryReason},
+                retry::AttemptFailure,
                 retry_after,
             },
             stages::stage_results::Results,
@@ -43,7 +40,7 @@
     },
     http::{Request, Response},
     hyper::body::Incoming,
-    std::{rc::Rc, time::Duration},
+    std::rc::Rc,
 };
 
 /// Answers one request.
@@ -128,16 +125,16 @@
 }
 
 /// The run of one accepted request.
-struct RequestRun<'a, D: Dialect> {
-    gateway: &'a Rc<Gateway<D>>,
-    call: &'a Rc<ForwardedCall>,
-    progress: RequestProgress,
+pub(super) struct RequestRun<'a, D: Dialect> {
+    pub(super) gateway: &'a Rc<Gateway<D>>,
+    pub(super) call: &'a Rc<ForwardedCall>,
+    pub(super) progress: RequestProgress,
     /// Where its stages run, and in which place.
-    admission: Admission,
+    pub(super) admission: Admission,
     /// Measures the time to the first event against the expected one.
     sample: AdmissionSample<D>,
     /// Results of the stages, which are the inputs of the request; absent if it has none.
-    results: Option<Results<D>>,
+    pub(super) results: Option<Results<D>>,
 }
 
 impl<D: Dialect> RequestRun<'_, D> {
@@ -214,101 +211,6 @@
         }
     }
 
-    async fn choose(&self) -> Result<EndpointChoice, ExclusionCounts> {
-        let (tried, results) = (&self.progress.tried, self.results.as_ref());
-        self.gateway
-            .choose_permitted(self.call, tried, results, self.call.origin)
-            .await
-    }
-
-    async fn attempt(&mut self, choice: EndpointChoice) -> AttemptOutcome<D> {
-        log::info!(
-            request = self.call.id(),
-            endpoint:% = choice.entry.id,
-            version = choice.entry.version_name(),
-            expected_ms = choice.expected.0,
-            uncached = choice.uncached,
-            outstanding = choice.in_flight,
-            candidates = choice.candidates,
-            left_out:% = choice.excluded,
-            attempt = self.progress.history.sent() + 1,
-            left_ms = self.call.remaining(self.gateway.now()).0;
-            "attempt.sent"
-        );
-        let limit = self.attempt_limit(&choice);
-        self.progress.tried.push(choice.entry.id.clone());
-        let results = self.results.as_ref();
-        let resume_after = self.call.inbound.last_event;
-        let request = outbound_request(self.gateway, self.call, &choice, results, resume_after);
-        // An endpoint without a free slot fetches the inputs later, so they are kept longer.
-        if let Some(results) = results
-            && choice.in_flight < choice.entry.slots
-        {
-            results.release_once_fetched();
-        }
-        let prepared = PreparedAttempt {
-            choice,
-            request,
-            limit,
-        };
-        attempt(self.gateway, self.call, prepared, &mut self.progress).await
-    }
-
-    /// Returns the time limit after which another attempt is better than waiting for this one.
-    fn attempt_limit(&self, choice: &EndpointChoice) -> Option<Duration> {
-        let attempts = self.call.route.attempts;
-        attempt_timeout(&AttemptPlan {
-            kind: self.call.route.kind,
-            later_attempts: attempts.saturating_sub(self.progress.history.sent() + 1),
-            other_endpoints: choice.alternatives(),
-            expected: choice.expected,
-        })
-    }
-
-    /// Prepares another attempt after a failed one; returns whether there may be one.
-    async fn prepare_next(&mut self, failure: AttemptFailure) -> Result<bool, Problem> {
-        // Another attempt would probably terminate one more endpoint, and would use up a retry of the budget.
-        if self.is_quarantined() {
-            return Ok(false);
-        }
-        match retry::next_step(failure, &self.progress.history) {
-            AfterFailure::ChooseAnother => Ok(true),
-            AfterFailure::Retry(reason) => Ok(self.take_retry(reason)),
-            AfterFailure::RunStages => {
-                if !self.gateway.withdraw(&self.call.service) {
-                    return Ok(false);
-                }
-                // The remaining old results are released first, so that the new ones have the capacity.
-                drop(self.results.take());
-                self.results = run_stages(self.gateway, self.call, self.admission).await?;
-                self.progress.tried.clear();
-                Ok(true)
-            }
-            AfterFailure::GiveUp => Ok(false),
-        }
-    }
-
-    /// Withdraws a retry from the budget if the rules allow one; returns whether there may be another attempt.
-    fn take_retry(&self, reason: RetryReason) -> bool {
-        let route = &self.call.route;
-        let history = &self.progress.history;
-        let allowed = retry::may_retry(route.kind, route.attempts, history)
-            && self.gateway.withdraw(&self.call.service);
-        if allowed {
-            self.gateway.metrics.count_retry(reason);
-        }
-        // The name of this event says "repeat" for a retry.
-        log::info!(
-            request = self.call.id(),
-            why:? = reason,
-            sent = history.sent(),
-            allowed,
-            last = self.progress.last_result.as_str();
-            "attempt.repeat"
-        );
-        allowed
-    }
-
     /// Ends the request without a success: with the latest failure reply of an endpoint if there is one, else with a
     /// problem.
     fn end_unanswered(&mut self, why: &str) -> Result<Response<ReplyBody>, Problem> {
@@ -325,7 +227,7 @@
     }
 
     /// Returns whether the request is quarantined because too many endpoints terminated under it.
-    fn is_quarantined(&self) -> bool {
+    pub(super) fn is_quarantined(&self) -> bool {
         self.gateway.check_quarantine(self.call).is_err()
     }
 
--- a/lib/src/gateway/routing/mod.rs
+++ b/lib/src/gateway/routing/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) mod region_choice;
 pub(crate) mod reply_signals;
 pub(crate) mod reply_stream;
+pub(crate) mod request_attempts;
 pub(crate) mod reservations;
 pub(crate) mod sent_parts;
 pub(crate) mod service_limits;
