test_small_hosts: many daemons on small hosts, with planned work around open streams

Lost answers are judged from the callers' side, and each is traced from the daemons' logs. The connection of the soak's callers moved to the stand-ins.

--- /dev/null
+++ b/daemon/tests/hosts/losses.rs
@@ -0,0 +1,101 @@
+//! Checks from the callers' side that no answer was lost, and traces each that was from the daemons' logs.
+
+use {
+    super::{
+        callers::{Outcome, PATIENCE},
+        endpoints::EVENTS,
+        fleet::Host,
+        work::World,
+    },
+    hazelyoke_lib::timeline::{HostLog, RequestTimeline},
+    std::fs,
+};
+
+/// Time before the end of a caller's patience from which an answer may end because of it, in milliseconds.
+const DEADLINE_SLACK_MS: u128 = 100;
+
+/// Time after which a connection that closes has to be answered first, in milliseconds: the platform's bound, and a
+/// period in which the host stands still.
+const LOSS_SLACK_MS: u128 = 300;
+
+/// Returns a description of each loss, with its timeline, and prints what became of all requests.
+pub fn check(outcomes: &[Outcome], world: &World) -> Vec<String> {
+    let hosts = world.hosts.borrow();
+    let whole = outcomes
+        .iter()
+        .filter(|one| one.status == Some(200) && one.whole);
+    let left = outcomes.iter().filter(|one| one.left);
+    println!(
+        "{} requests, {} served, {} left by their callers",
+        outcomes.len(),
+        whole.count(),
+        left.count()
+    );
+    let lost: Vec<_> = outcomes.iter().filter(|one| is_lost(one, world)).collect();
+    let mut findings: Vec<String> = Vec::new();
+    if !lost.is_empty() {
+        let logs: Vec<HostLog> = hosts.iter().map(read_log).collect();
+        findings.extend(lost.iter().map(|outcome| trace(outcome, &logs)));
+    }
+    findings.extend(outcomes.iter().filter_map(check_events));
+    findings.extend(hosts.iter().filter_map(check_memory));
+    findings
+}
+
+fn is_lost(outcome: &Outcome, world: &World) -> bool {
+    if outcome.whole || outcome.left {
+        return false;
+    }
+    let took = outcome.took.as_millis();
+    if took + DEADLINE_SLACK_MS >= PATIENCE.as_millis() {
+        return false;
+    }
+    outcome.status.is_some() || took > LOSS_SLACK_MS || world.endpoints.has_run(&outcome.id)
+}
+
+/// Checks that the events of a stream are complete and in order.
+fn check_events(outcome: &Outcome) -> Option<String> {
+    let is_stream = outcome.path != "/r/" && outcome.status == Some(200);
+    let ids = outcome
+        .body
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
+    let is_ordered = ids.iter().zip(1..).all(|(id, wanted)| *id == wanted);
+    let is_complete = !outcome.whole || ids.len() as u64 == EVENTS;
+    (is_stream && !(is_ordered && is_complete)).then(|| format!("{}: events {ids:?}", outcome.id))
+}
+
+fn check_memory(host: &Host) -> Option<String> {
+    let (used, memory) = host.memory();
+    (used > memory).then(|| format!("{} used {used} MB of {memory}", host.name))
+}
+
+fn trace(outcome: &Outcome, logs: &[HostLog]) -> String {
+    let timeline = RequestTimeline::from_logs(&outcome.id, logs);
+    let lines = timeline.lines.iter();
+    let lines: Vec<String> = lines.map(|line| format!("    {line}")).collect();
+    let explained = timeline
+        .lines
+        .iter()
+        .filter_map(|line| line.explain_early_end());
+    let explained: Vec<String> = explained.collect();
+    format!(
+        "  {} {} at host {} lost after {} ms, status {:?}: {}\n{}",
+        outcome.id,
+        outcome.path,
+        outcome.host,
+        outcome.took.as_millis(),
+        outcome.status,
+        explained.join(" "),
+        lines.join("\n"),
+    )
+}
+
+fn read_log(host: &Host) -> HostLog {
+    let bytes = fs::read(&host.log).unwrap_or_default();
+    HostLog {
+        host: host.name.clone(),
+        text: String::from_utf8_lossy(&bytes).into_owned(),
+    }
+}
--- a/daemon/tests/soak/caller.rs
+++ b/daemon/tests/soak/caller.rs
@@ -1,7 +1,13 @@
 //! Callers that send requests over persistent connections and record what they received.
 
 use {
-    super::{fleet::Daemon, stand_in::client},
+    super::{
+        fleet::Daemon,
+        stand_in::{
+            client,
+            connection::{Answer, Connection},
+        },
+    },
     rand::{RngExt, rngs::SmallRng},
     std::{
         cell::{Cell, RefCell},
@@ -9,10 +15,6 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpStream,
-    },
 };
 
 /// Longest wait for a reply before a caller gives up; also the deadline that its requests carry.
@@ -99,109 +101,6 @@
 /// The outcomes of all callers' requests, shared by the callers.
 pub type Outcomes = Rc<RefCell<Vec<Outcome>>>;
 
-/// One connection, with the bytes that were read but not parsed yet.
-struct Connection {
-    stream: TcpStream,
-    bytes: Vec<u8>,
-}
-
-/// A reply, as far as it was read.
-struct Answer {
-    status: Option<u16>,
-    stamp: Option<String>,
-    body: Vec<u8>,
-    whole: bool,
-    /// Whether the connection can carry another request.
-    open: bool,
-}
-
-impl Connection {
-    /// Reads more bytes; returns false at the end of the connection or on an error.
-    async fn read_more(&mut self) -> bool {
-        let mut buffer = [0; 8 * 1024];
-        match self.stream.read(&mut buffer).await {
-            Ok(size) if size > 0 => {
-                self.bytes.extend_from_slice(&buffer[..size]);
-                true
-            }
-            _ => false,
-        }
-    }
-
-    async fn read_line(&mut self) -> Option<String> {
-        loop {
-            if let Some(end) = self.bytes.windows(2).position(|two| two == b"\r\n") {
-                let line = String::from_utf8_lossy(&self.bytes[..end]).into_owned();
-                self.bytes.drain(..end + 2);
-                return Some(line);
-            }
-            if !self.read_more().await {
-                return None;
-            }
-        }
-    }
-
-    async fn read_exactly(&mut self, size: usize, body: &mut Vec<u8>) -> bool {
-        while self.bytes.len() < size {
-            if !self.read_more().await {
-                body.append(&mut self.bytes);
-                return false;
-            }
-        }
-        body.extend(self.bytes.drain(..size));
-        true
-    }
-
-    /// Reads a reply into `answer` step by step: what was received stays there if the read is cancelled.
-    async fn answer(&mut self, answer: &mut Answer) {
-        let Some(first) = self.read_line().await else {
-            return;
-        };
-        let (mut length, mut chunked, mut close) = (None, false, false);
-        loop {
-            let Some(line) = self.read_line().await else {
-                return;
-            };
-            let Some((name, value)) = line.split_once(':') else {
-                break;
-            };
-            let value = value.trim();
-            match name.to_ascii_lowercase().as_str() {
-                client::SIGNATURE => answer.stamp = Some(value.into()),
-                "content-length" => length = value.parse().ok(),
-                "transfer-encoding" => chunked = value == "chunked",
-                "connection" => close = value == "close",
-                _ => {}
-            }
-        }
-        answer.status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
-        answer.whole = if chunked {
-            self.read_chunks(&mut answer.body).await
-        } else {
-            self.read_exactly(length.unwrap_or(0), &mut answer.body)
-                .await
-        };
-        answer.open = answer.whole && !close;
-    }
-
-    async fn read_chunks(&mut self, body: &mut Vec<u8>) -> bool {
-        loop {
-            let Some(line) = self.read_line().await else {
-                return false;
-            };
-            let Ok(size) = usize::from_str_radix(&line, 16) else {
-                return false;
-            };
-            if !self.read_exactly(size, body).await || self.read_line().await.is_none() {
-                return false;
-            }
-            if size == 0 {
-                return true;
-            }
-        }
-    }
-}
-
 /// Sends one request on a connection; returns the reply, and whether the caller gave up before its end.
 async fn send(
     connection: &mut Connection,
@@ -215,25 +114,12 @@
         let lines = format!("\r\nResumes: {first}\r\nLast-Event-Id: {last_event}\r\n");
         text = text.replacen("\r\n", &lines, 1);
     }
-    let mut answer = Answer {
-        status: None,
-        stamp: None,
-        body: Vec::new(),
-        whole: false,
-        open: false,
-    };
-    if connection.stream.write_all(text.as_bytes()).await.is_err() {
-        return (answer, false);
-    }
-    let read = tokio::time::timeout(timeout, connection.answer(&mut answer)).await;
-    (answer, read.is_err())
+    connection.exchange(&text, timeout).await
 }
 
 /// Connects to a daemon and sends one request; returns the status of a complete reply.
 pub async fn send_once(listen: SocketAddr, id: &str, kind: Kind) -> Option<u16> {
-    let stream = TcpStream::connect(listen).await.ok()?;
-    let bytes = Vec::new();
-    let mut connection = Connection { stream, bytes };
+    let mut connection = Connection::open(listen).await?;
     let (answer, _) = send(&mut connection, id, kind, None, REPLY_TIMEOUT).await;
     answer.status.filter(|_| answer.whole)
 }
@@ -254,14 +140,10 @@
         let drawn = rng.random_range(0..daemons.borrow().len());
         let chosen = herd.get().filter(|_| broken.is_none()).unwrap_or(drawn);
         let listen = daemons.borrow()[chosen].listen;
-        let Ok(stream) = TcpStream::connect(listen).await else {
+        let Some(mut connection) = Connection::open(listen).await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        let mut connection = Connection {
-            stream,
-            bytes: Vec::new(),
-        };
         for _ in 0..MAX_REQUESTS {
             if stop.get() {
                 break;
--- /dev/null
+++ b/daemon/tests/test_small_hosts.rs
@@ -0,0 +1,144 @@
+//! Randomised runs of the daemon program on small hosts: many processes, each with a share of a core, endpoints that are
+//! sound but slow and pause, long streams with stages, and planned work around them: tables of every kind, reloads,
+//! stops, and endpoints that leave. No answer may be lost.
+//!
+//! `HAZELYOKE_HOSTS=64`, `HAZELYOKE_HOST_SEEDS=1..50` and `HAZELYOKE_HOST_SECONDS=30` set the number of hosts, the seeds
+//! and the time of each run; `HAZELYOKE_HOST_FACTOR=1` the factor of the hosts' shares, which makes up for a build
+//! without optimisation by default. A seed that fails leaves its logs in cargo's folder for temporary files of tests.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+mod hosts {
+    pub(crate) use super::stand_in;
+
+    pub mod callers;
+    pub mod changes;
+    pub mod endpoints;
+    pub mod fleet;
+    pub mod losses;
+    pub mod quota;
+    pub mod work;
+}
+
+use {
+    hosts::{
+        callers::{Outcomes, run_caller},
+        changes::Published,
+        endpoints::Endpoints,
+        fleet::start_hosts,
+        losses,
+        quota::QuotaKeeper,
+        work::World,
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    stand_in::store::StandInStore,
+    std::{
+        cell::{Cell, RefCell},
+        env,
+        ops::Range,
+        rc::Rc,
+        str::FromStr,
+        time::Duration,
+    },
+    tokio::task::LocalSet,
+};
+
+const DEFAULT_HOSTS: usize = 8;
+const DEFAULT_SEEDS: Range<u64> = 1..3;
+const DEFAULT_SECONDS: u64 = 10;
+const DEFAULT_FACTOR: f64 = 5.0;
+
+/// Number of callers for each host.
+const CALLERS_EACH: usize = 3;
+
+fn setting<T: FromStr>(name: &str, default: T) -> T {
+    let text = env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn seeds() -> Range<u64> {
+    let text = env::var("HAZELYOKE_HOST_SEEDS").ok();
+    let range = text.as_deref().and_then(|text| {
+        let (from, to) = text.split_once("..")?;
+        Some(from.parse().ok()?..to.parse().ok()?)
+    });
+    range.unwrap_or(DEFAULT_SEEDS)
+}
+
+#[test]
+fn planned_work_loses_nothing() {
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        let findings = LocalSet::new().block_on(&runtime, run_seed(seed));
+        println!("seed {seed}: {} findings", findings.len());
+        if !findings.is_empty() {
+            failed.push(format!("seed {seed}:\n{}", findings.join("\n")));
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
+
+async fn run_seed(seed: u64) -> Vec<String> {
+    let store = StandInStore::start().await;
+    let published = Published::new();
+    store.publish(&published.document());
+    let rng = SmallRng::seed_from_u64(seed);
+    let endpoints = Endpoints::start(&store, rng).await;
+    let quotas = QuotaKeeper::start();
+    let factor = setting("HAZELYOKE_HOST_FACTOR", DEFAULT_FACTOR);
+    let count = setting("HAZELYOKE_HOSTS", DEFAULT_HOSTS);
+    let hosts = start_hosts(count, seed, store.address, &quotas, factor);
+    let world = World {
+        hosts: Rc::new(RefCell::new(hosts)),
+        endpoints: Rc::new(endpoints),
+        published: Rc::new(RefCell::new(published)),
+        quotas: Rc::new(quotas),
+        findings: Rc::default(),
+        store,
+        factor,
+    };
+    if !world.wait_until_ready().await {
+        return vec!["the daemons weren't ready in time".into()];
+    }
+    let outcomes = Outcomes::default();
+    let done = Rc::new(Cell::new(false));
+    let callers: Vec<_> = (0..count * CALLERS_EACH)
+        .map(|number| {
+            let rng = SmallRng::seed_from_u64(seed * 10_000 + number as u64);
+            let (hosts, outcomes) = (world.hosts.clone(), outcomes.clone());
+            let caller = run_caller(
+                format!("{seed}-{number}"),
+                hosts,
+                outcomes,
+                rng,
+                done.clone(),
+            );
+            tokio::task::spawn_local(caller)
+        })
+        .collect();
+    let work = world.start_work(seed);
+    let seconds = setting("HAZELYOKE_HOST_SECONDS", DEFAULT_SECONDS);
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    done.set(true);
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    work.end().await;
+    let mut findings = world.findings.take();
+    findings.extend(losses::check(&outcomes.borrow(), &world));
+    if findings.is_empty() {
+        world
+            .hosts
+            .borrow()
+            .iter()
+            .for_each(|host| host.remove_log());
+    }
+    findings
+}
