server: a stop waits until callers have received their answers

An answer whose caller reads slowly was cut at a planned stop: a request counted as in flight until its answer was handed to the connection, and the process ended although the connection had sent only a part of it. The stop now also waits for the connections of callers, which close by themselves once their answers are sent, at most until the end of the schedule as before.

--- a/daemon/tests/hosts/endpoints.rs
+++ b/daemon/tests/hosts/endpoints.rs
@@ -38,17 +38,19 @@
         };
         for (service, count) in SERVICES {
             for _ in 0..count {
-                endpoints.add(store, service).await;
+                endpoints.add(store, service, &mut rng).await;
             }
         }
-        endpoints.vary(&mut rng);
         endpoints
     }
 
-    async fn add(&self, store: &StandInStore, service: &'static str) {
+    async fn add(&self, store: &StandInStore, service: &'static str, rng: &mut SmallRng) {
         let number = self.members.borrow().len();
-        let replica = Replica::start(store, &format!("i-{service}-{number}"), service).await;
+        let id = format!("i-{service}-{number}");
+        let replica = Replica::start_behind(&id, async |address| address).await;
         replica.set_piece_time(Duration::from_millis(150));
+        replica.set_default_act(draw_act(service, rng));
+        replica.write_entry(store, service, "ready");
         let left = false;
         self.members.borrow_mut().push(Member {
             replica,
@@ -74,7 +76,7 @@
             let index = staying[rng.random_range(0..staying.len())];
             (index, members[index].service)
         };
-        self.add(store, service).await;
+        self.add(store, service, rng).await;
         let mut members = self.members.borrow_mut();
         members[index].left = true;
         members[index]
--- a/daemon/tests/test_process.rs
+++ b/daemon/tests/test_process.rs
@@ -22,9 +22,15 @@
         test_ip, until,
     },
     std::{net::SocketAddr, process::Command, time::Duration},
-    tokio::net::TcpStream,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
+/// Size of a reply that sockets don't hold, in bytes.
+const LARGE_REPLY: usize = 7 << 20;
+
 /// Returns a table with one route, whose requests may take up to 8 s.
 fn config() -> Value {
     let mut table = plain_table(1, "/x/");
@@ -151,6 +157,35 @@
     });
 }
 
+/// An answer whose caller reads slowly is sent to its end although the daemon stops: the process ended once its requests
+/// had their answers, of which the connection had sent only a part.
+#[test]
+fn slow_reader_at_stop() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.publish(&config());
+        let replica = Replica::start(&store, "i-1", "s").await;
+        replica.set_default_act(Act::Answer("x".repeat(LARGE_REPLY)));
+        let limits = Limits {
+            grace_s: 7.5,
+            ..DEFAULT_LIMITS
+        };
+        let mut process = start("slow-reader", &store, limits).await;
+        let mut caller = TcpStream::connect(process.listen).await.unwrap();
+        let text = client::request("GET", "/x/1", "r1", &[], "");
+        caller.write_all(text.as_bytes()).await.unwrap();
+        let mut received = caller.read(&mut [0; 1_024]).await.unwrap();
+        signal(&process, "TERM");
+        // Longer than the daemon accepts callers after the signal.
+        tokio::time::sleep(Duration::from_millis(3_200)).await;
+        let mut rest = Vec::new();
+        received += caller.read_to_end(&mut rest).await.unwrap();
+        assert!(received > LARGE_REPLY, "{received} bytes");
+        let status = process.child.wait().unwrap();
+        assert!(status.success(), "{status}");
+    });
+}
+
 /// A reload raises the grace period of a stop: a request that takes longer than the earlier period is answered completely
 /// although the daemon stops.
 #[test]
--- a/lib/src/gateway/serving/ingress.rs
+++ b/lib/src/gateway/serving/ingress.rs
@@ -94,11 +94,29 @@
     }
 }
 
+/// Counts a connection of a caller as open, also while it still sends the last answer.
+struct ConnectionCount<D>(Rc<Gateway<D>>);
+
+impl<D> ConnectionCount<D> {
+    fn new(gateway: Rc<Gateway<D>>) -> Self {
+        gateway.callers.set(gateway.callers.get() + 1);
+        Self(gateway)
+    }
+}
+
+impl<D> Drop for ConnectionCount<D> {
+    fn drop(&mut self) {
+        let callers = &self.0.callers;
+        callers.set(callers.get().saturating_sub(1));
+    }
+}
+
 async fn serve_connection<D: Dialect>(
     gateway: Rc<Gateway<D>>,
     stream: TcpStream,
     closing: impl Future<Output = ()>,
 ) {
+    let _count = ConnectionCount::new(gateway.clone());
     // The option only reduces latency; the stream works without it.
     let _ = stream.set_nodelay(true);
     let limits = gateway
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -206,7 +206,7 @@
     /// Stops without interrupting requests.
     ///
     /// The daemon reports itself as not ready at once, but accepts callers until the load balancer has noticed. Then
-    /// it waits for the requests in flight. Those that don't complete in time are answered as not run if that is
+    /// it waits for the requests in flight and for the connections of callers, which close once their answers are sent. Those that don't complete in time are answered as not run if that is
     /// proven, and as unknown otherwise. The times come from the rule
     /// [`shutdown`](crate::gateway::rules::shutdown).
     pub async fn stop(self) {
@@ -232,8 +232,10 @@
         log::info!(in_flight; "daemon.stopped");
     }
 
+    /// Returns whether a request has no answer yet, an answer is still being sent, or jobs of other daemons wait.
     fn is_busy(&self) -> bool {
-        let jobs = self.gateway.state.borrow().stage_queues.jobs();
-        self.gateway.in_flight.get() > 0 || jobs > 0
+        let gateway = &self.gateway;
+        let jobs = gateway.state.borrow().stage_queues.jobs();
+        gateway.in_flight.get() > 0 || gateway.callers.get() > 0 || jobs > 0
     }
 }
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -234,6 +234,8 @@
     pub stopping: Cell<bool>,
     /// Number of accepted requests without a final answer.
     pub in_flight: Cell<usize>,
+    /// Number of open connections of callers.
+    pub(crate) callers: Cell<usize>,
     /// Number of connections that this daemon relays for others.
     pub(crate) relays: Cell<usize>,
     /// Wakes the loop that schedules calls of stage services.
@@ -306,6 +308,7 @@
             metrics: GatewayMetrics::default(),
             stopping: Cell::new(false),
             in_flight: Cell::new(0),
+            callers: Cell::new(0),
             relays: Cell::new(0),
             stage_work: Notify::new(),
             stale_queues: Cell::new(false),
