stream_resume: stages run again if a replacement finds their results gone

A stream that broke off before its first event was resumed with the results that its stages had made. If they were gone at the endpoint that should go on (409, not run), the answer ended although the stages could run again, as they do for a first attempt. Such a refusal now releases the results and doesn't exclude the endpoint. inputs_gone fails before (broken off, no_endpoint) and passes now.

--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -22,7 +22,9 @@
                 eligibility::ExclusionCounts,
                 endpoint_choice::EndpointChoice,
                 handover::HANDOVER_TIME,
-                reply_proof::{EndpointOutcome, ResumeRejection, classify_resumed_head},
+                reply_proof::{
+                    EndpointOutcome, NotRunReason, ResumeRejection, classify_resumed_head,
+                },
                 resume::{Hindrance, check_resume},
                 retry::RetryReason,
                 stream_origin::StreamOrigin,
@@ -206,6 +208,11 @@
         let (head, body) = response.into_parts();
         if let Err(rejection) = self.check_head(&guard.choice.entry, &head, sent) {
             guard.end(rejection.endpoint_outcome());
+            if rejection == ResumeRejection::NotRun(NotRunReason::InputsGone) {
+                // The stages run again, and this endpoint isn't at fault.
+                self.results = None;
+                self.tried.pop();
+            }
             return match silent {
                 Some(old) if matches!(rejection, ResumeRejection::NotRun(_)) => Handover::Kept(old),
                 Some(old) => {
