--- a/daemon/tests/hosts/callers.rs
+++ b/daemon/tests/hosts/callers.rs
@@ -19,6 +19,9 @@
 /// Number of requests after which a caller opens a new connection.
 const MAX_REQUESTS: u32 = 12;
 
+/// Number of requests on a connection to a host that gets all new connections.
+const HERDED_REQUESTS: u32 = 2;
+
 /// Time after which a caller that was refused comes back.
 const REFUSED_PAUSE: Duration = Duration::from_millis(200);
 
@@ -32,6 +35,8 @@
     pub path: &'static str,
     /// Index of the host that got it.
     pub host: usize,
+    /// Whether new connections went to that host alone when it was connected.
+    pub is_herded: bool,
     pub status: Option<u16>,
     pub body: String,
     pub whole: bool,
@@ -42,10 +47,12 @@
 
 pub type Outcomes = Rc<RefCell<Vec<Outcome>>>;
 
-/// Calls hosts until `done` is set. Connections are kept until their daemon closes them, also while it stops.
+/// Calls hosts until `done` is set: new connections go to the one that `herd` names, or else to any. Connections are kept
+/// until their daemon closes them, also while it stops; those to a herded host carry few requests.
 pub async fn run_caller(
     name: String,
     hosts: Rc<RefCell<Vec<Host>>>,
+    herd: Rc<Cell<Option<usize>>>,
     outcomes: Outcomes,
     mut rng: SmallRng,
     done: Rc<Cell<bool>>,
@@ -54,14 +61,21 @@
     while !done.get() {
         let (host, listen) = {
             let hosts = hosts.borrow();
-            let host = rng.random_range(0..hosts.len());
+            let any = rng.random_range(0..hosts.len());
+            let host = herd.get().unwrap_or(any);
             (host, hosts[host].listen)
         };
         let Some(mut connection) = Connection::open(listen).await else {
             tokio::time::sleep(Duration::from_millis(30)).await;
             continue;
         };
-        for _ in 0..MAX_REQUESTS {
+        let is_herded = herd.get().is_some();
+        let requests = if is_herded {
+            HERDED_REQUESTS
+        } else {
+            MAX_REQUESTS
+        };
+        for _ in 0..requests {
             if done.get() {
                 return;
             }
@@ -75,6 +89,7 @@
                 id,
                 path,
                 host,
+                is_herded,
                 status: answer.status,
                 body: String::from_utf8_lossy(&answer.body).into_owned(),
                 whole: answer.whole,
--- a/daemon/tests/hosts/fleet.rs
+++ b/daemon/tests/hosts/fleet.rs
@@ -16,11 +16,17 @@
 /// Grace period of a stop, in seconds, after which the process is killed.
 pub const GRACE_S: u64 = 8;
 
+/// Share of a core of the smallest hosts.
+pub const SMALLEST_SHARE: f64 = 0.09;
+
 /// Shares of a core of the hosts, in turn: most are small.
-const SHARES: [f64; 8] = [0.09, 0.3, 0.09, 0.09, 0.5, 0.09, 0.3, 0.09];
+const SHARES: [f64; 8] = {
+    const S: f64 = SMALLEST_SHARE;
+    [S, 0.3, S, S, 0.5, S, 0.3, S]
+};
 
 /// Memory of a host, in megabytes, by its share of a core.
-const MEMORY_MB: [(f64, u64); 3] = [(0.09, 120), (0.3, 400), (0.5, 512)];
+const MEMORY_MB: [(f64, u64); 3] = [(SMALLEST_SHARE, 120), (0.3, 400), (0.5, 512)];
 
 /// A host with its daemon.
 #[derive(Debug)]
--- a/daemon/tests/hosts/losses.rs
+++ b/daemon/tests/hosts/losses.rs
@@ -31,6 +31,22 @@
         whole.count(),
         left.count()
     );
+    for is_herded in [false, true] {
+        let some: Vec<_> = outcomes
+            .iter()
+            .filter(|one| one.is_herded == is_herded)
+            .collect();
+        let served = some
+            .iter()
+            .filter(|one| one.status == Some(200) && one.whole)
+            .count();
+        let times = some.iter().map(|one| one.took.as_millis());
+        println!(
+            "herded {is_herded}: {} requests, {served} served at the first attempt, {} ms at most",
+            some.len(),
+            times.max().unwrap_or_default()
+        );
+    }
     let lost: Vec<_> = outcomes.iter().filter(|one| is_lost(one, world)).collect();
     let mut findings: Vec<String> = Vec::new();
     if !lost.is_empty() {
--- a/daemon/tests/hosts/work.rs
+++ b/daemon/tests/hosts/work.rs
@@ -4,13 +4,13 @@
     super::{
         changes::Published,
         endpoints::Endpoints,
-        fleet::{GRACE_S, Host},
+        fleet::{GRACE_S, Host, SMALLEST_SHARE},
         quota::QuotaKeeper,
         stand_in::{client, store::StandInStore},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         ops::Range,
         rc::Rc,
         time::{Duration, Instant},
@@ -33,6 +33,8 @@
     pub published: Rc<RefCell<Published>>,
     pub quotas: Rc<QuotaKeeper>,
     pub findings: Rc<RefCell<Vec<String>>>,
+    /// Host that gets all new connections.
+    pub herd: Rc<Cell<Option<usize>>>,
     /// Factor of the hosts' shares of a core.
     pub factor: f64,
 }
@@ -82,6 +84,7 @@
             tokio::task::spawn_local(self.clone().stop_in_turn(rng(3), stops.clone())),
             tokio::task::spawn_local(self.clone().replace_endpoints(rng(4))),
             tokio::task::spawn_local(self.clone().vary_endpoints(rng(5))),
+            tokio::task::spawn_local(self.clone().herd(rng(6))),
         ];
         Work { tasks, stops }
     }
@@ -119,7 +122,9 @@
                 let mut hosts = self.hosts.borrow_mut();
                 let stopping = hosts.iter().filter(|host| host.stopping).count();
                 let number = rng.random_range(0..hosts.len());
-                let may_stop = stopping * STOPPING_SHARE < hosts.len() && !hosts[number].stopping;
+                let may_stop = stopping * STOPPING_SHARE < hosts.len()
+                    && !hosts[number].stopping
+                    && self.herd.get() != Some(number);
                 hosts[number].stopping |= may_stop;
                 may_stop.then_some(number)
             };
@@ -163,6 +168,22 @@
         }
     }
 
+    /// Sends all new connections to one of the smallest hosts now and then.
+    async fn herd(self, mut rng: SmallRng) {
+        loop {
+            pause(&mut rng, 3_000..6_000).await;
+            let chosen = {
+                let hosts = self.hosts.borrow();
+                let is_small = |host: &Host| host.share == SMALLEST_SHARE && !host.stopping;
+                let small: Vec<usize> = (0..hosts.len()).filter(|n| is_small(&hosts[*n])).collect();
+                small[rng.random_range(0..small.len())]
+            };
+            self.herd.set(Some(chosen));
+            pause(&mut rng, 2_000..4_000).await;
+            self.herd.set(None);
+        }
+    }
+
     async fn vary_endpoints(self, mut rng: SmallRng) {
         loop {
             pause(&mut rng, 50..150).await;
--- a/daemon/tests/test_small_hosts.rs
+++ b/daemon/tests/test_small_hosts.rs
@@ -1,9 +1,9 @@
 //! Randomised runs of the daemon program on small hosts: many processes, each with a share of a core, endpoints that are
-//! sound but slow and pause, long streams with stages, and planned work around them: tables of every kind, reloads,
-//! stops, and endpoints that leave. No answer may be lost.
+//! sound but slow and pause, long streams with stages, planned work around them (tables of every kind, reloads, stops,
+//! endpoints that leave), and all new connections at one of the smallest hosts now and then. No answer may be lost.
 //!
-//! `HAZELYOKE_HOSTS=64`, `HAZELYOKE_HOST_SEEDS=1..50` and `HAZELYOKE_HOST_SECONDS=30` set the number of hosts, the seeds
-//! and the time of each run; `HAZELYOKE_HOST_FACTOR=1` the factor of the hosts' shares, which makes up for a build
+//! `HAZELYOKE_HOSTS=64`, `HAZELYOKE_HOST_CALLERS=3`, `HAZELYOKE_HOST_SEEDS=1..50` and `HAZELYOKE_HOST_SECONDS=30` set the
+//! number of hosts, the callers of each, the seeds and the time of each run; `HAZELYOKE_HOST_FACTOR=1` the factor of the hosts' shares, which makes up for a build
 //! without optimisation by default. A seed that fails leaves its logs in cargo's folder for temporary files of tests.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
@@ -51,7 +51,7 @@
 const DEFAULT_SECONDS: u64 = 10;
 const DEFAULT_FACTOR: f64 = 5.0;
 
-/// Number of callers for each host.
+/// Default number of callers for each host.
 const CALLERS_EACH: usize = 3;
 
 fn setting<T: FromStr>(name: &str, default: T) -> T {
@@ -101,6 +101,7 @@
         published: Rc::new(RefCell::new(published)),
         quotas: Rc::new(quotas),
         findings: Rc::default(),
+        herd: Rc::default(),
         store,
         factor,
     };
@@ -109,14 +110,16 @@
     }
     let outcomes = Outcomes::default();
     let done = Rc::new(Cell::new(false));
-    let callers: Vec<_> = (0..count * CALLERS_EACH)
+    let callers_each = setting("HAZELYOKE_HOST_CALLERS", CALLERS_EACH);
+    let callers: Vec<_> = (0..count * callers_each)
         .map(|number| {
             let rng = SmallRng::seed_from_u64(seed * 10_000 + number as u64);
-            let (hosts, outcomes) = (world.hosts.clone(), outcomes.clone());
+            let (hosts, herd) = (world.hosts.clone(), world.herd.clone());
             let caller = run_caller(
                 format!("{seed}-{number}"),
                 hosts,
-                outcomes,
+                herd,
+                outcomes.clone(),
                 rng,
                 done.clone(),
             );
