--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -13,7 +13,7 @@
                 attempt::StreamSource,
                 early_end::{EarlyEnd, EndedBy, StreamPosition},
                 guards::AttemptGuard,
-                stream_resume::{StreamedRequest, Unresumed},
+                stream_resume::{StreamedRequest, Unresumed, log_source_end},
             },
             rules::{
                 calibration::AdmittedEnd, reply_proof::EndpointOutcome, resume::silence_limit,
@@ -143,7 +143,8 @@
         // Closing the connection ends the run at this endpoint before another one begins.
         drop(body);
         drop(connection);
-        self.log_end(&end, &guard);
+        let call = &self.request.call;
+        log_source_end(call, &guard, end.as_str(), self.last_event());
         self.end_sample(&end);
         match end {
             SourceEnd::Whole => {
@@ -193,17 +194,6 @@
         gateway.check_endpoint(call, &entry).await;
     }
 
-    fn log_end(&self, end: &SourceEnd, guard: &AttemptGuard<D>) {
-        log::info!(
-            request = self.request.call.id(),
-            endpoint:% = guard.choice.entry.id,
-            outcome = end.as_str(),
-            last_event = self.last_event(),
-            took_ms = guard.took().0;
-            "attempt.ended"
-        );
-    }
-
     /// Returns the number of the last whole event that was sent to the caller, for logs; 0 before the first one.
     fn last_event(&self) -> u64 {
         self.splitter.last().unwrap_or(0)
@@ -345,17 +335,20 @@
 
     /// Breaks off the answer. The body is dropped without its end, so that the caller can't take it for complete.
     pub(super) fn break_off(&mut self, end: &EarlyEnd) {
-        let request = &mut self.request;
-        request.sample.end(AdmittedEnd::Failed);
+        self.request.sample.end(AdmittedEnd::Failed);
+        let StreamedRequest {
+            gateway,
+            call,
+            sent,
+            ..
+        } = &self.request;
         let position = StreamPosition {
             endpoint: self.endpoint.clone(),
             heard: self.heard,
-            last_event: self.splitter.last().unwrap_or(0),
-            sent: request.sent,
+            last_event: self.last_event(),
+            sent: *sent,
         };
-        request
-            .gateway
-            .record_early_end(&request.call, end, &position);
+        gateway.record_early_end(call, end, &position);
     }
 
     /// Logs and counts that the caller left before the end of the stream.
--- a/lib/src/gateway/routing/source_change.rs
+++ b/lib/src/gateway/routing/source_change.rs
@@ -23,8 +23,9 @@
     tokio::sync::mpsc,
 };
 
-/// Reason for which a silent source is replaced, for logs.
+/// Reason for which a silent source is replaced, and reason of its end if the endpoint that took over failed, for logs.
 const SILENT: &str = "silent";
+const REPLACEMENT_FAILED: &str = "silent, and the endpoint that took over failed";
 
 /// The result of seeking another endpoint beside a silent source.
 enum Sought<D: Dialect> {
@@ -90,7 +91,9 @@
                     match until_end(&self.sink, &self.gateway, self.deadline, step).await {
                         Ok(Handover::Taken(next)) => return Some(self.adopt(next)),
                         Ok(Handover::Kept(silent)) => source = silent,
-                        Ok(Handover::Failed) => return self.resume_broken(SILENT.into()).await,
+                        Ok(Handover::Failed) => {
+                            return self.resume_broken(REPLACEMENT_FAILED.into()).await;
+                        }
                         Err(end) => {
                             self.end_stream(&end);
                             return None;
@@ -113,7 +116,8 @@
                 frame = source.body.frame() => Err(frame),
                 found = until_end(
                     &self.sink,
-                    &self.gateway, self.deadline,
+                    &self.gateway,
+                    self.deadline,
                     self.request.prepare(last_event),
                 ) => Ok(found),
             };
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -194,12 +194,17 @@
         let exchanged = match early {
             Ok(exchanged) => exchanged,
             Err(_elapsed) => {
-                silent.take().into_iter().for_each(|old| self.close(old));
+                silent
+                    .take()
+                    .into_iter()
+                    .for_each(|old| self.close(old, last_event));
                 exchange.await
             }
         };
         let Exchange::Replied(response, connection) = exchanged else {
-            silent.into_iter().for_each(|old| self.close(old));
+            silent
+                .into_iter()
+                .for_each(|old| self.close(old, last_event));
             let entry = guard.choice.entry.clone();
             guard.end(EndpointOutcome::Failed);
             self.gateway.check_endpoint(&self.call, &entry).await;
@@ -216,13 +221,15 @@
             return match silent {
                 Some(old) if matches!(rejection, ResumeRejection::NotRun(_)) => Handover::Kept(old),
                 Some(old) => {
-                    self.close(old);
+                    self.close(old, last_event);
                     Handover::Failed
                 }
                 None => Handover::Failed,
             };
         }
-        silent.into_iter().for_each(|old| self.close(old));
+        silent
+            .into_iter()
+            .for_each(|old| self.close(old, last_event));
         guard.record_first_event();
         Handover::Taken(StreamSource {
             body,
@@ -232,7 +239,7 @@
     }
 
     /// Closes a source that was silent and has been replaced, which ends the run at its endpoint.
-    fn close(&self, source: StreamSource<D>) {
+    fn close(&self, source: StreamSource<D>, last_event: Option<u64>) {
         let StreamSource {
             body,
             connection,
@@ -240,7 +247,8 @@
         } = source;
         drop(body);
         drop(connection);
-        log_source_end(&self.call, &guard, "replaced");
+        let last_event = last_event.unwrap_or(0);
+        log_source_end(&self.call, &guard, "replaced", last_event);
         guard.end(EndpointOutcome::Failed);
     }
 
@@ -289,16 +297,18 @@
     }
 }
 
-/// Logs the end of a source.
+/// Logs the end of a source after `last_event`; 0 if the caller has no event yet.
 pub(crate) fn log_source_end<D: Dialect>(
     call: &ForwardedCall,
     guard: &AttemptGuard<D>,
     outcome: &str,
+    last_event: u64,
 ) {
     log::info!(
         request = call.id(),
         endpoint:% = guard.choice.entry.id,
         outcome,
+        last_event,
         took_ms = guard.took().0;
         "attempt.ended"
     );
