stream_resume, request_attempts: bound the endpoints that don't answer a connect

Since connects that fail no longer cost retry budget, a stream or a slow attempt could try any number of endpoints one after the other, each for the whole connect timeout. The limit of first attempts (four that don't answer) holds here too; request.broken_off shows it as hindrance=unreachable.

--- a/lib/src/gateway/routing/request_attempts.rs
+++ b/lib/src/gateway/routing/request_attempts.rs
@@ -18,7 +18,7 @@
                 endpoint_choice::EndpointChoice,
                 handover::HANDOVER_TIME,
                 reply_proof::NotRunReason,
-                retry::{self, AfterFailure, AttemptFailure, RetryReason},
+                retry::{self, AfterFailure, AttemptFailure, RetryReason, UNREACHABLE_LIMIT},
             },
         },
         shared::problem::Problem,
@@ -78,7 +78,8 @@
     /// no further attempt is allowed.
     async fn open_replacement(&mut self) -> Option<OpenAttempt<D>> {
         loop {
-            if self.is_quarantined() || !self.may_retry() {
+            let unreached = self.progress.history.unreachable();
+            if self.is_quarantined() || !self.may_retry() || unreached >= UNREACHABLE_LIMIT {
                 return None;
             }
             let choice = self.choose().await.ok()?;
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -26,7 +26,7 @@
                     EndpointOutcome, NotRunReason, ResumeRejection, classify_resumed_head,
                 },
                 resume::{Hindrance, check_resume},
-                retry::RetryReason,
+                retry::{RetryReason, UNREACHABLE_LIMIT},
                 stream_origin::StreamOrigin,
             },
             stages::stage_results::Results,
@@ -122,6 +122,7 @@
             let results = run_stages(&self.gateway, &self.call, self.admission).await;
             self.results = results.map_err(|_problem| Hindrance::Stages)?;
         }
+        let mut unreached = 0;
         loop {
             self.check_resume()?;
             let (gateway, call, results) = (&self.gateway, &self.call, self.results.as_ref());
@@ -144,6 +145,10 @@
                 Err(error) => {
                     self.tried.push(guard.choice.entry.id.clone());
                     guard.end(unconnected_outcome(&error));
+                    unreached += usize::from(!error.is_refused());
+                    if unreached >= UNREACHABLE_LIMIT {
+                        return Err(Hindrance::Unreachable.into());
+                    }
                 }
             }
         }
--- a/lib/src/gateway/rules/resume.rs
+++ b/lib/src/gateway/rules/resume.rs
@@ -50,6 +50,8 @@
     Budget,
     /// No endpoint may get the request.
     NoEndpoint,
+    /// Too many endpoints didn't answer a connect.
+    Unreachable,
     /// The software version of the endpoint that began the stream isn't known.
     Version,
     /// The stages of the request, whose results are needed again, failed or are late.
@@ -68,6 +70,7 @@
             Self::Attempts => "attempts",
             Self::Budget => "budget",
             Self::NoEndpoint => "no_endpoint",
+            Self::Unreachable => "unreachable",
             Self::Version => "version",
             Self::Stages => "stages",
             Self::Quarantine => "quarantine",
--- a/lib/src/gateway/rules/retry.rs
+++ b/lib/src/gateway/rules/retry.rs
@@ -21,7 +21,7 @@
 /// Maximum number of endpoints for which one request may wait in vain, each for the full connect timeout. Endpoints
 /// that refuse connections don't count: if they did, a request would end unanswered while one of 24 endpoints is still
 /// reachable (test `one_left`), and each refusal costs only 0.1 ms on loopback.
-const UNREACHABLE_LIMIT: usize = 4;
+pub const UNREACHABLE_LIMIT: usize = 4;
 
 /// Reason for which a request is sent again. The names of the variants appear in the event `attempt.repeat`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
