request_attempts: a request whose time is over isn't sent to a replacement

The check that stands before each attempt now stands before a replacement too, with the bound on endpoints that don't answer.

--- a/lib/src/gateway/routing/request_attempts.rs
+++ b/lib/src/gateway/routing/request_attempts.rs
@@ -78,8 +78,9 @@
     /// no further attempt is allowed.
     async fn open_replacement(&mut self) -> Option<OpenAttempt<D>> {
         loop {
-            let unreached = self.progress.history.unreachable();
-            if self.is_quarantined() || !self.may_retry() || unreached >= UNREACHABLE_LIMIT {
+            // The host may have been suspended meanwhile. A request whose time is over is sent to no endpoint.
+            let is_over = self.gateway.now() >= self.call.deadline;
+            if is_over || self.is_quarantined() || !self.may_retry() {
                 return None;
             }
             let choice = self.choose().await.ok()?;
@@ -160,7 +161,9 @@
     /// Returns whether the rules and the retry budget allow another attempt.
     fn may_retry(&self) -> bool {
         let route = &self.call.route;
-        retry::may_retry(route.kind, route.attempts, &self.progress.history)
+        let history = &self.progress.history;
+        retry::may_retry(route.kind, route.attempts, history)
+            && history.unreachable() < UNREACHABLE_LIMIT
             && self.gateway.may_withdraw(&self.call.service)
     }
 
