--- a/lib/src/gateway/rules/resume.rs
+++ b/lib/src/gateway/rules/resume.rs
@@ -28,8 +28,8 @@
     }
 }
 
-/// Returns the silence after which another endpoint is sought for a stream; `None` if it can't be resumed. `events_begun` is set once
-/// the caller has received an event.
+/// Returns the silence after which another endpoint is sought for a stream; `None` if it can't be resumed.
+/// `events_begun` is set once the caller has received an event.
 pub fn silence_limit(kind: RouteKind, events_begun: bool) -> Option<Duration> {
     let limit = if events_begun {
         EVENT_SILENCE
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -206,7 +206,8 @@
     /// Stops without interrupting requests.
     ///
     /// The daemon reports itself as not ready at once, but accepts callers until the load balancer has noticed. Then
-    /// it waits for the requests in flight and for the connections of callers, which close once their answers are sent. Those that don't complete in time are answered as not run if that is
+    /// it waits for the requests in flight and for the connections of callers, which close once their answers are sent.
+    /// Requests that don't complete in time are answered as not run if that is
     /// proven, and as unknown otherwise. The times come from the rule
     /// [`shutdown`](crate::gateway::rules::shutdown).
     pub async fn stop(self) {
