--- a/review/stand_in/relay.rs
+++ b/review/stand_in/relay.rs
@@ -167,12 +167,14 @@
         // The daemons get to know each other, and the replica is reached directly again.
         thread::sleep(Duration::from_secs(4));
         let id = format!("sale-{round}");
+        let connection = Connection::open(network.front(SERVING));
+        let connection = connection.ok_or("the client couldn't connect")?;
         replica.accepts.store(false, Ordering::SeqCst);
         let filler = TcpStream::connect_timeout(&address, Duration::from_secs(1));
         let filler = filler.map_err(|error| format!("the queue wasn't filled: {error}"))?;
         let client = {
             let (record, id) = (record.clone(), id.clone());
-            thread::spawn(move || send(network, &id, &record))
+            thread::spawn(move || send(connection, &id, &record))
         };
         thread::sleep(FULL_TIME);
         replica.accepts.store(true, Ordering::SeqCst);
@@ -212,10 +214,7 @@
     Ok(is_broken)
 }
 
-fn send(network: Network, id: &str, record: &Record) -> (Outcome, String) {
-    let Some(mut connection) = Connection::open(network.front(SERVING)) else {
-        return (Outcome::NotConnected, String::new());
-    };
+fn send(mut connection: Connection, id: &str, record: &Record) -> (Outcome, String) {
     record.event(format!("client: sends {id}"));
     connection.exchange_body(&Request {
         method: "POST",
