--- a/review/stand_in/drain.rs
+++ b/review/stand_in/drain.rs
@@ -21,7 +21,7 @@
 };
 
 const DAEMONS: u8 = 3;
-const REPLICAS: u8 = 4;
+const REPLICAS: u8 = 7;
 const SERVICE: &str = "pay-gateway";
 
 /// Bound of DRAIN in the settings.
