review: send streams in the drain case

Short sales hardly ever run when the replica ends, so the case showed late requests but little lost work.

--- a/review/stand_in/drain.rs
+++ b/review/stand_in/drain.rs
@@ -11,6 +11,7 @@
         store::Store,
     },
     std::{
+        collections::BTreeMap,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -22,7 +23,8 @@
 
 const DAEMONS: u8 = 3;
 const REPLICAS: u8 = 7;
-const SERVICE: &str = "pay-gateway";
+const SLOTS: usize = 64;
+const SERVICE: &str = "assist-llm";
 
 /// Bound of DRAIN in the settings.
 const DRAIN_MS: u64 = 2_000;
@@ -30,39 +32,47 @@
 /// Time from the start of traffic until the replica's entry goes.
 const WARM_UP: Duration = Duration::from_secs(8);
 
-/// Time for which the replica serves on after its entry went: `drainMs` and a little longer.
-const SERVES_ON: Duration = Duration::from_millis(3_000);
+/// Time for which the replica serves on after its entry went: `drainMs` and some seconds.
+const SERVES_ON: Duration = Duration::from_secs(5);
 
 /// Time between two cuts of the waiting watches.
 const CUT_INTERVAL: Duration = Duration::from_millis(1_200);
 
-/// Pause of a client between two requests.
+/// Clients at each daemon, and the pause of each between two streams: 24 streams a second in all.
+const CLIENTS_EACH: u8 = 8;
 const CLIENT_PAUSE: Duration = Duration::from_millis(100);
-const CLIENTS_EACH: u8 = 5;
 
-/// Time that the replicas work on a request.
-const WORK_TIME: Duration = Duration::from_millis(60);
+/// Time between the starts of two clients, so that streams begin all the time.
+const CLIENT_STAGGER: Duration = Duration::from_millis(42);
+
+/// A stream of 0.9 s.
+const FIRST_EVENT: Duration = Duration::from_millis(300);
+const EVENTS: u32 = 12;
+const EVENT_PAUSE: Duration = Duration::from_millis(50);
 
 const CONFIG: &str = r#"{"version":7,"routes":[
-{"name":"r-pay","host":"pule25.example","pathPrefix":"/pay/","kind":"non_idempotent","timeoutMs":800,"targetLatencyMs":100,"priority":2,"service":"pay-gateway","maxAttempts":1,"public":false,"affinity":false},
-{"name":"r-levy","host":"pule25.example","pathPrefix":"/levy/","kind":"idempotent","timeoutMs":800,"targetLatencyMs":100,"priority":2,"service":"pay-gateway","maxAttempts":2,"public":false,"affinity":false}],
-"services":[{"name":"pay-gateway","healthPath":"/health","maxConnections":49,"protocol":"h1","tls":false}],
+{"name":"r-levy","host":"pule25.example","pathPrefix":"/levy/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":2000,"priority":0,"service":"assist-llm","maxAttempts":1,"public":false,"affinity":true,"resumable":false,"targetGapMs":400}],
+"services":[{"name":"assist-llm","healthPath":"/health","maxConnections":280,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacity":509358,"kvTokenBytes":18432,"linkMbps":130000.0,"models":[{"name":"m"}]}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"bozi300","apiKeys":["9dnn2ctnfzs989anu6ws"],"priority":1}]}"#;
 
+/// What each request got, by id.
+type Outcomes = BTreeMap<String, Outcome>;
+
 /// Runs the case; returns whether DRAIN was broken.
 pub fn run(record: &Record, trouble: bool) -> CaseResult {
     let network = Network::draw()?;
     let store = Store::start(network.store(), record)?;
     store.put("op/config", CONFIG);
-    let work = Work::Plain {
-        time: WORK_TIME,
-        bytes: 800,
+    let work = Work::Stream {
+        first: FIRST_EVENT,
+        events: EVENTS,
+        pause: EVENT_PAUSE,
     };
     let mut replicas = Vec::new();
     for number in 0..REPLICAS {
         let id = format!("i-{number}");
-        let replica = Replica::start(&id, network.replica(number), 6, work, record)?;
+        let replica = Replica::start(&id, network.replica(number), SLOTS, work, record)?;
         store.put(&format!("servers/{id}"), &replica.entry(SERVICE));
         replicas.push(replica);
     }
@@ -92,12 +102,9 @@
     leaving.end();
     thread::sleep(Duration::from_secs(2));
     done.store(true, Ordering::SeqCst);
-    let mut lost = 0;
-    let mut sent = 0;
+    let mut outcomes = Outcomes::new();
     for client in clients {
-        let (requests, failed) = client.join().map_err(|_| "a client failed".to_owned())?;
-        sent += requests;
-        lost += failed;
+        outcomes.extend(client.join().map_err(|_| "a client failed".to_owned())?);
     }
     for daemon in &daemons {
         daemon.record_events(&[
@@ -107,18 +114,22 @@
             "endpoint.gone",
         ]);
     }
-    let late = leaving.arrivals();
-    let late = late
-        .values()
-        .filter(|arrival| arrival.at_ms > gone_ms + DRAIN_MS);
-    let late: Vec<u64> = late.map(|arrival| arrival.at_ms - gone_ms).collect();
-    let last = late.iter().max().copied().unwrap_or(0);
+    let mut late = leaving.arrivals();
+    late.retain(|_, arrival| arrival.at_ms > gone_ms + DRAIN_MS);
+    let last = late.values().map(|arrival| arrival.at_ms - gone_ms).max();
     record.line(format!(
-        "{sent} requests sent, {lost} not answered with 200; {} reached the replica more than {DRAIN_MS} ms after its \
-         entry went, the last after {last} ms",
-        late.len()
+        "{} streams reached the replica more than {DRAIN_MS} ms after its entry went, the last after {} ms",
+        late.len(),
+        last.unwrap_or(0)
     ));
-    if sent < 100 {
+    let is_lost = |id: &String| outcomes.get(id) != Some(&Outcome::Answered(200));
+    record.line(format!(
+        "{} streams sent, {} not answered whole with 200; {} of the late ones weren't",
+        outcomes.len(),
+        outcomes.keys().filter(|id| is_lost(id)).count(),
+        late.keys().filter(|id| is_lost(id)).count()
+    ));
+    if outcomes.len() < 100 {
         return Err("too few requests were sent".into());
     }
     Ok(!late.is_empty())
@@ -135,12 +146,12 @@
     });
 }
 
-/// Starts the clients; each returns the number of its requests and of those that weren't answered with 200.
+/// Starts the clients; each returns what its requests got.
 fn start_clients(
     network: Network,
     record: &Record,
     done: &Arc<AtomicBool>,
-) -> Vec<JoinHandle<(usize, usize)>> {
+) -> Vec<JoinHandle<Outcomes>> {
     let mut clients = Vec::new();
     for daemon in 0..DAEMONS {
         for client in 0..CLIENTS_EACH {
@@ -149,6 +160,7 @@
             clients.push(thread::spawn(move || {
                 run_client(&name, network, daemon, &record, &done)
             }));
+            thread::sleep(CLIENT_STAGGER);
         }
     }
     clients
@@ -160,37 +172,32 @@
     daemon: u8,
     record: &Record,
     done: &AtomicBool,
-) -> (usize, usize) {
-    let (mut sent, mut failed) = (0, 0);
+) -> Outcomes {
+    let mut outcomes = Outcomes::new();
     let mut connection = None;
     while !done.load(Ordering::SeqCst) {
         connection = connection.or_else(|| Connection::open(network.front(daemon)));
-        let id = format!("{name}-{sent:04}");
-        let (method, path, body): (&str, String, &[u8]) = match sent % 2 {
-            0 => ("POST", format!("/pay/{id}"), b"sale"),
-            _ => ("GET", format!("/levy/{id}"), b""),
-        };
+        let id = format!("{name}-{:04}", outcomes.len());
         let request = Request {
-            method,
-            path: &path,
+            method: "POST",
+            path: &format!("/levy/{id}"),
             id: &id,
-            deadline_ms: 1_500,
-            headers: "",
-            body,
+            deadline_ms: 15_000,
+            headers: "Hazelyoke-Model: m\r\nHazelyoke-Token-Count: 707,49\r\n",
+            body: b"levy",
         };
         let outcome = match &mut connection {
             Some(open) => open.exchange(&request),
             None => Outcome::NotConnected,
         };
-        sent += 1;
         if outcome != Outcome::Answered(200) {
-            failed += 1;
             record.event(format!("client: {id} got {outcome:?}"));
         }
         if !matches!(outcome, Outcome::Answered(_)) {
             connection = None;
         }
+        outcomes.insert(id, outcome);
         thread::sleep(CLIENT_PAUSE);
     }
-    (sent, failed)
+    outcomes
 }
