relay: state the end of the endpoint's connection in a frame

Callers got 200 with a part of an answer that looked whole. The endpoint's answer had no length, it came through a relay, and the relay was killed.

Cause: the operating system closes the connections of a killed process in order. The daemon behind the relay took the end of the tunnel for the end of the endpoint's connection, and so for the end of the answer. The relay's reset after a failure covers only what the relay lives to see.

Bytes from the endpoint now come in frames, and an empty frame states that the endpoint has closed. A tunnel that ends without it fails the read, so that the HTTP client reports the body as broken at whatever byte it was cut. The opener offers the protocol in `Upgrade` and the relay's answer names the one it speaks.

--- a/daemon/tests/process/mod.rs
+++ b/daemon/tests/process/mod.rs
@@ -8,6 +8,7 @@
     super::stand_in::{
         client,
         documents::{SettingsFile, free_ports},
+        second_ip,
         store::StandInStore,
         test_ip, until,
     },
@@ -23,6 +24,9 @@
     tokio::net::TcpStream,
 };
 
+/// The program under test.
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_hazelyoked");
+
 /// Default grace period of a daemon's stop, in seconds.
 pub const GRACE_S: f64 = 3.5;
 
@@ -38,6 +42,8 @@
     pub settings: PathBuf,
     pub listen: SocketAddr,
     pub ready: SocketAddr,
+    /// Address for messages of other daemons.
+    pub peer: SocketAddr,
     pub log: Log,
 }
 
@@ -165,13 +171,14 @@
     descriptors: 1_024,
 };
 
-pub fn settings_text(
+/// Returns the settings of a daemon at this test's address that knows no other daemon.
+pub fn settings_file(
     name: &str,
     [front, ready, peer]: [u16; 3],
     store: SocketAddr,
     grace_s: f64,
-) -> String {
-    let file = SettingsFile {
+) -> SettingsFile<'_> {
+    SettingsFile {
         name,
         ip: test_ip(),
         front,
@@ -181,8 +188,7 @@
         seeds: &[],
         grace_s,
         store,
-    };
-    file.text()
+    }
 }
 
 /// Starts a daemon with a log file, and waits until it is ready.
@@ -193,14 +199,47 @@
 
 /// Starts a daemon that logs to `log`, and waits until it is ready.
 pub async fn start_with(name: &str, store: &StandInStore, log: Log, limits: Limits) -> Process {
-    let grace_s = limits.grace_s;
-    let [front, ready, peer] = free_ports(test_ip());
-    let file = format!("hazelyoked-{}-{name}.toml", std::process::id());
-    let settings = std::env::temp_dir().join(file);
-    let text = settings_text(name, [front, ready, peer], store.address, grace_s);
-    fs::write(&settings, text).unwrap();
+    let ports = free_ports(test_ip());
+    let file = settings_file(name, ports, store.address, limits.grace_s);
+    start_program(PROGRAM, &file, log, limits).await
+}
+
+/// Starts a daemon of a program, which may be of another release, that joins the daemon `seed`. Waits until it is ready.
+pub async fn start_joined(
+    program: &str,
+    name: &str,
+    store: &StandInStore,
+    seed: &Process,
+) -> Process {
+    // All daemons of a fleet have the same port for messages between them.
+    let ip = second_ip();
+    let [front, ready] = free_ports(ip);
+    let file = SettingsFile {
+        name,
+        ip,
+        front,
+        ready,
+        control: None,
+        peer: seed.peer.port(),
+        seeds: &[seed.peer],
+        grace_s: DEFAULT_LIMITS.grace_s,
+        store: store.address,
+    };
+    let log = Log::File(LogFile::new(name));
+    start_program(program, &file, log, DEFAULT_LIMITS).await
+}
+
+/// Starts a daemon of a program with the given settings, and waits until it is ready.
+pub async fn start_program(
+    program: &str,
+    file: &SettingsFile<'_>,
+    log: Log,
+    limits: Limits,
+) -> Process {
+    let name = format!("hazelyoked-{}-{}.toml", std::process::id(), file.name);
+    let settings = std::env::temp_dir().join(name);
+    fs::write(&settings, file.text()).unwrap();
     // The shell limits its own descriptors, then replaces itself by the program.
-    let program = env!("CARGO_BIN_EXE_hazelyoked");
     let limit = limits.descriptors;
     let command = format!("ulimit -n {limit} && exec \"$0\" --platform \"$1\"");
     let stdout = match &log {
@@ -216,8 +255,9 @@
     let process = Process {
         child,
         settings,
-        listen: SocketAddr::new(test_ip(), front),
-        ready: SocketAddr::new(test_ip(), ready),
+        listen: SocketAddr::new(file.ip, file.front),
+        ready: SocketAddr::new(file.ip, file.ready),
+        peer: SocketAddr::new(file.ip, file.peer),
         log,
     };
     until(|| is_ready(process.ready), true).await;
--- a/daemon/tests/test_process.rs
+++ b/daemon/tests/test_process.rs
@@ -9,7 +9,7 @@
 
 use {
     process::{
-        DEFAULT_LIMITS, GRACE_S, Limits, Log, LogFile, Process, is_ready, settings_text, signal,
+        DEFAULT_LIMITS, GRACE_S, Limits, Log, LogFile, Process, is_ready, settings_file, signal,
         start, start_with,
     },
     serde_json::{Value, json},
@@ -114,6 +114,7 @@
             settings: pipe.clone(),
             listen: SocketAddr::new(test_ip(), front),
             ready: SocketAddr::new(test_ip(), ready),
+            peer: SocketAddr::new(test_ip(), peer),
             log: Log::File(log),
         };
         // Opening the pipe for writing waits until the starting daemon has opened it for reading.
@@ -121,7 +122,8 @@
         let writer = tokio::task::spawn_blocking(|| std::fs::File::create(opened).unwrap());
         let mut writer = writer.await.unwrap();
         signal(&process, "HUP");
-        let text = settings_text("starting", [front, ready, peer], store.address, GRACE_S);
+        let ports = [front, ready, peer];
+        let text = settings_file("starting", ports, store.address, GRACE_S).text();
         std::io::Write::write_all(&mut writer, text.as_bytes()).unwrap();
         // The reload that the signal causes reads an ordinary file.
         std::fs::remove_file(&pipe).unwrap();
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -14,6 +14,7 @@
             rules::{
                 allowed_regions::RegionHash,
                 coordinator::{self, Coordinator},
+                endpoint_reach::RelayPreference,
                 gossip::{self, HeartbeatExtras},
                 liveness,
             },
@@ -213,16 +214,16 @@
     pub(crate) fn draw_relays(
         &mut self,
         count: usize,
-        may_ask: impl Fn(SocketAddr) -> bool,
+        preference: impl Fn(SocketAddr) -> Option<RelayPreference>,
     ) -> Vec<SocketAddr> {
-        let ready = self.known.iter().filter(|(address, peer)| {
-            peer.alive && peer.phase == Phase::Ready && may_ask(**address)
+        let ready = self.known.iter().filter_map(|(address, peer)| {
+            let is_ready = peer.alive && peer.phase == Phase::Ready;
+            let preference = is_ready.then(|| preference(*address)).flatten()?;
+            Some(((preference, peer.is_remote), *address))
         });
-        let mut ready: Vec<(bool, SocketAddr)> = ready
-            .map(|(address, peer)| (peer.is_remote, *address))
-            .collect();
+        let mut ready: Vec<_> = ready.collect();
         ready.shuffle(&mut self.rng);
-        ready.sort_by_key(|(is_remote, _)| *is_remote);
+        ready.sort_by_key(|(order, _)| *order);
         ready.truncate(count);
         ready.into_iter().map(|(_, address)| address).collect()
     }
--- a/lib/src/gateway/reach/connect.rs
+++ b/lib/src/gateway/reach/connect.rs
@@ -163,7 +163,13 @@
         let mut answered = 0;
         for relay in self.draw_relays() {
             match relay_client::open(relay, &entry.id).await {
-                Ok(connection) => return Ok(connection),
+                Ok(relayed) => {
+                    let mut state = self.state.borrow_mut();
+                    state
+                        .reach
+                        .record_protocol(relay, relayed.protocol.marks_end());
+                    return Ok(relayed.connection);
+                }
                 Err(RelayError::Unreached { refused }) => {
                     failure = failure.or_unreached(refused);
                     answered += 1;
@@ -188,8 +194,8 @@
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let (reach, now) = (&state.reach, self.now());
-        let may_ask = |relay| reach.may_ask(now, relay);
-        state.peers.draw_relays(MAX_RELAYS, may_ask)
+        let preference = |relay| reach.relay_preference(now, relay);
+        state.peers.draw_relays(MAX_RELAYS, preference)
     }
 
     fn relayed(
--- a/lib/src/gateway/reach/relay_client.rs
+++ b/lib/src/gateway/reach/relay_client.rs
@@ -1,11 +1,17 @@
 //! Asks another daemon to relay a connection to an endpoint.
 //!
 //! The request is an HTTP/1.1 upgrade on the address for links. The bytes of the endpoint's connection follow the head of
-//! the answer.
+//! the answer, in frames if the relay knows them: the answer names the protocol that it speaks.
 
 use {
     crate::{
-        gateway::wire::egress::{ENDPOINT_SILENCE, FreshConnection, SendError, open_stream},
+        gateway::{
+            reach::{
+                relay_frames::{read_framed, read_plain},
+                relay_protocol::{ENDPOINT_HEADER, OFFERED_PROTOCOLS, RELAY_PATH, RelayProtocol},
+            },
+            wire::egress::{ENDPOINT_SILENCE, FreshConnection, SendError, open_stream},
+        },
         shared::ids::EndpointId,
     },
     bytes::Bytes,
@@ -18,15 +24,6 @@
     tokio::{net::TcpStream, time::timeout},
 };
 
-/// Path of the request.
-pub(super) const RELAY_PATH: &str = "/relay";
-
-/// Protocol that the connection is upgraded to.
-pub(super) const RELAY_PROTOCOL: HeaderValue = HeaderValue::from_static("hazelyoke-relay");
-
-/// Header with the id of the endpoint.
-pub(super) const ENDPOINT_HEADER: &str = "endpoint";
-
 /// Maximum time until the relay has confirmed the connection. It is longer than the time that the relay has to connect
 /// to the endpoint.
 const RELAY_LIMIT: Duration = Duration::from_millis(300);
@@ -63,6 +60,13 @@
     Send(#[from] SendError),
 }
 
+/// A connection to an endpoint through another daemon.
+#[derive(Debug)]
+pub(super) struct RelayedConnection {
+    pub(super) connection: FreshConnection,
+    pub(super) protocol: RelayProtocol,
+}
+
 /// Opens a connection to an endpoint through the daemon at `relay`.
 ///
 /// # Errors
@@ -71,13 +75,23 @@
 pub(super) async fn open(
     relay: SocketAddr,
     endpoint: &EndpointId,
-) -> Result<FreshConnection, RelayError> {
+) -> Result<RelayedConnection, RelayError> {
     let opened = timeout(RELAY_LIMIT, open_tunnel(relay, endpoint)).await;
-    let stream = opened.map_err(|_elapsed| RelayError::TimedOut)??;
-    Ok(FreshConnection::new(stream).await?)
+    let (tunnel, protocol) = opened.map_err(|_elapsed| RelayError::TimedOut)??;
+    let connection = match protocol {
+        RelayProtocol::Framed => FreshConnection::new(read_framed(tunnel)).await?,
+        RelayProtocol::Plain => FreshConnection::new(read_plain(tunnel)).await?,
+    };
+    Ok(RelayedConnection {
+        connection,
+        protocol,
+    })
 }
 
-async fn open_tunnel(relay: SocketAddr, endpoint: &EndpointId) -> Result<TcpStream, RelayError> {
+async fn open_tunnel(
+    relay: SocketAddr,
+    endpoint: &EndpointId,
+) -> Result<(TcpStream, RelayProtocol), RelayError> {
     let request = build_request(relay, endpoint)?;
     let stream = open_stream(relay, RELAY_LIMIT, ENDPOINT_SILENCE).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
@@ -99,10 +113,11 @@
         StatusCode::NOT_FOUND => return Err(RelayError::Unlisted),
         status => return Err(RelayError::Status(status)),
     }
+    let protocol = RelayProtocol::read(response.headers());
     let upgraded = upgrade::on(response).await?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>();
     match parts {
-        Ok(parts) if parts.read_buf.is_empty() => Ok(parts.io.into_inner()),
+        Ok(parts) if parts.read_buf.is_empty() => Ok((parts.io.into_inner(), protocol)),
         _ => Err(RelayError::EarlyBytes),
     }
 }
@@ -116,7 +131,7 @@
     let headers = request.headers_mut();
     headers.insert(header::HOST, HeaderValue::from_str(&relay.to_string())?);
     headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
-    headers.insert(header::UPGRADE, RELAY_PROTOCOL);
+    headers.insert(header::UPGRADE, OFFERED_PROTOCOLS);
     headers.insert(ENDPOINT_HEADER, HeaderValue::from_str(endpoint.as_str())?);
     Ok(request)
 }
--- a/lib/src/gateway/reach/relay_copy.rs
+++ b/lib/src/gateway/reach/relay_copy.rs
@@ -1,6 +1,7 @@
 //! Copies bytes between the two connections of a relay.
 
 use {
+    crate::gateway::reach::{relay_frames::copy_framed, relay_protocol::RelayProtocol},
     std::{io, time::Duration},
     tokio::{
         io::{AsyncWriteExt, copy},
@@ -17,13 +18,20 @@
 /// a connection fails.
 ///
 /// If the daemon closes, the endpoint's connection is closed at once, so that the endpoint drops the request. If a
-/// connection fails, the daemon's connection is reset: a reply without a length would look complete otherwise.
-pub(super) async fn relay(mut daemon: TcpStream, mut endpoint: TcpStream) {
+/// connection fails, the daemon's connection is reset: a reply without a length would look complete otherwise at a daemon
+/// that doesn't know frames.
+pub(super) async fn relay(mut daemon: TcpStream, mut endpoint: TcpStream, protocol: RelayProtocol) {
     let (mut from_daemon, mut to_daemon) = daemon.split();
     let (mut from_endpoint, mut to_endpoint) = endpoint.split();
+    let reply = async {
+        match protocol {
+            RelayProtocol::Plain => copy(&mut from_endpoint, &mut to_daemon).await.map(drop),
+            RelayProtocol::Framed => copy_framed(&mut from_endpoint, &mut to_daemon).await,
+        }
+    };
     let ended: io::Result<bool> = tokio::select! {
         request = copy(&mut from_daemon, &mut to_endpoint) => request.map(|_| false),
-        reply = copy(&mut from_endpoint, &mut to_daemon) => reply.map(|_| true),
+        reply = reply => reply.map(|()| true),
     };
     match ended {
         Ok(true) => {
--- a/lib/src/gateway/reach/relay_server.rs
+++ b/lib/src/gateway/reach/relay_server.rs
@@ -8,8 +8,8 @@
             dialect::Dialect,
             directory::endpoint_entry::EndpointEntry,
             reach::{
-                relay_client::{ENDPOINT_HEADER, RELAY_PATH, RELAY_PROTOCOL},
                 relay_copy::relay,
+                relay_protocol::{ENDPOINT_HEADER, RELAY_PATH, RelayProtocol},
             },
             routing::guards::RequestGuard,
             rules::{eligibility::Exclusion, endpoint_reach::may_relay},
@@ -87,11 +87,12 @@
     let mut response = Response::new(Empty::new());
     match open(&gateway, &request).await {
         Ok((stream, guard)) => {
+            let protocol = RelayProtocol::read(request.headers());
             *response.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
             let headers = response.headers_mut();
             headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
-            headers.insert(header::UPGRADE, RELAY_PROTOCOL);
-            tokio::task::spawn_local(run(request, stream, guard));
+            headers.insert(header::UPGRADE, protocol.name());
+            tokio::task::spawn_local(run(request, stream, protocol, guard));
         }
         Err(status) => {
             gateway.metrics.relays.count_refused();
@@ -148,7 +149,12 @@
 }
 
 /// Copies bytes once the connection of the other daemon has been upgraded.
-async fn run<D: Dialect>(request: Request<Incoming>, endpoint: TcpStream, guard: RelayGuard<D>) {
+async fn run<D: Dialect>(
+    request: Request<Incoming>,
+    endpoint: TcpStream,
+    protocol: RelayProtocol,
+    guard: RelayGuard<D>,
+) {
     let Ok(upgraded) = upgrade::on(request).await else {
         return;
     };
@@ -161,7 +167,7 @@
     }
     let daemon = parts.io.into_inner();
     limit_silence(&daemon, ENDPOINT_SILENCE);
-    relay(daemon, endpoint).await;
+    relay(daemon, endpoint, protocol).await;
     drop(guard);
 }
 
--- a/lib/src/gateway/rules/endpoint_reach.rs
+++ b/lib/src/gateway/rules/endpoint_reach.rs
@@ -8,7 +8,9 @@
 //! different endpoints have failed, although the endpoints hadn't ended, and none has succeeded since the first of these
 //! failures; all endpoints are then connected through another daemon first. While an isolated host finds no daemon that
 //! relays, connections to the endpoints that it has failed to reach aren't tried for `NO_RELAY_PAUSE`. A relay states
-//! that an endpoint can't be reached only if it reached another one within `REACHED_LATELY` or reaches one now.
+//! that an endpoint can't be reached only if it reached another one within `REACHED_LATELY` or reaches one now. Daemons
+//! known to relay without marking the end of an endpoint's connection are asked last: a reply without a length can't be
+//! told from a cut one behind them.
 //!
 //! Reason: a failed connection looks the same whether the endpoint has ended or this host is partitioned from it. Only
 //! another host can tell. In a partition that drops packets, each direct attempt costs the whole connect timeout.
@@ -20,7 +22,7 @@
         gateway::directory::endpoint_entry::EndpointIncarnation,
         shared::units::{Millis, Time},
     },
-    foldhash::HashMap,
+    foldhash::{HashMap, HashSet},
     std::{collections::BTreeSet, net::SocketAddr, ops::Bound, time::Duration},
 };
 
@@ -69,6 +71,15 @@
     Closed,
 }
 
+/// The order in which daemons are asked to relay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RelayPreference {
+    /// The daemon marks the end of an endpoint's connection, or hasn't relayed one yet.
+    Usual,
+    /// The daemon doesn't mark the end.
+    Unmarked,
+}
+
 /// What this host knows of its paths to the endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointReach {
@@ -86,6 +97,8 @@
     last_probed: Option<EndpointIncarnation>,
     /// Daemons that aren't asked to relay, and until when.
     excluded_relays: HashMap<SocketAddr, Time>,
+    /// Daemons that don't mark the end of an endpoint's connection.
+    unmarked_relays: HashSet<SocketAddr>,
     /// End of the pause after no daemon was found that relays.
     paused_until: Time,
 }
@@ -172,10 +185,25 @@
         self.excluded_relays.insert(relay, now + RELAY_EXCLUSION);
     }
 
-    /// Returns whether a daemon may be asked to relay.
-    pub fn may_ask(&self, now: Time, relay: SocketAddr) -> bool {
+    /// Records whether a daemon that relayed a connection marks the end of the endpoint's connection.
+    pub fn record_protocol(&mut self, relay: SocketAddr, marks_end: bool) {
+        if marks_end {
+            self.unmarked_relays.remove(&relay);
+        } else {
+            self.unmarked_relays.insert(relay);
+        }
+    }
+
+    /// Returns how soon a daemon is asked to relay; `None` if it isn't asked.
+    pub fn relay_preference(&self, now: Time, relay: SocketAddr) -> Option<RelayPreference> {
         let excluded = self.excluded_relays.get(&relay);
-        excluded.is_none_or(|until| *until <= now)
+        if excluded.is_some_and(|until| *until > now) {
+            return None;
+        }
+        if self.unmarked_relays.contains(&relay) {
+            return Some(RelayPreference::Unmarked);
+        }
+        Some(RelayPreference::Usual)
     }
 
     /// Records that no daemon was found that relays, and that a direct connection failed.
--- a/lib/src/gateway/wire/egress.rs
+++ b/lib/src/gateway/wire/egress.rs
@@ -12,7 +12,11 @@
     socket2::{SockRef, TcpKeepalive},
     std::{io, net::SocketAddr, time::Duration},
     thiserror::Error,
-    tokio::{net::TcpStream, task::AbortHandle},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+        task::AbortHandle,
+    },
 };
 
 /// Maximum time to connect to an endpoint.
@@ -125,12 +129,15 @@
 }
 
 impl FreshConnection {
-    /// Prepares a TCP connection for one request.
+    /// Prepares a connection for one request.
     ///
     /// # Errors
     ///
     /// Returns [`SendError::NotSent`] if the connection can't be used; no byte of a request was sent then.
-    pub async fn new(stream: TcpStream) -> Result<Self, SendError> {
+    pub async fn new<S>(stream: S) -> Result<Self, SendError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(REPLY_BUFFER)
             .handshake(TokioIo::new(stream))
--- a/lib/tests/test_endpoint_reach.rs
+++ b/lib/tests/test_endpoint_reach.rs
@@ -5,7 +5,8 @@
     gateway::{
         directory::endpoint_entry::EndpointIncarnation,
         rules::endpoint_reach::{
-            EndpointReach, MAX_RELAYED, PathOrder, RelayRefusal, may_relay, probe_count,
+            EndpointReach, MAX_RELAYED, PathOrder, RelayPreference, RelayRefusal, may_relay,
+            probe_count,
         },
     },
     shared::units::{Millis, Time},
@@ -71,10 +72,27 @@
 fn excluded_relays() {
     let relay = "127.0.0.1:7".parse().expect("an address");
     let mut reach = EndpointReach::default();
-    assert!(reach.may_ask(at(0), relay));
+    let usual = Some(RelayPreference::Usual);
+    assert_eq!(reach.relay_preference(at(0), relay), usual);
     reach.exclude_relay(at(0), relay);
-    assert!(!reach.may_ask(at(999), relay));
-    assert!(reach.may_ask(at(1_000), relay));
+    assert_eq!(reach.relay_preference(at(999), relay), None);
+    assert_eq!(reach.relay_preference(at(1_000), relay), usual);
+}
+
+/// A daemon that doesn't mark the end of a connection is asked after the others, until it was updated.
+#[test]
+fn unmarked_relays() {
+    let relay = "127.0.0.1:7".parse().expect("an address");
+    let mut reach = EndpointReach::default();
+    reach.record_protocol(relay, false);
+    let preference = reach.relay_preference(at(0), relay);
+    assert_eq!(preference, Some(RelayPreference::Unmarked));
+    assert!(preference > Some(RelayPreference::Usual));
+    reach.record_protocol(relay, true);
+    assert_eq!(
+        reach.relay_preference(at(0), relay),
+        Some(RelayPreference::Usual)
+    );
 }
 
 /// Every relayed endpoint gets its turn, and more of them once probes succeed.
