directory: a cut watch is no outage, and doubt ends

Callers' streams reached an endpoint until it ended, 5 s after its entry had gone, while the store cut the waiting watches every 1.2 s; some were cut in the middle.

Cause: each cut of a waiting call counted as a failure of the directory, so that the entry counted as lapsed rather than gone, and each further failure began the time anew for which the endpoint was used.

A connection that the directory closes while a call waits for changes isn't a failure any more. The time for an unconfirmed endpoint runs from the moment its entry vanished; it begins again only while the directory is dark (has only failed for 500 ms, and has answered no other daemon), and ends one lapse time later in any case.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -14,7 +14,7 @@
                 source::Topic,
             },
             revision::Revision,
-            rules::unconfirmed_entry::is_outage,
+            rules::unconfirmed_entry::{is_dark, is_outage},
             state::{Gateway, GatewayState},
         },
         shared::{ids::EndpointId, units::Time},
@@ -34,6 +34,12 @@
     fn is_outage(&self, now: Time) -> bool {
         is_outage(now, self.contact.reads, self.peers.has_steady_peer(now))
     }
+
+    /// Returns whether living endpoints can't write their entries now, as far as this daemon and its peers can tell.
+    fn is_dark(&self, now: Time) -> bool {
+        let since = self.contact.lost_since();
+        since.is_some_and(|since| is_dark(now, since, self.peers.read_age(now)))
+    }
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -151,7 +157,12 @@
     /// entries have lasted, drops evacuation orders of an earlier era, and ends exclusions and cooldowns of endpoints.
     pub fn apply_timeouts(&self) {
         let now = self.now();
-        let changes = self.state.borrow_mut().catalogue.expire_unconfirmed(now);
+        let mut state = self.state.borrow_mut();
+        if state.is_dark(now) {
+            state.catalogue.extend_unconfirmed(now);
+        }
+        let changes = state.catalogue.expire_unconfirmed(now);
+        drop(state);
         for change in changes {
             self.apply_change(&change, UNCONFIRMED_TIME_OVER);
         }
--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -1,6 +1,6 @@
 //! The entries of the endpoints as of one revision of the directory.
 //!
-//! Owns the entries, the time until which each unconfirmed one is used, and the log of changes. The rule
+//! Owns the entries, the times until which unconfirmed ones are used, and the log of changes. The rule
 //! [`unconfirmed_entry`](crate::gateway::rules::unconfirmed_entry) decides whether an entry that vanished is
 //! unconfirmed. The catalogue has no clock: callers pass the time.
 
@@ -47,6 +47,14 @@
     }
 }
 
+/// How long an unconfirmed endpoint is used.
+#[derive(Debug, Clone, Copy)]
+struct Doubt {
+    until: Time,
+    /// Time beyond which `until` isn't extended.
+    latest: Time,
+}
+
 /// The endpoints as of one revision of the directory.
 #[derive(Debug, Clone)]
 pub struct Catalogue {
@@ -58,8 +66,8 @@
     revision: Revision,
     log: ChangeLog,
     entries: HashMap<EndpointId, Arc<EndpointEntry>>,
-    /// Unconfirmed endpoints, each with the time until which it is used.
-    unconfirmed: HashMap<EndpointId, Time>,
+    /// Unconfirmed endpoints.
+    unconfirmed: HashMap<EndpointId, Doubt>,
     /// Endpoints whose entries vanished while the directory answered.
     departed: Departed,
 }
@@ -227,8 +235,9 @@
             if self.unconfirmed.contains_key(id) {
                 return None;
             }
-            self.unconfirmed
-                .insert(id.clone(), now + self.unconfirmed_time);
+            let until = now + self.unconfirmed_time;
+            let latest = until + self.lapse_time;
+            self.unconfirmed.insert(id.clone(), Doubt { until, latest });
             return Some(EndpointChange::Unconfirmed(entry));
         }
         self.unconfirmed.remove(id);
@@ -339,7 +348,7 @@
         let due: Vec<EndpointId> = self
             .unconfirmed
             .iter()
-            .filter(|(_, until)| **until <= now)
+            .filter(|(_, doubt)| doubt.until <= now)
             .map(|(id, _)| id.clone())
             .collect();
         due.iter().filter_map(|id| self.expire(id)).collect()
@@ -351,12 +360,12 @@
         Some(EndpointChange::Gone(entry))
     }
 
-    /// Restarts the unconfirmed time of all unconfirmed endpoints: their entries can't be written while the directory
-    /// can't be read.
+    /// Restarts the unconfirmed time of all unconfirmed endpoints, since their entries can't be written now. An endpoint
+    /// isn't used longer than for its unconfirmed time and a lapse time after its entry vanished.
     pub fn extend_unconfirmed(&mut self, now: Time) {
         let until_next = now + self.unconfirmed_time;
-        for until in self.unconfirmed.values_mut() {
-            *until = until_next;
+        for doubt in self.unconfirmed.values_mut() {
+            doubt.until = doubt.until.max(until_next.min(doubt.latest));
         }
     }
 }
--- a/lib/src/gateway/directory/contact.rs
+++ b/lib/src/gateway/directory/contact.rs
@@ -16,6 +16,8 @@
 pub struct DirectoryContact {
     /// Times of the last answer and of the last failure for any topic.
     pub reads: ReadHistory,
+    /// Time of the first failure since the last answer; `None` if there is none.
+    lost_since: Option<Time>,
     /// Time of the last answer for each topic; `None` before the first one.
     answered: [Option<Time>; TOPIC_COUNT],
     /// For each topic, whether an answer is being received.
@@ -26,9 +28,21 @@
     /// Records a complete answer for a topic.
     pub(crate) fn record_answer(&mut self, now: Time, topic: Topic) {
         self.reads.answered = Some(now);
+        self.lost_since = None;
         self.answered[topic as usize] = Some(now);
     }
 
+    /// Records a read that failed.
+    pub(crate) fn record_failure(&mut self, now: Time) {
+        self.reads.failed = Some(now);
+        self.lost_since.get_or_insert(now);
+    }
+
+    /// Returns the time since which reads have only failed; `None` if the last one was answered.
+    pub(crate) fn lost_since(&self) -> Option<Time> {
+        self.lost_since
+    }
+
     /// Records that an answer for a topic has begun. From now on its bytes keep arriving, or its end is recorded soon.
     pub(crate) fn begin_answer(&mut self, topic: Topic) {
         self.receiving[topic as usize] = true;
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -16,7 +16,7 @@
         revision::{Era, Revision},
         rules::directory_reads::{
             AnswerTimeout, Backoff, COVER_CHECK, LastCall, PAUSE_FRACTIONS, ReadDuty, START_PAGES,
-            pause_after_answer, topic_wait,
+            is_cut_watch, pause_after_answer, topic_wait, wait_after,
         },
         serving::metrics::TableSource,
         state::Gateway,
@@ -63,7 +63,7 @@
         };
         let took = follower.gateway.now().since(began);
         follower.adapt_timeout(&read, took.saturating_sub(wait));
-        follower.apply(read, took).await;
+        follower.apply(read, took, wait).await;
     }
 }
 
@@ -98,7 +98,7 @@
         if is_first || self.gateway.read_duty() == ReadDuty::Read {
             self.skip_known_table();
             self.is_probe = false;
-            return self.change_wait();
+            return self.change_wait(self.last_call);
         }
         self.is_probe = true;
         let last_call = self.last_call.unwrap_or(LastCall::Answered);
@@ -110,10 +110,10 @@
         Duration::ZERO
     }
 
-    /// Returns the time for which a call waits for changes under the settings in force.
-    fn change_wait(&self) -> Duration {
+    /// Returns the time for which a call after `last_call` waits for changes under the settings in force.
+    fn change_wait(&self, last_call: Option<LastCall>) -> Duration {
         let bounds = self.gateway.settings().bounds;
-        topic_wait(self.topic, bounds.directory_wait())
+        wait_after(last_call, topic_wait(self.topic, bounds.directory_wait()))
     }
 
     /// Moves the position past the changes of the operator topic that this daemon received from others, so that it
@@ -191,8 +191,9 @@
         };
     }
 
-    /// Applies the result of a call that took the time `took`, and pauses until the next call is due.
-    async fn apply(&mut self, read: Result<Items, DirectoryError>, took: Duration) {
+    /// Applies the result of a call that waited up to `wait` for changes and took the time `took`, and pauses until the
+    /// next call is due.
+    async fn apply(&mut self, read: Result<Items, DirectoryError>, took: Duration, wait: Duration) {
         match read.and_then(|items| self.check_era(items)) {
             Ok(items) => self.apply_items(items).await,
             Err(DirectoryError::Compacted) => {
@@ -210,7 +211,7 @@
                 log::info!(topic:? = self.topic; "directory.left");
                 self.last_call = Some(LastCall::FirstFailed);
             }
-            Err(error) => self.back_off(&error, took).await,
+            Err(error) => self.back_off(&error, took, wait).await,
         }
     }
 
@@ -240,12 +241,16 @@
         self.since = None;
     }
 
-    async fn back_off(&mut self, error: &DirectoryError, took: Duration) {
+    async fn back_off(&mut self, error: &DirectoryError, took: Duration, wait: Duration) {
         let took_ms = took.as_millis() as u64;
         log::info!(topic:? = self.topic, took_ms, error:% = error; "directory.read_failed");
         self.last_call = Some(LastCall::after_failure(self.last_call));
-        self.gateway.end_substitution();
-        self.gateway.directory_failed(&error.to_string());
+        if is_cut_watch(error, took, wait) {
+            self.gateway.metrics.count_failed_read();
+        } else {
+            self.gateway.end_substitution();
+            self.gateway.directory_failed(&error.to_string());
+        }
         let fraction = rand::random_range(PAUSE_FRACTIONS);
         tokio::time::sleep(self.backoff.pause(fraction)).await;
         let now = self.gateway.now();
--- a/lib/src/gateway/directory/outage.rs
+++ b/lib/src/gateway/directory/outage.rs
@@ -25,8 +25,7 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let was_lost = state.contact.reads.is_lost();
-        state.contact.reads.failed = Some(now);
-        state.catalogue.extend_unconfirmed(now);
+        state.contact.record_failure(now);
         drop(state);
         self.metrics.count_failed_read();
         if !was_lost {
@@ -41,8 +40,7 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         if state.peers.read_age(now).is_some() {
-            state.contact.reads.failed = Some(now);
-            state.catalogue.extend_unconfirmed(now);
+            state.contact.record_failure(now);
         }
     }
 
--- a/lib/src/gateway/directory/source.rs
+++ b/lib/src/gateway/directory/source.rs
@@ -91,6 +91,9 @@
     /// No answer began within the timeout of the call.
     #[error("the directory didn't begin to answer in time")]
     TimedOut,
+    /// The connection ended before an answer began.
+    #[error("the directory closed the connection: {0}")]
+    Cut(String),
     /// There was no usable answer, and the connection can't be used any more.
     #[error("the directory gave no usable answer: {0}")]
     Unreachable(String),
--- a/lib/src/gateway/rules/directory_reads.rs
+++ b/lib/src/gateway/rules/directory_reads.rs
@@ -11,7 +11,9 @@
 //! until a coordinator reads again. After a failed call, a daemon first leaves time for the turns of others; the first
 //! call of a process is an exception, since a fleet that starts at once makes these calls at once. A call waits for
 //! half of the shorter of the apply and drain times, so that a silent connection is noticed in time. After each failure
-//! the pause doubles, up to a limit, and is shortened by a random fraction. After each answer that didn't begin in
+//! the pause doubles, up to a limit, and is shortened by a random fraction; the call after it doesn't wait for changes. A
+//! connection that the directory closes while a call waits for changes is a failure that says nothing about the directory.
+//! After each answer that didn't begin in
 //! time, the time allowed for the next one doubles.
 //!
 //! Reason: calls of the directory cost, and each daemon that reads for itself makes as many as one that reads for all.
@@ -21,7 +23,10 @@
 //! Tests: `lib/tests/test_directory_reads.rs`.
 
 use {
-    crate::{gateway::directory::source::Topic, shared::units::Millis},
+    crate::{
+        gateway::directory::source::{DirectoryError, Topic},
+        shared::units::Millis,
+    },
     std::{net::SocketAddr, ops::Range, time::Duration},
 };
 
@@ -220,6 +225,21 @@
     }
 }
 
+/// Returns the wait of a call after `last_call`, where it would be `wait` otherwise. After a failure the directory is asked
+/// to answer at once: that tells whether the failure was an outage, and what changed meanwhile.
+pub fn wait_after(last_call: Option<LastCall>, wait: Duration) -> Duration {
+    match last_call {
+        None | Some(LastCall::Answered) => wait,
+        Some(LastCall::FirstFailed | LastCall::Failed) => Duration::ZERO,
+    }
+}
+
+/// Returns whether a call failed only because the directory closed its connection while the call waited for changes. Calls
+/// that wait may be cut at any time, so this says nothing about the directory; the next call does.
+pub fn is_cut_watch(error: &DirectoryError, took: Duration, wait: Duration) -> bool {
+    matches!(error, DirectoryError::Cut(_)) && took < wait
+}
+
 /// Returns the pause after an answer for a topic, if there is one.
 pub fn pause_after_answer(topic: Topic, is_steady: bool) -> Option<Duration> {
     let pauses = topic == Topic::Endpoints && is_steady;
--- a/lib/src/gateway/rules/unconfirmed_entry.rs
+++ b/lib/src/gateway/rules/unconfirmed_entry.rs
@@ -6,12 +6,22 @@
 //! entry, and the time within which a leaving endpoint must get nothing new (milliseconds).
 //!
 //! Rule: an entry that vanishes while the directory fails for this daemon, or shortly after, and for every other daemon
-//! too, is unconfirmed. It stays in use for a little more than one interval between two writes, counted from the last
-//! failure. In every other case it is gone at once, and so is an entry whose endpoint was draining.
+//! too, is unconfirmed. Its endpoint stays in use for a little more than one interval between two writes from the moment
+//! the entry vanished. In every other case the entry is gone at once, and so is one whose endpoint was draining. A
+//! connection that the directory closes while a call waits for changes is no failure
+//! ([`directory_reads`](crate::gateway::rules::directory_reads)).
+//!
+//! The time begins again while the directory is dark: it has only failed for `SHORTEST_OUTAGE` and has answered no other
+//! daemon either. The directory keeps an entry for some intervals without a write; in the dark no longer than that and
+//! the time itself is waited, however often it begins again.
+//!
+//! What proves an entry gone: the directory lists it no longer and either hadn't failed, or has answered for longer than
+//! a living endpoint needs to write it again.
 //!
 //! Reason: entries expire while a directory is down although their endpoints are alive; dropping them would leave a
 //! service without endpoints. An endpoint that has really left must not be used beyond the drain time, so a daemon
-//! whose own connection failed must not keep an entry that others saw vanish (`docs/FINDINGS.md`, the row about DRAIN).
+//! whose own connection failed must not keep an entry that others saw vanish, and failures that the next call makes good
+//! must not prolong the time (`docs/incidents/cut-watches-keep-endpoint.md`).
 //!
 //! Tests: `lib/tests/test_suspect_entry.rs`.
 
@@ -24,6 +34,10 @@
 /// answered. Without it, a daemon whose own connections were reset would use an endpoint after it has left.
 const STEADY_TIME: Millis = Millis(3_000);
 
+/// Time for which reads have to fail before the directory counts as dark. A single failure is made good by the next call
+/// well within it.
+const SHORTEST_OUTAGE: Millis = Millis(500);
+
 /// Shortest time for which an unconfirmed endpoint is used.
 const SHORTEST_UNCONFIRMED: Millis = Millis(200);
 
@@ -86,6 +100,14 @@
     reads.failed_lately(now) && !has_steady_peer
 }
 
+/// Returns whether endpoints can't write their entries, although they live: reads have only failed since `lost_since`, and
+/// no other daemon has reported an answer since then. `read_age` is the time since the last answer to another daemon.
+pub fn is_dark(now: Time, lost_since: Time, read_age: Option<Millis>) -> bool {
+    let lost = now.since(lost_since);
+    let answered_others = read_age.is_some_and(|age| age.to_duration() < lost);
+    lost >= SHORTEST_OUTAGE.to_duration() && !answered_others
+}
+
 /// Returns whether an endpoint whose entry vanished is unconfirmed; otherwise it is gone.
 pub fn is_unconfirmed(is_outage: bool, was_draining: bool) -> bool {
     is_outage && !was_draining
--- a/lib/tests/test_catalogue.rs
+++ b/lib/tests/test_catalogue.rs
@@ -147,6 +147,24 @@
     );
 }
 
+/// However often the time begins again, it ends for an endpoint that has left: the unconfirmed time and the lapse time after
+/// its entry vanished.
+#[test]
+fn bounded_suspicion() {
+    let mut catalogue = catalogue();
+    catalogue.set_lapse_time(Millis(4_800));
+    catalogue.upsert(entry("a", 1, false));
+    catalogue.remove(Time(0), &id("a"), 9.into(), true);
+    for ms in (0..=6_100).step_by(100) {
+        let now = Time(0) + Millis(ms);
+        catalogue.extend_unconfirmed(now);
+        assert!(catalogue.expire_unconfirmed(now).is_empty(), "{ms}");
+    }
+    let now = Time(0) + Millis(6_200);
+    catalogue.extend_unconfirmed(now);
+    assert_eq!(catalogue.expire_unconfirmed(now).len(), 1);
+}
+
 /// A draining entry is removed at once, also during an outage of the directory.
 #[test]
 fn draining_never_suspect() {
--- a/lib/tests/test_directory_reads.rs
+++ b/lib/tests/test_directory_reads.rs
@@ -3,11 +3,11 @@
 use {
     hazelyoke_lib::{
         gateway::{
-            directory::source::Topic,
+            directory::source::{DirectoryError, Topic},
             rules::directory_reads::{
                 AnswerTimeout, Backoff, COVER_CHECK, LastCall, PAUSE_FRACTIONS, PeerReads,
-                ReadDuty, Reader, ReportedRead, call_wait, is_stall, next_turn, pause_after_answer,
-                read_duty, reported_read, topic_wait,
+                ReadDuty, Reader, ReportedRead, call_wait, is_cut_watch, is_stall, next_turn,
+                pause_after_answer, read_duty, reported_read, topic_wait, wait_after,
             },
         },
         shared::units::Millis,
@@ -244,3 +244,39 @@
     assert!(!is_stall(check * 2));
     assert!(is_stall(check * 2 + Duration::from_millis(1)));
 }
+
+/// Only a connection that ends while the call waits for changes is no failure of the directory.
+#[test]
+fn cut_watch() {
+    let wait = Duration::from_millis(500);
+    let cut = DirectoryError::Cut("closed".into());
+    for (error, took, wait, expected) in [
+        (&cut, 0, wait, true),
+        (&cut, 499, wait, true),
+        (&cut, 500, wait, false),
+        (&cut, 0, Duration::ZERO, false),
+        (&DirectoryError::TimedOut, 10, wait, false),
+        (
+            &DirectoryError::Unreachable("refused".into()),
+            10,
+            wait,
+            false,
+        ),
+    ] {
+        let found = is_cut_watch(error, Duration::from_millis(took), wait);
+        assert_eq!(found, expected, "{error} {took} {wait:?}");
+    }
+}
+
+/// After a failure the directory is asked to answer at once.
+#[test]
+fn waits_after_calls() {
+    let wait = Duration::from_millis(500);
+    assert_eq!(wait_after(None, wait), wait);
+    assert_eq!(wait_after(Some(LastCall::Answered), wait), wait);
+    assert_eq!(
+        wait_after(Some(LastCall::FirstFailed), wait),
+        Duration::ZERO
+    );
+    assert_eq!(wait_after(Some(LastCall::Failed), wait), Duration::ZERO);
+}
--- a/lib/tests/test_suspect_entry.rs
+++ b/lib/tests/test_suspect_entry.rs
@@ -1,7 +1,9 @@
 //! Entries that vanish from the directory: when they are unconfirmed, and for how long.
 
 use hazelyoke_lib::{
-    gateway::rules::unconfirmed_entry::{ReadHistory, is_outage, is_unconfirmed, unconfirmed_time},
+    gateway::rules::unconfirmed_entry::{
+        ReadHistory, is_dark, is_outage, is_unconfirmed, unconfirmed_time,
+    },
     shared::units::{Millis, Time},
 };
 
@@ -114,3 +116,19 @@
         assert_eq!(time, Millis(expected), "{drain} {heartbeat}");
     }
 }
+
+/// A failure that the next call makes good isn't dark, and neither is one that only this daemon sees.
+#[test]
+fn dark_directory() {
+    // (now, first failure, age of the last answer to another daemon, dark)
+    for (now, lost, read_age, expected) in [
+        (10_499, 10_000, None, false),
+        (10_500, 10_000, None, true),
+        (12_000, 10_000, Some(2_000), true),
+        (12_000, 10_000, Some(1_999), false),
+        (12_000, 10_000, Some(5_000), true),
+    ] {
+        let found = is_dark(at(now), at(lost), read_age.map(Millis));
+        assert_eq!(found, expected, "{now} {lost} {read_age:?}");
+    }
+}
