wire: end replies that deliver nothing

Requests to an endpoint that sent interim answers, zeros of a chunk size or blanks after one without end were read until their callers' deadlines; so were streams of comments or blank lines without an event.

Cause: the HTTP client bounds a head, chunk extensions and trailers, but not how many interim answers it skips, nor the padding of a chunk's size. The splitter of events bounded single events only.

The splitter counts what comes without a field too, and searches no byte twice for the end of a line: by calculation (not run) an event of 256 KB in parts of one byte took 34 billion comparisons.

test_endless_replies, real processes, 50 callers with 15 s at one endpoint.

--- /dev/null
+++ b/daemon/tests/test_endless_replies.rs
@@ -0,0 +1,199 @@
+//! Endpoints that send bytes without end which are no answer. Each kind ends early, takes little memory, and is held against
+//! the endpoint; requests that may run twice are served elsewhere, and others get the truth.
+//!
+//! Guards against replies that were read until the caller's deadline.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+#[path = "../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+mod process;
+
+use {
+    futures_util::future::join_all,
+    process::{DEFAULT_LIMITS, Process, start},
+    serde_json::{Value, json},
+    stand_in::{
+        client,
+        documents::table_of_kinds,
+        replica::{Act, Replica},
+        run,
+        store::StandInStore,
+    },
+    std::{cell::RefCell, fs, rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+/// Number of callers at the same time.
+const CALLERS: usize = 50;
+
+/// Number of callers whose requests may be sent again: the retry budget of a daemon that has just started is a fifth of
+/// its requests.
+const RETRIED: usize = 10;
+
+/// Time that callers wait.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Time within which an endless reply has to be given up, well before the deadline of its caller.
+const EARLY: Duration = Duration::from_secs(5);
+
+/// Memory that a daemon may take at most, in kB: half of that of the smallest hosts.
+const MOST_MEMORY_KB: u64 = 60_000;
+
+/// What comes without end in an answer to a plain request: its start, and what is repeated.
+const KINDS: [(&str, &str, &str); 9] = [
+    ("first line", "HTTP/1.1 200 ", "x"),
+    ("headers", "{head}", "X-Name: value\r\n"),
+    ("header line", "{head}X-Name: ", "x"),
+    ("interim answers", "", "HTTP/1.1 103 Early\r\nX: y\r\n\r\n"),
+    ("short interim answers", "", "HTTP/1.1 100 \r\n\r\n"),
+    (
+        "chunk size",
+        "{head}Transfer-Encoding: chunked\r\n\r\n",
+        "0",
+    ),
+    (
+        "blanks after a chunk size",
+        "{head}Transfer-Encoding: chunked\r\n\r\n5",
+        " ",
+    ),
+    (
+        "chunk extension",
+        "{head}Transfer-Encoding: chunked\r\n\r\n5;",
+        "x",
+    ),
+    (
+        "trailers",
+        "{head}Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+        "X-Name: value\r\n",
+    ),
+];
+
+/// What comes without end in a stream.
+const STREAM_KINDS: [(&str, &str); 4] = [
+    ("an event", "data: x\n"),
+    ("a line", "x"),
+    ("comments", ": x\n\n"),
+    ("blank lines", "\n"),
+];
+
+fn table() -> Value {
+    let mut table = table_of_kinds(1);
+    for route in table["routes"].as_array_mut().unwrap() {
+        route["timeoutMs"] = json!(PATIENCE.as_millis() as u64);
+        route["targetLatencyMs"] = json!(10_000);
+    }
+    table
+}
+
+/// Returns the largest resident memory of a process so far, in kB.
+fn most_memory_kb(process: &Process) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", process.child.id())).unwrap();
+    let mut lines = status.lines();
+    let line = lines.find(|line| line.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+/// Sends requests at the same time, and returns the statuses of the answers that are whole, 0 for the others; `None` if they
+/// aren't given up in time.
+async fn send_all(process: &Process, path: &str, callers: usize) -> Option<Vec<u16>> {
+    let requests = (0..callers).map(async |number| {
+        let text = client::single_request(path, &format!("{number:03}"), PATIENCE);
+        let answer = client::send(process.listen, &text).await;
+        if answer.whole { answer.status } else { 0 }
+    });
+    timeout(EARLY, join_all(requests)).await.ok()
+}
+
+/// The findings of all kinds.
+#[derive(Clone, Default)]
+struct Findings(Rc<RefCell<Vec<String>>>);
+
+impl Findings {
+    /// Records that a kind failed unless the statuses of its requests are as `expected`.
+    fn check(&self, case: &str, statuses: Option<Vec<u16>>, expected: impl Fn(&u16) -> bool) {
+        match statuses {
+            None => self.add(format!("{case}: not given up in time")),
+            Some(statuses) if !statuses.iter().all(expected) => {
+                self.add(format!("{case}: {statuses:?}"));
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn check_memory(&self, case: &str, process: &Process) {
+        let memory = most_memory_kb(process);
+        println!("{case}: {memory} kB");
+        if memory >= MOST_MEMORY_KB {
+            self.add(format!("{case}: {memory} kB"));
+        }
+    }
+
+    fn add(&self, finding: String) {
+        self.0.borrow_mut().push(finding);
+    }
+
+    fn assert_none(&self) {
+        let findings = self.0.borrow();
+        assert!(findings.is_empty(), "{findings:#?}");
+    }
+}
+
+/// Starts a store, an endpoint that answers without end, and a daemon.
+async fn site(
+    case: &str,
+    service: &str,
+    start_text: &str,
+    block: &str,
+) -> (StandInStore, Replica, Process) {
+    let store = StandInStore::start().await;
+    store.publish(&table());
+    let flooding = Replica::start(&store, "i-a", service).await;
+    flooding.set_default_act(Act::Flood {
+        start: start_text.into(),
+        block: block.into(),
+    });
+    let name = format!("endless-{}", case.replace(' ', "-"));
+    let process = start(&name, &store, DEFAULT_LIMITS).await;
+    (store, flooding, process)
+}
+
+/// Requests to an endpoint whose answers have no end: those that may run twice are served by another one, and the others
+/// learn that they may have run, or that they haven't once the endpoint isn't used any more.
+#[test]
+fn endless_answers() {
+    let findings = Findings::default();
+    for (case, begin, block) in KINDS {
+        let findings = findings.clone();
+        run(async move {
+            let (store, _flooding, process) = site(case, "plain", begin, block).await;
+            let statuses = send_all(&process, "/g/1", CALLERS).await;
+            findings.check(case, statuses, |status| matches!(status, 502 | 503));
+            let _sound = Replica::start(&store, "i-b", "plain").await;
+            // The daemon reads the entry meanwhile.
+            sleep(Duration::from_millis(500)).await;
+            let statuses = send_all(&process, "/r/1", RETRIED).await;
+            findings.check(case, statuses, |status| *status == 200);
+            findings.check_memory(case, &process);
+        });
+    }
+    findings.assert_none();
+}
+
+/// Streams that never come to an event.
+#[test]
+fn endless_streams() {
+    let findings = Findings::default();
+    for (case, block) in STREAM_KINDS {
+        let findings = findings.clone();
+        run(async move {
+            let begin = "{head}Content-Type: text/event-stream\r\n\r\n";
+            let (_store, _flooding, process) = site(case, "llm", begin, block).await;
+            let statuses = send_all(&process, "/s/1", CALLERS).await;
+            findings.check(case, statuses, |status| *status != 200);
+            findings.check_memory(case, &process);
+        });
+    }
+    findings.assert_none();
+}
--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -21,14 +21,16 @@
                 },
             },
             state::Gateway,
-            wire::egress::{ConnectionGuard, FreshConnection, SendError},
+            wire::{
+                egress::{ConnectionGuard, FreshConnection, SendError},
+                read_guard::GuardedBody,
+            },
         },
         shared::units::Time,
     },
     bytes::Bytes,
     http::{Request, StatusCode, response},
     http_body_util::{BodyExt, Full, Limited},
-    hyper::body::Incoming,
     std::{pin::Pin, rc::Rc, sync::Arc, time::Duration},
     thiserror::Error,
 };
@@ -65,7 +67,7 @@
 
 /// The connection to the endpoint that a stream is read from.
 pub(crate) struct StreamSource<D: Dialect> {
-    pub(crate) body: Incoming,
+    pub(crate) body: GuardedBody,
     pub(crate) connection: ConnectionGuard,
     pub(crate) guard: AttemptGuard<D>,
 }
@@ -73,7 +75,7 @@
 /// A reply from which it is certain whether the endpoint ran the request.
 enum ProvenReply {
     Whole(WholeReply),
-    Streaming(response::Parts, Incoming, ConnectionGuard),
+    Streaming(response::Parts, GuardedBody, ConnectionGuard),
     NotRun(NotRunReason),
 }
 
--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -19,13 +19,13 @@
                 calibration::AdmittedEnd, reply_proof::EndpointOutcome, resume::silence_limit,
             },
             state::Gateway,
-            wire::{event_stream::EventSplitter, reply::StreamPart},
+            wire::{event_stream::EventSplitter, read_guard::GuardedBody, reply::StreamPart},
         },
         shared::units::Time,
     },
     bytes::Bytes,
     http_body_util::BodyExt,
-    hyper::body::{Frame, Incoming},
+    hyper::body::Frame,
     std::{rc::Rc, sync::Arc},
     tokio::sync::mpsc,
 };
@@ -217,7 +217,7 @@
     /// # Errors
     ///
     /// Returns the reason if there is none.
-    async fn next_data(&mut self, body: &mut Incoming) -> Result<Bytes, SourceEnd> {
+    async fn next_data(&mut self, body: &mut GuardedBody) -> Result<Bytes, SourceEnd> {
         loop {
             let StreamedRequest { gateway, call, .. } = &self.request;
             let limit = silence_limit(call.route.kind, self.events_begun);
--- a/lib/src/gateway/routing/stream_resume.rs
+++ b/lib/src/gateway/routing/stream_resume.rs
@@ -31,14 +31,16 @@
             },
             stages::stage_results::Results,
             state::Gateway,
-            wire::egress::{ConnectionGuard, FreshConnection, SendError},
+            wire::{
+                egress::{ConnectionGuard, FreshConnection, SendError},
+                read_guard::GuardedBody,
+            },
         },
         shared::{ids::EndpointId, units::Time},
     },
     bytes::Bytes,
     http::{Request, Response, response},
     http_body_util::Full,
-    hyper::body::Incoming,
     std::{pin::pin, rc::Rc},
 };
 
@@ -100,7 +102,7 @@
 
 /// The result of sending one request.
 enum Exchange {
-    Replied(Response<Incoming>, ConnectionGuard),
+    Replied(Response<GuardedBody>, ConnectionGuard),
     Failed,
 }
 
--- a/lib/src/gateway/wire/egress.rs
+++ b/lib/src/gateway/wire/egress.rs
@@ -4,10 +4,10 @@
 //! and an idle connection can't close while a request that must not be sent twice is written to it.
 
 use {
+    crate::gateway::wire::read_guard::{GuardedBody, GuardedStream, Undelivered},
     bytes::Bytes,
     http::{Request, Response},
     http_body_util::Full,
-    hyper::body::Incoming,
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
     std::{io, net::SocketAddr, time::Duration},
@@ -81,6 +81,7 @@
 pub struct FreshConnection {
     sender: hyper::client::conn::http1::SendRequest<Full<Bytes>>,
     guard: ConnectionGuard,
+    undelivered: Undelivered,
 }
 
 /// Opens a connection within `limit`, which fails after a silence of the peer of [`SERVICE_SILENCE`].
@@ -138,6 +139,8 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
+        let undelivered = Undelivered::default();
+        let stream = GuardedStream::new(stream, undelivered.clone());
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(REPLY_BUFFER)
             .handshake(TokioIo::new(stream))
@@ -150,6 +153,7 @@
         Ok(Self {
             sender,
             guard: ConnectionGuard(task.abort_handle()),
+            undelivered,
         })
     }
 
@@ -157,16 +161,18 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError::MaybeSent`] if no head arrives; the request may have run then.
+    /// Returns [`SendError::MaybeSent`] if no head arrives, or too much that is none; the request may have run then.
     pub async fn send(
         mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, ConnectionGuard), SendError> {
+    ) -> Result<(Response<GuardedBody>, ConnectionGuard), SendError> {
         let response = self
             .sender
             .send_request(request)
             .await
             .map_err(SendError::MaybeSent)?;
+        self.undelivered.reset();
+        let response = response.map(|body| GuardedBody::new(body, self.undelivered));
         Ok((response, self.guard))
     }
 }
--- a/lib/src/gateway/wire/event_stream.rs
+++ b/lib/src/gateway/wire/event_stream.rs
@@ -5,13 +5,20 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum number of bytes that are buffered for an incomplete event. This is far more than any event of a generation.
+/// Maximum number of bytes of one event, and of comments and blank lines before one. This is far more than any event of a
+/// generation.
 const MAX_EVENT_SIZE: usize = 256 * 1024;
 
 /// Splits a stream into complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Start of the first line of the buffer that isn't whole.
+    line_start: usize,
+    /// Number of bytes of the buffer that were searched for the end of a line, so that none is searched twice.
+    searched: usize,
+    /// Number of bytes without a field since the last event with one.
+    blank: usize,
     last: Option<u64>,
     broken: bool,
 }
@@ -27,29 +34,62 @@
 
     /// Appends the next bytes of the stream, and returns the events that they complete, unchanged.
     ///
-    /// Returns nothing more after an event that is too long or whose id doesn't increase; see [`Self::is_broken`].
+    /// Returns nothing more after an event that is too long or whose id doesn't increase, or after too many bytes without
+    /// an event; see [`Self::is_broken`].
     pub fn feed(&mut self, bytes: &[u8]) -> Bytes {
         self.buffer.extend_from_slice(bytes);
         let mut end = 0;
         while !self.broken {
-            let Some(length) = event_length(&self.buffer[end..]) else {
+            let Some(event_end) = self.event_end() else {
                 break;
             };
-            if !self.record_id(end, length) {
+            if !self.record_event(end, event_end) {
                 self.broken = true;
                 break;
             }
-            end += length;
+            end = event_end;
         }
         if self.buffer.len() - end > MAX_EVENT_SIZE {
             self.broken = true;
         }
+        self.line_start -= end;
+        self.searched -= end;
         self.buffer.split_to(end).freeze()
     }
 
-    /// Records the id of the event at `start`. Returns false if it isn't greater than the previous one.
-    fn record_id(&mut self, start: usize, length: usize) -> bool {
-        let Some(id) = event_id(&self.buffer[start..start + length]) else {
+    /// Returns the end of the event that contains the line at `line_start`, and moves on to the line after it; `None` if
+    /// the event is incomplete.
+    fn event_end(&mut self) -> Option<usize> {
+        loop {
+            let mut rest = self.buffer[self.searched..].iter();
+            let Some(found) = rest.position(|byte| *byte == b'\n') else {
+                self.searched = self.buffer.len();
+                return None;
+            };
+            let line_end = self.searched + found;
+            let line = &self.buffer[self.line_start..line_end];
+            let is_blank = line.is_empty() || line == b"\r";
+            self.line_start = line_end + 1;
+            self.searched = self.line_start;
+            if is_blank {
+                return Some(self.line_start);
+            }
+        }
+    }
+
+    /// Records an event. Returns false if its id isn't greater than the previous one, or if it is the last of too many
+    /// without a field.
+    fn record_event(&mut self, start: usize, end: usize) -> bool {
+        let event = &self.buffer[start..end];
+        if has_field(event) {
+            self.blank = 0;
+        } else {
+            self.blank += event.len();
+        }
+        if self.blank > MAX_EVENT_SIZE {
+            return false;
+        }
+        let Some(id) = event_id(event) else {
             return true;
         };
         if self.last.is_some_and(|last| id <= last) {
@@ -75,20 +115,10 @@
     }
 }
 
-/// Returns the length of the first event in bytes, including the blank line that ends it; `None` if it is incomplete.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (i, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..i];
-        if line.is_empty() || line == b"\r" {
-            return Some(i + 1);
-        }
-        line_start = i + 1;
-    }
-    None
+/// Returns whether an event has a line that is neither blank nor a comment.
+fn has_field(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
 }
 
 /// Returns the number in the `id` field of an event, if it has one.
--- a/lib/src/gateway/wire/mod.rs
+++ b/lib/src/gateway/wire/mod.rs
@@ -5,4 +5,5 @@
 pub mod event_stream;
 pub(crate) mod headers;
 pub(crate) mod listen;
+pub mod read_guard;
 pub mod reply;
--- a/lib/src/shared/http_body.rs
+++ b/lib/src/shared/http_body.rs
@@ -7,8 +7,8 @@
     crate::shared::units::ByteSize,
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
-    std::time::Duration,
+    hyper::body::Body,
+    std::{fmt::Display, time::Duration},
     thiserror::Error,
     tokio::time::timeout,
 };
@@ -34,7 +34,7 @@
 /// Returns an error if the body is larger than `limit`, if the connection fails, or if no data arrives for
 /// `idle_timeout`.
 pub async fn read_body(
-    mut body: Incoming,
+    mut body: impl Body<Data = Bytes, Error: Display> + Unpin,
     limit: ByteSize,
     idle_timeout: Duration,
 ) -> Result<Bytes, BodyError> {
--- a/lib/tests/test_event_splitter.rs
+++ b/lib/tests/test_event_splitter.rs
@@ -75,3 +75,20 @@
         Ok(())
     });
 }
+
+/// Comments and blank lines without end are no stream, however small each of them is. An event ends the count.
+#[test]
+fn blanks_without_end() {
+    for block in ["\n", "\r\n", ": x\n\n"] {
+        let mut splitter = EventSplitter::default();
+        for _ in 0..10 {
+            let blanks = block.repeat(200_000 / block.len());
+            splitter.feed(blanks.as_bytes());
+            splitter.feed(b"data: x\n\n");
+            assert!(!splitter.is_broken(), "{block:?}");
+        }
+        let blanks = block.repeat(300_000 / block.len());
+        splitter.feed(blanks.as_bytes());
+        assert!(splitter.is_broken(), "{block:?}");
+    }
+}
