memory: bound the bodies of requests and replies together

In a burst of large bodies daemons exceeded the host's memory and were killed with the requests in them; 50 callers at one endpoint that sends bodies without end took 372 to 418 MB at a daemon.

Cause: `memoryMb` wasn't read, and nothing bounded the bytes of accepted requests and of replies together. Requests kept their bodies until the end of their streams, also if they couldn't be sent again.

rules/body_memory divides the host's memory, and wire/body_memory counts each body until the last reference to it is gone. A request whose body doesn't fit is refused before it is read, as not run and with a time to come back; its body is read and dropped, so that the refusal isn't lost in a reset. Replies of one endpoint hold half of the memory for replies at most; what doesn't fit breaks off, and after a reply of over 8 MiB the others of its endpoint don't grow further. A reply that states more isn't read. A request that can't be sent again frees its body once it is sent.

The small hosts' test of endless replies now gives the daemon the memory of the smallest hosts, and its bound of 60 MB stays.

--- a/daemon/tests/hosts/fleet.rs
+++ b/daemon/tests/hosts/fleet.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         quota::QuotaKeeper,
-        stand_in::documents::{SettingsFile, free_ports},
+        stand_in::documents::{DEFAULT_MEMORY_MB, SettingsFile, free_ports},
     },
     std::{
         fs::{self, File},
@@ -150,6 +150,7 @@
             seeds: &seeds,
             grace_s: GRACE_S as f64,
             store,
+            memory_mb: DEFAULT_MEMORY_MB,
         };
         let settings = SettingsText {
             path: folder.join(format!("{file}.toml")),
--- a/daemon/tests/process/mod.rs
+++ b/daemon/tests/process/mod.rs
@@ -7,7 +7,7 @@
 use {
     super::stand_in::{
         client,
-        documents::{SettingsFile, free_ports},
+        documents::{DEFAULT_MEMORY_MB, SettingsFile, free_ports},
         second_ip,
         store::StandInStore,
         test_ip, until,
@@ -159,16 +159,20 @@
 }
 
 /// Limits of a daemon process.
+#[derive(Debug, Clone, Copy)]
 pub struct Limits {
     /// Grace period of its stop, in seconds.
     pub grace_s: f64,
     /// Most descriptors (files and connections) that it may have open.
     pub descriptors: usize,
+    /// Memory of its host, in megabytes.
+    pub memory_mb: u64,
 }
 
 pub const DEFAULT_LIMITS: Limits = Limits {
     grace_s: GRACE_S,
     descriptors: 1_024,
+    memory_mb: DEFAULT_MEMORY_MB,
 };
 
 /// Returns the settings of a daemon at this test's address that knows no other daemon.
@@ -176,7 +180,7 @@
     name: &str,
     [front, ready, peer]: [u16; 3],
     store: SocketAddr,
-    grace_s: f64,
+    limits: Limits,
 ) -> SettingsFile<'_> {
     SettingsFile {
         name,
@@ -186,8 +190,9 @@
         control: None,
         peer,
         seeds: &[],
-        grace_s,
+        grace_s: limits.grace_s,
         store,
+        memory_mb: limits.memory_mb,
     }
 }
 
@@ -200,7 +205,7 @@
 /// Starts a daemon that logs to `log`, and waits until it is ready.
 pub async fn start_with(name: &str, store: &StandInStore, log: Log, limits: Limits) -> Process {
     let ports = free_ports(test_ip());
-    let file = settings_file(name, ports, store.address, limits.grace_s);
+    let file = settings_file(name, ports, store.address, limits);
     start_program(PROGRAM, &file, log, limits).await
 }
 
@@ -224,6 +229,7 @@
         seeds: &[seed.peer],
         grace_s: DEFAULT_LIMITS.grace_s,
         store: store.address,
+        memory_mb: DEFAULT_LIMITS.memory_mb,
     };
     let log = Log::File(LogFile::new(name));
     start_program(program, &file, log, DEFAULT_LIMITS).await
@@ -271,6 +277,14 @@
     }
 }
 
+/// Returns the largest resident memory of a process so far, in kB.
+pub fn most_memory_kb(process: &Process) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", process.child.id())).unwrap();
+    let mut lines = status.lines();
+    let line = lines.find(|line| line.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
 pub fn signal(process: &Process, name: &str) {
     let sent = Command::new("kill")
         .arg(format!("-{name}"))
--- a/daemon/tests/soak/fleet.rs
+++ b/daemon/tests/soak/fleet.rs
@@ -4,7 +4,7 @@
     super::{
         proxy::{Fault, Proxy},
         stand_in::{
-            documents::{SettingsFile, free_ports},
+            documents::{DEFAULT_MEMORY_MB, SettingsFile, free_ports},
             replica::{Act, Replica},
             store::StandInStore,
         },
@@ -152,6 +152,7 @@
             seeds: &seeds,
             grace_s: GRACE_S,
             store: proxy.address,
+            memory_mb: DEFAULT_MEMORY_MB,
         };
         std::fs::write(&settings, file.text()).unwrap();
         let link = Proxy::start_before(link_port, SocketAddr::new(ip, peer)).await;
--- a/daemon/tests/test_endless_replies.rs
+++ b/daemon/tests/test_endless_replies.rs
@@ -1,7 +1,8 @@
 //! Endpoints that send bytes without end which are no answer. Each kind ends early, takes little memory, and is held against
 //! the endpoint; requests that may run twice are served elsewhere, and others get the truth.
 //!
-//! Guards against replies that were read until the caller's deadline.
+//! Guards against replies that were read until the caller's deadline, and against 301 MB for the endless bodies of one
+//! endpoint where hosts have 260.
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
@@ -12,7 +13,7 @@
 
 use {
     futures_util::future::join_all,
-    process::{DEFAULT_LIMITS, Process, start},
+    process::{DEFAULT_LIMITS, Limits, Process, most_memory_kb, start},
     serde_json::{Value, json},
     stand_in::{
         client,
@@ -21,7 +22,7 @@
         run,
         store::StandInStore,
     },
-    std::{cell::RefCell, fs, rc::Rc, time::Duration},
+    std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -38,11 +39,17 @@
 /// Time within which an endless reply has to be given up, well before the deadline of its caller.
 const EARLY: Duration = Duration::from_secs(5);
 
-/// Memory that a daemon may take at most, in kB: half of that of the smallest hosts.
+/// Limits on the smallest hosts.
+const SMALLEST_HOST: Limits = Limits {
+    memory_mb: 120,
+    ..DEFAULT_LIMITS
+};
+
+/// Memory that a daemon may take at most, in kB: half of its host's.
 const MOST_MEMORY_KB: u64 = 60_000;
 
 /// What comes without end in an answer to a plain request: its start, and what is repeated.
-const KINDS: [(&str, &str, &str); 9] = [
+const KINDS: [(&str, &str, &str); 13] = [
     ("first line", "HTTP/1.1 200 ", "x"),
     ("headers", "{head}", "X-Name: value\r\n"),
     ("header line", "{head}X-Name: ", "x"),
@@ -68,6 +75,22 @@
         "{head}Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
         "X-Name: value\r\n",
     ),
+    ("body", "{head}Connection: close\r\n\r\n", "x"),
+    (
+        "chunked body",
+        "{head}Transfer-Encoding: chunked\r\n\r\n",
+        "400\r\n{kilobyte}\r\n",
+    ),
+    (
+        "body with a length",
+        "{head}Content-Length: 99999999999\r\n\r\n",
+        "x",
+    ),
+    (
+        "body of a failure",
+        "{failure}Connection: close\r\n\r\n",
+        "x",
+    ),
 ];
 
 /// What comes without end in a stream.
@@ -87,14 +110,6 @@
     table
 }
 
-/// Returns the largest resident memory of a process so far, in kB.
-fn most_memory_kb(process: &Process) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{}/status", process.child.id())).unwrap();
-    let mut lines = status.lines();
-    let line = lines.find(|line| line.starts_with("VmHWM:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse().unwrap()
-}
-
 /// Sends requests at the same time, and returns the statuses of the answers that are whole, 0 for the others; `None` if they
 /// aren't given up in time.
 async fn send_all(process: &Process, path: &str, callers: usize) -> Option<Vec<u16>> {
@@ -152,10 +167,10 @@
     let flooding = Replica::start(&store, "i-a", service).await;
     flooding.set_default_act(Act::Flood {
         start: start_text.into(),
-        block: block.into(),
+        block: block.replace("{kilobyte}", &"x".repeat(1024)),
     });
     let name = format!("endless-{}", case.replace(' ', "-"));
-    let process = start(&name, &store, DEFAULT_LIMITS).await;
+    let process = start(&name, &store, SMALLEST_HOST).await;
     (store, flooding, process)
 }
 
--- a/daemon/tests/test_process.rs
+++ b/daemon/tests/test_process.rs
@@ -9,8 +9,8 @@
 
 use {
     process::{
-        DEFAULT_LIMITS, GRACE_S, Limits, Log, LogFile, Process, is_ready, settings_file, signal,
-        start, start_with,
+        DEFAULT_LIMITS, Limits, Log, LogFile, Process, is_ready, settings_file, signal, start,
+        start_with,
     },
     serde_json::{Value, json},
     stand_in::{
@@ -123,7 +123,7 @@
         let mut writer = writer.await.unwrap();
         signal(&process, "HUP");
         let ports = [front, ready, peer];
-        let text = settings_file("starting", ports, store.address, GRACE_S).text();
+        let text = settings_file("starting", ports, store.address, DEFAULT_LIMITS).text();
         std::io::Write::write_all(&mut writer, text.as_bytes()).unwrap();
         // The reload that the signal causes reads an ordinary file.
         std::fs::remove_file(&pipe).unwrap();
--- a/daemon/tests/test_relay_ends.rs
+++ b/daemon/tests/test_relay_ends.rs
@@ -12,8 +12,8 @@
 
 use {
     process::{
-        DEFAULT_LIMITS, Log, LogFile, PROGRAM, Process, settings_file, signal, start_joined,
-        start_program,
+        DEFAULT_LIMITS, Limits, Log, LogFile, PROGRAM, Process, settings_file, signal,
+        start_joined, start_program,
     },
     serde_json::{Value, json},
     stand_in::{
@@ -37,8 +37,11 @@
 /// Time in which bytes travel from the endpoint to the daemon that serves the caller.
 const TRAVEL_TIME: Duration = Duration::from_millis(150);
 
-/// Grace period of the relay's planned stop, in seconds.
-const RELAY_GRACE_S: f64 = 1.0;
+/// Limits of the relay, whose planned stop has a short grace period.
+const RELAY_LIMITS: Limits = Limits {
+    grace_s: 1.0,
+    ..DEFAULT_LIMITS
+};
 
 /// Body of a whole answer.
 const BODY: &str = r#"{"approved":true,"items":[{"sku":"yam","naira":1200}]}"#;
@@ -84,9 +87,9 @@
         let ports = free_ports(test_ip());
         // Tests in one process have names of their own for their files.
         let name = format!("relay-{}", ports[0]);
-        let file = settings_file(&name, ports, whole.address, RELAY_GRACE_S);
+        let file = settings_file(&name, ports, whole.address, RELAY_LIMITS);
         let log = Log::File(LogFile::new(&name));
-        let relay = start_program(relay, &file, log, DEFAULT_LIMITS).await;
+        let relay = start_program(relay, &file, log, RELAY_LIMITS).await;
         let name = format!("asker-{}", ports[0]);
         let asker = start_joined(asker, &name, &cut_off, &relay).await;
         let site = Self {
--- a/lib/src/gateway/routing/accept.rs
+++ b/lib/src/gateway/routing/accept.rs
@@ -9,6 +9,7 @@
             routing::call::ForwardedCall,
             rules::{
                 backend_choice::weighted,
+                body_memory::MEMORY_WAIT,
                 eligibility::AllowedDataCentres,
                 retry_after::TABLE_UNKNOWN,
                 stream_origin::StreamOrigin,
@@ -17,6 +18,7 @@
             },
             state::{Gateway, PublishedTable},
             table::{CustomerEntry, Route, Version},
+            wire::body_memory::{HeldBodyError, read_held},
         },
         shared::{
             ids::ServiceId,
@@ -26,8 +28,8 @@
     },
     bytes::Bytes,
     http::{Request, header, request::Parts},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
-    hyper::body::Incoming,
+    http_body_util::{BodyExt, Limited},
+    hyper::body::{Body, Incoming},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -95,7 +97,7 @@
     let Destination { route, customer } = find_destination(&published, &head, &inbound)?;
     let data_centres = allowed_data_centres(gateway, &route, customer.as_deref())?;
     let time = caller_time(inbound.remaining, route.timeout);
-    let body = read_body(body, body_limit(&published), time).await?;
+    let body = read_body(gateway, body, body_limit(&published), time).await?;
     let customer_id = customer.as_ref().map(|customer| &customer.id);
     let origin = gateway
         .resumed_origin(&inbound, &route, customer_id)
@@ -123,7 +125,7 @@
         origin,
         data_centres,
         head,
-        body,
+        body: RefCell::new(body),
         arrived,
         deadline: arrived + work_time(time),
         urgency,
@@ -142,7 +144,7 @@
         customer = customer.map_or("-", |customer| customer.id.as_str()),
         version,
         time_ms = time.0,
-        bytes = call.body.len(),
+        bytes = call.body.borrow().len(),
         digest:% = call.digest,
         parts = call.inbound.prompt.shared_names(),
         resumes = call.inbound.resumes.as_deref().unwrap_or("-"),
@@ -237,15 +239,25 @@
     limits.map_or(ByteSize(0), |limits| limits.body)
 }
 
-/// Reads a body of at most `limit` bytes within `time`.
-async fn read_body(body: Incoming, limit: ByteSize, time: Millis) -> Result<Bytes, Problem> {
-    let collecting = Limited::new(body, limit.0 as usize).collect();
-    match tokio::time::timeout(time.to_duration(), collecting).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let detail = format!("the body has more than {} bytes", limit.0);
-            Err(Problem::not_run(Code::BodyTooLarge, detail))
+/// Reads a body of at most `limit` bytes within `time`. A body that states its size is refused before it is read if it is
+/// too large, or if there is too little memory for it.
+async fn read_body<D: Dialect>(
+    gateway: &Gateway<D>,
+    mut body: Incoming,
+    limit: ByteSize,
+    time: Millis,
+) -> Result<Bytes, Problem> {
+    let stated = body.size_hint().lower();
+    let Some(held) = gateway.bodies.for_request(stated.min(limit.0)) else {
+        return Err(refuse_body(body, limit, time));
+    };
+    let reading = read_held(&mut body, limit, held);
+    match tokio::time::timeout(time.to_duration(), reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(error @ HeldBodyError::TooLarge(_))) => {
+            Err(Problem::not_run(Code::BodyTooLarge, error.to_string()))
         }
+        Ok(Err(HeldBodyError::NoMemory)) => Err(refuse_body(body, limit, time)),
         Ok(Err(error)) => Err(Problem::not_run(Code::BadRequest, error.to_string())),
         Err(_elapsed) => {
             let detail = "the body didn't arrive in time";
@@ -253,3 +265,15 @@
         }
     }
 }
+
+/// Returns the refusal of a request for whose body, or for whose reply, there is too little memory. The rest of the body is
+/// read and dropped: closing a connection with unread bytes resets it, and the caller may lose the refusal.
+fn refuse_body(body: Incoming, limit: ByteSize, time: Millis) -> Problem {
+    let dropping = async move {
+        let mut body = Limited::new(body, limit.0 as usize);
+        while let Some(Ok(_)) = body.frame().await {}
+    };
+    tokio::task::spawn_local(tokio::time::timeout(time.to_duration(), dropping));
+    let detail = "too many bytes of requests and replies are in flight";
+    Problem::not_run(Code::TooBusy, detail).retry_after(MEMORY_WAIT)
+}
--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -19,24 +19,26 @@
                     EndpointOutcome, HeadVerdict, NotRunReason, ReplyOriginError, classify_head,
                     is_endpoint_failure,
                 },
+                retry::may_send_again,
             },
             state::Gateway,
             wire::{
+                body_memory::read_held,
                 egress::{ConnectionGuard, FreshConnection, SendError},
                 read_guard::GuardedBody,
             },
         },
-        shared::units::Time,
+        shared::units::{ByteSize, Time},
     },
     bytes::Bytes,
     http::{Request, StatusCode, response},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     std::{pin::Pin, rc::Rc, sync::Arc, time::Duration},
     thiserror::Error,
 };
 
-/// Size of the largest reply that is read whole before it is passed on, in bytes.
-const WHOLE_REPLY_LIMIT: usize = 8 << 20;
+/// Size of the largest reply that is read whole before it is passed on.
+const WHOLE_REPLY_LIMIT: ByteSize = ByteSize(8 << 20);
 
 /// An attempt that is ready to be sent.
 pub(crate) struct PreparedAttempt {
@@ -178,6 +180,10 @@
         } = self;
         guard.record_request_sent(call);
         progress.history.record_sent();
+        // Stages may run again for another attempt, whatever the number of attempts.
+        if !may_send_again(call.route.attempts, &progress.history) && !call.has_stages() {
+            call.release_body();
+        }
         gateway.metrics.count_attempt();
         let entry = guard.choice.entry.clone();
         let exchange = exchange(gateway.clone(), call.clone(), entry, connection, request);
@@ -293,20 +299,18 @@
 ) -> Result<ProvenReply, AttemptError> {
     let sent = gateway.now();
     let (response, connection) = connection.send(request).await?;
-    let (head, body) = response.into_parts();
+    let (head, mut body) = response.into_parts();
     let facts = D::read_reply(&head);
     gateway.record_reply(endpoint, head.status, &facts, sent);
     match classify_head(call.id(), call.route.kind, head.status, &facts)? {
         HeadVerdict::NotRun(reason) => Ok(ProvenReply::NotRun(reason)),
         HeadVerdict::Stream => Ok(ProvenReply::Streaming(head, body, connection)),
         HeadVerdict::Whole => {
-            let collected = Limited::new(body, WHOLE_REPLY_LIMIT).collect().await;
+            let held = gateway.bodies.for_reply(endpoint.id.as_str());
+            let body = read_held(&mut body, WHOLE_REPLY_LIMIT, held).await;
             drop(connection);
-            let body = collected.map_err(|error| AttemptError::Body(error.to_string()))?;
-            Ok(ProvenReply::Whole(WholeReply {
-                head,
-                body: body.to_bytes(),
-            }))
+            let body = body.map_err(|error| AttemptError::Body(error.to_string()))?;
+            Ok(ProvenReply::Whole(WholeReply { head, body }))
         }
     }
 }
--- a/lib/src/gateway/routing/call.rs
+++ b/lib/src/gateway/routing/call.rs
@@ -48,7 +48,8 @@
     pub(crate) data_centres: AllowedDataCentres,
     /// Head as the caller sent it.
     pub(crate) head: Parts,
-    pub(crate) body: Bytes,
+    /// Body; empty once the request won't be sent again.
+    pub(crate) body: RefCell<Bytes>,
     pub(crate) arrived: Time,
     /// Time at which this daemon stops working on the request.
     pub(crate) deadline: Time,
@@ -86,6 +87,16 @@
         }
     }
 
+    /// Returns the body, which shares its memory.
+    pub(crate) fn body(&self) -> Bytes {
+        self.body.borrow().clone()
+    }
+
+    /// Frees the memory of the body once it was written, since the request won't be sent again.
+    pub(crate) fn release_body(&self) {
+        self.body.take();
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn remaining(&self, now: Time) -> Millis {
         Millis(self.deadline.since(now).as_millis() as u64)
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -26,6 +26,7 @@
                 eligibility::ExclusionCounts,
                 outcome::UnansweredEnd,
                 reply_proof::{NotRunReason, is_endpoint_failure},
+                resume::is_resumable,
                 retry::AttemptFailure,
                 retry_after,
             },
@@ -270,6 +271,9 @@
     ) -> Response<ReplyBody> {
         let took = self.gateway.now().since(self.call.arrived);
         self.gateway.metrics.observe_head(took);
+        if !is_resumable(self.call.route.kind) {
+            self.call.release_body();
+        }
         let request = StreamedRequest {
             gateway: self.gateway.clone(),
             call: self.call.clone(),
--- a/lib/src/gateway/routing/outbound.rs
+++ b/lib/src/gateway/routing/outbound.rs
@@ -90,10 +90,11 @@
         resume_after,
     };
     D::write_request(&mut headers, &outbound);
+    let body = call.body();
     if had_body(call) {
-        headers.insert(header::CONTENT_LENGTH, call.body.len().into());
+        headers.insert(header::CONTENT_LENGTH, body.len().into());
     }
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = call.head.method.clone();
     *request.uri_mut() = origin_form(&call.head.uri);
     *request.headers_mut() = headers;
--- a/lib/src/gateway/routing/reply_stream.rs
+++ b/lib/src/gateway/routing/reply_stream.rs
@@ -19,7 +19,10 @@
                 calibration::AdmittedEnd, reply_proof::EndpointOutcome, resume::silence_limit,
             },
             state::Gateway,
-            wire::{event_stream::EventSplitter, read_guard::GuardedBody, reply::StreamPart},
+            wire::{
+                body_memory::HeldMemory, event_stream::EventSplitter, read_guard::GuardedBody,
+                reply::StreamPart,
+            },
         },
         shared::units::Time,
     },
@@ -34,6 +37,9 @@
 /// callers may read slowly.
 const QUEUED_PARTS: usize = 1;
 
+/// Size of an incomplete event from which on it counts as held memory, in bytes.
+const LARGE_PARTIAL: usize = 16 * 1024;
+
 /// A stream that is passed on to its caller.
 pub(super) struct StreamRelay<D: Dialect> {
     pub(super) gateway: Rc<Gateway<D>>,
@@ -52,6 +58,8 @@
     pub(super) sought: Time,
     /// Reason for which the present source wasn't replaced although it was silent.
     pub(super) unresumed: Option<Unresumed>,
+    /// Memory of an incomplete event, if it is large.
+    pub(super) held: Option<HeldMemory>,
     pub(super) sink: mpsc::Sender<StreamPart>,
 }
 
@@ -98,6 +106,7 @@
         heard,
         sought: heard,
         unresumed: None,
+        held: None,
         sink,
     };
     tokio::task::spawn_local(relay.run_until_stop(source));
@@ -260,6 +269,7 @@
     ) -> Result<(), SourceEnd> {
         self.check_source(guard)?;
         let events = self.splitter.feed(data);
+        self.hold_partial()?;
         if !events.is_empty() {
             if !std::mem::replace(&mut self.events_begun, true) {
                 self.record_origin(guard);
@@ -277,6 +287,26 @@
         Ok(())
     }
 
+    /// Counts the incomplete event as held memory if it is large.
+    ///
+    /// # Errors
+    ///
+    /// Returns the end of the source if there is too little memory.
+    fn hold_partial(&mut self) -> Result<(), SourceEnd> {
+        self.held = None;
+        let bytes = self.splitter.buffered();
+        if bytes < LARGE_PARTIAL {
+            return Ok(());
+        }
+        let bodies = &self.request.gateway.bodies;
+        let mut held = bodies.for_reply(self.endpoint.id.as_str());
+        if !held.grow(bytes as u64) {
+            return Err(SourceEnd::Broken("too little memory for an event".into()));
+        }
+        self.held = Some(held);
+        Ok(())
+    }
+
     /// Checks when the first data of a source come that it continues the stream at its origin.
     ///
     /// # Errors
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -9,6 +9,7 @@
 pub mod attempt_timeout;
 pub mod backend_choice;
 pub mod backlog;
+pub mod body_memory;
 pub mod brittle_endpoint;
 pub mod calibration;
 pub mod call_fill;
--- a/lib/src/gateway/rules/retry.rs
+++ b/lib/src/gateway/rules/retry.rs
@@ -79,8 +79,13 @@
     }
 }
 
+/// Returns whether the route allows more attempts than were sent.
+pub fn may_send_again(allowed: u32, history: &AttemptHistory) -> bool {
+    history.sent() < allowed
+}
+
 /// Returns whether another attempt may be sent if the retry budget allows it, where `allowed` is the number of attempts
 /// that the route allows.
 pub fn may_retry(kind: RouteKind, allowed: u32, history: &AttemptHistory) -> bool {
-    history.sent() < allowed && (kind.is_retryable() || history.possibly_run() == 0)
+    may_send_again(allowed, history) && (kind.is_retryable() || history.possibly_run() == 0)
 }
--- a/lib/src/gateway/serving/reload.rs
+++ b/lib/src/gateway/serving/reload.rs
@@ -2,7 +2,7 @@
 //!
 //! Compares the settings in force with those that were read again, and returns the settings to use from then on.
 //! Fields that can't change in a running process keep their value until a restart: host name, data centre, bound
-//! addresses, and the capacity that was reported to other daemons.
+//! addresses, the capacity that was reported to other daemons, and the memory.
 
 use {
     crate::gateway::serving::settings::GatewaySettings,
@@ -38,6 +38,8 @@
     Budget,
     /// Times and rates that the installation guarantees or allows.
     Bounds,
+    /// Memory that the daemon may use.
+    Memory,
     /// Bandwidth of the host's network link.
     Link,
 }
@@ -58,6 +60,7 @@
             Self::Grace => "grace",
             Self::Budget => "budget",
             Self::Bounds => "bounds",
+            Self::Memory => "memory",
             Self::Link => "link",
         })
     }
@@ -114,6 +117,7 @@
                 is_changed_address(current.peer, read.advertised_address()),
             ),
             (SettingField::Capacity, current.capacity != read.capacity),
+            (SettingField::Memory, current.memory != read.memory),
         ];
         Self {
             settings: GatewaySettings {
--- a/lib/src/gateway/serving/settings.rs
+++ b/lib/src/gateway/serving/settings.rs
@@ -12,7 +12,7 @@
         },
         shared::{
             ids::{DataCentreId, HostId},
-            units::{BitRate, Capacity, Millis, Rate},
+            units::{BitRate, ByteSize, Capacity, Millis, Rate},
         },
     },
     std::{net::SocketAddr, time::Duration},
@@ -106,6 +106,8 @@
     pub bounds: Bounds,
     /// Processor capacity that this daemon may use.
     pub capacity: Capacity,
+    /// Memory that the process may use.
+    pub memory: ByteSize,
     /// Bandwidth of the host's network link; `None` if unknown, which counts as unlimited.
     pub link: Option<BitRate>,
 }
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -28,14 +28,16 @@
             revision::{Era, Revision},
             routing::endpoint_states::EndpointStates,
             rules::{
-                catch_up::BehindSince, coordinator, endpoint_reach::EndpointReach,
-                retry_budget::WindowBudget, tight_objective::TightServices,
+                body_memory::BodyBounds, catch_up::BehindSince, coordinator,
+                endpoint_reach::EndpointReach, retry_budget::WindowBudget,
+                tight_objective::TightServices,
             },
             serving::{metrics::GatewayMetrics, reload::Reload, settings::GatewaySettings},
             stages::{queues::StageQueues, workload::Workload},
             stream_origins::store::StreamOrigins,
             table::{Table, Version},
             table_chunks::TableChunks,
+            wire::body_memory::BodyMemory,
         },
         shared::{clock::Clock, ids::ServiceId, units::Time},
     },
@@ -232,6 +234,8 @@
     pub metrics: GatewayMetrics,
     /// Set if a signal has requested a stop.
     pub stopping: Cell<bool>,
+    /// Memory for the bodies of requests and replies.
+    pub(crate) bodies: BodyMemory,
     /// Number of accepted requests without a final answer.
     pub in_flight: Cell<usize>,
     /// Number of open connections of callers.
@@ -296,6 +300,7 @@
             run,
             capacity: settings.capacity,
         };
+        let bodies = BodyMemory::new(BodyBounds::new(settings.memory));
         let peers = Peers::new(me, &settings.seeds);
         let mut catalogue = Catalogue::new(settings.bounds.unconfirmed_time());
         catalogue.set_lapse_time(settings.bounds.lapse_time());
@@ -309,6 +314,7 @@
             links: Links::default(),
             metrics: GatewayMetrics::default(),
             stopping: Cell::new(false),
+            bodies,
             in_flight: Cell::new(0),
             callers: Cell::new(0),
             relays: Cell::new(0),
--- a/lib/src/gateway/wire/event_stream.rs
+++ b/lib/src/gateway/wire/event_stream.rs
@@ -109,6 +109,11 @@
         self.broken
     }
 
+    /// Returns the number of bytes of an incomplete event that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/lib/src/gateway/wire/mod.rs
+++ b/lib/src/gateway/wire/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP connections, headers, event streams and reply bodies of the forwarding daemon.
 
+pub mod body_memory;
 pub mod egress;
 pub mod endpoint_check;
 pub mod event_stream;
--- a/lib/tests/test_reload.rs
+++ b/lib/tests/test_reload.rs
@@ -10,7 +10,7 @@
             settings::{Bounds, ColdBounds, GatewaySettings},
         },
     },
-    shared::units::{Capacity, Millis, Share},
+    shared::units::{ByteSize, Capacity, Millis, Share},
 };
 
 fn settings() -> GatewaySettings {
@@ -41,6 +41,7 @@
             },
         },
         capacity: Capacity::from_cores(0.25),
+        memory: ByteSize(256 << 20),
         link: None,
     }
 }
