directory: see a second outage at a daemon that doesn't read

Found by reading the change to unconfirmed entries: a daemon that leaves the reading to others has no answer of its own, so the time for which it had been lost ran on from the first outage. In a second one, every answer to another daemon lay after that, and the directory didn't count as dark.

An answer to another daemon counts for as long as a failure does, 1.5 s.

--- a/lib/src/gateway/rules/unconfirmed_entry.rs
+++ b/lib/src/gateway/rules/unconfirmed_entry.rs
@@ -11,8 +11,8 @@
 //! connection that the directory closes while a call waits for changes is no failure
 //! ([`directory_reads`](crate::gateway::rules::directory_reads)).
 //!
-//! The time begins again while the directory is dark: it has only failed for `SHORTEST_OUTAGE` and has answered no other
-//! daemon either. The directory keeps an entry for some intervals without a write; in the dark no longer than that and
+//! The time begins again while the directory is dark: it has only failed for `SHORTEST_OUTAGE` and doesn't answer other
+//! daemons either. The directory keeps an entry for some intervals without a write; in the dark no longer than that and
 //! the time itself is waited, however often it begins again.
 //!
 //! What proves an entry gone: the directory lists it no longer and either hadn't failed, or has answered for longer than
@@ -101,11 +101,12 @@
 }
 
 /// Returns whether endpoints can't write their entries, although they live: reads have only failed since `lost_since`, and
-/// no other daemon has reported an answer since then. `read_age` is the time since the last answer to another daemon.
+/// no other daemon has had an answer since then, or lately. `read_age` is the time since the last answer to another daemon.
 pub fn is_dark(now: Time, lost_since: Time, read_age: Option<Millis>) -> bool {
     let lost = now.since(lost_since);
-    let answered_others = read_age.is_some_and(|age| age.to_duration() < lost);
-    lost >= SHORTEST_OUTAGE.to_duration() && !answered_others
+    // A daemon that leaves the reading to others has no answers of its own that would end the time for which it is lost.
+    let answers_others = read_age.is_some_and(|age| age < OUTAGE_TIME && age.to_duration() < lost);
+    lost >= SHORTEST_OUTAGE.to_duration() && !answers_others
 }
 
 /// Returns whether an endpoint whose entry vanished is unconfirmed; otherwise it is gone.
--- a/lib/tests/test_suspect_entry.rs
+++ b/lib/tests/test_suspect_entry.rs
@@ -124,9 +124,12 @@
     for (now, lost, read_age, expected) in [
         (10_499, 10_000, None, false),
         (10_500, 10_000, None, true),
-        (12_000, 10_000, Some(2_000), true),
-        (12_000, 10_000, Some(1_999), false),
+        (11_000, 10_000, Some(1_000), true),
+        (11_000, 10_000, Some(999), false),
         (12_000, 10_000, Some(5_000), true),
+        // The others' answers have ended since.
+        (20_000, 10_000, Some(1_499), false),
+        (20_000, 10_000, Some(1_500), true),
     ] {
         let found = is_dark(at(now), at(lost), read_age.map(Millis));
         assert_eq!(found, expected, "{now} {lost} {read_age:?}");
