--- a/lib/src/gateway/wire/read_guard.rs
+++ b/lib/src/gateway/wire/read_guard.rs
@@ -17,9 +17,9 @@
     tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
-/// Maximum number of bytes that are read without delivering anything. Twice the buffer of the HTTP client, which may be
-/// full when the head is delivered.
-const MAX_UNDELIVERED: usize = 64 * 1024;
+/// Maximum number of bytes that are read without delivering anything. A sound reply needs a few times the buffer of the HTTP
+/// client, which reads ahead of a slow reader.
+const MAX_UNDELIVERED: usize = 128 * 1024;
 
 /// Number of bytes that were read since something was last delivered; clones share it.
 #[derive(Debug, Clone, Default)]
