--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -98,7 +98,7 @@
         if is_first || self.gateway.read_duty() == ReadDuty::Read {
             self.skip_known_table();
             self.is_probe = false;
-            return self.change_wait(self.last_call);
+            return self.change_wait();
         }
         self.is_probe = true;
         let last_call = self.last_call.unwrap_or(LastCall::Answered);
@@ -110,10 +110,11 @@
         Duration::ZERO
     }
 
-    /// Returns the time for which a call after `last_call` waits for changes under the settings in force.
-    fn change_wait(&self, last_call: Option<LastCall>) -> Duration {
+    /// Returns the time for which the next call waits for changes under the settings in force.
+    fn change_wait(&self) -> Duration {
         let bounds = self.gateway.settings().bounds;
-        wait_after(last_call, topic_wait(self.topic, bounds.directory_wait()))
+        let wait = topic_wait(self.topic, bounds.directory_wait());
+        wait_after(self.last_call, wait)
     }
 
     /// Moves the position past the changes of the operator topic that this daemon received from others, so that it
--- a/lib/src/gateway/wire/body_memory.rs
+++ b/lib/src/gateway/wire/body_memory.rs
@@ -97,7 +97,7 @@
         if !self.bounds.accepts_requests(self.replies.held()) {
             return None;
         }
-        let mut held = HeldMemory::new([Some(self.requests.clone()), None]);
+        let mut held = HeldMemory::new(self.requests.clone(), None);
         held.grow(bytes).then_some(held)
     }
 
@@ -107,39 +107,42 @@
         if let Some(pool) = endpoints.get(endpoint)
             && !pool.is_closed()
         {
-            return HeldMemory::new([Some(self.replies.clone()), Some(pool.clone())]);
+            return HeldMemory::new(self.replies.clone(), Some(pool.clone()));
         }
         // Pools that nobody else refers to hold nothing.
         endpoints.retain(|_, pool| Arc::strong_count(pool) > 1);
         let pool = Pool::new(self.bounds.endpoint);
         endpoints.insert(endpoint.to_owned(), pool.clone());
-        HeldMemory::new([Some(self.replies.clone()), Some(pool)])
+        HeldMemory::new(self.replies.clone(), Some(pool))
     }
 }
 
 /// Bytes that count as held until this is dropped.
 #[derive(Debug)]
 pub struct HeldMemory {
-    pools: [Option<Arc<Pool>>; 2],
+    pool: Arc<Pool>,
+    /// Pool of the endpoint that sends the reply; `None` for a request.
+    endpoint: Option<Arc<Pool>>,
     bytes: u64,
 }
 
 impl HeldMemory {
-    fn new(pools: [Option<Arc<Pool>>; 2]) -> Self {
-        Self { pools, bytes: 0 }
+    fn new(pool: Arc<Pool>, endpoint: Option<Arc<Pool>>) -> Self {
+        Self {
+            pool,
+            endpoint,
+            bytes: 0,
+        }
     }
 
     /// Holds at least `bytes` in all; returns false if they don't fit.
     pub fn grow(&mut self, bytes: u64) -> bool {
         let more = bytes.saturating_sub(self.bytes);
-        let [first, second] = self.pools.each_ref().map(Option::as_ref);
-        if !first.is_none_or(|pool| pool.take(more)) {
+        if !self.pool.take(more) {
             return false;
         }
-        if !second.is_none_or(|pool| pool.take(more)) {
-            if let Some(pool) = first {
-                pool.give_back(more);
-            }
+        if self.endpoint.as_ref().is_some_and(|pool| !pool.take(more)) {
+            self.pool.give_back(more);
             return false;
         }
         self.bytes += more;
@@ -148,7 +151,7 @@
 
     /// Lets no reply of the same endpoint grow any more that has begun.
     fn close_endpoint(&self) {
-        if let [_, Some(endpoint)] = &self.pools {
+        if let Some(endpoint) = &self.endpoint {
             endpoint.close();
         }
     }
@@ -156,8 +159,9 @@
     /// Holds no more than `bytes`.
     pub fn shrink(&mut self, bytes: u64) {
         let less = self.bytes.saturating_sub(bytes);
-        for pool in self.pools.iter().flatten() {
-            pool.give_back(less);
+        self.pool.give_back(less);
+        if let Some(endpoint) = &self.endpoint {
+            endpoint.give_back(less);
         }
         self.bytes -= less;
     }
