--- a/daemon/tests/hosts/changes.rs
+++ b/daemon/tests/hosts/changes.rs
@@ -1,5 +1,7 @@
 //! Tables that operators publish in a run, each of which changes something else.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use {
     super::stand_in::documents::{table_of_kinds, with_routes},
     rand::{RngExt, rngs::SmallRng},
@@ -39,6 +41,11 @@
         }
     }
 
+    /// Sets the number of additional routes.
+    pub fn set_routes(&mut self, count: usize) {
+        self.added = count;
+    }
+
     /// Returns the whole document.
     pub fn document(&self) -> Value {
         with_routes(self.table.clone(), self.added)
--- a/daemon/tests/hosts/endpoints.rs
+++ b/daemon/tests/hosts/endpoints.rs
@@ -1,5 +1,7 @@
 //! Endpoints that are sound, but slow, and silent for more than a second now and then.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use {
     super::stand_in::{
         replica::{Act, Replica},
@@ -13,7 +15,10 @@
 pub const EVENTS: u64 = 30;
 
 /// Services, each with its number of endpoints.
-const SERVICES: [(&str, usize); 4] = [("llm", 8), ("llm2", 4), ("plain", 4), ("enc", 4)];
+pub type Services = [(&'static str, usize); 4];
+
+/// Endpoints for a few hosts.
+pub const FEW: Services = [("llm", 8), ("llm2", 4), ("plain", 4), ("enc", 4)];
 
 /// An endpoint and its service.
 #[derive(Debug, Clone)]
@@ -32,11 +37,11 @@
 
 impl Endpoints {
     /// Starts the endpoints of all services.
-    pub async fn start(store: &StandInStore, mut rng: SmallRng) -> Self {
+    pub async fn start(store: &StandInStore, services: Services, mut rng: SmallRng) -> Self {
         let endpoints = Self {
             members: RefCell::default(),
         };
-        for (service, count) in SERVICES {
+        for (service, count) in services {
             for _ in 0..count {
                 endpoints.add(store, service, &mut rng).await;
             }
@@ -84,6 +89,25 @@
             .write_entry(store, service, "draining");
     }
 
+    /// Lets the endpoints write their entries again, as they do periodically, but for a share of them at most.
+    pub fn write_entries(&self, store: &StandInStore, lapsed: f64) {
+        let members = self.members.borrow();
+        let silent = (members.len() as f64 * lapsed) as usize;
+        let staying = members.iter().filter(|member| !member.left);
+        for member in staying.skip(silent) {
+            member.replica.write_entry(store, member.service, "ready");
+        }
+    }
+
+    /// Removes the entries of a share of the endpoints, which go on serving.
+    pub fn expire(&self, store: &StandInStore, share: f64) {
+        let members = self.members.borrow();
+        let count = (members.len() as f64 * share) as usize;
+        for member in members.iter().take(count) {
+            store.expire(&format!("servers/{}", member.replica.id));
+        }
+    }
+
     /// Returns whether an endpoint ran a request.
     pub fn has_run(&self, id: &str) -> bool {
         let members = self.members.borrow();
--- a/daemon/tests/hosts/fleet.rs
+++ b/daemon/tests/hosts/fleet.rs
@@ -1,15 +1,18 @@
 //! Daemon processes on small hosts, each limited to a share of a core.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use {
     super::{
-        quota::QuotaKeeper,
-        stand_in::documents::{DEFAULT_MEMORY_MB, SettingsFile, free_ports},
+        quota::{self, QuotaKeeper},
+        stand_in::documents::{SettingsFile, free_ports},
     },
     std::{
         fs::{self, File},
         net::{IpAddr, SocketAddr},
         path::PathBuf,
         process::{Child, Command, ExitStatus, Stdio},
+        time::Duration,
     },
 };
 
@@ -19,14 +22,46 @@
 /// Share of a core of the smallest hosts.
 pub const SMALLEST_SHARE: f64 = 0.09;
 
+/// Number of hosts that the others contact first.
+pub const SEED_COUNT: usize = 3;
+
 /// Shares of a core of the hosts, in turn: most are small.
 const SHARES: [f64; 8] = {
     const S: f64 = SMALLEST_SHARE;
     [S, 0.3, S, S, 0.5, S, 0.3, S]
 };
 
-/// Memory of a host, in megabytes, by its share of a core.
-const MEMORY_MB: [(f64, u64); 3] = [(SMALLEST_SHARE, 120), (0.3, 400), (0.5, 512)];
+/// Limits of a host beside its share of a core.
+#[derive(Debug, Clone, Copy)]
+struct HostLimits {
+    memory_mb: u64,
+    descriptors: u32,
+    link_mbps: u32,
+}
+
+impl HostLimits {
+    const fn new(memory_mb: u64, descriptors: u32, link_mbps: u32) -> Self {
+        Self {
+            memory_mb,
+            descriptors,
+            link_mbps,
+        }
+    }
+
+    /// Returns the limits of a host with this share of a core.
+    fn of(share: f64) -> Self {
+        let mut classes = LIMITS.iter();
+        let (_, limits) = classes.find(|(class, _)| *class == share).unwrap();
+        *limits
+    }
+}
+
+/// Limits of hosts, by their share of a core.
+const LIMITS: [(f64, HostLimits); 3] = [
+    (SMALLEST_SHARE, HostLimits::new(120, 3_075, 10)),
+    (0.3, HostLimits::new(400, 10_250, 25)),
+    (0.5, HostLimits::new(512, 8_192, 200)),
+];
 
 /// A host with its daemon.
 #[derive(Debug)]
@@ -38,6 +73,7 @@
     pub log: PathBuf,
     /// Whether a stop is under way.
     pub stopping: bool,
+    limits: HostLimits,
     settings: SettingsText,
     child: Child,
 }
@@ -64,6 +100,10 @@
         self.child.try_wait().unwrap()
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         // The process may be ending.
@@ -79,7 +119,7 @@
 
     /// Starts the daemon again.
     pub fn restart(&mut self, quotas: &QuotaKeeper, factor: f64) {
-        self.child = spawn(&self.settings.path, &self.log);
+        self.child = spawn(&self.settings.path, &self.log, self.limits);
         self.stopping = false;
         quotas.limit(self.child.id(), self.share * factor);
     }
@@ -94,14 +134,24 @@
         self.signal("HUP");
     }
 
+    /// Returns the processor time that the process has used.
+    pub fn processor_time(&self) -> Duration {
+        quota::processor_time(self.child.id() as i32).unwrap_or_default()
+    }
+
     /// Returns the most memory that the process has used, in megabytes, and the memory of its host.
     pub fn memory(&self) -> (u64, u64) {
         let path = format!("/proc/{}/status", self.child.id());
         let status = fs::read_to_string(path).unwrap_or_default();
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let kilobytes = peak.and_then(|text| text.trim().split(' ').next()?.parse::<u64>().ok());
-        let memory = MEMORY_MB.iter().find(|(share, _)| *share == self.share);
-        (kilobytes.unwrap_or(0) / 1_000, memory.unwrap().1)
+        (kilobytes.unwrap_or(0) / 1_000, self.limits.memory_mb)
+    }
+
+    /// Returns a description of the memory that the process has used, if it is more than its host has.
+    pub fn check_memory(&self) -> Option<String> {
+        let (used, memory) = self.memory();
+        (used > memory).then(|| format!("{} used {used} MB of {memory}", self.name))
     }
 
     pub fn remove_log(&self) {
@@ -109,10 +159,13 @@
     }
 }
 
-fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
+fn spawn(settings: &PathBuf, log: &PathBuf, limits: HostLimits) -> Child {
     let log = File::options().create(true).append(true).open(log).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_hazelyoked"))
-        .arg("--platform")
+    // The shell limits its own descriptors, then replaces itself by the program.
+    let descriptors = limits.descriptors;
+    let command = format!("ulimit -n {descriptors} && exec \"$0\" --platform \"$1\"");
+    Command::new("sh")
+        .args(["-c", &command, env!("CARGO_BIN_EXE_hazelyoked")])
         .arg(settings)
         .stdout(Stdio::from(log))
         .spawn()
@@ -133,13 +186,15 @@
         IpAddr::from([127, 8 + (seed % 10) as u8, low, 1 + number as u8])
     };
     let [front, ready, control, peer] = free_ports(ip(0));
-    let seeds: Vec<SocketAddr> = (0..count.min(3))
+    let seeds: Vec<SocketAddr> = (0..count.min(SEED_COUNT))
         .map(|number| SocketAddr::new(ip(number), control))
         .collect();
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let host = |number: usize| {
         let name = format!("front-{number}");
         let file = format!("hosts-{seed}-{process}-{name}");
+        let share = SHARES[number % SHARES.len()];
+        let limits = HostLimits::of(share);
         let settings = SettingsFile {
             name: &name,
             ip: ip(number),
@@ -150,16 +205,19 @@
             seeds: &seeds,
             grace_s: GRACE_S as f64,
             store,
-            memory_mb: DEFAULT_MEMORY_MB,
+            memory_mb: limits.memory_mb,
         };
+        let lines = format!(
+            "[limits]\ncpuShare = {share}\nmaxFds = {}\nlinkMbps = {}\n",
+            limits.descriptors, limits.link_mbps
+        );
         let settings = SettingsText {
             path: folder.join(format!("{file}.toml")),
-            text: settings.text(),
+            text: settings.text().replace("[limits]\n", &lines),
         };
         fs::write(&settings.path, &settings.text).unwrap();
         let log = folder.join(format!("{file}.log"));
-        let child = spawn(&settings.path, &log);
-        let share = SHARES[number % SHARES.len()];
+        let child = spawn(&settings.path, &log, limits);
         quotas.limit(child.id(), share * factor);
         Host {
             name,
@@ -168,6 +226,7 @@
             share,
             log,
             stopping: false,
+            limits,
             settings,
             child,
         }
--- a/daemon/tests/hosts/losses.rs
+++ b/daemon/tests/hosts/losses.rs
@@ -54,7 +54,7 @@
         findings.extend(lost.iter().map(|outcome| trace(outcome, &logs)));
     }
     findings.extend(outcomes.iter().filter_map(check_events));
-    findings.extend(hosts.iter().filter_map(check_memory));
+    findings.extend(hosts.iter().filter_map(Host::check_memory));
     findings
 }
 
@@ -82,11 +82,6 @@
     (is_stream && !(is_ordered && is_complete)).then(|| format!("{}: events {ids:?}", outcome.id))
 }
 
-fn check_memory(host: &Host) -> Option<String> {
-    let (used, memory) = host.memory();
-    (used > memory).then(|| format!("{} used {used} MB of {memory}", host.name))
-}
-
 fn trace(outcome: &Outcome, logs: &[HostLog]) -> String {
     let timeline = RequestTimeline::from_logs(&outcome.id, logs);
     let lines = timeline.lines.iter();
--- a/daemon/tests/hosts/quota.rs
+++ b/daemon/tests/hosts/quota.rs
@@ -1,6 +1,8 @@
 //! Limits processes to a share of a core, as a host's quota does: a process runs at full speed until its quota of a period
 //! is used, and then stands still until the next period.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use {
     rustix::process::{Pid, Signal, kill_process},
     std::{
@@ -29,6 +31,8 @@
     used: Duration,
     period: Instant,
     is_stopped: bool,
+    /// Whether the process stands still whatever it has used.
+    is_paused: bool,
 }
 
 type Quotas = Arc<Mutex<BTreeMap<i32, Quota>>>;
@@ -66,9 +70,17 @@
             used: Duration::ZERO,
             period: Instant::now(),
             is_stopped: false,
+            is_paused: false,
         };
         self.quotas.lock().unwrap().insert(id as i32, quota);
     }
+
+    /// Lets a process stand still, or go on.
+    pub fn set_paused(&self, id: u32, is_paused: bool) {
+        if let Some(quota) = self.quotas.lock().unwrap().get_mut(&(id as i32)) {
+            quota.is_paused = is_paused;
+        }
+    }
 }
 
 impl Drop for QuotaKeeper {
@@ -86,7 +98,7 @@
         let Some(used) = processor_time(id) else {
             return false;
         };
-        if self.period.elapsed() >= PERIOD {
+        if !self.is_paused && self.period.elapsed() >= PERIOD {
             self.period = Instant::now();
             self.used = used;
             if std::mem::take(&mut self.is_stopped) {
@@ -94,7 +106,7 @@
             }
         }
         let is_used = used.saturating_sub(self.used) >= PERIOD.mul_f64(self.share);
-        if is_used && !self.is_stopped {
+        if (is_used || self.is_paused) && !self.is_stopped {
             self.is_stopped = true;
             signal(id, Signal::STOP);
         }
@@ -103,7 +115,7 @@
 }
 
 /// Returns the processor time of a process's main thread, on which a daemon runs; `None` if it has ended.
-fn processor_time(id: i32) -> Option<Duration> {
+pub fn processor_time(id: i32) -> Option<Duration> {
     let text = fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
     let nanos = text.split(' ').next()?.parse().ok()?;
     Some(Duration::from_nanos(nanos))
--- a/daemon/tests/hosts/work.rs
+++ b/daemon/tests/hosts/work.rs
@@ -1,5 +1,7 @@
 //! Planned work during a run, in series and overlapping.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use {
     super::{
         changes::Published,
--- a/daemon/tests/test_small_hosts.rs
+++ b/daemon/tests/test_small_hosts.rs
@@ -20,6 +20,7 @@
     pub mod fleet;
     pub mod losses;
     pub mod quota;
+    pub mod settings;
     pub mod work;
 }
 
@@ -27,20 +28,19 @@
     hosts::{
         callers::{Outcomes, run_caller},
         changes::Published,
-        endpoints::Endpoints,
+        endpoints::{Endpoints, FEW},
         fleet::start_hosts,
         losses,
         quota::QuotaKeeper,
+        settings,
         work::World,
     },
     rand::{SeedableRng, rngs::SmallRng},
     stand_in::store::StandInStore,
     std::{
         cell::{Cell, RefCell},
-        env,
         ops::Range,
         rc::Rc,
-        str::FromStr,
         time::Duration,
     },
     tokio::task::LocalSet,
@@ -49,29 +49,11 @@
 const DEFAULT_HOSTS: usize = 8;
 const DEFAULT_SEEDS: Range<u64> = 1..3;
 const DEFAULT_SECONDS: u64 = 10;
-const DEFAULT_FACTOR: f64 = 5.0;
-
-/// Default number of callers for each host.
-const CALLERS_EACH: usize = 3;
-
-fn setting<T: FromStr>(name: &str, default: T) -> T {
-    let text = env::var(name).ok();
-    text.and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
-fn seeds() -> Range<u64> {
-    let text = env::var("HAZELYOKE_HOST_SEEDS").ok();
-    let range = text.as_deref().and_then(|text| {
-        let (from, to) = text.split_once("..")?;
-        Some(from.parse().ok()?..to.parse().ok()?)
-    });
-    range.unwrap_or(DEFAULT_SEEDS)
-}
 
 #[test]
 fn planned_work_loses_nothing() {
     let mut failed = Vec::new();
-    for seed in seeds() {
+    for seed in settings::seeds(DEFAULT_SEEDS) {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
@@ -90,10 +72,10 @@
     let published = Published::new();
     store.publish(&published.document());
     let rng = SmallRng::seed_from_u64(seed);
-    let endpoints = Endpoints::start(&store, rng).await;
+    let endpoints = Endpoints::start(&store, FEW, rng).await;
     let quotas = QuotaKeeper::start();
-    let factor = setting("HAZELYOKE_HOST_FACTOR", DEFAULT_FACTOR);
-    let count = setting("HAZELYOKE_HOSTS", DEFAULT_HOSTS);
+    let factor = settings::factor();
+    let count = settings::setting("HAZELYOKE_HOSTS", DEFAULT_HOSTS);
     let hosts = start_hosts(count, seed, store.address, &quotas, factor);
     let world = World {
         hosts: Rc::new(RefCell::new(hosts)),
@@ -110,7 +92,7 @@
     }
     let outcomes = Outcomes::default();
     let done = Rc::new(Cell::new(false));
-    let callers_each = setting("HAZELYOKE_HOST_CALLERS", CALLERS_EACH);
+    let callers_each = settings::callers_each();
     let callers: Vec<_> = (0..count * callers_each)
         .map(|number| {
             let rng = SmallRng::seed_from_u64(seed * 10_000 + number as u64);
@@ -127,7 +109,7 @@
         })
         .collect();
     let work = world.start_work(seed);
-    let seconds = setting("HAZELYOKE_HOST_SECONDS", DEFAULT_SECONDS);
+    let seconds = settings::setting("HAZELYOKE_HOST_SECONDS", DEFAULT_SECONDS);
     tokio::time::sleep(Duration::from_secs(seconds)).await;
     done.set(true);
     for caller in callers {
