stream_origins: engines prove where a stream began after all daemons were lost

Cause: only daemons remember where a stream began, and all of them were lost together.

Change: where no daemon remembers, the engines of the route are asked which parts of prompts they keep. An engine that keeps the request's own part, with a token more for each event that the caller has, wrote these events. It counts if no engine of another version, or of an unknown one, keeps anything of the part or leaves the question open. Anything else stays refused.

Why it works: the text stays at its engine under the part that belongs to the request.

--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -52,6 +52,15 @@
     pub tokens: u32,
 }
 
+/// A part of prompts that an engine keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeptPart {
+    /// Id of the part.
+    pub id: u64,
+    /// Number of tokens that are kept: those of the part, and what was generated after it.
+    pub tokens: u64,
+}
+
 /// The prompt of a request, as described in the request's head.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -236,6 +245,8 @@
     const PIECES_PATH: &'static str;
     /// Path to which the handles of results that are no longer needed are posted.
     const RELEASE_PATH: &'static str;
+    /// Path with query at which engines tell which parts of prompts they keep.
+    const KEPT_PARTS_PATH: &'static str;
 
     /// Reads the head of a caller's request.
     ///
@@ -266,6 +277,13 @@
     /// Returns the body of a release of results that are no longer needed.
     fn write_release(handles: &[ResultHandle]) -> Bytes;
 
+    /// Reads which parts of prompts an engine keeps.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body doesn't follow the installation's format, or the engine may keep parts that it doesn't name.
+    fn read_kept_parts(body: &[u8]) -> Result<Vec<KeptPart>, FormatError>;
+
     /// Adds headers with the time after which a caller may retry.
     fn write_retry_after(headers: &mut HeaderMap, wait: Duration);
 
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod engines;
 pub mod hashes;
+pub mod kept_parts;
 pub mod loans;
 pub mod peers;
 pub mod quarantine;
--- a/lib/src/gateway/routing/accept.rs
+++ b/lib/src/gateway/routing/accept.rs
@@ -84,7 +84,7 @@
 
 /// Accepts a request whose head could be read.
 async fn accept_inbound<D: Dialect>(
-    gateway: &Gateway<D>,
+    gateway: &Rc<Gateway<D>>,
     inbound: Inbound,
     head: Parts,
     body: Incoming,
--- /dev/null
+++ b/lib/src/gateway/routing/kept_parts.rs
@@ -0,0 +1,117 @@
+//! Asks engines which parts of prompts they keep, to find where a stream began that no daemon remembers.
+
+use {
+    crate::{
+        gateway::{
+            dialect::{Dialect, Inbound, KeptPart},
+            directory::endpoint_entry::EndpointEntry,
+            rules::{
+                kept_origin::{KEPT_WAIT, MAX_ASKED, Witness, ask_interval, kept_origin},
+                stream_origin::StreamOrigin,
+            },
+            state::{Gateway, GatewayState},
+            table::Route,
+            wire::body_memory::read_held,
+        },
+        shared::{ids::EndpointId, units::ByteSize},
+    },
+    bytes::Bytes,
+    http::{HeaderValue, Request, StatusCode, Uri, header},
+    http_body_util::Full,
+    std::{rc::Rc, sync::Arc},
+};
+
+/// Maximum size of an answer in bytes.
+const MAX_ANSWER_SIZE: ByteSize = ByteSize(256 << 10);
+
+impl<D: Dialect> Gateway<D> {
+    /// Returns the origin of the stream that a request takes up if the engines of its route prove it.
+    pub(crate) async fn proven_origin(
+        self: &Rc<Self>,
+        inbound: &Inbound,
+        route: &Route,
+    ) -> Option<StreamOrigin> {
+        let own = *inbound.prompt.parts.last()?;
+        let last_event = inbound.last_event.filter(|last| *last > 0)?;
+        let engines = self.engines_of(route)?;
+        let ids: Vec<EndpointId> = engines.iter().map(|entry| entry.id.clone()).collect();
+        let now = self.now();
+        let due = {
+            let mut state = self.state.borrow_mut();
+            let interval = ask_interval(state.peers.daemons());
+            state.kept_parts.begin(now, interval, engines)
+        };
+        for entry in due {
+            // Other requests wait for the same answer, so that it is read to its end also if this caller leaves.
+            tokio::task::spawn_local(ask(self.clone(), entry));
+        }
+        let is_answered = |state: &GatewayState| !state.kept_parts.is_waiting(&ids);
+        self.wait_for_peers(&self.kept_answers, now + KEPT_WAIT, is_answered)
+            .await;
+        let witnesses = self.witnesses(route, own.id);
+        let origin = kept_origin(own, last_event, &witnesses);
+        let found = origin.map_or("-".into(), |origin| origin.to_string());
+        log::info!(request = &*inbound.id, engines = ids.len(), origin = found.as_str(); "origin.sought");
+        origin
+    }
+
+    /// Returns the entries of a route's endpoints; `None` if they are too many to be asked.
+    fn engines_of(&self, route: &Route) -> Option<Vec<Arc<EndpointEntry>>> {
+        let state = self.state.borrow();
+        let services = route.backends.iter().map(|backend| &backend.service);
+        let members = services.flat_map(|service| state.endpoints.service(service));
+        let entries: Vec<_> = members.map(|member| member.entry.clone()).collect();
+        (entries.len() <= MAX_ASKED).then_some(entries)
+    }
+
+    /// Returns what the route's endpoints of this moment keep of a part.
+    fn witnesses(&self, route: &Route, part: u64) -> Vec<Witness> {
+        let state = self.state.borrow();
+        let services = route.backends.iter().map(|backend| &backend.service);
+        let members = services.flat_map(|service| state.endpoints.service(service));
+        let witnesses = members.map(|member| state.kept_parts.witness(&member.entry, part));
+        witnesses.collect()
+    }
+}
+
+async fn ask<D: Dialect>(gateway: Rc<Gateway<D>>, entry: Arc<EndpointEntry>) {
+    let asking = read_parts(&gateway, &entry);
+    let answer = tokio::time::timeout(KEPT_WAIT.to_duration(), asking).await;
+    let parts = answer.ok().flatten();
+    gateway.state.borrow_mut().kept_parts.record(&entry, parts);
+    gateway.kept_answers.notify_waiters();
+}
+
+/// Asks an engine; `None` if it gives no whole answer that can be read.
+async fn read_parts<D: Dialect>(
+    gateway: &Rc<Gateway<D>>,
+    entry: &EndpointEntry,
+) -> Option<Vec<KeptPart>> {
+    let opened = gateway.connect(entry).await.ok()?;
+    let (response, _guard) = opened.connection.send(question::<D>(entry)).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let held = gateway.bodies.for_reply(entry.id.as_str());
+    let body = read_held(&mut response.into_body(), MAX_ANSWER_SIZE, held)
+        .await
+        .ok()?;
+    match D::read_kept_parts(&body) {
+        Ok(parts) => Some(parts),
+        Err(error) => {
+            log::warn!(endpoint:% = entry.id, error:%; "engine.answer_refused");
+            None
+        }
+    }
+}
+
+/// Returns the question, which only the engine of this entry answers.
+fn question<D: Dialect>(entry: &EndpointEntry) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = Uri::from_static(D::KEPT_PARTS_PATH);
+    D::write_call(request.headers_mut(), &entry.id);
+    let host = HeaderValue::from_str(&entry.address.to_string())
+        .expect("a socket address is written in visible ASCII");
+    request.headers_mut().insert(header::HOST, host);
+    request
+}
--- a/lib/src/gateway/routing/mod.rs
+++ b/lib/src/gateway/routing/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod engine_times;
 pub mod forward;
 pub(crate) mod guards;
+pub(crate) mod kept_parts;
 pub(crate) mod outbound;
 pub(crate) mod permits;
 pub(crate) mod progress;
--- a/lib/src/gateway/routing/stream_origin.rs
+++ b/lib/src/gateway/routing/stream_origin.rs
@@ -18,6 +18,7 @@
                     LOOKUP_REPEAT, LOOKUP_WAIT, StreamOrigin, lookup_targets, origin_holders,
                 },
             },
+            serving::origin_metrics::OriginSource,
             state::{Gateway, GatewayState},
             stream_origins::store::LookupStart,
             table::Route,
@@ -65,7 +66,7 @@
     ///
     /// Returns a problem if no daemon knows the origin.
     pub(crate) async fn resumed_origin(
-        &self,
+        self: &Rc<Self>,
         inbound: &Inbound,
         route: &Route,
         customer: Option<&CustomerId>,
@@ -81,7 +82,14 @@
             }
             None => None,
         };
-        self.metrics.origins.count_taken_up(found.is_some());
+        let (found, source) = match found {
+            Some(origin) => (Some(origin), OriginSource::Daemon),
+            None => (
+                self.proven_origin(inbound, route).await,
+                OriginSource::Engine,
+            ),
+        };
+        self.metrics.origins.count_taken_up(found.map(|_| source));
         let Some(origin) = found else {
             let problem = Problem::not_run(Code::NoEndpoint, UNKNOWN_DETAIL);
             return Err(problem.retry_after(NO_ENDPOINT));
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -37,6 +37,7 @@
 pub mod gossip;
 pub mod handover;
 pub mod holders;
+pub mod kept_origin;
 pub mod liveness;
 pub mod outcome;
 pub mod piece_cost;
--- a/lib/src/gateway/serving/origin_metrics.rs
+++ b/lib/src/gateway/serving/origin_metrics.rs
@@ -6,7 +6,16 @@
     registry::Registry,
 };
 
-/// Label set of streams that are taken up; `origin` tells whether a daemon knew where the stream began.
+/// Who knew where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OriginSource {
+    /// A daemon remembered it.
+    Daemon,
+    /// What engines keep proved it.
+    Engine,
+}
+
+/// Label set of streams that are taken up; `origin` tells whether, and from whom, it is known where the stream began.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OriginLabels {
     origin: &'static str,
@@ -29,8 +38,12 @@
     }
 
     /// Counts a request that takes a stream up.
-    pub(crate) fn count_taken_up(&self, known: bool) {
-        let origin = if known { "known" } else { "unknown" };
+    pub(crate) fn count_taken_up(&self, source: Option<OriginSource>) {
+        let origin = match source {
+            Some(OriginSource::Daemon) => "known",
+            Some(OriginSource::Engine) => "proven",
+            None => "unknown",
+        };
         self.taken_up.get_or_create(&OriginLabels { origin }).inc();
     }
 }
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -15,6 +15,7 @@
             },
             engines::{join_reports::JoinReports, store::EngineModels},
             hashes::EndpointHash,
+            kept_parts::store::KeptParts,
             peers::{
                 chunk_batches::ChunkBatches,
                 links::Links,
@@ -118,6 +119,8 @@
     pub reservations: Reservations,
     /// Software versions at which streams began.
     pub origins: StreamOrigins,
+    /// What engines keep of the prompts of earlier requests.
+    pub kept_parts: KeptParts,
     /// Other daemons.
     pub peers: Peers,
     /// Queues of the stage services that this daemon coordinates.
@@ -169,6 +172,7 @@
             calibration: Calibration::default(),
             reservations: Reservations::new(peers.local_address()),
             origins: StreamOrigins::default(),
+            kept_parts: KeptParts::default(),
             peers,
             stage_queues: StageQueues::default(),
             contact: DirectoryContact::default(),
@@ -274,6 +278,8 @@
     pub(crate) origin_reports: Notify,
     /// Wakes the requests that wait for the origins of their streams.
     pub(crate) origin_answers: Notify,
+    /// Wakes the requests that wait for what engines keep.
+    pub(crate) kept_answers: Notify,
     /// Wakes the loop that reports borrowed connections to their lenders.
     pub(crate) loan_reports: Notify,
     /// Wakes the requests that wait for a permit or a borrowed connection.
@@ -335,6 +341,7 @@
             origin_reports: Notify::new(),
             datagrams: OnceCell::new(),
             origin_answers: Notify::new(),
+            kept_answers: Notify::new(),
             loan_reports: Notify::new(),
             permits: Notify::new(),
             permit_queue: PermitQueue::default(),
