kept_parts: ask engines only, and names of their own

Routes whose services aren't engines aren't asked what they keep: their endpoints don't know the call.

--- a/daemon/tests/hosts/outage.rs
+++ b/daemon/tests/hosts/outage.rs
@@ -206,10 +206,7 @@
         };
         pause(true);
         if outage.publishes {
-            let mut published = world.published.borrow_mut();
-            published.change(rng);
-            world.store.publish(&published.document());
-            drop(published);
+            self.publish(rng);
             let ack = rng.random_range(5..400);
             tokio::time::sleep(Duration::from_millis(ack)).await;
         }
@@ -235,6 +232,12 @@
         }
     }
 
+    fn publish(&self, rng: &mut SmallRng) {
+        let mut published = self.world.published.borrow_mut();
+        published.change(rng);
+        self.world.store.publish(&published.document());
+    }
+
     fn trouble_store(&self) {
         let (store, outage) = (&self.world.store, &self.outage);
         let Some((trouble, _)) = outage.store else {
--- a/daemon/tests/hosts/settings.rs
+++ b/daemon/tests/hosts/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of runs, from variables of the environment.
 
-use std::{env, ops::Range, str::FromStr};
+use {
+    std::{env, ops::Range, str::FromStr},
+    tokio::task::LocalSet,
+};
 
 const DEFAULT_FACTOR: f64 = 5.0;
 
@@ -12,7 +15,28 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-pub fn seeds(default: Range<u64>) -> Range<u64> {
+/// Runs all seeds, each on a runtime of its own.
+///
+/// # Panics
+///
+/// Panics if a run has findings.
+pub fn run_seeds(default: Range<u64>, run: impl AsyncFn(u64) -> Vec<String>) {
+    let mut failed = Vec::new();
+    for seed in seeds(default) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        let findings = LocalSet::new().block_on(&runtime, run(seed));
+        println!("seed {seed}: {} findings", findings.len());
+        if !findings.is_empty() {
+            failed.push(format!("seed {seed}:\n{}", findings.join("\n")));
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
+
+fn seeds(default: Range<u64>) -> Range<u64> {
     let text = env::var("HAZELYOKE_HOST_SEEDS").ok();
     let range = text.as_deref().and_then(|text| {
         let (from, to) = text.split_once("..")?;
--- a/daemon/tests/test_lost_fleets.rs
+++ b/daemon/tests/test_lost_fleets.rs
@@ -44,7 +44,6 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::task::LocalSet,
 };
 
 const DEFAULT_HOSTS: usize = 8;
@@ -67,19 +66,7 @@
 
 #[test]
 fn lost_fleet_recovers() {
-    let mut failed = Vec::new();
-    for seed in settings::seeds(DEFAULT_SEEDS) {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .unwrap();
-        let findings = LocalSet::new().block_on(&runtime, run_seed(seed));
-        println!("seed {seed}: {} findings", findings.len());
-        if !findings.is_empty() {
-            failed.push(format!("seed {seed}:\n{}", findings.join("\n")));
-        }
-    }
-    assert!(failed.is_empty(), "{}", failed.join("\n"));
+    settings::run_seeds(DEFAULT_SEEDS, run_seed);
 }
 
 /// Prints the time and the processor time that the start took, the latter at most of all hosts.
--- a/daemon/tests/test_small_hosts.rs
+++ b/daemon/tests/test_small_hosts.rs
@@ -43,7 +43,6 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::task::LocalSet,
 };
 
 const DEFAULT_HOSTS: usize = 8;
@@ -52,19 +51,7 @@
 
 #[test]
 fn planned_work_loses_nothing() {
-    let mut failed = Vec::new();
-    for seed in settings::seeds(DEFAULT_SEEDS) {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .unwrap();
-        let findings = LocalSet::new().block_on(&runtime, run_seed(seed));
-        println!("seed {seed}: {} findings", findings.len());
-        if !findings.is_empty() {
-            failed.push(format!("seed {seed}:\n{}", findings.join("\n")));
-        }
-    }
-    assert!(failed.is_empty(), "{}", failed.join("\n"));
+    settings::run_seeds(DEFAULT_SEEDS, run_seed);
 }
 
 async fn run_seed(seed: u64) -> Vec<String> {
--- a/lib/src/gateway/kept_parts/store.rs
+++ b/lib/src/gateway/kept_parts/store.rs
@@ -26,7 +26,7 @@
 
 /// State of the last question to an engine.
 #[derive(Debug)]
-enum Answer {
+enum KeptAnswer {
     Waiting,
     Failed,
     /// Tokens that the engine keeps, by part.
@@ -39,7 +39,7 @@
     /// Entry of the engine when it was asked.
     entry: Arc<EndpointEntry>,
     asked: Time,
-    answer: Answer,
+    answer: KeptAnswer,
 }
 
 /// The answers of the engines that this daemon asked.
@@ -69,7 +69,7 @@
             let question = Question {
                 entry: entry.clone(),
                 asked: now,
-                answer: Answer::Waiting,
+                answer: KeptAnswer::Waiting,
             };
             self.questions.insert(entry.id.clone(), question);
         }
@@ -85,15 +85,17 @@
             return;
         }
         question.answer = match parts {
-            Some(parts) => Answer::Kept(parts.iter().map(|part| (part.id, part.tokens)).collect()),
-            None => Answer::Failed,
+            Some(parts) => {
+                KeptAnswer::Kept(parts.iter().map(|part| (part.id, part.tokens)).collect())
+            }
+            None => KeptAnswer::Failed,
         };
     }
 
     /// Returns whether one of the engines hasn't answered yet.
     pub fn is_waiting(&self, engines: &[EndpointId]) -> bool {
         let mut asked = engines.iter().filter_map(|id| self.questions.get(id));
-        asked.any(|question| matches!(question.answer, Answer::Waiting))
+        asked.any(|question| matches!(question.answer, KeptAnswer::Waiting))
     }
 
     /// Returns what an engine keeps of a part. An answer from before its entry changed proves nothing.
@@ -101,7 +103,7 @@
         let question = self.questions.get(&entry.id);
         let kept = match question.filter(|question| is_same(&question.entry, entry)) {
             Some(Question {
-                answer: Answer::Kept(parts),
+                answer: KeptAnswer::Kept(parts),
                 ..
             }) => parts
                 .get(&part)
--- a/lib/src/gateway/routing/kept_parts.rs
+++ b/lib/src/gateway/routing/kept_parts.rs
@@ -6,7 +6,7 @@
             dialect::{Dialect, Inbound, KeptPart},
             directory::endpoint_entry::EndpointEntry,
             rules::{
-                kept_origin::{KEPT_WAIT, MAX_ASKED, Witness, ask_interval, kept_origin},
+                kept_origin::{KEPT_WAIT, MAX_ENGINES, Witness, ask_interval, kept_origin},
                 stream_origin::StreamOrigin,
             },
             state::{Gateway, GatewayState},
@@ -22,7 +22,7 @@
 };
 
 /// Maximum size of an answer in bytes.
-const MAX_ANSWER_SIZE: ByteSize = ByteSize(256 << 10);
+const MAX_CACHE_ANSWER: ByteSize = ByteSize(256 << 10);
 
 impl<D: Dialect> Gateway<D> {
     /// Returns the origin of the stream that a request takes up if the engines of its route prove it.
@@ -55,13 +55,24 @@
         origin
     }
 
-    /// Returns the entries of a route's endpoints; `None` if they are too many to be asked.
+    /// Returns the entries of a route's endpoints; `None` if some aren't engines, or if they are too many to be asked.
     fn engines_of(&self, route: &Route) -> Option<Vec<Arc<EndpointEntry>>> {
+        let published = self.published()?;
+        let mut backends = route.backends.iter();
+        let is_engine = |id| {
+            published
+                .table
+                .service(id)
+                .is_some_and(|entry| entry.engine)
+        };
+        if !backends.all(|backend| is_engine(&backend.service)) {
+            return None;
+        }
         let state = self.state.borrow();
         let services = route.backends.iter().map(|backend| &backend.service);
         let members = services.flat_map(|service| state.endpoints.service(service));
         let entries: Vec<_> = members.map(|member| member.entry.clone()).collect();
-        (entries.len() <= MAX_ASKED).then_some(entries)
+        (entries.len() <= MAX_ENGINES).then_some(entries)
     }
 
     /// Returns what the route's endpoints of this moment keep of a part.
@@ -93,7 +104,7 @@
         return None;
     }
     let held = gateway.bodies.for_reply(entry.id.as_str());
-    let body = read_held(&mut response.into_body(), MAX_ANSWER_SIZE, held)
+    let body = read_held(&mut response.into_body(), MAX_CACHE_ANSWER, held)
         .await
         .ok()?;
     match D::read_kept_parts(&body) {
--- a/lib/src/gateway/rules/kept_origin.rs
+++ b/lib/src/gateway/rules/kept_origin.rs
@@ -22,7 +22,7 @@
 pub const KEPT_WAIT: Millis = Millis(400);
 
 /// Maximum number of engines that a daemon asks about one service. Beyond it, origins stay unknown.
-pub const MAX_ASKED: usize = 128;
+pub const MAX_ENGINES: usize = 128;
 
 /// Shortest time between two questions of a daemon to one engine.
 const SHORTEST_INTERVAL: Millis = Millis(1_000);
