admission: streams that are taken up are admitted by the time their callers wait

Of 343 take-ups whose origin engines had proven, 248 were refused with "it would take about N ms, its objective is N ms".

Cause: the admission compares the expected time with the objective, which is the time to a stream's first event. The caller of a stream that is taken up has had it.

Change: for these, the time allowed is half of that for which their callers wait for an event, at most half of the time to the deadline, at least the objective. Their pieces have the same time in the order of pieces, so that they go behind those which are due sooner.

--- a/lib/src/gateway/routing/call.rs
+++ b/lib/src/gateway/routing/call.rs
@@ -7,8 +7,9 @@
             quarantine::store::Trial,
             request_digest::RequestDigest,
             rules::{
-                eligibility::AllowedDataCentres, stream_origin::StreamOrigin,
-                time_limits::first_event_time,
+                eligibility::AllowedDataCentres,
+                stream_origin::StreamOrigin,
+                time_limits::{first_event_time, taken_up_time},
             },
             table::{CustomerEntry, Route},
         },
@@ -87,6 +88,17 @@
         }
     }
 
+    /// Returns the time from the arrival within which an event or the answer should come.
+    pub(crate) fn time_allowed(&self) -> Millis {
+        let Route {
+            kind, objective, ..
+        } = *self.route;
+        match self.origin {
+            Some(_) => taken_up_time(kind, objective, self.remaining(self.arrived)),
+            None => objective,
+        }
+    }
+
     /// Returns the body, which shares its memory.
     pub(crate) fn body(&self) -> Bytes {
         self.body.borrow().clone()
--- a/lib/src/gateway/routing/region_choice.rs
+++ b/lib/src/gateway/routing/region_choice.rs
@@ -134,9 +134,10 @@
         &call.inbound,
         &call.route,
         call.deadline.min(call.give_up_at()),
-        call.arrived + call.route.objective,
+        call.arrived + call.time_allowed(),
         call.urgency,
     )
+    .admitted_within(call.time_allowed())
     .identified(call.digest)
     .within(call.data_centres.clone())
 }
--- a/lib/src/gateway/routing/stage_load.rs
+++ b/lib/src/gateway/routing/stage_load.rs
@@ -38,7 +38,7 @@
     let stages = (0..route.stages.len()).map(|index| planned_stage(gateway, request, index));
     admission::decide(&AdmissionRequest {
         stages: stages.collect(),
-        objective: route.objective,
+        objective: request.time_allowed,
         rank: route.rank,
         tokens: request.tokens,
         own_time: request.own_time,
--- a/lib/src/gateway/stages/chain_request.rs
+++ b/lib/src/gateway/stages/chain_request.rs
@@ -44,6 +44,8 @@
     pub deadline: Time,
     /// Time by which the request should be answered to count as in time.
     pub objective: Time,
+    /// Time from its arrival to its objective.
+    pub time_allowed: Millis,
     /// Rank among waiting requests; 0 is the most urgent.
     pub rank: u32,
     /// Length of the prompt in tokens.
@@ -66,6 +68,15 @@
 }
 
 impl ChainRequest {
+    /// Allows the request another time than the objective of its route.
+    #[must_use]
+    pub fn admitted_within(self, time_allowed: Millis) -> Self {
+        Self {
+            time_allowed,
+            ..self
+        }
+    }
+
     /// Reads what the stages need from a request.
     pub fn new(
         inbound: &Inbound,
@@ -83,6 +94,7 @@
             key: inbound.piece_key.as_deref().unwrap_or_default().into(),
             deadline,
             objective,
+            time_allowed: route.objective,
             rank,
             tokens: inbound.prompt.tokens_in,
             own_time: None,
