--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -281,7 +281,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the body doesn't follow the installation's format, or the engine may keep parts that it doesn't name.
+    /// Returns an error if the body doesn't follow the installation's format, or if the engine may keep parts that it
+    /// doesn't name.
     fn read_kept_parts(body: &[u8]) -> Result<Vec<KeptPart>, FormatError>;
 
     /// Adds headers with the time after which a caller may retry.
--- a/lib/src/gateway/routing/kept_parts.rs
+++ b/lib/src/gateway/routing/kept_parts.rs
@@ -48,7 +48,13 @@
         let is_answered = |state: &GatewayState| !state.kept_parts.is_waiting(&ids);
         self.wait_for_peers(&self.kept_answers, now + KEPT_WAIT, is_answered)
             .await;
-        let witnesses = self.witnesses(route, own.id);
+        // An entry may have changed meanwhile, or an endpoint come.
+        let witnesses: Vec<Witness> = {
+            let engines = self.engines_of(route)?;
+            let state = self.state.borrow();
+            let witness = |entry| state.kept_parts.witness(entry, own.id);
+            engines.iter().map(|entry| witness(entry)).collect()
+        };
         let origin = kept_origin(own, last_event, &witnesses);
         let found = origin.map_or("-".into(), |origin| origin.to_string());
         log::info!(request = &*inbound.id, engines = ids.len(), origin = found.as_str(); "origin.sought");
@@ -74,15 +80,6 @@
         let entries: Vec<_> = members.map(|member| member.entry.clone()).collect();
         (entries.len() <= MAX_ENGINES).then_some(entries)
     }
-
-    /// Returns what the route's endpoints of this moment keep of a part.
-    fn witnesses(&self, route: &Route, part: u64) -> Vec<Witness> {
-        let state = self.state.borrow();
-        let services = route.backends.iter().map(|backend| &backend.service);
-        let members = services.flat_map(|service| state.endpoints.service(service));
-        let witnesses = members.map(|member| state.kept_parts.witness(&member.entry, part));
-        witnesses.collect()
-    }
 }
 
 async fn ask<D: Dialect>(gateway: Rc<Gateway<D>>, entry: Arc<EndpointEntry>) {
--- a/lib/src/gateway/rules/kept_origin.rs
+++ b/lib/src/gateway/rules/kept_origin.rs
@@ -1,12 +1,13 @@
 //! Decides where a stream began that no daemon remembers, from what engines keep of its prompt.
 //!
-//! Inputs: the request's own part of the prompt, which no other request shares, and the number of the last event that its caller
-//! has; for each engine of the route's services, the origin of its streams and the tokens that it keeps of this part. Result:
-//! the origin, or nothing.
+//! Inputs: the request's own part of the prompt, which belongs to it or its session, and the number of the last event that
+//! its caller has; for each engine of the route's services, the origin of its streams and the tokens that it keeps of
+//! this part. Result: the origin, or nothing.
 //!
-//! Rule: an engine began the stream, or continued it, if it keeps the whole part and at least one token more for each event of
-//! the caller's: engines keep what they generated after the prompt under the same part. The origin counts as proven if all such
-//! engines have the same one, and each engine of another origin, or of an unknown one, states that it keeps nothing of the part. Engines are asked again after [`ask_interval`].
+//! Rule: an engine began the stream, or continued it, if it keeps the whole part and at least one token more for each event
+//! of the caller's: engines keep what they generated after the prompt under the same part. The origin counts as proven
+//! if all such engines have the same one, and each engine of another origin, or of an unknown one, states that it keeps
+//! nothing of the part. Engines are asked again after [`ask_interval`].
 //!
 //! Reason: after all daemons were lost, the engines alone still know. An engine that doesn't answer, or a second version that
 //! has read the prompt, leaves it open which one wrote the events.
--- a/lib/src/gateway/rules/time_limits.rs
+++ b/lib/src/gateway/rules/time_limits.rs
@@ -49,9 +49,9 @@
     Some(Millis(longest))
 }
 
-/// Returns the time from a request's arrival within which the next event of a stream should come that the request takes up;
+/// Returns the time from a request's arrival within which the next event of the stream that it takes up should come;
 /// `remaining` is the time to its deadline. The objective is the time to a stream's first event, which its caller has
-/// had. Half of the time that it waits for an event leaves room for estimates that are too low.
+/// had. Half of the time for which it waits for an event leaves room for estimates that are too low.
 pub fn taken_up_time(kind: RouteKind, objective: Millis, remaining: Millis) -> Millis {
     let waits = first_event_time(kind, objective).unwrap_or(objective);
     Millis(waits.0.min(remaining.0) / 2).max(objective)
