--- a/daemon/tests/hosts/callers.rs
+++ b/daemon/tests/hosts/callers.rs
@@ -42,6 +42,7 @@
     pub whole: bool,
     /// Whether the caller gave up.
     pub left: bool,
+    pub sent: Instant,
     pub took: Duration,
 }
 
@@ -94,6 +95,7 @@
                 body: String::from_utf8_lossy(&answer.body).into_owned(),
                 whole: answer.whole,
                 left,
+                sent,
                 took: sent.elapsed(),
             });
             if !answer.open {
--- a/daemon/tests/hosts/work.rs
+++ b/daemon/tests/hosts/work.rs
@@ -144,6 +144,7 @@
         let was_up = TcpStream::connect(ready).await.is_ok();
         let begun = Instant::now();
         self.hosts.borrow()[number].signal("TERM");
+        self.hosts.borrow_mut()[number].stops.push(begun);
         loop {
             let ended = self.hosts.borrow_mut()[number].ended();
             match ended {
