--- a/daemon/tests/hosts/losses.rs
+++ b/daemon/tests/hosts/losses.rs
@@ -82,27 +82,37 @@
     outcome.status.is_some() || took > LOSS_SLACK_MS || world.endpoints.has_run(&outcome.id)
 }
 
-/// Returns whether an answer that had begun was cut at the end of a planned stop's grace period, and its request was sent
+/// Returns whether a stream that lacks events was cut at the end of a planned stop's grace period, and its request was sent
 /// early in the stop.
 fn outlasts_grace(outcome: &Outcome, host: &Host) -> bool {
     let ended = outcome.sent + outcome.took;
+    let grace = Duration::from_secs(GRACE_S);
     let cut = |stop: &Instant| {
-        (*stop..*stop + EARLY_IN_STOP).contains(&outcome.sent) && ended >= *stop + GRACE_END
+        (*stop..*stop + EARLY_IN_STOP).contains(&outcome.sent)
+            && (*stop + GRACE_END..*stop + grace).contains(&ended)
     };
-    outcome.status == Some(200) && host.stops.iter().any(cut)
+    let lacks_events = is_stream(outcome) && (event_ids(outcome).len() as u64) < EVENTS;
+    lacks_events && host.stops.iter().any(cut)
+}
+
+fn is_stream(outcome: &Outcome) -> bool {
+    outcome.path != "/r/" && outcome.status == Some(200)
+}
+
+/// Returns the ids of the events that the caller received.
+fn event_ids(outcome: &Outcome) -> Vec<u64> {
+    let lines = outcome.body.lines();
+    let ids = lines.filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
 }
 
 /// Checks that the events of a stream are complete and in order.
 fn check_events(outcome: &Outcome) -> Option<String> {
-    let is_stream = outcome.path != "/r/" && outcome.status == Some(200);
-    let ids = outcome
-        .body
-        .lines()
-        .filter_map(|line| line.strip_prefix("id: "));
-    let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
+    let ids = event_ids(outcome);
     let is_ordered = ids.iter().zip(1..).all(|(id, wanted)| *id == wanted);
     let is_complete = !outcome.whole || ids.len() as u64 == EVENTS;
-    (is_stream && !(is_ordered && is_complete)).then(|| format!("{}: events {ids:?}", outcome.id))
+    (is_stream(outcome) && !(is_ordered && is_complete))
+        .then(|| format!("{}: events {ids:?}", outcome.id))
 }
 
 fn trace(outcome: &Outcome, logs: &[HostLog]) -> String {
