directory: read the entries of a page before the state is borrowed for them

Callers saw nothing served after a restart while an entry of another writer stood in a list of several pages.

Cause: add_partial_list held the daemon's state and pulled the entries from a lazy iterator, which borrows the state itself to record an entry that it refuses. The second borrow panicked and ended the task that follows the endpoints; the process lived on without it and said nothing further. Only a page before the last one of a first list takes this way.

The entries are read before the state is borrowed; the function takes them as a list, so that no caller can pass an iterator that borrows. unreadable_entry (pages of 1 to 4, three daemons, six endpoints) failed before and passes now: six endpoints at each daemon, all requests served.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -101,7 +101,7 @@
     /// Uses the endpoints of the first pages of the first list before the rest has arrived. Without this, 299 daemons
     /// that start together refuse all requests for the 2.5 s in which they receive a list of 3,001 endpoints. One page
     /// holds a sixth of the endpoints of each service.
-    pub(crate) fn add_partial_list(&self, entries: impl Iterator<Item = EndpointEntry>) {
+    pub(crate) fn add_partial_list(&self, entries: Vec<EndpointEntry>) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         if state.has_list {
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -281,9 +281,7 @@
     /// Uses the endpoints of a first list before the rest of it has arrived.
     fn items_received(&self, items: &[Item]) {
         if self.topic == Topic::Endpoints {
-            let entries = items
-                .iter()
-                .filter_map(|item| read_entry(&self.gateway, item));
+            let entries = read_entries(&self.gateway, items);
             self.gateway.add_partial_list(entries);
         }
     }
@@ -312,13 +310,9 @@
 }
 
 fn apply_list<D: Dialect>(gateway: &Gateway<D>, items: &Items) {
-    let entries = items
-        .items
-        .iter()
-        .filter_map(|item| read_entry(gateway, item));
     let list = EndpointList {
         revision: items.revision,
-        entries: entries.collect(),
+        entries: read_entries(gateway, &items.items),
         unconfirmed: Vec::new(),
     };
     gateway.replace_endpoints(list, DIRECTORY_SOURCE);
@@ -347,6 +341,14 @@
     }
 }
 
+/// Reads entries, see [`read_entry`]. Borrows the state for those that can't be read.
+fn read_entries<D: Dialect>(gateway: &Gateway<D>, items: &[Item]) -> Vec<EndpointEntry> {
+    let entries = items.iter();
+    entries
+        .filter_map(|item| read_entry(gateway, item))
+        .collect()
+}
+
 /// Reads an entry. One that can't be read is skipped, and logged each time that it changes.
 fn read_entry<D: Dialect>(gateway: &Gateway<D>, item: &Item) -> Option<EndpointEntry> {
     let ItemKey::Endpoint(name) = &item.key else {
