tasks: a daemon's task that panics is logged, counted and started again

Cause: the forwarding daemon starts some 20 tasks and nobody looked at their end. Now each is started again 0.5 s after a panic (or, if it has no end, after it returned), with a line task.ended and hazelyoke_tasks_ended_total. Tasks whose end somebody waits for are covered too: a call of pieces that panics counts as broken off, a question to an engine as not answered, probes of terminated and relayed endpoints go on. The pipeline daemon's three tasks are started again; a panic in a call fails its attempt, one in an export drops its spans, and a daemon whose decision core panicked isn't ready. Each panic of a process is logged as daemon.panicked, also of tasks that serve one request or connection, which end with it.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod args;
 mod forwarding;
 mod log_lines;
+mod panics;
 mod pipelines;
 mod signals;
 
@@ -20,6 +21,7 @@
 fn main() -> Result<()> {
     let args: Args = argh::from_env();
     let logs = log_lines::start();
+    panics::log_panics();
     let result = run(args);
     if let Err(error) = &result {
         log::error!(error = format!("{error:#}").as_str(); "daemon.failed");
--- a/lib/src/gateway/peers/link_server.rs
+++ b/lib/src/gateway/peers/link_server.rs
@@ -36,8 +36,8 @@
 };
 
 /// Accepts links from other daemons until the process ends.
-pub async fn serve_links<D: Dialect>(gateway: Rc<Gateway<D>>, listener: TcpListener) {
-    accept_each(listener, "link.accept_failed", |stream, from| {
+pub async fn serve_links<D: Dialect>(gateway: Rc<Gateway<D>>, listener: Rc<TcpListener>) {
+    accept_each(&listener, "link.accept_failed", |stream, from| {
         let gateway = gateway.clone();
         task::spawn_local(async move {
             if let Err(error) = serve_connection(gateway, stream).await {
--- a/lib/src/gateway/reach/probe.rs
+++ b/lib/src/gateway/reach/probe.rs
@@ -66,22 +66,27 @@
     /// Probes the endpoints that are reached through other daemons, until there is a direct path to each.
     pub(super) fn probe_direct_paths(self: &Rc<Self>) {
         let gateway = self.clone();
-        tokio::task::spawn_local(async move {
-            let mut count = probe_count(0, 0);
-            loop {
-                tokio::time::sleep(PROBE_INTERVAL).await;
-                let due = gateway.state.borrow_mut().reach.next_probes(count);
-                if due.is_empty() {
-                    return;
-                }
-                let probes = due.iter().map(|endpoint| gateway.probe_direct(endpoint));
-                let reached = join_all(probes).await;
-                let succeeded = reached.iter().filter(|reached| **reached).count();
-                count = probe_count(due.len(), succeeded);
-            }
+        self.spawn_restarted("direct_paths", move || {
+            let gateway = gateway.clone();
+            async move { gateway.run_direct_probes().await }
         });
     }
 
+    async fn run_direct_probes(&self) {
+        let mut count = probe_count(0, 0);
+        loop {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            let due = self.state.borrow_mut().reach.next_probes(count);
+            if due.is_empty() {
+                return;
+            }
+            let probes = due.iter().map(|endpoint| self.probe_direct(endpoint));
+            let reached = join_all(probes).await;
+            let succeeded = reached.iter().filter(|reached| **reached).count();
+            count = probe_count(due.len(), succeeded);
+        }
+    }
+
     /// Returns whether an endpoint can be reached directly. Endpoints that are gone aren't probed again.
     async fn probe_direct(&self, endpoint: &EndpointIncarnation) -> bool {
         let Some(entry) = self.listed(endpoint) else {
--- a/lib/src/gateway/routing/endpoint_check.rs
+++ b/lib/src/gateway/routing/endpoint_check.rs
@@ -140,22 +140,27 @@
     /// get work any more.
     pub(crate) fn watch_terminated(self: &Rc<Self>, entry: Arc<EndpointEntry>) {
         let gateway = self.clone();
-        tokio::task::spawn_local(async move {
-            let mut pause = FIRST_PROBE_PAUSE;
-            loop {
-                tokio::time::sleep(pause).await;
-                if !gateway.state.borrow().endpoints.may_return(&entry) {
-                    return;
-                }
-                if gateway.state.borrow().endpoints.in_cooldown(&entry) {
-                    continue;
-                }
-                if gateway.check(&entry).await == EndpointCheck::Alive {
-                    gateway.state.borrow_mut().endpoints.record_accepted(&entry);
-                    return;
-                }
-                pause = LONGEST_PROBE_PAUSE.min(pause * 2);
-            }
+        self.spawn_restarted("terminated_endpoint", move || {
+            let (gateway, entry) = (gateway.clone(), entry.clone());
+            async move { gateway.probe_terminated(&entry).await }
         });
     }
+
+    async fn probe_terminated(self: &Rc<Self>, entry: &Arc<EndpointEntry>) {
+        let mut pause = FIRST_PROBE_PAUSE;
+        loop {
+            tokio::time::sleep(pause).await;
+            if !self.state.borrow().endpoints.may_return(entry) {
+                return;
+            }
+            if self.state.borrow().endpoints.in_cooldown(entry) {
+                continue;
+            }
+            if self.check(entry).await == EndpointCheck::Alive {
+                self.state.borrow_mut().endpoints.record_accepted(entry);
+                return;
+            }
+            pause = LONGEST_PROBE_PAUSE.min(pause * 2);
+        }
+    }
 }
--- a/lib/src/gateway/routing/kept_parts.rs
+++ b/lib/src/gateway/routing/kept_parts.rs
@@ -83,9 +83,9 @@
 }
 
 async fn ask<D: Dialect>(gateway: Rc<Gateway<D>>, entry: Arc<EndpointEntry>) {
-    let asking = read_parts(&gateway, &entry);
-    let answer = tokio::time::timeout(KEPT_WAIT.to_duration(), asking).await;
-    let parts = answer.ok().flatten();
+    let asking = tokio::time::timeout(KEPT_WAIT.to_duration(), read_parts(&gateway, &entry));
+    let answer = gateway.run_caught("kept_parts", asking).await;
+    let parts = answer.and_then(Result::ok).flatten();
     gateway.state.borrow_mut().kept_parts.record(&entry, parts);
     gateway.kept_answers.notify_waiters();
 }
--- a/lib/src/gateway/serving/ingress.rs
+++ b/lib/src/gateway/serving/ingress.rs
@@ -65,7 +65,7 @@
 /// Accepts callers' connections until the listener closes.
 pub async fn serve<D: Dialect>(
     gateway: Rc<Gateway<D>>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     mut listener_state: watch::Receiver<ListenerState>,
 ) {
     let connections = listener_state.clone();
@@ -75,7 +75,7 @@
         tokio::task::spawn_local(serve_connection(gateway.clone(), stream, closing));
     };
     let close_idle = || accept_failed.notify_waiters();
-    let accepting = accept_each_with(listener, "ingress.accept_failed", accept, close_idle);
+    let accepting = accept_each_with(&listener, "ingress.accept_failed", accept, close_idle);
     tokio::select! {
         () = accepting => {}
         _ = listener_state.changed() => {}
--- a/lib/src/gateway/serving/metrics.rs
+++ b/lib/src/gateway/serving/metrics.rs
@@ -101,6 +101,7 @@
     failed_fetches: Counter,
     directory_failures: Counter,
     entries_refused: Counter,
+    tasks_ended: Counter,
     evacuations: Gauge,
     remote_stages: Counter,
     /// Metrics about the admission of requests.
@@ -157,6 +158,7 @@
             failed_fetches: Counter::default(),
             directory_failures: Counter::default(),
             entries_refused: Counter::default(),
+            tasks_ended: Counter::default(),
             evacuations: Gauge::default(),
             remote_stages: Counter::default(),
             admission: AdmissionMetrics::default(),
@@ -218,6 +220,11 @@
             "Entries of endpoints that can't be read",
             self.entries_refused.clone(),
         );
+        registry.register(
+            "tasks_ended",
+            "Tasks of the daemon that ended unexpectedly",
+            self.tasks_ended.clone(),
+        );
         registry.register(
             "evacuations",
             "Data centres that are evacuated",
@@ -401,6 +408,11 @@
         self.entries_refused.inc();
     }
 
+    /// Counts a task of the daemon that ended unexpectedly.
+    pub fn count_ended_task(&self) {
+        self.tasks_ended.inc();
+    }
+
     /// Sets the number of evacuated data centres.
     pub fn set_evacuated(&self, data_centres: usize) {
         self.evacuations.set(data_centres as i64);
--- a/lib/src/gateway/serving/mod.rs
+++ b/lib/src/gateway/serving/mod.rs
@@ -15,3 +15,4 @@
 pub mod settings;
 pub mod sockets;
 pub(crate) mod status;
+mod tasks;
--- a/lib/src/gateway/serving/operator.rs
+++ b/lib/src/gateway/serving/operator.rs
@@ -32,8 +32,8 @@
 const JSON: &str = "application/json";
 
 /// Serves readiness, metrics and status on one address until the task is aborted.
-pub async fn serve<D: Dialect>(gateway: Rc<Gateway<D>>, listener: TcpListener) {
-    accept_each(listener, "operator.accept_failed", |stream, _| {
+pub async fn serve<D: Dialect>(gateway: Rc<Gateway<D>>, listener: Rc<TcpListener>) {
+    accept_each(&listener, "operator.accept_failed", |stream, _| {
         tokio::task::spawn_local(serve_connection(gateway.clone(), stream));
     })
     .await;
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -93,11 +93,7 @@
         server.join_peers(sockets.links, sockets.datagrams);
         server.run_stages();
         server.serve_operators(sockets.ready, sockets.operators, sockets.metrics);
-        server.spawn(ingress::serve(
-            gateway.clone(),
-            sockets.callers.listener,
-            listener_watch,
-        ));
+        server.serve_callers(sockets.callers, listener_watch);
         let settings = gateway.settings();
         log::info!(
             host:% = settings.host,
@@ -111,58 +107,64 @@
 
     fn follow_directory(&mut self, directory: impl Directory) {
         let directory = Rc::new(directory);
-        for topic in [Topic::Operator, Topic::Endpoints] {
-            self.spawn(follow(self.gateway.clone(), directory.clone(), topic));
+        for (name, topic) in [
+            ("operator_topic", Topic::Operator),
+            ("endpoints_topic", Topic::Endpoints),
+        ] {
+            let directory = directory.clone();
+            self.spawn(name, move |gateway| {
+                follow(gateway, directory.clone(), topic)
+            });
         }
     }
 
     fn join_peers(&mut self, links: TcpListener, datagrams: UdpSocket) {
-        let datagrams = Rc::new(datagrams);
+        let (links, datagrams) = (Rc::new(links), Rc::new(datagrams));
+        let _ = self.gateway.datagrams.set(datagrams.clone());
+        self.spawn_sender("heartbeats", &datagrams, heartbeats::run_heartbeats);
+        self.spawn("clock", heartbeats::check_clock);
+        self.spawn_sender(
+            "quarantine_reports",
+            &datagrams,
+            run_reports::<QuarantineReports, D>,
+        );
+        self.spawn_sender("rate_reports", &datagrams, rate_reports::run_rate_reports);
+        self.spawn_sender(
+            "engine_reports",
+            &datagrams,
+            engine_reports::run_engine_reports,
+        );
+        self.spawn_sender(
+            "calibration_reports",
+            &datagrams,
+            calibration_reports::run_calibration_reports,
+        );
+        self.spawn_sender(
+            "reservation_reports",
+            &datagrams,
+            run_reports::<ReservationReports, D>,
+        );
+        self.spawn_sender(
+            "origin_reports",
+            &datagrams,
+            run_reports::<OriginReports, D>,
+        );
+        self.spawn_sender("loan_reports", &datagrams, run_reports::<LoanReports, D>);
+        self.spawn_sender("datagrams", &datagrams, receive::receive_datagrams);
+        self.spawn("links", move |gateway| {
+            link_server::serve_links(gateway, links.clone())
+        });
+        self.spawn("list_fetch", catch_up::run_list_fetch);
+        self.spawn("table_fetch", table_fetch::run_table_fetch);
         let gateway = self.gateway.clone();
-        let _ = gateway.datagrams.set(datagrams.clone());
-        self.spawn(heartbeats::run_heartbeats(
-            gateway.clone(),
-            datagrams.clone(),
-        ));
-        self.spawn(heartbeats::announce_settled(gateway.clone()));
-        self.spawn(heartbeats::check_clock(gateway.clone()));
-        self.spawn(run_reports::<QuarantineReports, D>(
-            gateway.clone(),
-            datagrams.clone(),
-        ));
-        self.spawn(rate_reports::run_rate_reports(
-            gateway.clone(),
-            datagrams.clone(),
-        ));
-        self.spawn(engine_reports::run_engine_reports(
-            gateway.clone(),
-            datagrams.clone(),
-        ));
-        self.spawn(calibration_reports::run_calibration_reports(
-            gateway.clone(),
-            datagrams.clone(),
-        ));
-        self.spawn(run_reports::<ReservationReports, D>(
-            gateway.clone(),
-            datagrams.clone(),
-        ));
-        self.spawn(run_reports::<OriginReports, D>(
-            gateway.clone(),
-            datagrams.clone(),
-        ));
-        self.spawn(run_reports::<LoanReports, D>(
-            gateway.clone(),
-            datagrams.clone(),
-        ));
-        self.spawn(receive::receive_datagrams(gateway.clone(), datagrams));
-        self.spawn(link_server::serve_links(gateway.clone(), links));
-        self.spawn(catch_up::run_list_fetch(gateway.clone()));
-        self.spawn(table_fetch::run_table_fetch(gateway));
+        let settled = move || heartbeats::announce_settled(gateway.clone());
+        self.tasks
+            .push(self.gateway.spawn_restarted("settled", settled));
     }
 
     fn run_stages(&mut self) {
-        self.spawn(run_calls(self.gateway.clone()));
-        self.spawn(run_releases(self.gateway.clone()));
+        self.spawn("stage_calls", run_calls);
+        self.spawn("stage_releases", run_releases);
     }
 
     fn serve_operators(
@@ -172,13 +174,43 @@
         metrics: Option<BoundListener>,
     ) {
         for bound in [Some(ready), operators, metrics].into_iter().flatten() {
-            self.spawn(operator::serve(self.gateway.clone(), bound.listener));
+            let listener = Rc::new(bound.listener);
+            self.spawn("operators", move |gateway| {
+                operator::serve(gateway, listener.clone())
+            });
         }
     }
 
-    fn spawn(&mut self, task: impl Future<Output = ()> + 'static) {
-        let task = tokio::task::spawn_local(task);
-        self.tasks.push(task.abort_handle());
+    fn serve_callers(&mut self, callers: BoundListener, state: watch::Receiver<ListenerState>) {
+        let gateway = self.gateway.clone();
+        let listener = Rc::new(callers.listener);
+        let serve = move || ingress::serve(gateway.clone(), listener.clone(), state.clone());
+        self.tasks
+            .push(self.gateway.spawn_restarted("callers", serve));
+    }
+
+    /// Starts a task that sends datagrams to other daemons or receives them.
+    fn spawn_sender<F: Future<Output = ()> + 'static>(
+        &mut self,
+        name: &'static str,
+        datagrams: &Rc<UdpSocket>,
+        start: impl Fn(Rc<Gateway<D>>, Rc<UdpSocket>) -> F + 'static,
+    ) {
+        let datagrams = datagrams.clone();
+        self.spawn(name, move |gateway| start(gateway, datagrams.clone()));
+    }
+
+    /// Starts a task that runs as long as the daemon.
+    fn spawn<F: Future<Output = ()> + 'static>(
+        &mut self,
+        name: &'static str,
+        start: impl Fn(Rc<Gateway<D>>) -> F + 'static,
+    ) {
+        let gateway = self.gateway.clone();
+        let task = self
+            .gateway
+            .spawn_endless(name, move || start(gateway.clone()));
+        self.tasks.push(task);
     }
 
     /// Returns the state that the daemon's tasks share.
--- a/lib/src/gateway/stages/call_runner.rs
+++ b/lib/src/gateway/stages/call_runner.rs
@@ -85,7 +85,8 @@
 async fn run_call<D: Dialect>(gateway: Rc<Gateway<D>>, service: ServiceId, call: BatchCall) {
     let body = D::write_pieces(&call.pieces);
     let sent = gateway.now();
-    let end = send_call(&gateway, &call, body).await;
+    let sending = gateway.run_caught("stage_call", send_call(&gateway, &call, body));
+    let end = sending.await.unwrap_or(CallEnd::Broken);
     let now = gateway.now();
     let elapsed = WorkMillis(now.millis_since(sent));
     let name = call_name(&gateway, &service, &call);
--- a/lib/src/gateway/wire/listen.rs
+++ b/lib/src/gateway/wire/listen.rs
@@ -11,7 +11,7 @@
 
 /// Passes each connection to `handle`. A failure to accept one is logged as `event`.
 pub(crate) async fn accept_each(
-    listener: TcpListener,
+    listener: &TcpListener,
     event: &'static str,
     handle: impl FnMut(TcpStream, SocketAddr),
 ) {
@@ -20,7 +20,7 @@
 
 /// Like [`accept_each`], but also calls `on_failure` after each failure, before the next attempt.
 pub(crate) async fn accept_each_with(
-    listener: TcpListener,
+    listener: &TcpListener,
     event: &'static str,
     mut handle: impl FnMut(TcpStream, SocketAddr),
     on_failure: impl Fn(),
--- a/lib/src/pipeline/api/context.rs
+++ b/lib/src/pipeline/api/context.rs
@@ -67,7 +67,9 @@
 
     /// Returns whether the load balancer may send requests to this daemon.
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire) && !self.stopping.load(Ordering::Acquire)
+        self.ready.load(Ordering::Acquire)
+            && !self.stopping.load(Ordering::Acquire)
+            && self.node.is_sound()
     }
 
     /// Takes the permit of one request. The request counts as in progress until its permit is dropped.
--- a/lib/src/pipeline/daemon.rs
+++ b/lib/src/pipeline/daemon.rs
@@ -91,14 +91,7 @@
         };
         let node = Node::new(config, HttpTransport::new(), tracing);
         let server = start_server(&settings, &node)?;
-        let tasks = vec![
-            spawn_guarded(node.clone().run_timers()),
-            spawn_guarded(node.clone().poll_reports(settings.load_interval)),
-            spawn_guarded(watch_tree(
-                server.app_private().clone(),
-                settings.config.clone(),
-            )),
-        ];
+        let tasks = start_tasks(&node, &server, &settings);
         log::info!(host = settings.host.as_str(), listen:% = server.local_addr(); "daemon started");
         Ok(Self {
             server,
@@ -132,6 +125,21 @@
     }
 }
 
+fn start_tasks(
+    node: &Node<HttpTransport>,
+    server: &HttpServer<Arc<ApiContext>>,
+    settings: &DaemonSettings,
+) -> Vec<TaskGuard> {
+    let (timers, reports) = (node.clone(), node.clone());
+    let interval = settings.load_interval;
+    let (context, config) = (server.app_private().clone(), settings.config.clone());
+    vec![
+        spawn_guarded("timers", move || timers.clone().run_timers()),
+        spawn_guarded("reports", move || reports.clone().poll_reports(interval)),
+        spawn_guarded("tree", move || watch_tree(context.clone(), config.clone())),
+    ]
+}
+
 fn random_seed() -> u64 {
     rand::random()
 }
--- a/lib/src/pipeline/node/calls.rs
+++ b/lib/src/pipeline/node/calls.rs
@@ -8,12 +8,12 @@
         pipeline::{
             decision::{
                 core::Event,
-                endpoint::{AttemptEnd, EndpointCall, TokenSink, Transport},
+                endpoint::{AttemptEnd, EndpointCall, FailCause, TokenSink, Transport},
             },
             node::{Node, NodeState},
         },
         settings::tree::ServiceKind,
-        shared::ids::AttemptId,
+        shared::{ids::AttemptId, tasks::catch_panic},
     },
     opentelemetry::trace::SpanKind,
     tokio::task::AbortHandle,
@@ -62,7 +62,11 @@
                 node: node.clone(),
                 attempt,
             };
-            let end = node.inner.transport.call(call, sink).await;
+            let end = catch_panic(node.inner.transport.call(call, sink)).await;
+            let end = end.unwrap_or_else(|panicked| {
+                log::error!(attempt:%, reason:% = panicked; "call ended");
+                AttemptEnd::Failed(FailCause::Broken)
+            });
             span.set_attribute("end", describe_end(&end));
             drop(span);
             let mut state = node.lock();
--- a/lib/src/pipeline/node/mod.rs
+++ b/lib/src/pipeline/node/mod.rs
@@ -211,6 +211,11 @@
         Time(self.inner.start.elapsed().as_micros() as u64)
     }
 
+    /// Returns whether the core can decide: false after a panic in it.
+    pub fn is_sound(&self) -> bool {
+        !self.inner.state.is_poisoned()
+    }
+
     fn lock(&self) -> MutexGuard<'_, NodeState> {
         // A panic under the lock may have left the core in an inconsistent state. Its decisions can't be relied
         // on after that, so every later user panics as well.
--- a/lib/src/pipeline/trace.rs
+++ b/lib/src/pipeline/trace.rs
@@ -5,7 +5,10 @@
 //! spans; `opentelemetry` samples them.
 
 use {
-    crate::pipeline::trace_collector::{CollectorClient, ExportResponseError},
+    crate::{
+        pipeline::trace_collector::{CollectorClient, ExportResponseError},
+        shared::tasks::{Panicked, catch_panic},
+    },
     opentelemetry::{
         Context, KeyValue,
         trace::{
@@ -76,6 +79,8 @@
     Response(#[from] ExportResponseError),
     #[error(transparent)]
     Exporter(#[from] OTelSdkError),
+    #[error(transparent)]
+    Panicked(#[from] Panicked),
 }
 
 /// Starts spans. Without a collector no span is recorded.
@@ -282,7 +287,8 @@
     while ended.recv_many(&mut batch, MAX_EXPORT_SPANS).await > 0 {
         let spans = std::mem::take(&mut batch);
         let count = spans.len() as u64;
-        let lost = match export.send(spans).await {
+        let sent = catch_panic(export.send(spans)).await;
+        let lost = match sent.unwrap_or_else(|panicked| Err(panicked.into())) {
             Ok(0) => continue,
             Ok(refused) => {
                 log::info!(spans = count, refused; "spans refused by the collector");
--- a/lib/src/shared/mod.rs
+++ b/lib/src/shared/mod.rs
@@ -14,4 +14,5 @@
 pub mod problem;
 pub mod sse;
 pub mod status;
+pub mod tasks;
 pub mod units;
