--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -351,8 +351,10 @@
 
 /// Reads an entry. One that can't be read is skipped, and logged each time that it changes.
 fn read_entry<D: Dialect>(gateway: &Gateway<D>, item: &Item) -> Option<EndpointEntry> {
-    let ItemKey::Endpoint(name) = &item.key else {
-        return None;
+    let name = match &item.key {
+        ItemKey::Endpoint(name) => name,
+        ItemKey::Unreadable => "",
+        ItemKey::Table | ItemKey::Evacuation(_) => return None,
     };
     let value = item.value.as_ref()?;
     match D::read_endpoint(name, item.revision, value) {
--- a/lib/src/gateway/directory/source.rs
+++ b/lib/src/gateway/directory/source.rs
@@ -33,6 +33,8 @@
     Evacuation(DataCentreId),
     /// The entry of an endpoint, under a name that should be the endpoint's id.
     Endpoint(String),
+    /// An item whose key can't be read.
+    Unreadable,
 }
 
 /// One value of the directory.
@@ -42,7 +44,7 @@
     pub key: ItemKey,
     /// Revision of the last change of the value.
     pub revision: Revision,
-    /// The value; `None` if it was removed, and empty if the directory sent an invalid value.
+    /// The value; `None` if it was removed, and empty if the directory sent an invalid value or an invalid item.
     pub value: Option<Bytes>,
 }
 
