directory: a read of a list continues where it failed, and a list that doesn't advance is used as far as it goes

Callers of a daemon that starts were refused while a single page of a list couldn't be read: each failed page lost the whole read, and a page that failed for good lost it for good, the table too. A daemon said that it was ready as soon as a page had come, also one without an endpoint, and got callers that it had to refuse.

The part of a list that was read outlives a failed call, and the next call continues there; after a second failure at the same page the list begins anew, and a table that was read is adopted. A list whose pages don't advance is used as far as it goes: a daemon without a list uses just these endpoints, one with a list applies them as changes, and neither counts the list as whole or passes it on. An empty first page doesn't make a daemon ready. directory.read_failed tells pages and items that were read.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -19,6 +19,7 @@
         },
         shared::{ids::EndpointId, units::Time},
     },
+    foldhash::HashSet,
     std::sync::Arc,
 };
 
@@ -104,7 +105,7 @@
     pub(crate) fn add_partial_list(&self, entries: Vec<EndpointEntry>) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        if state.has_list {
+        if state.has_list || entries.is_empty() {
             return;
         }
         for entry in entries {
@@ -115,6 +116,23 @@
         self.invalidate_stage_queues();
     }
 
+    /// Uses the entries of a list whose rest can't be read. A daemon without a list uses these endpoints only; one that
+    /// has a list applies them as changes, since the list says nothing about others.
+    pub(crate) fn end_partial_list(&self, entries: Vec<EndpointEntry>, source: &str) {
+        let mut state = self.state.borrow_mut();
+        if state.has_list {
+            drop(state);
+            for entry in entries {
+                self.upsert_endpoint(entry, source);
+            }
+            return;
+        }
+        let listed: HashSet<&EndpointId> = entries.iter().map(|entry| &entry.id).collect();
+        state.endpoints.retain(|id| listed.contains(id));
+        drop(state);
+        self.add_partial_list(entries);
+    }
+
     /// Applies a whole list of endpoints.
     pub fn replace_endpoints(&self, list: EndpointList, source: &str) {
         let (revision, entries) = (list.revision, list.entries.len());
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -11,7 +11,9 @@
         directory::{
             coverage::wait_for_duty,
             endpoint_entry::{EndpointEntry, EndpointList},
-            source::{Directory, DirectoryError, Item, ItemKey, Items, ReadProgress, Topic},
+            source::{
+                Directory, DirectoryError, Item, ItemKey, Items, ListRead, ReadProgress, Topic,
+            },
         },
         revision::{Era, Revision},
         rules::directory_reads::{
@@ -21,7 +23,7 @@
         serving::metrics::TableSource,
         state::Gateway,
     },
-    std::{rc::Rc, time::Duration},
+    std::{mem, rc::Rc, time::Duration},
 };
 
 mod eras;
@@ -44,6 +46,8 @@
         directory,
         topic,
         since: None,
+        list: ListRead::default(),
+        failed_page: None,
         must_list: false,
         checked_era: Era::default(),
         has_called: false,
@@ -74,6 +78,10 @@
     topic: Topic,
     /// Revision up to which all changes are known; `None` if the topic has to be read whole.
     since: Option<Revision>,
+    /// The part of the topic that was read, while it is read whole.
+    list: ListRead,
+    /// Number of pages that were read before the last call for a list failed.
+    failed_page: Option<usize>,
     /// The directory no longer kept the changes since the last read, or began a new era. The topic has to be read whole
     /// whatever other daemons report, since they may lack the same change.
     must_list: bool,
@@ -127,11 +135,14 @@
     }
 
     /// Calls the directory; returns `None` if the call was abandoned because it was superseded.
-    async fn read(&self, wait: Duration) -> Option<Result<Items, DirectoryError>> {
-        tokio::select! {
-            read = self.call(wait) => Some(read),
+    async fn read(&mut self, wait: Duration) -> Option<Result<Items, DirectoryError>> {
+        let mut list = mem::take(&mut self.list);
+        let read = tokio::select! {
+            read = self.call(wait, &mut list) => Some(read),
             () = self.superseded() => None,
-        }
+        };
+        self.list = list;
+        read
     }
 
     /// Records that no answer is being received any more.
@@ -175,11 +186,11 @@
         }
     }
 
-    async fn call(&self, wait: Duration) -> Result<Items, DirectoryError> {
+    async fn call(&self, wait: Duration, list: &mut ListRead) -> Result<Items, DirectoryError> {
         let (directory, topic) = (&self.directory, self.topic);
         let timeout = self.timeout.to_duration();
         match self.since {
-            None => directory.list(topic, timeout, self).await,
+            None => directory.list(topic, timeout, list, self).await,
             Some(since) => directory.changes(topic, since, wait, timeout, self).await,
         }
     }
@@ -211,8 +222,38 @@
             Err(DirectoryError::LeftToPeers) => {
                 log::info!(topic:? = self.topic; "directory.left");
                 self.last_call = Some(LastCall::FirstFailed);
+                self.list = ListRead::default();
+            }
+            Err(error) => {
+                if self.since.is_none() {
+                    self.handle_failed_list(&error);
+                }
+                self.back_off(&error, took, wait).await;
+            }
+        }
+    }
+
+    /// Decides how to go on after a call for a list failed. The next call continues after the last page that was read.
+    /// If it can't, since the list doesn't advance or the same page failed before, what was read is used, and the next
+    /// call begins anew.
+    fn handle_failed_list(&mut self, error: &DirectoryError) {
+        let pages = self.list.pages();
+        let is_stuck = *error == DirectoryError::Stuck;
+        if !is_stuck && self.failed_page.replace(pages) != Some(pages) {
+            return;
+        }
+        self.failed_page = None;
+        let list = mem::take(&mut self.list);
+        let gateway = &self.gateway;
+        match self.topic {
+            // Evacuations of pages that weren't read are known from peers at best. Without a table no request is served.
+            Topic::Operator => apply_tables(gateway, list.items()),
+            Topic::Endpoints if is_stuck => {
+                let entries = read_entries(gateway, list.items());
+                gateway.end_partial_list(entries, DIRECTORY_SOURCE);
             }
-            Err(error) => self.back_off(&error, took, wait).await,
+            // The endpoints of a first list are in use since each page arrived; a list in force stays.
+            Topic::Endpoints => {}
         }
     }
 
@@ -223,6 +264,7 @@
         let whole = self.since.is_none();
         self.must_list = false;
         self.since = Some(items.revision);
+        self.failed_page = None;
         self.gateway.record_era(items.revision.era);
         match self.topic {
             Topic::Operator => apply_operator(&self.gateway, &items, whole),
@@ -240,11 +282,14 @@
     fn reset_position(&mut self) {
         self.must_list = true;
         self.since = None;
+        self.list = ListRead::default();
+        self.failed_page = None;
     }
 
     async fn back_off(&mut self, error: &DirectoryError, took: Duration, wait: Duration) {
         let took_ms = took.as_millis() as u64;
-        log::info!(topic:? = self.topic, took_ms, error:% = error; "directory.read_failed");
+        let (pages, items) = (self.list.pages(), self.list.items().len());
+        log::info!(topic:? = self.topic, took_ms, pages, items, error:% = error; "directory.read_failed");
         self.last_call = Some(LastCall::after_failure(self.last_call));
         if is_cut_watch(error, took, wait) {
             self.gateway.metrics.count_failed_read();
@@ -294,12 +339,12 @@
     } else {
         gateway.apply_changed_evacuations(items, DIRECTORY_SOURCE);
     }
-    apply_tables(gateway, items);
+    apply_tables(gateway, &items.items);
     gateway.record_newest_table(items.revision);
 }
 
-fn apply_tables<D: Dialect>(gateway: &Gateway<D>, items: &Items) {
-    let tables = items.items.iter().filter(|item| item.key == ItemKey::Table);
+fn apply_tables<D: Dialect>(gateway: &Gateway<D>, items: &[Item]) {
+    let tables = items.iter().filter(|item| item.key == ItemKey::Table);
     for value in tables.filter_map(|item| item.value.as_ref()) {
         gateway
             .metrics
--- a/lib/src/gateway/directory/source.rs
+++ b/lib/src/gateway/directory/source.rs
@@ -8,7 +8,9 @@
     },
     bytes::Bytes,
     std::{
+        collections::HashSet,
         future::{self, Future},
+        mem,
         time::Duration,
     },
     thiserror::Error,
@@ -69,6 +71,63 @@
     }
 }
 
+/// The part of a list that was read so far. A call that follows a failed one continues after the last page that was
+/// read.
+#[derive(Debug, Default)]
+pub struct ListRead {
+    items: Vec<Item>,
+    /// Revision of the first page.
+    revision: Option<Revision>,
+    /// Last keys of the pages.
+    seen: HashSet<Bytes>,
+    /// Last key of the last page.
+    cursor: Option<Bytes>,
+}
+
+impl ListRead {
+    /// Returns the key after which the next page begins; `None` for the first page.
+    pub fn cursor(&self) -> Option<&[u8]> {
+        self.cursor.as_deref()
+    }
+
+    /// Returns the number of pages that were read.
+    pub fn pages(&self) -> usize {
+        self.seen.len()
+    }
+
+    /// Returns the items that were read.
+    pub fn items(&self) -> &[Item] {
+        &self.items
+    }
+
+    /// Sets the revision of the list, which is that of its first page, and returns it.
+    pub fn begin(&mut self, page: Revision) -> Revision {
+        *self.revision.get_or_insert(page)
+    }
+
+    /// Adds the items of a page.
+    pub fn add(&mut self, items: Vec<Item>) {
+        self.items.extend(items);
+    }
+
+    /// Continues after a page with this last key. Returns false if an earlier page had the same one, so that the list
+    /// doesn't advance.
+    pub fn advance(&mut self, last_key: Bytes) -> bool {
+        let is_new = self.seen.insert(last_key.clone());
+        self.cursor = Some(last_key);
+        is_new
+    }
+
+    /// Returns the items of a list that was read whole. The next call begins anew.
+    pub fn take(&mut self) -> Items {
+        let read = mem::take(self);
+        Items {
+            items: read.items,
+            revision: read.revision.unwrap_or_default(),
+        }
+    }
+}
+
 /// Number of topics.
 pub const TOPIC_COUNT: usize = 2;
 
@@ -99,6 +158,10 @@
     /// There was no usable answer, and the connection can't be used any more.
     #[error("the directory gave no usable answer: {0}")]
     Unreachable(String),
+    /// The next page of a list begins again where an earlier one did, or no key of a page can be read, so that the rest
+    /// of the list can't be read.
+    #[error("the directory's list doesn't advance")]
+    Stuck,
     /// The rest of a list wasn't read, since other daemons of the fleet read it.
     #[error("the rest of the list is left to other daemons")]
     LeftToPeers,
@@ -124,7 +187,8 @@
 /// Reads the directory. An answer has to begin within the `limit` of a call; after that it may take any time as long as
 /// its bytes keep arriving.
 pub trait Directory: 'static {
-    /// Reads a whole topic.
+    /// Reads a whole topic, from where `read` ends. If the call fails or is dropped, `read` holds the pages that were
+    /// read, and a later call may continue it.
     ///
     /// # Errors
     ///
@@ -133,6 +197,7 @@
         &self,
         topic: Topic,
         limit: Duration,
+        read: &mut ListRead,
         progress: &impl ReadProgress,
     ) -> impl Future<Output = Result<Items, DirectoryError>>;
 
