table_fetch: a table that has come from elsewhere meanwhile is no failed fetch

The operators' record shows one daemon of six with table.fetch_failed (0 bytes received, the received table wasn't adopted) just after its start, which read as if it had no table.

Cause: while the daemon asks a peer for the list of chunks, the directory may bring the same table; the fetch then completes without a byte, finds its table in force, and counted as failed. A table that is in force in the offered version or a later one ends the fetch as done; a peer that sends an older one than it reported still counts as failed.

--- a/lib/src/gateway/peers/table_fetch.rs
+++ b/lib/src/gateway/peers/table_fetch.rs
@@ -167,7 +167,7 @@
     /// Asks a daemon for what is missing next: the chunk list, a batch of chunks, or the whole table.
     async fn advance(&mut self, source: TableOffer) -> Result<(), FetchError> {
         if !source.in_chunks {
-            return self.fetch_whole(source.address).await;
+            return self.fetch_whole(source).await;
         }
         let begun = self.partial.as_ref();
         let is_begun = begun.is_some_and(|begun| begun.list().fingerprint == source.fingerprint);
@@ -181,7 +181,7 @@
             }
             _ => {}
         }
-        self.adopt_if_complete(source.address)
+        self.adopt_if_complete(source)
     }
 
     async fn fetch_list(&mut self, peer: SocketAddr) -> Result<(), FetchError> {
@@ -219,7 +219,7 @@
         Ok(())
     }
 
-    fn adopt_if_complete(&mut self, peer: SocketAddr) -> Result<(), FetchError> {
+    fn adopt_if_complete(&mut self, source: TableOffer) -> Result<(), FetchError> {
         let Some(partial) = &self.partial else {
             return Ok(());
         };
@@ -233,23 +233,29 @@
             // A chunk doesn't match its hash, or the list is wrong: everything is fetched again.
             self.partial = None;
         }
-        self.adopt(peer, &joined?)?;
+        self.adopt(source, &joined?)?;
         self.gateway.record_newest_table(revision);
         Ok(())
     }
 
     /// Fetches the table from a daemon of an older release, which sends it whole.
-    async fn fetch_whole(&mut self, peer: SocketAddr) -> Result<(), FetchError> {
-        let LinkReply::Table { bytes } = self.request(peer, LinkRequest::Table).await? else {
+    async fn fetch_whole(&mut self, source: TableOffer) -> Result<(), FetchError> {
+        let reply = self.request(source.address, LinkRequest::Table).await?;
+        let LinkReply::Table { bytes } = reply else {
             return Err(FetchError::Unable);
         };
         self.record_bytes(bytes.len());
-        self.adopt(peer, &Bytes::from(bytes))
+        self.adopt(source, &Bytes::from(bytes))
     }
 
-    fn adopt(&mut self, peer: SocketAddr, bytes: &Bytes) -> Result<(), FetchError> {
-        match self.gateway.adopt_table(bytes, &format!("peer {peer}")) {
+    fn adopt(&mut self, source: TableOffer, bytes: &Bytes) -> Result<(), FetchError> {
+        let peer = source.address;
+        let adoption = self.gateway.adopt_table(bytes, &format!("peer {peer}"));
+        let in_force = self.gateway.state.borrow().table_version();
+        match adoption {
             TableAdoption::Adopted => Ok(()),
+            // The same table, or a later one, has come from elsewhere meanwhile.
+            TableAdoption::Known if in_force >= source.version => Ok(()),
             // A source that restarted may have an older table than its last heartbeat reported. If asked again
             // at once, it would send the same one.
             TableAdoption::Known | TableAdoption::Refused => Err(FetchError::NotAdopted),
