config_service: a name that the service doesn't allow isn't requested

Only the check of trees on disk looked at the names. The client refuses such a name, and the tree in force stays. odd_value_names failed before and passes now.

--- a/lib/src/pipeline/config_service.rs
+++ b/lib/src/pipeline/config_service.rs
@@ -58,6 +58,12 @@
         /// Status of the response.
         status: StatusCode,
     },
+    /// The tree includes a value under a name that the service doesn't allow, so that it isn't requested.
+    #[error("can't read the settings tree: {name:?} isn't a name of a value")]
+    InvalidName {
+        /// The name.
+        name: String,
+    },
     /// The tree includes too many values.
     #[error("can't read the settings tree: it has more than {MAX_TREE_VALUES} values")]
     TooManyValues,
@@ -127,8 +133,13 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the service doesn't answer in time or doesn't have the value.
+    /// Returns an error if the name isn't allowed, if the service doesn't answer in time, or if it doesn't have the
+    /// value.
     pub async fn fetch_value(&self, name: &str) -> Result<Bytes, ConfigError> {
+        if !is_value_name(name) {
+            let name = name.to_owned();
+            return Err(ConfigError::InvalidName { name });
+        }
         let uri = format!("http://{}/v1/values/{name}", self.address);
         let reply = get(&self.client, &uri, MAX_VALUE_SIZE, READ_TIMEOUT)
             .await
--- a/lib/tests/test_config_watch.rs
+++ b/lib/tests/test_config_watch.rs
@@ -5,6 +5,7 @@
 
 use {
     hazelyoke_lib::{
+        pipeline::config_service::{ConfigClient, ConfigError},
         settings::tree::TreeVersion,
         shared::adoption::{DocumentIdentity, VersionVerdict, compare_versions},
     },
@@ -136,3 +137,19 @@
     daemon.stop().await;
     assert_eq!(slow.await.unwrap().unwrap().status, 200);
 }
+
+/// A name from a settings tree went into the path of a request as it was: with a question mark, another value was read.
+#[tokio::test]
+async fn odd_value_names() {
+    let fixture = Fixture::start().await;
+    let client = ConfigClient::new(fixture.config.address());
+    assert!(client.fetch_value(TREE).await.is_ok());
+    for end in ["?x", "#x", "%", " ", "/../x", "\r\nx: y"] {
+        let name = format!("{TREE}{end}");
+        let error = client.fetch_value(&name).await.unwrap_err();
+        assert!(
+            matches!(error, ConfigError::InvalidName { .. }),
+            "{name:?}: {error}"
+        );
+    }
+}
