kept_origin: engines prove where a stream began only by a list of the present

A stream that began at an endpoint of a new software version broke, was taken up at a daemon that was out of step (cut off from the directory and from others, or standing still) while that version joined, and went on at an endpoint of the earlier version: events of two versions in one stream (ORDER).

Cause: where no daemon remembers the origin, the engines that this daemon knows prove it by what they keep of the prompt. The engine that began the stream wasn't in its list, and an earlier one kept the prompt of an attempt that had brought no event. Now a request that needs such a proof waits until a call of the directory that began after it has returned all changes, 0.7 s at most; otherwise it is refused, not run. In a large fleet the list may be as old as the answers of engines, since the calls of all daemons together are limited.

--- a/lib/src/gateway/directory/contact.rs
+++ b/lib/src/gateway/directory/contact.rs
@@ -22,6 +22,10 @@
     answered: [Option<Time>; TOPIC_COUNT],
     /// For each topic, whether an answer is being received.
     receiving: [bool; TOPIC_COUNT],
+    /// Time up to which this daemon has certainly read all changes of endpoints; `None` before the first such read.
+    current: Option<Time>,
+    /// Latest time up to which changes of endpoints are wanted.
+    wanted: Option<Time>,
 }
 
 impl DirectoryContact {
@@ -32,6 +36,26 @@
         self.answered[topic as usize] = Some(now);
     }
 
+    /// Records that all changes of endpoints up to a time were read.
+    pub(crate) fn record_changes(&mut self, until: Option<Time>) {
+        self.current = self.current.max(until);
+    }
+
+    /// Returns whether all changes of endpoints up to a time are known.
+    pub(crate) fn is_current(&self, time: Time) -> bool {
+        self.current >= Some(time)
+    }
+
+    /// Records that changes of endpoints up to a time are wanted.
+    pub(crate) fn want_changes(&mut self, time: Time) {
+        self.wanted = self.wanted.max(Some(time));
+    }
+
+    /// Returns whether changes of endpoints are wanted that a call from `began` on may not return.
+    pub(crate) fn wants_call(&self, began: Option<Time>) -> bool {
+        self.wanted.is_some() && self.wanted > self.current.max(began)
+    }
+
     /// Records a read that failed.
     pub(crate) fn record_failure(&mut self, now: Time) {
         self.reads.failed = Some(now);
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -6,22 +6,25 @@
 //! `evacuate` apply what was read.
 
 use {
-    crate::gateway::{
-        dialect::{Dialect, FormatError},
-        directory::{
-            coverage::wait_for_duty,
-            endpoint_entry::{EndpointEntry, EndpointList},
-            source::{
-                Directory, DirectoryError, Item, ItemKey, Items, ListRead, ReadProgress, Topic,
+    crate::{
+        gateway::{
+            dialect::{Dialect, FormatError},
+            directory::{
+                coverage::wait_for_duty,
+                endpoint_entry::{EndpointEntry, EndpointList},
+                source::{
+                    Directory, DirectoryError, Item, ItemKey, Items, ListRead, ReadProgress, Topic,
+                },
             },
+            revision::{Era, Revision},
+            rules::directory_reads::{
+                AnswerTimeout, Backoff, COVER_CHECK, LastCall, PAUSE_FRACTIONS, ReadDuty,
+                START_PAGES, is_cut_watch, pause_after_answer, topic_wait, wait_after,
+            },
+            serving::metrics::TableSource,
+            state::Gateway,
         },
-        revision::{Era, Revision},
-        rules::directory_reads::{
-            AnswerTimeout, Backoff, COVER_CHECK, LastCall, PAUSE_FRACTIONS, ReadDuty, START_PAGES,
-            is_cut_watch, pause_after_answer, topic_wait, wait_after,
-        },
-        serving::metrics::TableSource,
-        state::Gateway,
+        shared::units::Time,
     },
     std::{mem, rc::Rc, time::Duration},
 };
@@ -46,6 +49,8 @@
         directory,
         topic,
         since: None,
+        began: None,
+        list_began: None,
         list: ListRead::default(),
         failed_page: None,
         must_list: false,
@@ -60,6 +65,10 @@
         let wait = follower.wait_for_turn().await;
         follower.handle_later_era();
         let began = follower.gateway.now();
+        follower.began = Some(began);
+        if follower.since.is_none() && follower.list.pages() == 0 {
+            follower.list_began = Some(began);
+        }
         let read = follower.read(wait).await;
         follower.end_read();
         let Some(read) = read else {
@@ -78,8 +87,12 @@
     topic: Topic,
     /// Revision up to which all changes are known; `None` if the topic has to be read whole.
     since: Option<Revision>,
+    /// Time at which the last call began.
+    began: Option<Time>,
     /// The part of the topic that was read, while it is read whole.
     list: ListRead,
+    /// Time at which the call began that read the first page of the list.
+    list_began: Option<Time>,
     /// Number of pages that were read before the last call for a list failed.
     failed_page: Option<usize>,
     /// The directory no longer kept the changes since the last read, or began a new era. The topic has to be read whole
@@ -110,7 +123,10 @@
         }
         self.is_probe = true;
         let last_call = self.last_call.unwrap_or(LastCall::Answered);
-        wait_for_duty(&self.gateway, self.topic, last_call).await;
+        tokio::select! {
+            () = wait_for_duty(&self.gateway, self.topic, last_call) => {}
+            () = self.list_wanted() => {}
+        }
         let known = self.gateway.known_revision(self.topic);
         self.since = self.since.map(|since| known.max(since));
         self.skip_known_table();
@@ -118,8 +134,26 @@
         Duration::ZERO
     }
 
+    /// Completes when a request needs a list of endpoints that is more recent than the last call.
+    async fn list_wanted(&self) {
+        if self.topic != Topic::Endpoints || self.since.is_none() {
+            std::future::pending::<()>().await;
+        }
+        loop {
+            let wanted = self.gateway.list_wanted.notified();
+            if self.gateway.state.borrow().contact.wants_call(self.began) {
+                return;
+            }
+            wanted.await;
+        }
+    }
+
     /// Returns the time for which the next call waits for changes under the settings in force.
     fn change_wait(&self) -> Duration {
+        let is_wanted = self.gateway.state.borrow().contact.wants_call(self.began);
+        if self.topic == Topic::Endpoints && is_wanted {
+            return Duration::ZERO;
+        }
         let bounds = self.gateway.settings().bounds;
         let wait = topic_wait(self.topic, bounds.directory_wait());
         wait_after(self.last_call, wait)
@@ -140,6 +174,8 @@
         let read = tokio::select! {
             read = self.call(wait, &mut list) => Some(read),
             () = self.superseded() => None,
+            // A call that doesn't wait is awaited, so that requests that follow each other don't keep it from its end.
+            () = self.list_wanted(), if !wait.is_zero() => None,
         };
         self.list = list;
         read
@@ -260,16 +296,22 @@
     async fn apply_items(&mut self, items: Items) {
         self.gateway.directory_answered(self.topic);
         self.gateway.probe_answered();
-        self.last_call = Some(LastCall::Answered);
         let whole = self.since.is_none();
+        self.last_call = Some(LastCall::Answered);
         self.must_list = false;
         self.since = Some(items.revision);
         self.failed_page = None;
         self.gateway.record_era(items.revision.era);
         match self.topic {
             Topic::Operator => apply_operator(&self.gateway, &items, whole),
-            Topic::Endpoints if whole => apply_list(&self.gateway, &items),
-            Topic::Endpoints => apply_changes(&self.gateway, &items),
+            Topic::Endpoints if whole => {
+                apply_list(&self.gateway, &items);
+                self.record_changes(self.list_began);
+            }
+            Topic::Endpoints => {
+                apply_changes(&self.gateway, &items);
+                self.record_changes(self.began);
+            }
         }
         self.gateway.announce_read(self.topic);
         self.backoff = Backoff::default();
@@ -279,6 +321,14 @@
         }
     }
 
+    /// Records that this daemon knows all changes of endpoints up to a time.
+    fn record_changes(&self, until: Option<Time>) {
+        let mut state = self.gateway.state.borrow_mut();
+        state.contact.record_changes(until);
+        drop(state);
+        self.gateway.list_read.notify_waiters();
+    }
+
     fn reset_position(&mut self) {
         self.must_list = true;
         self.since = None;
--- a/lib/src/gateway/routing/kept_parts.rs
+++ b/lib/src/gateway/routing/kept_parts.rs
@@ -6,7 +6,9 @@
             dialect::{Dialect, Inbound, KeptPart},
             directory::endpoint_entry::EndpointEntry,
             rules::{
-                kept_origin::{KEPT_WAIT, MAX_ENGINES, Witness, ask_interval, kept_origin},
+                kept_origin::{
+                    KEPT_WAIT, LIST_WAIT, MAX_ENGINES, Witness, ask_interval, kept_origin, list_age,
+                },
                 stream_origin::StreamOrigin,
             },
             state::{Gateway, GatewayState},
@@ -33,6 +35,10 @@
     ) -> Option<StreamOrigin> {
         let own = *inbound.prompt.parts.last()?;
         let last_event = inbound.last_event.filter(|last| *last > 0)?;
+        if !self.has_current_list().await {
+            log::info!(request = &*inbound.id; "origin.list_outdated");
+            return None;
+        }
         let engines = self.engines_of(route)?;
         let ids: Vec<EndpointId> = engines.iter().map(|entry| entry.id.clone()).collect();
         let now = self.now();
@@ -61,6 +67,24 @@
         origin
     }
 
+    /// Waits until this daemon knows all endpoints of the present, as far as the rule requires it. Returns whether it does.
+    async fn has_current_list(&self) -> bool {
+        let now = self.now();
+        let time = {
+            let mut state = self.state.borrow_mut();
+            let age = list_age(state.reader(now).must_read(), state.peers.daemons());
+            let time = now - age;
+            if !state.contact.is_current(time) {
+                state.contact.want_changes(time);
+                self.list_wanted.notify_waiters();
+            }
+            time
+        };
+        let is_current = |state: &GatewayState| state.has_list && state.contact.is_current(time);
+        self.wait_for_peers(&self.list_read, now + LIST_WAIT, is_current)
+            .await
+    }
+
     /// Returns the entries of a route's endpoints; `None` if some aren't engines, or if they are too many to be asked.
     fn engines_of(&self, route: &Route) -> Option<Vec<Arc<EndpointEntry>>> {
         let published = self.published()?;
--- a/lib/src/gateway/rules/kept_origin.rs
+++ b/lib/src/gateway/rules/kept_origin.rs
@@ -7,10 +7,12 @@
 //! Rule: an engine began the stream, or continued it, if it keeps the whole part and at least one token more for each event
 //! of the caller's: engines keep what they generated after the prompt under the same part. The origin counts as proven
 //! if all such engines have the same one, and each engine of another origin, or of an unknown one, states that it keeps
-//! nothing of the part. Engines are asked again after [`ask_interval`].
+//! nothing of the part. Engines are asked again after [`ask_interval`]. Which engines there are is read from the
+//! directory after the request has come, in a large fleet at most [`ask_interval`] before.
 //!
 //! Reason: after all daemons were lost, the engines alone still know. An engine that doesn't answer, or a second version that
-//! has read the prompt, leaves it open which one wrote the events.
+//! has read the prompt, leaves it open which one wrote the events. So does an engine that this daemon doesn't know: one that was
+//! cut off or stood still may have missed that another version has joined.
 //!
 //! See `docs/design/stream-origins.md`.
 
@@ -22,6 +24,10 @@
 /// Longest time for which a request waits for the answers of engines.
 pub const KEPT_WAIT: Millis = Millis(400);
 
+/// Longest time for which a request waits until the list of engines is current. It covers the pause between two calls of
+/// the directory.
+pub const LIST_WAIT: Millis = Millis(700);
+
 /// Maximum number of engines that a daemon asks about one service. Beyond it, origins stay unknown.
 pub const MAX_ENGINES: usize = 128;
 
@@ -64,3 +70,13 @@
 pub fn ask_interval(daemons: usize) -> Millis {
     SHORTEST_INTERVAL.max(Millis(FLEET_INTERVAL.0 * daemons as u64))
 }
+
+/// Returns how old the list of engines may be when a request comes. A daemon that reads the directory itself
+/// (`must_read`) reads it once more; in a large fleet, the calls of all daemons would exceed what the directory allows.
+pub fn list_age(must_read: bool, daemons: usize) -> Millis {
+    if must_read {
+        Millis(0)
+    } else {
+        ask_interval(daemons)
+    }
+}
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -261,6 +261,10 @@
     pub(crate) stop_expired: Notify,
     /// Wakes the tasks that wait for the directory to answer again after it was lost.
     pub(crate) directory_regained: Notify,
+    /// Wakes the task that follows the endpoints, when a request needs their present list.
+    pub(crate) list_wanted: Notify,
+    /// Wakes the requests that wait for the present list of endpoints.
+    pub(crate) list_read: Notify,
     /// Wakes the tasks that wait for directory changes of an era that has ended.
     pub(crate) era_ended: Notify,
     /// Wakes the loop that sends heartbeats, when other daemons should be informed immediately.
@@ -333,6 +337,8 @@
             table_changed: Notify::new(),
             stop_expired: Notify::new(),
             directory_regained: Notify::new(),
+            list_wanted: Notify::new(),
+            list_read: Notify::new(),
             era_ended: Notify::new(),
             announcement: Notify::new(),
             host_resumed: Notify::new(),
