reply_proof: a reply with a status that ends no answer proves nothing

Callers got answers with the statuses 101, 600, 601, 700 and 999 from a faulty endpoint as they came, with their body or, for 101, without; through relays too. 000 and other texts that are no status never got through.

Cause: any status that the HTTP library accepts was passed on.

--- a/lib/src/gateway/rules/reply_proof.rs
+++ b/lib/src/gateway/rules/reply_proof.rs
@@ -4,7 +4,7 @@
 //! head. Result: whether the request ran, whether the reply may be passed on, and the outcome for the endpoint's
 //! health.
 //!
-//! Rule: a reply with status 421, or one whose endpoint says so, proves that the request did not run. Any other reply
+//! Rule: a reply whose status is none that ends an answer proves nothing. A reply with status 421, or one whose endpoint says so, proves that the request did not run. Any other reply
 //! counts only if it names this request and is signed; otherwise the request has possibly run. A reply that counts is
 //! passed on; a server error counts as a failure of the endpoint.
 //!
@@ -17,9 +17,13 @@
         shared::units::WorkMillis,
     },
     http::StatusCode,
+    std::ops::RangeInclusive,
     thiserror::Error,
 };
 
+/// Statuses that end an answer. Those below announce one or change the protocol, and those above aren't defined.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Outcome of a request for the state of its endpoint. The names of the variants appear in the log
 /// (`endpoint.set_aside`).
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -83,6 +87,9 @@
 /// Error of a reply that proves nothing about the request.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum ReplyOriginError {
+    /// The reply has a status that ends no answer.
+    #[error("a reply with status {}", .0.as_u16())]
+    NotFinal(StatusCode),
     /// The reply names another request, or none.
     #[error("a reply to request {0:?}")]
     OtherRequest(Option<String>),
@@ -113,6 +120,9 @@
     status: StatusCode,
     facts: &ReplyFacts,
 ) -> Result<HeadVerdict, ReplyOriginError> {
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Err(ReplyOriginError::NotFinal(status));
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Ok(HeadVerdict::NotRun(NotRunReason::Replaced));
     }
