pipeline: no status becomes a 200

json_response made a 200 of a number that is no status. No caller could get one, since only successes and client errors of endpoints are answers (answer_statuses); a 502 is the safe end. no_status failed before and passes now.

--- a/lib/src/pipeline/api/problem.rs
+++ b/lib/src/pipeline/api/problem.rs
@@ -154,8 +154,8 @@
 
 /// Builds the response of a whole answer.
 pub fn json_response(status: u16, request: RequestId, body: Bytes) -> Response<Body> {
-    // The status was received from an endpoint, so it is valid.
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    // The status was received from an endpoint, so it is valid. If it weren't, the answer would count as a failure.
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     Response::builder()
         .status(status)
         .header(header::CONTENT_TYPE, "application/json")
