--- a/lib/src/shared/http_body.rs
+++ b/lib/src/shared/http_body.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::shared::units::ByteSize,
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::Body,
     std::{fmt::Display, time::Duration},
@@ -38,22 +38,28 @@
     limit: ByteSize,
     idle_timeout: Duration,
 ) -> Result<Bytes, BodyError> {
-    let mut bytes = BytesMut::new();
+    let mut bytes = Vec::new();
     loop {
         let frame = timeout(idle_timeout, body.frame())
             .await
             .map_err(|_| BodyError::IdleTimeout(idle_timeout))?;
         let Some(frame) = frame else {
-            return Ok(bytes.freeze());
+            return Ok(bytes.into());
         };
         let frame = frame.map_err(|error| BodyError::ConnectionFailed(error.to_string()))?;
         // Trailers aren't used.
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if (bytes.len() + data.len()) as u64 > limit.0 {
+        let size = bytes.len() + data.len();
+        if size as u64 > limit.0 {
             return Err(BodyError::TooLarge(limit));
         }
+        if size > bytes.capacity() {
+            // Doubles the capacity, but not beyond the limit.
+            let capacity = (bytes.capacity() * 2).min(limit.0 as usize).max(size);
+            bytes.reserve_exact(capacity - bytes.len());
+        }
         bytes.extend_from_slice(&data);
     }
 }
