store: entries of other writers don't take a host's memory

150 entries of other writers, each as large as the directory allows, took 129 MB at a daemon whose host has 120: all values of a list were kept until its last page.

--- a/daemon/tests/test_endless_replies.rs
+++ b/daemon/tests/test_endless_replies.rs
@@ -20,7 +20,8 @@
         documents::table_of_kinds,
         replica::{Act, Replica},
         run,
-        store::StandInStore,
+        store::{StandInStore, StoreFault},
+        until,
     },
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -212,3 +213,117 @@
     }
     findings.assert_none();
 }
+
+/// Endpoints of stages and engines whose answers to calls and questions have no end, many at once.
+#[test]
+fn endless_calls() {
+    let kinds = [
+        ("body", "HTTP/1.1 200 X\r\n\r\n", "x"),
+        (
+            "items",
+            "HTTP/1.1 200 X\r\n\r\n{\"items\":[",
+            "{\"reason\":\"late\"},",
+        ),
+        (
+            "events",
+            "HTTP/1.1 200 X\r\n\r\n{\"lost\":false,\"events\":[",
+            "[1,\"+\",\"\",\"a\",1,\"m\"],",
+        ),
+        ("headers", "HTTP/1.1 200 X\r\n", "X-Name: value\r\n"),
+        ("interim answers", "", "HTTP/1.1 103 Early\r\nX: y\r\n\r\n"),
+    ];
+    let findings = Findings::default();
+    for (case, begin, block) in kinds {
+        let findings = findings.clone();
+        run(async move {
+            let store = StandInStore::start().await;
+            store.publish(&table());
+            let mut replicas = Vec::new();
+            for number in 0..40 {
+                for service in ["enc", "llm"] {
+                    let id = format!("i-{service}-{number}");
+                    let replica = Replica::start(&store, &id, service).await;
+                    replica.set_flooded("/api/", begin, block);
+                    replicas.push(replica);
+                }
+            }
+            let name = format!("endless-calls-{}", case.replace(' ', "-"));
+            let process = start(&name, &store, SMALLEST_HOST).await;
+            // Pieces wait for the retry budget, at most until the deadline of their request.
+            let staged = (0..CALLERS).map(async |number| {
+                let id = format!("staged-{number}");
+                let text = client::single_request("/p/1", &id, Duration::from_secs(3));
+                client::send(process.listen, &text).await.status
+            });
+            let staged = timeout(EARLY, join_all(staged));
+            // Every engine is asked what it keeps.
+            let taken_up = (0..CALLERS).map(async |number| {
+                let prompt = format!("10:20,{:x}:40", 0xa0 + number);
+                let id = format!("again-{number}");
+                let more = [
+                    ("Hazelyoke-Model", "m"),
+                    ("Hazelyoke-Token-Count", "60,10"),
+                    ("Hazelyoke-Prompt-Prefix", &*prompt),
+                    ("Resumes", "first"),
+                    ("Last-Event-Id", "1"),
+                ];
+                let text = client::request("POST", "/s/1", &id, &more, "body");
+                client::send(process.listen, &text).await.status
+            });
+            let taken_up = timeout(EARLY, join_all(taken_up));
+            let (staged, taken_up) = tokio::join!(staged, taken_up);
+            findings.check(&format!("stages, {case}"), staged.ok(), |status| {
+                matches!(status, 502..=504)
+            });
+            findings.check(&format!("engines, {case}"), taken_up.ok(), |status| {
+                *status == 503
+            });
+            findings.check_memory(case, &process);
+        });
+    }
+    findings.assert_none();
+}
+
+/// A directory whose answers, or whose list, have no end: what is known stays in use.
+#[test]
+fn endless_directory() {
+    for fault in [StoreFault::Endless, StoreFault::EndlessPages] {
+        run(async move {
+            let store = StandInStore::start().await;
+            store.publish(&table());
+            let _sound = Replica::start(&store, "i-b", "plain").await;
+            let process = start("endless-directory", &store, SMALLEST_HOST).await;
+            store.compact();
+            store.set_fault(fault);
+            store.compact();
+            sleep(Duration::from_secs(6)).await;
+            let statuses = send_all(&process, "/r/1", RETRIED).await;
+            assert_eq!(statuses, Some(vec![200; RETRIED]));
+            let memory = most_memory_kb(&process);
+            println!("{fault:?}: {memory} kB");
+            assert!(memory < MOST_MEMORY_KB, "{fault:?}: {memory} kB");
+        });
+    }
+}
+
+/// Entries of other writers that are as large as the directory allows, more of them than a host has memory for.
+#[test]
+fn large_foreign_entries() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.publish(&table());
+        for number in 0..150 {
+            store.put_text(&format!("servers/a{number}%"), &"x".repeat(700_000));
+        }
+        let _sound = Replica::start(&store, "i-b", "plain").await;
+        let process = start("large-entries", &store, SMALLEST_HOST).await;
+        until(
+            || async { send_all(&process, "/r/1", 1).await },
+            Some(vec![200]),
+        )
+        .await;
+        let memory = most_memory_kb(&process);
+        println!("{memory} kB");
+        assert!(memory < MOST_MEMORY_KB, "{memory} kB");
+    });
+}
--- a/lib/src/gateway/directory/source.rs
+++ b/lib/src/gateway/directory/source.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         gateway::revision::{Era, Revision},
-        shared::ids::DataCentreId,
+        shared::{ids::DataCentreId, units::ByteSize},
     },
     bytes::Bytes,
     std::{
@@ -50,6 +50,18 @@
     pub value: Option<Bytes>,
 }
 
+impl Item {
+    /// Returns about how many bytes of memory the item takes.
+    fn size(&self) -> u64 {
+        let name = match &self.key {
+            ItemKey::Endpoint(name) => name.len(),
+            ItemKey::Table | ItemKey::Evacuation(_) | ItemKey::Unreadable => 0,
+        };
+        let value = self.value.as_ref().map_or(0, Bytes::len);
+        (size_of::<Self>() + name + value) as u64
+    }
+}
+
 /// Items, and the revision up to which they are complete.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Items {
@@ -82,6 +94,8 @@
     seen: HashSet<Bytes>,
     /// Last key of the last page.
     cursor: Option<Bytes>,
+    /// About how much memory the items take.
+    size: ByteSize,
 }
 
 impl ListRead {
@@ -107,9 +121,15 @@
 
     /// Adds the items of a page.
     pub fn add(&mut self, items: Vec<Item>) {
+        self.size.0 += items.iter().map(Item::size).sum::<u64>();
         self.items.extend(items);
     }
 
+    /// Returns about how much memory the items take.
+    pub fn size(&self) -> ByteSize {
+        self.size
+    }
+
     /// Continues after a page with this last key. Returns false if an earlier page had the same one, so that the list
     /// doesn't advance.
     pub fn advance(&mut self, last_key: Bytes) -> bool {
@@ -158,9 +178,9 @@
     /// There was no usable answer, and the connection can't be used any more.
     #[error("the directory gave no usable answer: {0}")]
     Unreachable(String),
-    /// The next page of a list begins again where an earlier one did, or no key of a page can be read, so that the rest
-    /// of the list can't be read.
-    #[error("the directory's list doesn't advance")]
+    /// The next page of a list begins again where an earlier one did, no key of a page can be read, or the list has no
+    /// end, so that the rest of the list can't be read.
+    #[error("the directory's list doesn't advance, or is too long")]
     Stuck,
     /// The rest of a list wasn't read, since other daemons of the fleet read it.
     #[error("the rest of the list is left to other daemons")]
