catalogue: daemons pass on the entries that they hold back

Cause: an entry of an endpoint that had departed is held back after the directory was restored, until it has lasted. A list or changes from such a daemon lacked it, and the receiver took all up to their revision for known; the entry isn't written again, since the endpoint only renews it, and an older one counts as removed. Lists and changes now carry the entries that the sender holds back; the receiver holds them back too, for a lapse time, unless it knows the endpoint. Messages without such entries keep their bytes, and an earlier release ignores the field.

--- a/lib/src/gateway/directory/apply.rs
+++ b/lib/src/gateway/directory/apply.rs
@@ -92,6 +92,7 @@
             self.remove_endpoint(&gone.id, gone.revision, gone.unconfirmed, source);
         }
         let catalogue = &mut self.state.borrow_mut().catalogue;
+        catalogue.hold_reported(now, changes.held);
         if changes.has_gap {
             catalogue.advance_with_gap(changes.revision);
         } else {
--- a/lib/src/gateway/directory/catalogue.rs
+++ b/lib/src/gateway/directory/catalogue.rs
@@ -129,6 +129,7 @@
             entries,
             gone,
             has_gap: self.log.has_gap_after(since),
+            held: self.departed.held_entries().cloned().collect(),
         })
     }
 
@@ -149,6 +150,7 @@
             revision: self.revision,
             entries: entries.map(|entry| (**entry).clone()).collect(),
             unconfirmed: self.unconfirmed.keys().cloned().collect(),
+            held: self.departed.held_entries().cloned().collect(),
         }
     }
 
@@ -280,6 +282,7 @@
             revision,
             entries,
             unconfirmed,
+            held,
         } = list;
         let unconfirmed: HashSet<EndpointId> = unconfirmed.into_iter().collect();
         let is_outage = self.begin_era(now, revision) || is_outage;
@@ -288,7 +291,9 @@
         let listed: HashSet<EndpointId> = listed.cloned().collect();
         let missing = self.missing_in(&listed, revision);
         let mut changes = self.apply_listed(entries, revision, &unconfirmed);
-        self.departed.retain_listed(&listed);
+        let held_ids = held.iter().map(|entry| entry.id.clone());
+        let retained = listed.iter().cloned().chain(held_ids).collect();
+        self.departed.retain_listed(&retained);
         for id in &missing {
             self.log.record(revision, id, self.entries.len());
             changes.extend(self.vanish(now, id, is_outage || unconfirmed.contains(id)));
@@ -300,10 +305,21 @@
         } else {
             self.log.skip(self.revision, revision);
         }
+        self.hold_reported(now, held);
         self.advance_to(revision);
         changes
     }
 
+    /// Holds back the entries that another daemon holds back. A list or changes that say nothing of them would count as
+    /// proof that their endpoints have gone, and entries that are only renewed don't come again.
+    pub fn hold_reported(&mut self, now: Time, held: Vec<EndpointEntry>) {
+        for entry in held {
+            if !self.entries.contains_key(&entry.id) {
+                self.departed.hold_reported(entry, now + self.lapse_time);
+            }
+        }
+    }
+
     /// Returns the known endpoints with entries up to a revision that the list as of that revision lacks.
     fn missing_in(&self, listed: &HashSet<EndpointId>, revision: Revision) -> Vec<EndpointId> {
         let missing = self
--- a/lib/src/gateway/directory/departed.rs
+++ b/lib/src/gateway/directory/departed.rs
@@ -63,6 +63,20 @@
         None
     }
 
+    /// Holds back an entry that another daemon holds back, until a time at least.
+    pub(crate) fn hold_reported(&mut self, entry: EndpointEntry, until: Time) {
+        let held = self.held.entry(entry.id.clone()).or_default();
+        if held.is_none() {
+            *held = Some(entry);
+            self.hold_end = self.hold_end.max(until);
+        }
+    }
+
+    /// Returns the entries that are held back.
+    pub(crate) fn held_entries(&self) -> impl Iterator<Item = &EndpointEntry> {
+        self.held.values().flatten()
+    }
+
     /// Ends the hold of an endpoint whose entry vanished.
     pub(crate) fn end_hold(&mut self, id: &EndpointId) {
         self.held.remove(id);
--- a/lib/src/gateway/directory/endpoint_entry.rs
+++ b/lib/src/gateway/directory/endpoint_entry.rs
@@ -159,6 +159,8 @@
     pub entries: Vec<EndpointEntry>,
     /// Endpoints that are unconfirmed at the sender: their entries vanished, and the sender still uses them for a time.
     pub unconfirmed: Vec<EndpointId>,
+    /// Entries that the sender holds back: their endpoints had departed before the directory was restored.
+    pub held: Vec<EndpointEntry>,
 }
 
 /// A whole list of endpoints in a message.
@@ -171,6 +173,9 @@
     /// Empty if the sender's release doesn't distinguish unconfirmed endpoints.
     #[serde(rename = "doubted", default, skip_serializing_if = "Vec::is_empty")]
     unconfirmed: Vec<EndpointId>,
+    /// Empty if the sender's release doesn't pass on what it holds back.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    held: Vec<EndpointEntry>,
 }
 
 impl From<EndpointList> for ListMessage {
@@ -181,6 +186,7 @@
             era,
             entries: to_message(era, list.entries),
             unconfirmed: list.unconfirmed,
+            held: to_message(era, list.held),
         }
     }
 }
@@ -192,6 +198,7 @@
             revision: Revision::new(era, revision),
             entries: from_message(era, message.entries),
             unconfirmed: message.unconfirmed,
+            held: from_message(era, message.held),
         }
     }
 }
@@ -226,6 +233,8 @@
     pub gone: Vec<GoneEndpoint>,
     /// The changes may lack endpoints that were added and removed in between.
     pub has_gap: bool,
+    /// Entries that the sender holds back, whenever they were written.
+    pub held: Vec<EndpointEntry>,
 }
 
 /// Changes of the list of endpoints in a message.
@@ -239,6 +248,8 @@
     /// False if the sender's release doesn't report gaps.
     #[serde(rename = "gap", default, skip_serializing_if = "is_unset")]
     has_gap: bool,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    held: Vec<EndpointEntry>,
 }
 
 fn is_unset(flag: &bool) -> bool {
@@ -258,6 +269,7 @@
             entries: to_message(era, changes.entries),
             gone: gone.collect(),
             has_gap: changes.has_gap,
+            held: to_message(era, changes.held),
         }
     }
 }
@@ -274,6 +286,7 @@
             entries: from_message(era, message.entries),
             gone: gone.collect(),
             has_gap: message.has_gap,
+            held: from_message(era, message.held),
         }
     }
 }
--- a/lib/src/gateway/directory/follow.rs
+++ b/lib/src/gateway/directory/follow.rs
@@ -409,6 +409,7 @@
         revision: items.revision,
         entries: read_entries(gateway, &items.items),
         unconfirmed: Vec::new(),
+        held: Vec::new(),
     };
     gateway.replace_endpoints(list, DIRECTORY_SOURCE);
 }
--- a/lib/tests/test_catalogue.rs
+++ b/lib/tests/test_catalogue.rs
@@ -37,6 +37,7 @@
         revision: revision.into(),
         entries,
         unconfirmed: Vec::new(),
+        held: Vec::new(),
     }
 }
 
--- a/lib/tests/test_list_order.rs
+++ b/lib/tests/test_list_order.rs
@@ -141,6 +141,7 @@
             revision: listed.revision.into(),
             entries: listed.entries,
             unconfirmed: Vec::new(),
+            held: Vec::new(),
         };
         self.catalogue.replace(NOW, list, false);
     }
@@ -207,6 +208,7 @@
         entries: vec![entry(0, 152), entry(2, 155)],
         gone: Vec::new(),
         has_gap: false,
+        held: Vec::new(),
     };
     daemon.apply_changes(late.clone());
     for (number, revision) in [(0, 160), (2, 161)] {
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -215,6 +215,7 @@
             gone("endpoint-9", 70_001.into(), true),
         ],
         has_gap: false,
+        held: Vec::new(),
     }
 }
 
@@ -637,6 +638,7 @@
         revision: 70_002.into(),
         entries: vec![entry(1, false), entry(2, true)],
         unconfirmed: Vec::new(),
+        held: Vec::new(),
     });
     lines.add_framed("endpoints", endpoints);
     lines.add_framed("changes", LinkReply::Changes(changes()));
--- a/lib/tests/test_restored_list.rs
+++ b/lib/tests/test_restored_list.rs
@@ -51,6 +51,7 @@
         revision,
         entries: entries.to_vec(),
         unconfirmed: Vec::new(),
+        held: Vec::new(),
     }
 }
 
@@ -80,6 +81,51 @@
     catalogue.get(&id(name)).unwrap().draining
 }
 
+/// Soak seed 5000: a daemon whose list came from another one, which held an entry back, left its endpoint out for good. The
+/// entry isn't written again, since it is the same as before.
+#[test]
+fn held_entry_passed_on() {
+    for by_changes in [false, true] {
+        let (mut holder, mut other) = (known(&["a", "b"]), known(&["a", "b"]));
+        for catalogue in [&mut holder, &mut other] {
+            // The entry can't be read any more.
+            catalogue.remove(START, &id("a"), at(1, 101), false);
+        }
+        let copy = ["a", "b"].map(|name| entry(name, at(2, 13), false));
+        holder.replace(START, listed(at(2, 15), &copy), false);
+        if by_changes {
+            let changes = holder.changes_since(other.revision()).unwrap();
+            apply(&mut other, START, decode(&encode(&changes)).unwrap());
+        } else {
+            other.replace(START, decode(&encode(&holder.list())).unwrap(), false);
+        }
+        for catalogue in [&mut holder, &mut other] {
+            assert!(!names(catalogue).contains(&"a".to_owned()));
+            catalogue.readmit(START + LAPSE);
+            catalogue.readmit(START + LAPSE + LAPSE);
+            assert!(
+                names(catalogue).contains(&"a".to_owned()),
+                "by changes: {by_changes}"
+            );
+        }
+    }
+}
+
+/// An entry that is passed on as held back stays out if it vanishes, and if its endpoint is known as gone later.
+#[test]
+fn held_entry_vanishes() {
+    let (mut holder, mut other) = (known(&["a", "b"]), known(&["a", "b"]));
+    for catalogue in [&mut holder, &mut other] {
+        catalogue.remove(START, &id("a"), at(1, 101), false);
+    }
+    let copy = ["a", "b"].map(|name| entry(name, at(2, 13), false));
+    holder.replace(START, listed(at(2, 15), &copy), false);
+    other.replace(START, holder.list(), false);
+    other.remove(START, &id("a"), at(2, 16), false);
+    other.readmit(START + LAPSE + LAPSE);
+    assert_eq!(names(&other), ["b"]);
+}
+
 /// Entries that are written again take effect, also with a smaller number than before.
 #[test]
 fn smaller_numbers() {
@@ -269,6 +315,7 @@
     for gone in changes.gone {
         catalogue.remove(now, &gone.id, gone.revision, gone.unconfirmed);
     }
+    catalogue.hold_reported(now, changes.held);
     if changes.has_gap {
         catalogue.advance_with_gap(changes.revision);
     } else {
@@ -284,6 +331,7 @@
         revision: at(2, 60),
         entries: vec![entry("a", at(1, 90), false), entry("b", at(2, 55), true)],
         unconfirmed: vec![id("a")],
+        held: Vec::new(),
     };
     let received: EndpointList = decode(&encode(&list)).unwrap();
     assert_eq!(received.revision, at(2, 60));
@@ -293,6 +341,7 @@
         revision: 60.into(),
         entries: vec![entry("a", 50.into(), false)],
         unconfirmed: Vec::new(),
+        held: Vec::new(),
     };
     let received: EndpointList = decode(&encode(&unnamed)).unwrap();
     assert_eq!(received, unnamed);
@@ -369,6 +418,7 @@
             revision: self.revision,
             entries: entries.collect(),
             unconfirmed: Vec::new(),
+            held: Vec::new(),
         }
     }
 }
