quarantine: a part is refused only once others could have said that they served it

Cause: a daemon that served an accused part says so when it hears of the accusation, which takes a message in each direction; until then the others refused. Requests with a part wait up to 100 ms from the beginning of its quarantine, and are then let through or refused.

--- a/lib/src/gateway/quarantine/store.rs
+++ b/lib/src/gateway/quarantine/store.rs
@@ -16,7 +16,8 @@
             },
             request_digest::RequestDigest,
             rules::quarantine::{
-                EVIDENCE_LIFETIME, EVIDENCE_REPORTS, TRIAL_PAUSE, TRIAL_SIGN_LIFETIME, trial_time,
+                EVIDENCE_LIFETIME, EVIDENCE_REPORTS, REBUTTAL_TIME, TRIAL_PAUSE,
+                TRIAL_SIGN_LIFETIME, trial_time,
             },
         },
         shared::units::{Millis, Time},
@@ -78,6 +79,8 @@
     sends_left: u32,
     /// Set if the request is quarantined, as of the last update.
     quarantined: bool,
+    /// Time at which the quarantine last began.
+    began: Option<Time>,
     /// Time at which this daemon last let a request through to try whether the quarantine is justified.
     tried: Option<Time>,
     /// The trial of this daemon, while it runs.
@@ -129,6 +132,7 @@
         }
         if quarantined {
             self.cleared = None;
+            self.began = Some(now);
             let terminated = self.evidence.terminated().iter().map(|run| run.endpoint);
             let terminated = terminated.collect();
             return Some(QuarantineChange::Began { digest, terminated });
@@ -155,6 +159,16 @@
             .then(|| evidence.time_left(now))
     }
 
+    /// Returns the time for which the quarantine of a part may still be disproved by what other daemons have served; `None`
+    /// if that time is over, or if the part isn't quarantined.
+    pub fn time_to_rebut(&self, now: Time, digest: &RequestDigest) -> Option<Millis> {
+        let now = to_store_time(now);
+        let record = self.records.get(digest)?;
+        let end = record.began? + REBUTTAL_TIME;
+        let is_open = record.evidence.is_quarantined(now) && now < end;
+        is_open.then(|| Millis(end.since(now).as_micros().div_ceil(1_000) as u64))
+    }
+
     /// Begins a trial if a request with these quarantined suspects may be let through now, to find out whether they are
     /// harmless: each of them has to be due. With each suspect comes this daemon's place in the order of its holders.
     pub fn begin_trial(&mut self, now: Time, suspects: &[(RequestDigest, usize)]) -> Option<Trial> {
--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -185,6 +185,7 @@
 
     /// Checks the admission of the request, and runs its stages.
     async fn begin(&mut self) -> Result<(), Problem> {
+        self.gateway.await_rebuttals(self.call).await;
         let Admitted { admission, sample } = check_admission(self.gateway, self.call).await?;
         self.admission = admission;
         self.sample = sample;
--- a/lib/src/gateway/routing/quarantine.rs
+++ b/lib/src/gateway/routing/quarantine.rs
@@ -13,7 +13,7 @@
     },
     shared::{
         problem::{Code, Problem},
-        units::Time,
+        units::{Millis, Time},
     },
 };
 
@@ -86,6 +86,24 @@
         parts.try_for_each(|part| self.check_suspect(part, "a part of its prompt"))
     }
 
+    /// Waits as long as the quarantine of a part of the prompt may still be disproved.
+    pub(crate) async fn await_rebuttals(&self, call: &ForwardedCall) {
+        while let Some(left) = self.time_to_rebut(call) {
+            tokio::time::sleep(left.to_duration()).await;
+        }
+    }
+
+    fn time_to_rebut(&self, call: &ForwardedCall) -> Option<Millis> {
+        if call.is_trial() || self.check_digest(&call.digest).is_err() {
+            return None;
+        }
+        let now = self.now();
+        let state = self.state.borrow();
+        let parts = call.parts.iter();
+        let times = parts.filter_map(|part| state.quarantine.time_to_rebut(now, part));
+        times.max()
+    }
+
     fn check_suspect(&self, suspect: &RequestDigest, name: &str) -> Result<(), Problem> {
         let now = self.now();
         match self.state.borrow().quarantine.time_left(now, suspect) {
@@ -158,6 +176,7 @@
         loop {
             // Created before the check, so that a quarantine that begins after it ends the wait.
             let began = self.quarantine_began.notified();
+            self.await_rebuttals(call).await;
             if let Err(problem) = self.check_quarantine(call) {
                 return problem;
             }
--- a/lib/src/gateway/rules/quarantine.rs
+++ b/lib/src/gateway/rules/quarantine.rs
@@ -18,6 +18,9 @@
 //! refused: a harmless request is served regularly, a harmful one never. Endpoints that terminate together don't show whether
 //! a request that was served just before has turned harmful; endpoints that get the request after that do.
 //!
+//! A part of prompts is refused only [`REBUTTAL_TIME`] after its quarantine began, since a daemon that has served it meanwhile
+//! says so once it hears of the quarantine; requests with the part wait as long.
+//!
 //! A part of prompts is treated like a request: endpoints that terminate under a request count against each part of its
 //! prompt that others may share, and a request with a quarantined part is refused. Because every request with the part is
 //! refused, none could clear it. So one request is let through [`TRIAL_PAUSE`] after the last termination, by the first
@@ -39,6 +42,10 @@
 /// harmful one would be refused after two such coincidences.
 pub const TERMINATED_LIMIT: usize = 3;
 
+/// Time for which the quarantine of a part may still be disproved by what other daemons have served: a report to all, and their
+/// answers.
+pub const REBUTTAL_TIME: Millis = Millis(100);
+
 /// Time for which a terminated endpoint counts against a request. In the worst case, a harmful request that is sent
 /// forever costs three endpoints in this time.
 pub const EVIDENCE_LIFETIME: Millis = Millis(600_000);
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -22,8 +22,9 @@
             rules::{
                 gossip::HEARTBEAT,
                 quarantine::{
-                    EVIDENCE_HOLDERS, EVIDENCE_LIFETIME, EVIDENCE_REPORTS, SERVED_GRACE,
-                    TURNED_LIMIT, Termination, counts_against, evidence_holders, is_quarantined,
+                    EVIDENCE_HOLDERS, EVIDENCE_LIFETIME, EVIDENCE_REPORTS, REBUTTAL_TIME,
+                    SERVED_GRACE, TURNED_LIMIT, Termination, counts_against, evidence_holders,
+                    is_quarantined,
                 },
             },
         },
@@ -449,3 +450,18 @@
     // Each of 900 entries is sent to three evidence holders three times.
     assert!(bytes < 300_000, "{bytes}");
 }
+
+/// A sound part was refused by a daemon that heard of its quarantine just before the word that it had been served.
+#[test]
+fn rebuttal_time() {
+    let mut quarantine = Quarantine::default();
+    assert_eq!(quarantine.time_to_rebut(seconds(100), &digest(1)), None);
+    end(&mut quarantine, 1, 3);
+    let began = seconds(103);
+    let left = |time| quarantine.time_to_rebut(time, &digest(1));
+    assert_eq!(left(began), Some(REBUTTAL_TIME));
+    assert_eq!(left(began + Millis(60)), Some(Millis(REBUTTAL_TIME.0 - 60)));
+    assert_eq!(left(began + REBUTTAL_TIME), None);
+    let later = began + REBUTTAL_TIME;
+    assert!(quarantine.time_left(later, &digest(1)).is_some());
+}
