--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -641,6 +641,13 @@
         held: Vec::new(),
     });
     lines.add_framed("endpoints", endpoints);
+    let held = LinkReply::Endpoints(EndpointList {
+        revision: 70_002.into(),
+        entries: vec![entry(1, false)],
+        unconfirmed: Vec::new(),
+        held: vec![entry(2, false)],
+    });
+    lines.add_framed("endpoints held", held);
     lines.add_framed("changes", LinkReply::Changes(changes()));
     lines.add_framed("job made", LinkReply::Job(JobEnd::Completed(handles())));
     lines.add_framed("job late", LinkReply::Job(JobEnd::Late));
