--- a/daemon/tests/test_relay_ends.rs
+++ b/daemon/tests/test_relay_ends.rs
@@ -68,10 +68,10 @@
 
 impl Site {
     async fn start() -> Self {
-        Self::start_programs(PROGRAM, PROGRAM).await
+        Self::start_programs(PROGRAM, PROGRAM, RELAY_LIMITS).await
     }
 
-    async fn start_programs(asker: &str, relay: &str) -> Self {
+    async fn start_programs(asker: &str, relay: &str, limits: Limits) -> Self {
         let [cut_off, whole] = [StandInStore::start().await, StandInStore::start().await];
         cut_off.publish(&table());
         whole.publish(&table());
@@ -87,9 +87,9 @@
         let ports = free_ports(test_ip());
         // Tests in one process have names of their own for their files.
         let name = format!("relay-{}", ports[0]);
-        let file = settings_file(&name, ports, whole.address, RELAY_LIMITS);
+        let file = settings_file(&name, ports, whole.address, limits);
         let log = Log::File(LogFile::new(&name));
-        let relay = start_program(relay, &file, log, RELAY_LIMITS).await;
+        let relay = start_program(relay, &file, log, limits).await;
         let name = format!("asker-{}", ports[0]);
         let asker = start_joined(asker, &name, &cut_off, &relay).await;
         let site = Self {
@@ -227,9 +227,9 @@
         let earlier = earlier.clone();
         run(async move {
             let site = if earlier_asker {
-                Site::start_programs(&earlier, PROGRAM).await
+                Site::start_programs(&earlier, PROGRAM, RELAY_LIMITS).await
             } else {
-                Site::start_programs(PROGRAM, &earlier).await
+                Site::start_programs(PROGRAM, &earlier, RELAY_LIMITS).await
             };
             for act in [Act::Answer(BODY.into()), Act::Chunked(BODY.into())] {
                 site.plain.push_act(act);
@@ -255,3 +255,24 @@
         });
     }
 }
+
+/// A daemon that stops in calm waits for the work that it relays for others.
+#[test]
+fn relayed_work_ends() {
+    run(async {
+        let limits = Limits {
+            grace_s: 8.0,
+            ..DEFAULT_LIMITS
+        };
+        let site = Site::start_programs(PROGRAM, PROGRAM, limits).await;
+        let work = Act::Wait(Duration::from_secs(4), BODY.into());
+        site.plain.push_act(work);
+        let before = site.plain.received().len();
+        let ending = async {
+            until(|| ready(site.plain.received().len()), before + 1).await;
+            signal(&site.relay, "TERM");
+        };
+        let (answer, ()) = tokio::join!(site.send("/g/1", "slow"), ending);
+        assert_eq!((answer.status, answer.text()), (200, BODY.to_owned()));
+    });
+}
--- a/lib/src/gateway/serving/server.rs
+++ b/lib/src/gateway/serving/server.rs
@@ -271,14 +271,10 @@
         log::info!(in_flight; "daemon.stopped");
     }
 
-    /// Returns whether a request has no answer yet, an answer is still being sent, jobs of other daemons wait, or
-    /// connections are relayed for them.
+    /// Returns whether a request has no answer yet, an answer is still being sent, or jobs of other daemons wait.
     fn is_busy(&self) -> bool {
         let gateway = &self.gateway;
         let jobs = gateway.state.borrow().stage_queues.jobs();
-        gateway.in_flight.get() > 0
-            || gateway.callers.get() > 0
-            || gateway.relays.get() > 0
-            || jobs > 0
+        gateway.in_flight.get() > 0 || gateway.callers.get() > 0 || jobs > 0
     }
 }
