reservations: holders are told before the refusal goes out

Cause: a new reservation waited 2 ms to be sent together with others, while its caller had its refusal at once.

--- a/lib/src/gateway/routing/reservations.rs
+++ b/lib/src/gateway/routing/reservations.rs
@@ -8,6 +8,7 @@
     crate::{
         gateway::{
             dialect::Dialect,
+            peers::{request_reports::send_now, reservation_reports::ReservationReports},
             request_digest::RequestDigest,
             reservations::{
                 made::{NewReservation, ReservedPieces},
@@ -221,6 +222,8 @@
         if !is_made {
             return None;
         }
+        // The caller may come to another daemon as soon as it has its refusal, and the holders are asked then.
+        send_now::<ReservationReports, D>(self);
         self.reservation_reports.notify_one();
         log::info!(
             request = call.id(),
