--- a/daemon/tests/test_endless_replies.rs
+++ b/daemon/tests/test_endless_replies.rs
@@ -260,14 +260,7 @@
             let taken_up = (0..CALLERS).map(async |number| {
                 let prompt = format!("10:20,{:x}:40", 0xa0 + number);
                 let id = format!("again-{number}");
-                let more = [
-                    ("Hazelyoke-Model", "m"),
-                    ("Hazelyoke-Token-Count", "60,10"),
-                    ("Hazelyoke-Prompt-Prefix", &*prompt),
-                    ("Resumes", "first"),
-                    ("Last-Event-Id", "1"),
-                ];
-                let text = client::request("POST", "/s/1", &id, &more, "body");
+                let text = client::take_up_request(&id, "first", &prompt);
                 client::send(process.listen, &text).await.status
             });
             let taken_up = timeout(EARLY, join_all(taken_up));
--- a/daemon/tests/test_paused_daemon.rs
+++ b/daemon/tests/test_paused_daemon.rs
@@ -58,15 +58,8 @@
             }
             let taken_up = (0..5).map(async |number| {
                 let prompt = format!("10:20,a{number}:{OWN_TOKENS}");
-                let more = [
-                    ("Hazelyoke-Model", "m"),
-                    ("Hazelyoke-Token-Count", "60,10"),
-                    ("Hazelyoke-Prompt-Prefix", &*prompt),
-                    ("Resumes", "first"),
-                    ("Last-Event-Id", "1"),
-                ];
                 let id = format!("again-{number}");
-                let text = client::request("POST", "/s/1", &id, &more, "body");
+                let text = client::take_up_request(&id, "first", &prompt);
                 client::send(process.listen, &text).await
             });
             let answers = futures_util::future::join_all(taken_up);
