--- a/lib/src/gateway/routing/endpoint_check.rs
+++ b/lib/src/gateway/routing/endpoint_check.rs
@@ -74,7 +74,7 @@
                 gateway.accuse(&accused, &entry);
             }
         });
-        // The task can only fail if the process ends.
+        // If the task panicked, nothing is known of the endpoint.
         let _ = probe.await;
     }
 
