--- a/lib/src/gateway/routing/forward.rs
+++ b/lib/src/gateway/routing/forward.rs
@@ -144,7 +144,7 @@
         self.gateway.check_stop(self.call)?;
         self.begin().await?;
         loop {
-            if self.is_quarantined() {
+            if self.is_quarantined().await {
                 return self.end_unanswered(QUARANTINED_DETAIL);
             }
             if self.gateway.now() >= self.call.deadline {
@@ -234,8 +234,10 @@
         self.sample.end(AdmittedEnd::at_deadline(sent));
     }
 
-    /// Returns whether the request is quarantined because too many endpoints terminated under it.
-    pub(super) fn is_quarantined(&self) -> bool {
+    /// Returns whether the request is quarantined because too many endpoints terminated under it, once that can't be
+    /// disproved any more.
+    pub(super) async fn is_quarantined(&self) -> bool {
+        self.gateway.await_rebuttals(self.call).await;
         self.gateway.check_quarantine(self.call).is_err()
     }
 
--- a/lib/src/gateway/routing/request_attempts.rs
+++ b/lib/src/gateway/routing/request_attempts.rs
@@ -143,7 +143,7 @@
     /// Prepares another attempt after a failed one; returns whether there may be one.
     pub(super) async fn prepare_next(&mut self, failure: AttemptFailure) -> Result<bool, Problem> {
         // Another attempt would probably terminate one more endpoint, and would use up a retry of the budget.
-        if self.is_quarantined() {
+        if self.is_quarantined().await {
             return Ok(false);
         }
         match retry::next_step(failure, &self.progress.history) {
