processor_load: logs and metrics tell that a daemon's processor is used up

No log and no metric told how much of its host's share of a core a daemon uses, nor how far its event loop is behind, so that the hypotheses of the herd at one host (processor, own delay charged to endpoints, link) couldn't be told apart.

The use of the capacity that the settings state is measured with each check of the clock over half a second: events processor.exhausted and processor.recovered, metrics hazelyoke_processor_usage and hazelyoke_loop_delay_seconds.

--- a/lib/src/gateway/peers/heartbeats.rs
+++ b/lib/src/gateway/peers/heartbeats.rs
@@ -52,14 +52,18 @@
     }
 }
 
-/// Checks the clock at short intervals until the process ends, to detect stalls of this process.
+/// Checks the clock at short intervals until the process ends, to detect stalls of this process and to measure its
+/// use of the processor.
 pub async fn check_clock<D: Dialect>(gateway: Rc<Gateway<D>>) {
     let mut ticks = interval(CLOCK_CHECK.to_duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = gateway.now();
     loop {
         ticks.tick().await;
         let now = gateway.now();
         gateway.state.borrow_mut().peers.stalls.check(now);
+        gateway.observe_processor(now, last);
+        last = now;
     }
 }
 
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -45,6 +45,7 @@
 pub mod piece_order;
 pub mod piece_retry;
 pub mod prefill_rate;
+pub mod processor_load;
 pub mod quarantine;
 pub mod ratio_sketch;
 pub mod reply_proof;
--- a/lib/src/gateway/serving/metrics.rs
+++ b/lib/src/gateway/serving/metrics.rs
@@ -10,7 +10,8 @@
             serving::{
                 admission_metrics::AdmissionMetrics, endpoint_metrics::EndpointMetrics,
                 engine_metrics::EngineMetrics, labels::KindLabels, origin_metrics::OriginMetrics,
-                relay_metrics::RelayMetrics, reservation_metrics::ReservationMetrics,
+                processor_metrics::ProcessorMetrics, relay_metrics::RelayMetrics,
+                reservation_metrics::ReservationMetrics,
             },
             table::Version,
         },
@@ -116,6 +117,8 @@
     pub(crate) reservations: ReservationMetrics,
     /// Metrics about streams that callers take up.
     pub(crate) origins: OriginMetrics,
+    /// Metrics about the processor.
+    pub(crate) processor: ProcessorMetrics,
     pieces: Family<KindLabels, Counter>,
     calls: Counter,
     calls_shortened: Counter,
@@ -167,6 +170,7 @@
             engines: EngineMetrics::default(),
             reservations: ReservationMetrics::default(),
             origins: OriginMetrics::default(),
+            processor: ProcessorMetrics::default(),
             pieces: Family::default(),
             calls: Counter::default(),
             calls_shortened: Counter::default(),
@@ -241,6 +245,7 @@
         self.engines.register(registry);
         self.reservations.register(registry);
         self.origins.register(registry);
+        self.processor.register(registry);
         registry.register("pieces", "Pieces sent to endpoints", self.pieces.clone());
         registry.register("calls", "Calls of pieces", self.calls.clone());
         registry.register(
--- a/lib/src/gateway/serving/mod.rs
+++ b/lib/src/gateway/serving/mod.rs
@@ -8,6 +8,8 @@
 pub mod metrics;
 pub mod operator;
 pub(crate) mod origin_metrics;
+mod processor;
+pub(crate) mod processor_metrics;
 pub(crate) mod relay_metrics;
 pub mod reload;
 pub(crate) mod reservation_metrics;
--- /dev/null
+++ b/lib/src/gateway/serving/processor.rs
@@ -0,0 +1,51 @@
+//! Observes how much of its processor capacity this daemon uses, and how far its event loop is behind.
+//!
+//! The rule is [`processor_load`](crate::gateway::rules::processor_load).
+
+use crate::{
+    gateway::{
+        dialect::Dialect,
+        rules::{
+            processor_load::{ProcessorChange, ProcessorSample, RecentLoad},
+            stall::CLOCK_CHECK,
+        },
+        state::Gateway,
+    },
+    shared::{clock::processor_time, units::Time},
+};
+
+impl<D: Dialect> Gateway<D> {
+    /// Records the use of the processor at a check of the clock; `last` is the time of the check before it.
+    pub(crate) fn observe_processor(&self, now: Time, last: Time) {
+        let sample = ProcessorSample {
+            at: now,
+            used: processor_time(),
+            delay: now.since(last + CLOCK_CHECK),
+            in_flight: self.in_flight.get() + self.relays.get(),
+        };
+        let mut load = self.processor.borrow_mut();
+        let change = load.record(sample, self.settings().capacity);
+        let recent = load.recent();
+        drop(load);
+        self.metrics.processor.set(&recent);
+        if let Some(change) = change {
+            log_change(change, &recent);
+        }
+    }
+}
+
+fn log_change(change: ProcessorChange, recent: &RecentLoad) {
+    let RecentLoad {
+        usage, in_flight, ..
+    } = *recent;
+    let delay_ms = recent.delay.as_millis() as u64;
+    match change {
+        ProcessorChange::Exhausted => {
+            log::warn!(usage, delay_ms, in_flight; "processor.exhausted");
+        }
+        ProcessorChange::Recovered(time) => {
+            let for_ms = time.as_millis() as u64;
+            log::info!(usage, delay_ms, in_flight, for_ms; "processor.recovered");
+        }
+    }
+}
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -30,8 +30,8 @@
             routing::endpoint_states::EndpointStates,
             rules::{
                 body_memory::BodyBounds, catch_up::BehindSince, coordinator,
-                endpoint_reach::EndpointReach, reply_time::ReplyTime, retry_budget::WindowBudget,
-                tight_objective::TightServices,
+                endpoint_reach::EndpointReach, processor_load::ProcessorLoad,
+                reply_time::ReplyTime, retry_budget::WindowBudget, tight_objective::TightServices,
             },
             serving::{metrics::GatewayMetrics, reload::Reload, settings::GatewaySettings},
             stages::{queues::StageQueues, workload::Workload},
@@ -241,6 +241,8 @@
     pub metrics: GatewayMetrics,
     /// Time at which this daemon ends, once a signal has requested a stop.
     pub(crate) stop_end: Cell<Option<Time>>,
+    /// Use of the processor.
+    pub(crate) processor: RefCell<ProcessorLoad>,
     /// Memory for the bodies of requests and replies.
     pub(crate) bodies: BodyMemory,
     /// Number of accepted requests without a final answer.
@@ -327,6 +329,7 @@
             links: Links::default(),
             metrics: GatewayMetrics::default(),
             stop_end: Cell::default(),
+            processor: RefCell::default(),
             bodies,
             in_flight: Cell::new(0),
             callers: Cell::new(0),
--- a/lib/src/shared/clock.rs
+++ b/lib/src/shared/clock.rs
@@ -47,10 +47,19 @@
     }
 }
 
+/// Returns the processor time that this process has used.
+pub fn processor_time() -> Duration {
+    read_clock(ClockId::ProcessCPUTime)
+}
+
 /// Returns the time since the host was started, suspended time included.
 fn time_since_boot() -> Duration {
-    let time = clock_gettime(ClockId::Boottime);
-    // CLOCK_BOOTTIME is never negative.
+    read_clock(ClockId::Boottime)
+}
+
+fn read_clock(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
+    // Neither clock is ever negative.
     Duration::new(
         time.tv_sec.unsigned_abs(),
         time.tv_nsec.unsigned_abs() as u32,
--- a/lib/src/shared/units/capacity.rs
+++ b/lib/src/shared/units/capacity.rs
@@ -23,6 +23,11 @@
     pub fn from_cores(cores: f64) -> Self {
         Self((cores * MILLICORES_PER_CORE).round() as u32)
     }
+
+    /// Returns the number of cores.
+    pub fn cores(self) -> f64 {
+        f64::from(self.0) / MILLICORES_PER_CORE
+    }
 }
 
 /// Reads a number of cores, such as `0.25`.
@@ -40,6 +45,6 @@
 /// Writes the number of cores.
 impl fmt::Display for Capacity {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", f64::from(self.0) / MILLICORES_PER_CORE)
+        write!(f, "{}", self.cores())
     }
 }
