--- a/daemon/tests/hosts/endpoints.rs
+++ b/daemon/tests/hosts/endpoints.rs
@@ -7,13 +7,16 @@
         replica::{Act, Replica},
         store::StandInStore,
     },
-    rand::{RngExt, rngs::SmallRng},
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{cell::RefCell, time::Duration},
 };
 
 /// Number of events in a whole stream.
 pub const EVENTS: u64 = 30;
 
+/// Number of events in a whole stream of a steady endpoint.
+const STEADY_EVENTS: u64 = 10;
+
 /// Services, each with its number of endpoints.
 pub type Services = [(&'static str, usize); 4];
 
@@ -49,6 +52,24 @@
         endpoints
     }
 
+    /// Starts the endpoints of all services, all of which answer alike.
+    pub async fn start_steady(store: &StandInStore, services: Services) -> Self {
+        let endpoints = Self::start(store, services, SmallRng::seed_from_u64(0)).await;
+        for member in endpoints.members.borrow().iter() {
+            let act = if member.service.starts_with("llm") {
+                Act::Events {
+                    to: STEADY_EVENTS,
+                    pause: Duration::from_millis(100),
+                    whole: true,
+                }
+            } else {
+                Act::Wait(Duration::from_millis(60), "served".into())
+            };
+            member.replica.set_default_act(act);
+        }
+        endpoints
+    }
+
     async fn add(&self, store: &StandInStore, service: &'static str, rng: &mut SmallRng) {
         let number = self.members.borrow().len();
         let id = format!("i-{service}-{number}");
--- a/daemon/tests/hosts/settings.rs
+++ b/daemon/tests/hosts/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of runs, from variables of the environment.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use {
     std::{env, ops::Range, str::FromStr},
     tokio::task::LocalSet,
