connection_shedding: new connections beyond what the processor bears are closed unread

Cause: nothing bounded what a daemon takes by what its processor bears. Taking a request is cheap, serving it isn't, and processor.exhausted came 0.5 s after a herd began. Class: a bound that no rule keeps.

Now a daemon whose processor is used up keeps as many requests in flight as make its event loop 150 ms late and resets new connections beyond them, before anything is read. It stays ready, serves one in 250 ms in any case, and closes kept connections after their answers meanwhile.

Why it works: a caller whose connection is reset loses a round trip and goes to another daemon, and the herd isn't handed on as by an unready daemon.

--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -113,6 +113,9 @@
     /// Processor capacity that the sender may use.
     #[serde(rename = "m")]
     pub capacity: Capacity,
+    /// Set if the sender's processor is used up.
+    #[serde(rename = "P", default, skip_serializing_if = "is_unset")]
+    pub exhausted: bool,
     /// Set if the sender has just started; the receiver then sends it a roster.
     #[serde(rename = "j")]
     pub joining: bool,
@@ -147,6 +150,11 @@
     pub backlogs: Vec<BacklogNote>,
 }
 
+/// Returns whether a flag is left out of a message.
+fn is_unset(flag: &bool) -> bool {
+    !flag
+}
+
 impl Heartbeat {
     /// Returns the directory revision of the last change in the sender's endpoint list.
     pub fn list_revision(&self) -> Revision {
--- a/lib/src/gateway/peers/outgoing.rs
+++ b/lib/src/gateway/peers/outgoing.rs
@@ -75,6 +75,7 @@
             evacuated: report.evacuations.len(),
             regions: self.me.region.is_some(),
             eras: !eras.are_unnamed(),
+            exhausted: report.exhausted,
         };
         let heartbeat = Heartbeat {
             protocol: PROTOCOL,
@@ -95,6 +96,7 @@
             read_by: report.read_by,
             broadcasts: coordinates,
             capacity: self.me.capacity,
+            exhausted: report.exhausted,
             joining: self.is_joining(now),
             peers,
             asked,
--- a/lib/src/gateway/peers/queries.rs
+++ b/lib/src/gateway/peers/queries.rs
@@ -13,6 +13,7 @@
             rules::{
                 allowed_regions::RegionHash,
                 catch_up::{self, ListOffer, TableOffer},
+                connection_shedding::{FleetLoad, MAX_REPORT_AGE},
                 coordinator::{self, Coordinator, DaemonCandidate},
                 fetch_turn::{self, Holders, Sources},
                 unconfirmed_entry,
@@ -105,6 +106,23 @@
         living.filter_map(|peer| Some(&peer.last_heartbeat.as_ref()?.heartbeat))
     }
 
+    /// Returns how many daemons of this region have processor time to spare, as far as their heartbeats arrive here: those
+    /// of this data centre if there are any.
+    pub(crate) fn fleet_load(&self, now: Time) -> FleetLoad {
+        let living = self.known.values().filter(|peer| peer.alive);
+        let in_region = living.filter(|peer| !peer.is_remote);
+        let received = in_region.filter_map(|peer| peer.last_heartbeat.as_ref());
+        let recent = received.filter(|last| now.since(last.at) < MAX_REPORT_AGE.to_duration());
+        let (mut near, mut all) = (FleetLoad::default(), FleetLoad::default());
+        for ReceivedHeartbeat { heartbeat, .. } in recent {
+            all.add(heartbeat.exhausted);
+            if heartbeat.data_centre == self.me.data_centre {
+                near.add(heartbeat.exhausted);
+            }
+        }
+        if near.heard > 0 { near } else { all }
+    }
+
     /// Returns whether any daemon has read the directory without failures for some time, which means that
     /// a failure seen here affects this daemon only.
     pub fn has_steady_peer(&self, now: Time) -> bool {
--- a/lib/src/gateway/peers/self_report.rs
+++ b/lib/src/gateway/peers/self_report.rs
@@ -43,6 +43,8 @@
     pub read_ms: Option<u32>,
     /// The daemon whose read `read_ms` reports; `None` if it is this daemon's own.
     pub read_by: Option<SocketAddr>,
+    /// Set if the daemon's processor is used up.
+    pub exhausted: bool,
     /// The evacuated data centres as the daemon knows them.
     pub evacuations: Evacuations,
     /// Loads of the daemon's requests in flight, by endpoint.
@@ -150,6 +152,7 @@
             steady: state.contact.reads.is_steady(now),
             read_ms: read.map(|read| to_wire(read.age)),
             read_by: read.and_then(|read| read.substitute),
+            exhausted: self.processor.borrow().is_exhausted(),
             evacuations: state.evacuations.clone(),
             loads: state.load_notes(),
             queues,
--- a/lib/src/gateway/rules/gossip.rs
+++ b/lib/src/gateway/rules/gossip.rs
@@ -62,6 +62,9 @@
 /// Number of loads that a heartbeat omits if it names eras of the directory.
 const LOADS_FOR_ERAS: usize = 2;
 
+/// Number of loads that a heartbeat omits if it says that its sender's processor is used up.
+const LOADS_FOR_EXHAUSTED: usize = 1;
+
 /// Number of heartbeats of a coordinator for each of its reports to its own region about services in other regions.
 /// Daemons may decide by reports that are up to a second old.
 const REMOTE_EVERY: u64 = 5;
@@ -256,6 +259,8 @@
     pub regions: bool,
     /// Set if it names eras of the directory.
     pub eras: bool,
+    /// Set if it says that its sender's processor is used up.
+    pub exhausted: bool,
 }
 
 /// Returns the loads that a heartbeat carries: those with the most prompt tokens, and of equal ones those with the most
@@ -263,7 +268,12 @@
 pub fn largest_loads(mut loads: Vec<LoadNote>, extras: HeartbeatExtras) -> Vec<LoadNote> {
     let regions = if extras.regions { LOADS_FOR_REGIONS } else { 0 };
     let eras = if extras.eras { LOADS_FOR_ERAS } else { 0 };
-    let others = extras.evacuated * LOADS_PER_EVACUATED + regions + eras;
+    let exhausted = if extras.exhausted {
+        LOADS_FOR_EXHAUSTED
+    } else {
+        0
+    };
+    let others = extras.evacuated * LOADS_PER_EVACUATED + regions + eras + exhausted;
     loads.sort_unstable_by_key(|load| Reverse((load.prefill, load.running)));
     loads.truncate(MAX_LOADS.saturating_sub(others));
     loads
--- a/lib/src/gateway/rules/mod.rs
+++ b/lib/src/gateway/rules/mod.rs
@@ -19,6 +19,7 @@
 pub mod catch_up;
 pub mod cold_share;
 pub mod connection_loan;
+pub mod connection_shedding;
 pub mod connections;
 pub mod coordinator;
 pub mod customer_share;
--- a/lib/src/gateway/rules/processor_load.rs
+++ b/lib/src/gateway/rules/processor_load.rs
@@ -5,10 +5,11 @@
 //! requests in flight.
 //!
 //! Rule: the processor is used up from the moment at which its use over `USE_WINDOW` reaches `FULL_USE` of the capacity
-//! until it has been below `FREE_USE`, and no connection has been closed for it, for as long.
+//! while the event loop was late by `STANDSTILL`, until for as long its use has been below `FREE_USE` or the event loop
+//! on time, and no connection has been closed for it.
 //!
-//! Reason: a process that has used its share of a period stands still until the next one, so that use beyond
-//! `FULL_USE` shows as delay of everything that the daemon does.
+//! Reason: a process that has used its share of a period stands still until the next one, and everything that the daemon does
+//! is late. A daemon whose use is high but which is never late has no need to turn callers away.
 //!
 //! Tests: `lib/tests/test_processor_load.rs`.
 
@@ -26,6 +27,9 @@
 /// Share of the capacity below which it doesn't any more.
 const FREE_USE: Share = Share(0.7);
 
+/// Delay of the event loop from which on the process probably stood still for lack of processor time. Half of a period.
+const STANDSTILL: Millis = Millis(50);
+
 /// One check of the clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessorSample {
@@ -68,7 +72,7 @@
     usage: f64,
     /// Time since which the processor has been used up.
     exhausted: Option<Time>,
-    /// Time at which use was last at `FREE_USE` or more, or a connection was closed.
+    /// Time at which use was last at `FREE_USE` or more with a late event loop, or a connection was closed.
     busy: Time,
 }
 
@@ -90,11 +94,12 @@
         }
         self.usage = self.measured_usage(capacity)?;
         let now = sample.at;
-        if self.usage >= FREE_USE.0 {
+        let is_late = self.longest_delay() >= STANDSTILL.to_duration();
+        if is_late && self.usage >= FREE_USE.0 {
             self.busy = now;
         }
         match self.exhausted {
-            None if self.usage >= FULL_USE.0 => {
+            None if is_late && self.usage >= FULL_USE.0 => {
                 self.exhausted = Some(now);
                 Some(ProcessorChange::Exhausted)
             }
@@ -119,14 +124,18 @@
 
     /// Returns what the daemon did in the window.
     pub fn recent(&self) -> RecentLoad {
-        let delays = self.samples.iter().skip(1).map(|sample| sample.delay);
         RecentLoad {
             usage: self.usage,
-            delay: delays.max().unwrap_or_default(),
+            delay: self.longest_delay(),
             in_flight: self.mean_in_flight(),
         }
     }
 
+    fn longest_delay(&self) -> Duration {
+        let delays = self.samples.iter().skip(1).map(|sample| sample.delay);
+        delays.max().unwrap_or_default()
+    }
+
     fn mean_in_flight(&self) -> f64 {
         let (mut requests, mut time) = (0.0, 0.0);
         for (before, after) in self.samples.iter().zip(self.samples.iter().skip(1)) {
--- a/lib/src/gateway/serving/ingress.rs
+++ b/lib/src/gateway/serving/ingress.rs
@@ -3,6 +3,9 @@
 //! Each connection takes its limits from the table that is in force when it is accepted. If a connection can't be
 //! accepted, for example because the process is out of file descriptors, all open connections close as soon as they
 //! have no request, so that idle connections don't keep other callers out.
+//!
+//! New connections beyond what the processor bears are closed unread; the rule is
+//! [`connection_shedding`](crate::gateway::rules::connection_shedding).
 
 use {
     crate::gateway::{
@@ -15,7 +18,7 @@
     http::{HeaderValue, Request, Response, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, rc::Rc, time::Duration},
+    std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{Notify, watch},
@@ -70,9 +73,14 @@
 ) {
     let connections = listener_state.clone();
     let accept_failed = Rc::new(Notify::new());
-    let accept = |stream, _| {
+    let accept = |stream: TcpStream, _| {
+        if !gateway.serves_connection() {
+            reset(&stream);
+            return;
+        }
         let closing = wait_closing(connections.clone(), accept_failed.clone());
-        tokio::task::spawn_local(serve_connection(gateway.clone(), stream, closing));
+        let fresh = FreshCount::new(gateway.clone());
+        tokio::task::spawn_local(serve_connection(gateway.clone(), stream, fresh, closing));
     };
     let close_idle = || accept_failed.notify_waiters();
     let accepting = accept_each_with(&listener, "ingress.accept_failed", accept, close_idle);
@@ -82,6 +90,13 @@
     }
 }
 
+/// Lets a connection end with a reset when it is dropped, also if nothing has arrived on it yet: a caller that sees it end
+/// otherwise can't know that its request wasn't read.
+fn reset(stream: &TcpStream) {
+    // Without the option the connection ends in the usual way.
+    let _ = stream.set_zero_linger();
+}
+
 /// Waits until idle connections have to close: the listener is closing, or a connection couldn't be accepted.
 async fn wait_closing(
     mut listener_state: watch::Receiver<ListenerState>,
@@ -111,9 +126,27 @@
     }
 }
 
+/// Counts a connection that has had no request yet.
+struct FreshCount<D>(Rc<Gateway<D>>);
+
+impl<D> FreshCount<D> {
+    fn new(gateway: Rc<Gateway<D>>) -> Self {
+        gateway.fresh.set(gateway.fresh.get() + 1);
+        Self(gateway)
+    }
+}
+
+impl<D> Drop for FreshCount<D> {
+    fn drop(&mut self) {
+        let fresh = &self.0.fresh;
+        fresh.set(fresh.get().saturating_sub(1));
+    }
+}
+
 async fn serve_connection<D: Dialect>(
     gateway: Rc<Gateway<D>>,
     stream: TcpStream,
+    fresh: FreshCount<D>,
     closing: impl Future<Output = ()>,
 ) {
     let _count = ConnectionCount::new(gateway.clone());
@@ -123,7 +156,11 @@
         .published()
         .and_then(|published| published.table.limits().copied());
     let limits = ConnectionLimits::new(limits);
-    let service = service_fn(|request| answer(gateway.clone(), request));
+    let fresh = Cell::new(Some(fresh));
+    let service = service_fn(|request| {
+        fresh.take();
+        answer(gateway.clone(), request)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_time)
@@ -145,8 +182,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<ReplyBody>, Infallible> {
     let stopping = gateway.is_stopping();
-    let mut response = forward::handle(gateway, request).await;
-    if stopping {
+    let mut response = forward::handle(gateway.clone(), request).await;
+    let sheds_load = gateway.sheds_load();
+    if stopping || sheds_load {
         response
             .headers_mut()
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/lib/src/gateway/serving/processor.rs
+++ b/lib/src/gateway/serving/processor.rs
@@ -21,17 +21,44 @@
             at: now,
             used: processor_time(),
             delay: now.since(last + CLOCK_CHECK),
-            in_flight: self.in_flight.get() + self.relays.get(),
+            in_flight: self.load_in_flight(),
         };
         let mut load = self.processor.borrow_mut();
         let change = load.record(sample, self.settings().capacity);
         let recent = load.recent();
+        let is_exhausted = load.is_exhausted();
         drop(load);
+        let fleet = self.state.borrow().peers.fleet_load(now);
+        let exhausted = is_exhausted.then_some(recent);
+        self.bound.borrow_mut().update(exhausted, fleet);
         self.metrics.processor.set(&recent);
         if let Some(change) = change {
             log_change(change, &recent);
         }
     }
+
+    /// Returns the number of requests in flight, with the connections that are relayed and those that wait for their first
+    /// request.
+    fn load_in_flight(&self) -> usize {
+        self.in_flight.get() + self.relays.get() + self.fresh.get()
+    }
+
+    /// Returns whether a new connection of a caller is served. Counts it if it isn't.
+    pub(crate) fn serves_connection(&self) -> bool {
+        let now = self.now();
+        let in_flight = self.load_in_flight();
+        let serves = self.bound.borrow_mut().serves_connection(now, in_flight);
+        if !serves {
+            self.processor.borrow_mut().record_closed(now);
+            self.metrics.processor.count_closed();
+        }
+        serves
+    }
+
+    /// Returns whether callers should send their next requests on other connections.
+    pub(crate) fn sheds_load(&self) -> bool {
+        self.bound.borrow().is_reached(self.load_in_flight())
+    }
 }
 
 fn log_change(change: ProcessorChange, recent: &RecentLoad) {
--- a/lib/src/gateway/serving/processor_metrics.rs
+++ b/lib/src/gateway/serving/processor_metrics.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::gateway::rules::processor_load::RecentLoad,
-    prometheus_client::{metrics::gauge::Gauge, registry::Registry},
+    prometheus_client::{
+        metrics::{counter::Counter, gauge::Gauge},
+        registry::Registry,
+    },
     std::sync::atomic::AtomicU64,
 };
 
@@ -14,6 +17,7 @@
 pub(crate) struct ProcessorMetrics {
     usage: FloatGauge,
     delay: FloatGauge,
+    closed: Counter,
 }
 
 impl ProcessorMetrics {
@@ -29,6 +33,16 @@
             "Longest delay of the event loop in the last half second",
             self.delay.clone(),
         );
+        registry.register(
+            "connections_shed",
+            "New connections of callers that were closed unread since the processor was used up",
+            self.closed.clone(),
+        );
+    }
+
+    /// Counts a new connection that was closed.
+    pub(crate) fn count_closed(&self) {
+        self.closed.inc();
     }
 
     /// Sets what was measured last.
--- a/lib/src/gateway/state.rs
+++ b/lib/src/gateway/state.rs
@@ -29,9 +29,10 @@
             revision::{Era, Revision},
             routing::endpoint_states::EndpointStates,
             rules::{
-                body_memory::BodyBounds, catch_up::BehindSince, coordinator,
-                endpoint_reach::EndpointReach, processor_load::ProcessorLoad,
-                reply_time::ReplyTime, retry_budget::WindowBudget, tight_objective::TightServices,
+                body_memory::BodyBounds, catch_up::BehindSince,
+                connection_shedding::ConnectionBound, coordinator, endpoint_reach::EndpointReach,
+                processor_load::ProcessorLoad, reply_time::ReplyTime, retry_budget::WindowBudget,
+                tight_objective::TightServices,
             },
             serving::{metrics::GatewayMetrics, reload::Reload, settings::GatewaySettings},
             stages::{queues::StageQueues, workload::Workload},
@@ -243,6 +244,10 @@
     pub(crate) stop_end: Cell<Option<Time>>,
     /// Use of the processor.
     pub(crate) processor: RefCell<ProcessorLoad>,
+    /// Bound on new connections of callers.
+    pub(crate) bound: RefCell<ConnectionBound>,
+    /// Number of callers' connections that have had no request yet.
+    pub(crate) fresh: Cell<usize>,
     /// Memory for the bodies of requests and replies.
     pub(crate) bodies: BodyMemory,
     /// Number of accepted requests without a final answer.
@@ -330,6 +335,8 @@
             metrics: GatewayMetrics::default(),
             stop_end: Cell::default(),
             processor: RefCell::default(),
+            bound: RefCell::default(),
+            fresh: Cell::new(0),
             bodies,
             in_flight: Cell::new(0),
             callers: Cell::new(0),
--- a/lib/tests/fleet/mod.rs
+++ b/lib/tests/fleet/mod.rs
@@ -51,6 +51,7 @@
         fingerprint: 0,
         table_until: 0.into(),
         evacuations: Evacuations::default(),
+        exhausted: false,
         catalogue: 0.into(),
         steady: true,
         read_ms,
--- a/lib/tests/test_coordinator_rule.rs
+++ b/lib/tests/test_coordinator_rule.rs
@@ -71,6 +71,7 @@
         read_by: None,
         broadcasts: false,
         capacity,
+        exhausted: false,
         joining: false,
         asked: Vec::new(),
         peers: Vec::new(),
--- a/lib/tests/test_decision_pins.rs
+++ b/lib/tests/test_decision_pins.rs
@@ -258,6 +258,7 @@
         fingerprint: 0,
         table_until: 0.into(),
         evacuations: Evacuations::default(),
+        exhausted: false,
         catalogue: 0.into(),
         steady: true,
         read_ms: None,
--- a/lib/tests/test_gossip_rule.rs
+++ b/lib/tests/test_gossip_rule.rs
@@ -49,6 +49,7 @@
         fingerprint: 0,
         table_until: 0.into(),
         evacuations: Evacuations::default(),
+        exhausted: false,
         catalogue: 0.into(),
         steady: false,
         read_ms: None,
--- a/lib/tests/test_liveness_rule.rs
+++ b/lib/tests/test_liveness_rule.rs
@@ -57,6 +57,7 @@
         read_by: None,
         broadcasts,
         capacity: Capacity(250),
+        exhausted: false,
         joining: false,
         asked: Vec::new(),
         peers: Vec::new(),
--- a/lib/tests/test_message_bytes.rs
+++ b/lib/tests/test_message_bytes.rs
@@ -146,6 +146,7 @@
         read_by: None,
         broadcasts: false,
         capacity: Capacity(1_500),
+        exhausted: false,
         joining: true,
         asked: Vec::new(),
         peers: peer_notes(),
@@ -575,6 +576,14 @@
         "heartbeat with evacuations",
         &Datagram::Heartbeat(Box::new(evacuated)),
     );
+    let exhausted = Heartbeat {
+        exhausted: true,
+        ..bare_heartbeat()
+    };
+    lines.add(
+        "heartbeat of a daemon without processor time",
+        &Datagram::Heartbeat(Box::new(exhausted)),
+    );
     let restarted = EndpointEntry {
         cold: Millis(2_900),
         started: Some(StartTime(1_700_000_000_000)),
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -83,6 +83,7 @@
         fingerprint: 0,
         table_until: 0.into(),
         evacuations: Evacuations::default(),
+        exhausted: false,
         catalogue: 0.into(),
         steady: true,
         read_ms: None,
@@ -267,6 +268,7 @@
     let revision = Revision::new(Era(1_000), 5_000_000_000);
     SelfReport {
         table_until: revision,
+        exhausted: true,
         catalogue: revision,
         loads: (0..600).map(|n| load(n * 7_019_777, 60, 90_000)).collect(),
         queues: (0..6)
