directory: a revision beyond that of the directory no longer hides what follows

Callers got 503 once the endpoints of the start were gone: an item with the revision, whatever its value, in a list, as a change, or passed on by another daemon to one that started anew, kept all daemons from endpoints that came later, for good.

Cause: the change log keeps the largest revision that it has seen, and everything up to it counts as known. Class: a number from outside that moves a watermark. Also found there by reading: eras (of the store's header, of heartbeats, lists and changes) and the revision of a reply.

Revisions and eras that other processes report beyond what any directory reaches (2^63 changes, 2^32 restores) count as unknown, also from daemons of the release before.

--- a/lib/src/gateway/directory/endpoint_entry.rs
+++ b/lib/src/gateway/directory/endpoint_entry.rs
@@ -195,7 +195,7 @@
     fn from(message: ListMessage) -> Self {
         let ListMessage { revision, era, .. } = message;
         Self {
-            revision: Revision::new(era, revision),
+            revision: Revision::reported(era, revision),
             entries: from_message(era, message.entries),
             unconfirmed: message.unconfirmed,
             held: from_message(era, message.held),
@@ -215,7 +215,7 @@
 /// Converts entries from a message of an era: their numbers become revisions of that era.
 fn from_message(era: Era, entries: Vec<EndpointEntry>) -> Vec<EndpointEntry> {
     let entries = entries.into_iter().map(|entry| EndpointEntry {
-        revision: Revision::new(era, entry.revision.number),
+        revision: Revision::reported(era, entry.revision.number),
         ..entry
     });
     entries.collect()
@@ -278,11 +278,11 @@
     fn from(message: ChangesMessage) -> Self {
         let ChangesMessage { revision, era, .. } = message;
         let gone = message.gone.into_iter().map(|gone| GoneEndpoint {
-            revision: Revision::new(era, gone.revision.number),
+            revision: Revision::reported(era, gone.revision.number),
             ..gone
         });
         Self {
-            revision: Revision::new(era, revision),
+            revision: Revision::reported(era, revision),
             entries: from_message(era, message.entries),
             gone: gone.collect(),
             has_gap: message.has_gap,
--- a/lib/src/gateway/directory/evacuations.rs
+++ b/lib/src/gateway/directory/evacuations.rs
@@ -83,7 +83,7 @@
     /// numbers only.
     #[must_use]
     pub fn in_era(&self, era: Era) -> Self {
-        let set = |revision: &Revision| Revision::new(era, revision.number);
+        let set = |revision: &Revision| Revision::reported(era, revision.number);
         let orders = self.ordered.iter();
         Self {
             until: set(&self.until),
--- a/lib/src/gateway/directory/outage.rs
+++ b/lib/src/gateway/directory/outage.rs
@@ -48,7 +48,7 @@
     /// earlier era would otherwise detect it only when their calls end.
     pub(crate) fn record_era(&self, era: Era) {
         let mut state = self.state.borrow_mut();
-        if era <= state.era {
+        if era <= state.era || !era.is_plausible() {
             return;
         }
         state.era = era;
--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -158,13 +158,13 @@
 impl Heartbeat {
     /// Returns the directory revision of the last change in the sender's endpoint list.
     pub fn list_revision(&self) -> Revision {
-        Revision::new(self.eras.list, self.catalogue)
+        Revision::reported(self.eras.list, self.catalogue)
     }
 
     /// Returns the directory revision up to which the sender knows of no newer table.
     pub fn table_revision(&self) -> Option<Revision> {
         let number = self.table_until?;
-        Some(Revision::new(self.eras.table, number))
+        Some(Revision::reported(self.eras.table, number))
     }
 
     /// Returns the evacuated data centres as the sender knows them.
--- a/lib/src/gateway/peers/table_fetch.rs
+++ b/lib/src/gateway/peers/table_fetch.rs
@@ -227,7 +227,7 @@
             return Ok(());
         }
         let list = partial.list();
-        let revision = Revision::new(list.era, list.revision);
+        let revision = Revision::reported(list.era, list.revision);
         let joined = partial.join();
         if joined.is_err() {
             // A chunk doesn't match its hash, or the list is wrong: everything is fetched again.
--- a/lib/src/gateway/revision.rs
+++ b/lib/src/gateway/revision.rs
@@ -17,7 +17,20 @@
 #[serde(transparent)]
 pub struct Era(pub u64);
 
+/// Largest era that counts as true. The directory would have to be restored four billion times to get there.
+const MAX_ERA: Era = Era(u32::MAX as u64);
+
+/// Largest number of a change that counts as true. A directory that makes a billion changes a second takes centuries to get
+/// there.
+const MAX_NUMBER: u64 = i64::MAX as u64;
+
 impl Era {
+    /// Returns whether a directory may be in this era. Everything that is older than the latest era is ignored, so that a
+    /// wrong one would make all that follows look old.
+    pub fn is_plausible(self) -> bool {
+        self <= MAX_ERA
+    }
+
     /// Returns whether the directory doesn't name its era. Messages omit such an era.
     pub fn is_unnamed(&self) -> bool {
         *self == Self::default()
@@ -59,6 +72,16 @@
         Self { era, number }
     }
 
+    /// Creates a revision that another process reports. One that no directory reaches counts as that before the first change,
+    /// since everything older than the latest revision is ignored.
+    pub fn reported(era: Era, number: u64) -> Self {
+        if era.is_plausible() && number <= MAX_NUMBER {
+            Self::new(era, number)
+        } else {
+            Self::default()
+        }
+    }
+
     /// Returns the number that represents this revision in a message of an era. A revision of an earlier era becomes 0,
     /// which is before all changes of the message's era.
     pub fn number_in(self, era: Era) -> u64 {
@@ -68,7 +91,7 @@
     /// Returns whether this revision is of the same era as another one and at most one number after it, so that no
     /// change is between them.
     pub fn follows(self, other: Self) -> bool {
-        self.era == other.era && self.number <= other.number + 1
+        self.era == other.era && self.number <= other.number.saturating_add(1)
     }
 }
 
