--- a/daemon/tests/test_odd_entries.rs
+++ b/daemon/tests/test_odd_entries.rs
@@ -195,6 +195,23 @@
     });
 }
 
+/// An endpoint stayed unknown for good after another writer had written an entry under its id that started later than it.
+#[test]
+fn late_starts() {
+    run(async {
+        let mut missing = Vec::new();
+        for (number, born) in LARGE.into_iter().skip(1).enumerate() {
+            let put = |store: &StandInStore| {
+                let (key, mut value) = entry("i-later");
+                value["born"] = json!(born);
+                store.put(&key, &value);
+            };
+            missing.extend(play_all(&format!("odd-start-{number}"), put).await);
+        }
+        assert!(missing.is_empty(), "{}", missing.join("\n"));
+    });
+}
+
 /// Numbers, kinds and depths drawn for each field of an entry.
 #[test]
 fn drawn_entries() {
