--- a/daemon/tests/test_odd_entries.rs
+++ b/daemon/tests/test_odd_entries.rs
@@ -212,6 +212,16 @@
     });
 }
 
+/// Tables that came later weren't adopted.
+#[test]
+fn large_versions() {
+    run(async {
+        let put = |store: &StandInStore| store.publish(&plain_table(u64::MAX, "/x/"));
+        let missing = play("odd-version", Moment::Change, put).await;
+        assert!(missing.is_empty(), "{}", missing.join("\n"));
+    });
+}
+
 /// Numbers, kinds and depths drawn for each field of an entry.
 #[test]
 fn drawn_entries() {
