attempt: the limit of an attempt is longer by what this daemon's event loop is behind

What callers saw: nothing at once.

Cause: an attempt at a whole answer is given up after 120 ms or 8 times what is expected. The answer was there in time, in a socket of this daemon, which needs some turns of its event loop to send the request and to read head, body and end of the answer. Each turn took up to 150 ms. Class: own delay charged to others.

Change: at its limit, an attempt waits for four times the longest delay of the event loop in the last half second before another endpoint is sought. A daemon that is in time has no such delay.

Why it works: the limit now counts the time in which an answer could have been read. An endpoint that hangs is still replaced: the addition is bounded by the measured delay.

--- a/lib/src/gateway/routing/attempt.rs
+++ b/lib/src/gateway/routing/attempt.rs
@@ -196,11 +196,15 @@
 }
 
 impl<D: Dialect, F: Future<Output = ExchangeResult>> SentAttempt<D, F> {
-    /// Waits for the end of the exchange, at most for the attempt's time limit.
-    pub(crate) async fn until_limit(&mut self) -> Option<ExchangeResult> {
-        match self.limit {
-            Some(limit) => self.within(limit).await,
-            None => Some(self.until_end().await),
+    /// Waits for the end of the exchange, at most for the attempt's time limit. What this daemon's event loop is behind
+    /// at the limit doesn't count.
+    pub(crate) async fn until_limit(&mut self, gateway: &Gateway<D>) -> Option<ExchangeResult> {
+        let Some(limit) = self.limit else {
+            return Some(self.until_end().await);
+        };
+        match self.within(limit).await {
+            Some(result) => Some(result),
+            None => self.within(gateway.own_delay()).await,
         }
     }
 
--- a/lib/src/gateway/routing/request_attempts.rs
+++ b/lib/src/gateway/routing/request_attempts.rs
@@ -43,7 +43,7 @@
         };
         let mut sent = opened.send(self.gateway, self.call, &mut self.progress);
         let result = loop {
-            if let Some(result) = sent.until_limit().await {
+            if let Some(result) = sent.until_limit(self.gateway).await {
                 break result;
             }
             let began = sent.began();
--- a/lib/src/gateway/rules/processor_load.rs
+++ b/lib/src/gateway/rules/processor_load.rs
@@ -8,6 +8,9 @@
 //! while the event loop was late by `STANDSTILL`, until for as long its use has been below `FREE_USE` or the event loop
 //! on time, and no connection has been closed for it.
 //!
+//! An answer of another process may seem late by up to `LOOP_TURNS` times the longest delay in the window. Limits on the
+//! time of others are longer by that.
+//!
 //! Reason: a process that has used its share of a period stands still until the next one, and everything that the daemon does
 //! is late. A daemon whose use is high but which is never late has no need to turn callers away.
 //!
@@ -30,6 +33,10 @@
 /// Delay of the event loop from which on the process probably stood still for lack of processor time. Half of a period.
 const STANDSTILL: Millis = Millis(50);
 
+/// Turns of the event loop that a request and its answer take: to send the request, and to read the head, the body and
+/// the end of the answer.
+const LOOP_TURNS: u32 = 4;
+
 /// One check of the clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessorSample {
@@ -131,6 +138,11 @@
         }
     }
 
+    /// Returns by how much an answer of another process may seem late because the event loop is behind.
+    pub fn own_delay(&self) -> Duration {
+        self.longest_delay() * LOOP_TURNS
+    }
+
     fn longest_delay(&self) -> Duration {
         let delays = self.samples.iter().skip(1).map(|sample| sample.delay);
         delays.max().unwrap_or_default()
--- a/lib/src/gateway/serving/processor.rs
+++ b/lib/src/gateway/serving/processor.rs
@@ -2,16 +2,19 @@
 //!
 //! The rule is [`processor_load`](crate::gateway::rules::processor_load).
 
-use crate::{
-    gateway::{
-        dialect::Dialect,
-        rules::{
-            processor_load::{ProcessorChange, ProcessorSample, RecentLoad},
-            stall::CLOCK_CHECK,
+use {
+    crate::{
+        gateway::{
+            dialect::Dialect,
+            rules::{
+                processor_load::{ProcessorChange, ProcessorSample, RecentLoad},
+                stall::CLOCK_CHECK,
+            },
+            state::Gateway,
         },
-        state::Gateway,
+        shared::{clock::processor_time, units::Time},
     },
-    shared::{clock::processor_time, units::Time},
+    std::time::Duration,
 };
 
 impl<D: Dialect> Gateway<D> {
@@ -43,6 +46,11 @@
         self.in_flight.get() + self.relays.get() + self.fresh.get()
     }
 
+    /// Returns by how much an answer of another process may seem late because this daemon's event loop is behind.
+    pub(crate) fn own_delay(&self) -> Duration {
+        self.processor.borrow().own_delay()
+    }
+
     /// Returns whether a new connection of a caller is served. Counts it if it isn't.
     pub(crate) fn serves_connection(&self) -> bool {
         let now = self.now();
--- a/lib/tests/test_processor_load.rs
+++ b/lib/tests/test_processor_load.rs
@@ -73,6 +73,18 @@
     ));
 }
 
+/// Answers of others seem late by a few turns of a late event loop, and in time otherwise.
+#[test]
+fn own_delay() {
+    let mut host = Host::default();
+    host.run_late(30, 1.0, Duration::ZERO);
+    assert_eq!(host.load.own_delay(), Duration::ZERO);
+    host.run_late(1, 0.1, LATE);
+    assert_eq!(host.load.own_delay(), 4 * LATE);
+    host.run_late(30, 0.1, Duration::ZERO);
+    assert_eq!(host.load.own_delay(), Duration::ZERO);
+}
+
 #[test]
 fn recovers_later() {
     let mut host = Host::default();
