connection_shedding: one guard for counted connections, one is_unset, reports of others only where they are needed

No change of behaviour, as far as callers see. The tests of the bound pass their inputs together, with the same values and assertions.

--- a/lib/src/gateway/directory/endpoint_entry.rs
+++ b/lib/src/gateway/directory/endpoint_entry.rs
@@ -252,7 +252,8 @@
     held: Vec<EndpointEntry>,
 }
 
-fn is_unset(flag: &bool) -> bool {
+/// Returns whether a flag is left out of a message.
+pub(crate) fn is_unset(flag: &bool) -> bool {
     !flag
 }
 
--- a/lib/src/gateway/peers/message.rs
+++ b/lib/src/gateway/peers/message.rs
@@ -14,7 +14,7 @@
         gateway::{
             calibration::note::CalibrationNote,
             directory::{
-                endpoint_entry::{EndpointChanges, EndpointList},
+                endpoint_entry::{EndpointChanges, EndpointList, is_unset},
                 evacuations::Evacuations,
             },
             engines::note::EngineNote,
@@ -150,11 +150,6 @@
     pub backlogs: Vec<BacklogNote>,
 }
 
-/// Returns whether a flag is left out of a message.
-fn is_unset(flag: &bool) -> bool {
-    !flag
-}
-
 impl Heartbeat {
     /// Returns the directory revision of the last change in the sender's endpoint list.
     pub fn list_revision(&self) -> Revision {
--- a/lib/src/gateway/rules/connection_shedding.rs
+++ b/lib/src/gateway/rules/connection_shedding.rs
@@ -86,10 +86,11 @@
 }
 
 impl ConnectionBound {
-    /// Updates the bound. `recent` is absent while the processor isn't used up.
-    pub fn update(&mut self, recent: Option<RecentLoad>, fleet: FleetLoad) {
-        let limit = |recent| Some(request_limit(recent) / fleet.room()?);
-        self.limit = recent.and_then(limit);
+    /// Updates the bound with what this daemon did lately and what others report; absent while the processor isn't used
+    /// up.
+    pub fn update(&mut self, exhausted: Option<(RecentLoad, FleetLoad)>) {
+        self.limit =
+            exhausted.and_then(|(recent, fleet)| Some(request_limit(recent) / fleet.room()?));
     }
 
     /// Returns whether a new connection is served, with `in_flight` requests in flight or expected.
--- a/lib/src/gateway/serving/ingress.rs
+++ b/lib/src/gateway/serving/ingress.rs
@@ -79,7 +79,7 @@
             return;
         }
         let closing = wait_closing(connections.clone(), accept_failed.clone());
-        let fresh = FreshCount::new(gateway.clone());
+        let fresh = ConnectionCount::fresh(gateway.clone());
         tokio::task::spawn_local(serve_connection(gateway.clone(), stream, fresh, closing));
     };
     let close_idle = || accept_failed.notify_waiters();
@@ -109,47 +109,44 @@
     }
 }
 
-/// Counts a connection of a caller as open, also while it still sends the last answer.
-struct ConnectionCount<D>(Rc<Gateway<D>>);
+/// Counts a connection of a caller in one of the daemon's counters until it is dropped.
+struct ConnectionCount<D> {
+    gateway: Rc<Gateway<D>>,
+    counter: fn(&Gateway<D>) -> &Cell<usize>,
+}
 
 impl<D> ConnectionCount<D> {
-    fn new(gateway: Rc<Gateway<D>>) -> Self {
-        gateway.callers.set(gateway.callers.get() + 1);
-        Self(gateway)
+    fn new(gateway: Rc<Gateway<D>>, counter: fn(&Gateway<D>) -> &Cell<usize>) -> Self {
+        let count = counter(&gateway);
+        count.set(count.get() + 1);
+        Self { gateway, counter }
     }
-}
 
-impl<D> Drop for ConnectionCount<D> {
-    fn drop(&mut self) {
-        let callers = &self.0.callers;
-        callers.set(callers.get().saturating_sub(1));
+    /// Counts an open connection, also while it still sends the last answer.
+    fn open(gateway: Rc<Gateway<D>>) -> Self {
+        Self::new(gateway, |gateway| &gateway.callers)
     }
-}
 
-/// Counts a connection that has had no request yet.
-struct FreshCount<D>(Rc<Gateway<D>>);
-
-impl<D> FreshCount<D> {
-    fn new(gateway: Rc<Gateway<D>>) -> Self {
-        gateway.fresh.set(gateway.fresh.get() + 1);
-        Self(gateway)
+    /// Counts a connection that has had no request yet.
+    fn fresh(gateway: Rc<Gateway<D>>) -> Self {
+        Self::new(gateway, |gateway| &gateway.fresh)
     }
 }
 
-impl<D> Drop for FreshCount<D> {
+impl<D> Drop for ConnectionCount<D> {
     fn drop(&mut self) {
-        let fresh = &self.0.fresh;
-        fresh.set(fresh.get().saturating_sub(1));
+        let count = (self.counter)(&self.gateway);
+        count.set(count.get().saturating_sub(1));
     }
 }
 
 async fn serve_connection<D: Dialect>(
     gateway: Rc<Gateway<D>>,
     stream: TcpStream,
-    fresh: FreshCount<D>,
+    fresh: ConnectionCount<D>,
     closing: impl Future<Output = ()>,
 ) {
-    let _count = ConnectionCount::new(gateway.clone());
+    let _count = ConnectionCount::open(gateway.clone());
     // The option only reduces latency; the stream works without it.
     let _ = stream.set_nodelay(true);
     let limits = gateway
--- a/lib/src/gateway/serving/processor.rs
+++ b/lib/src/gateway/serving/processor.rs
@@ -31,9 +31,8 @@
         let recent = load.recent();
         let is_exhausted = load.is_exhausted();
         drop(load);
-        let fleet = self.state.borrow().peers.fleet_load(now);
-        let exhausted = is_exhausted.then_some(recent);
-        self.bound.borrow_mut().update(exhausted, fleet);
+        let exhausted = is_exhausted.then(|| (recent, self.state.borrow().peers.fleet_load(now)));
+        self.bound.borrow_mut().update(exhausted);
         self.metrics.processor.set(&recent);
         if let Some(change) = change {
             log_change(change, &recent);
--- a/lib/tests/test_connection_shedding.rs
+++ b/lib/tests/test_connection_shedding.rs
@@ -27,7 +27,7 @@
 
 fn bound(recent: RecentLoad, fleet: FleetLoad) -> ConnectionBound {
     let mut bound = ConnectionBound::default();
-    bound.update(Some(recent), fleet);
+    bound.update(Some((recent, fleet)));
     // The connection that is served in any case.
     assert!(bound.serves_connection(Time(1_000_000), usize::MAX));
     bound
@@ -42,7 +42,7 @@
 #[test]
 fn free_processor() {
     let mut bound = ConnectionBound::default();
-    bound.update(None, ALONE);
+    bound.update(None);
     for in_flight in [0, 100, 100_000] {
         assert!(bound.serves_connection(Time(1), in_flight));
         assert!(!bound.is_reached(in_flight));
