processor_load: an attempt waits for a second of own delay at most

Found in reading: after a pause of the whole process (SIGSTOP, a suspended host) the delay of the event loop is as long as the pause for half a second, so an attempt whose limit passed then would have waited four times as long for an endpoint that hangs, 20 s after 5 s. Callers would have seen late answers or an ended deadline.

--- a/lib/src/gateway/rules/processor_load.rs
+++ b/lib/src/gateway/rules/processor_load.rs
@@ -8,8 +8,8 @@
 //! while the event loop was late by `STANDSTILL`, until for as long its use has been below `FREE_USE` or the event loop
 //! on time, and no connection has been closed for it.
 //!
-//! An answer of another process may seem late by up to `LOOP_TURNS` times the longest delay in the window. Limits on the
-//! time of others are longer by that.
+//! An answer of another process may seem late by up to `LOOP_TURNS` times the longest delay in the window. The limits of
+//! attempts are longer by that, but by `MAX_OWN_DELAY` at most: after a pause of the process each turn is short again.
 //!
 //! Reason: a process that has used its share of a period stands still until the next one, and everything that the daemon does
 //! is late. A daemon whose use is high but which is never late has no need to turn callers away.
@@ -37,6 +37,9 @@
 /// the end of the answer.
 const LOOP_TURNS: u32 = 4;
 
+/// Longest time by which an answer may seem late.
+const MAX_OWN_DELAY: Millis = Millis(1_000);
+
 /// One check of the clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessorSample {
@@ -140,7 +143,8 @@
 
     /// Returns by how much an answer of another process may seem late because the event loop is behind.
     pub fn own_delay(&self) -> Duration {
-        self.longest_delay() * LOOP_TURNS
+        let delay = self.longest_delay() * LOOP_TURNS;
+        delay.min(MAX_OWN_DELAY.to_duration())
     }
 
     fn longest_delay(&self) -> Duration {
--- a/lib/tests/test_processor_load.rs
+++ b/lib/tests/test_processor_load.rs
@@ -81,6 +81,9 @@
     assert_eq!(host.load.own_delay(), Duration::ZERO);
     host.run_late(1, 0.1, LATE);
     assert_eq!(host.load.own_delay(), 4 * LATE);
+    // A pause of the whole process.
+    host.run_late(1, 0.1, Duration::from_secs(5));
+    assert_eq!(host.load.own_delay(), Duration::from_secs(1));
     host.run_late(30, 0.1, Duration::ZERO);
     assert_eq!(host.load.own_delay(), Duration::ZERO);
 }
