hosts: one start of a world of hosts for three test files

test_small_hosts, test_lost_fleets and test_herds each built a World of the same parts; World::start does it now.

--- a/daemon/tests/hosts/work.rs
+++ b/daemon/tests/hosts/work.rs
@@ -6,7 +6,7 @@
     super::{
         changes::Published,
         endpoints::Endpoints,
-        fleet::{GRACE_S, Host, SMALLEST_SHARE},
+        fleet::{GRACE_S, Host, SMALLEST_SHARE, start_hosts},
         quota::QuotaKeeper,
         stand_in::{client, store::StandInStore},
     },
@@ -59,6 +59,29 @@
 }
 
 impl World {
+    /// Starts `count` hosts, whose shares of a core are multiplied by `factor`.
+    pub fn start(
+        store: StandInStore,
+        published: Published,
+        endpoints: Endpoints,
+        seed: u64,
+        count: usize,
+        factor: f64,
+    ) -> Self {
+        let quotas = QuotaKeeper::start();
+        let hosts = start_hosts(count, seed, store.address, &quotas, factor);
+        Self {
+            hosts: Rc::new(RefCell::new(hosts)),
+            endpoints: Rc::new(endpoints),
+            published: Rc::new(RefCell::new(published)),
+            quotas: Rc::new(quotas),
+            findings: Rc::default(),
+            herd: Rc::default(),
+            store,
+            factor,
+        }
+    }
+
     /// Waits until all daemons are ready; returns false if they aren't in time.
     pub async fn wait_until_ready(&self) -> bool {
         let addresses: Vec<_> = self.hosts.borrow().iter().map(|host| host.ready).collect();
--- a/daemon/tests/test_herds.rs
+++ b/daemon/tests/test_herds.rs
@@ -26,15 +26,14 @@
     hosts::{
         changes::Published,
         endpoints::{Endpoints, Services},
-        fleet::{Host, SMALLEST_SHARE, start_hosts},
+        fleet::{Host, SMALLEST_SHARE},
         herd::{Callers, Spell},
-        quota::QuotaKeeper,
         settings,
         work::World,
     },
     rand::{SeedableRng, rngs::SmallRng},
     stand_in::store::StandInStore,
-    std::{cell::RefCell, fs, ops::Range, rc::Rc, time::Duration},
+    std::{fs, ops::Range, time::Duration},
 };
 
 const DEFAULT_HOSTS: usize = 12;
@@ -68,20 +67,9 @@
     let published = Published::new();
     store.publish(&published.document());
     let endpoints = Endpoints::start_steady(&store, MANY).await;
-    let quotas = QuotaKeeper::start();
     let factor = settings::setting("HAZELYOKE_HOST_FACTOR", DEFAULT_FACTOR);
     let count = settings::setting("HAZELYOKE_HOSTS", DEFAULT_HOSTS);
-    let hosts = start_hosts(count, seed, store.address, &quotas, factor);
-    let world = World {
-        hosts: Rc::new(RefCell::new(hosts)),
-        endpoints: Rc::new(endpoints),
-        published: Rc::new(RefCell::new(published)),
-        quotas: Rc::new(quotas),
-        findings: Rc::default(),
-        herd: Rc::default(),
-        store,
-        factor,
-    };
+    let world = World::start(store, published, endpoints, seed, count, factor);
     if !world.wait_until_ready().await {
         return vec!["the daemons weren't ready in time".into()];
     }
--- a/daemon/tests/test_lost_fleets.rs
+++ b/daemon/tests/test_lost_fleets.rs
@@ -29,9 +29,8 @@
         changes::Published,
         endpoints::{Endpoints, Services},
         entry::Entry,
-        fleet::{SEED_COUNT, start_hosts},
+        fleet::SEED_COUNT,
         outage::{Outage, OutageRun},
-        quota::QuotaKeeper,
         settings,
         visits::{Visits, print_seconds, run_visitor, share_served},
         work::World,
@@ -39,7 +38,7 @@
     rand::{SeedableRng, rngs::SmallRng},
     stand_in::store::StandInStore,
     std::{
-        cell::{Cell, RefCell},
+        cell::Cell,
         ops::Range,
         rc::Rc,
         time::{Duration, Instant},
@@ -86,21 +85,10 @@
     published.set_routes(outage.routes);
     store.publish(&published.document());
     let endpoints = Endpoints::start(&store, MANY, SmallRng::seed_from_u64(seed)).await;
-    let quotas = QuotaKeeper::start();
     let factor = settings::factor();
     let count = settings::setting("HAZELYOKE_HOSTS", DEFAULT_HOSTS);
     let started = Instant::now();
-    let hosts = start_hosts(count, seed, store.address, &quotas, factor);
-    let world = World {
-        hosts: Rc::new(RefCell::new(hosts)),
-        endpoints: Rc::new(endpoints),
-        published: Rc::new(RefCell::new(published)),
-        quotas: Rc::new(quotas),
-        findings: Rc::default(),
-        herd: Rc::default(),
-        store,
-        factor,
-    };
+    let world = World::start(store, published, endpoints, seed, count, factor);
     if !world.wait_until_ready().await {
         return vec!["the daemons weren't ready in time".into()];
     }
--- a/daemon/tests/test_small_hosts.rs
+++ b/daemon/tests/test_small_hosts.rs
@@ -29,20 +29,12 @@
         callers::{Outcomes, run_caller},
         changes::Published,
         endpoints::{Endpoints, FEW},
-        fleet::start_hosts,
-        losses,
-        quota::QuotaKeeper,
-        settings,
+        losses, settings,
         work::World,
     },
     rand::{SeedableRng, rngs::SmallRng},
     stand_in::store::StandInStore,
-    std::{
-        cell::{Cell, RefCell},
-        ops::Range,
-        rc::Rc,
-        time::Duration,
-    },
+    std::{cell::Cell, ops::Range, rc::Rc, time::Duration},
 };
 
 const DEFAULT_HOSTS: usize = 8;
@@ -60,20 +52,9 @@
     store.publish(&published.document());
     let rng = SmallRng::seed_from_u64(seed);
     let endpoints = Endpoints::start(&store, FEW, rng).await;
-    let quotas = QuotaKeeper::start();
     let factor = settings::factor();
     let count = settings::setting("HAZELYOKE_HOSTS", DEFAULT_HOSTS);
-    let hosts = start_hosts(count, seed, store.address, &quotas, factor);
-    let world = World {
-        hosts: Rc::new(RefCell::new(hosts)),
-        endpoints: Rc::new(endpoints),
-        published: Rc::new(RefCell::new(published)),
-        quotas: Rc::new(quotas),
-        findings: Rc::default(),
-        herd: Rc::default(),
-        store,
-        factor,
-    };
+    let world = World::start(store, published, endpoints, seed, count, factor);
     if !world.wait_until_ready().await {
         return vec!["the daemons weren't ready in time".into()];
     }
